--- a/Source/Core/Common/Error.h
+++ b/Source/Core/Common/Error.h
@@ -83,7 +83,7 @@
 inline tl::unexpected<Error> notRun(ErrorCode code, std::string message,
                                     std::optional<Milliseconds> retryAfter = std::nullopt)
 {
-    return tl::unexpected<Error>(Error {code, std::move(message), Ran::No, retryAfter});
+    return tl::unexpected<Error>(Error{code, std::move(message), Ran::No, retryAfter});
 }
 
 // Returns the HTTP status that reports an error code.
--- a/Source/Core/Common/Sharded.h
+++ b/Source/Core/Common/Sharded.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <functional>
+#include <iterator>
 #include <mutex>
 #include <unordered_map>
 
@@ -29,8 +30,10 @@
     {
         for (Shard &shard : this->shards) {
             const std::lock_guard<std::mutex> guard(shard.lock);
-            std::erase_if(shard.values,
-                          [&action](auto &entry) { return !action(entry.first, entry.second); });
+            for (auto entry = shard.values.begin(); entry != shard.values.end();) {
+                const bool keep = action(entry->first, entry->second);
+                entry = keep ? std::next(entry) : shard.values.erase(entry);
+            }
         }
     }
 
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -102,7 +102,7 @@
     beast::error_code error;
     const auto ip = asio::ip::make_address(address.ip, error);
     if (error)
-        co_return tl::unexpected(CallError {CallFailure::ConnectFailed, false, error.message()});
+        co_return tl::unexpected(CallError{CallFailure::ConnectFailed, false, error.message()});
     const Common::Time connectBy = std::chrono::steady_clock::now() + options.connectTimeout;
     connection->stream.expires_at(std::min(options.deadline, connectBy));
     co_await connection->stream.async_connect(tcp::endpoint(ip, address.port),
@@ -176,7 +176,7 @@
     bool fresh = options.freshConnection;
     while (true) {
         if (options.handle && options.handle->isCancelled())
-            co_return tl::unexpected(CallError {CallFailure::Cancelled, false, "cancelled"});
+            co_return tl::unexpected(CallError{CallFailure::Cancelled, false, "cancelled"});
         ConnectionPtr connection = fresh ? nullptr : this->pool->take(address);
         if (!connection) {
             auto connected = co_await connect(this->pool->executor, address, options);
@@ -185,7 +185,7 @@
             connection = std::move(*connected);
         }
         if (options.beforeFirstByte && !options.beforeFirstByte())
-            co_return tl::unexpected(CallError {CallFailure::Cancelled, false, "abandoned"});
+            co_return tl::unexpected(CallError{CallFailure::Cancelled, false, "abandoned"});
 
         ResponseStream stream;
         stream.state = std::make_unique<ResponseStream::State>();
@@ -211,7 +211,7 @@
         if (options.handle)
             options.handle->abort = nullptr;
         if (!error && options.acceptHead && !options.acceptHead(stream))
-            co_return tl::unexpected(CallError {CallFailure::BadReply, true, "foreign reply"});
+            co_return tl::unexpected(CallError{CallFailure::BadReply, true, "foreign reply"});
         if (!error)
             co_return std::move(stream);
         CallError failed = errorOf(error, true, options.handle);
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -68,7 +68,7 @@
 struct CallOptions
 {
     Common::Time deadline;
-    Common::Milliseconds connectTimeout {500};
+    Common::Milliseconds connectTimeout{500};
     // A call that may run at most once gets a new connection, so that a stale one cannot fail it.
     bool freshConnection = false;
     // Whether a call that fails on a reused connection before any reply may be sent again.
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -27,8 +27,8 @@
     ServerOptions options;
     Handler handler;
     std::shared_ptr<tcp::acceptor> acceptor;
-    std::atomic<bool> accepting {true};
-    std::atomic<std::size_t> connections {0};
+    std::atomic<bool> accepting{true};
+    std::atomic<std::size_t> connections{0};
     unsigned short port = 0;
 };
 
@@ -88,7 +88,7 @@
 
     Awaitable<bool> respond(Response response) override
     {
-        http::response<http::string_body> message {static_cast<http::status>(response.status), 11};
+        http::response<http::string_body> message{static_cast<http::status>(response.status), 11};
         for (const Header &field : response.headers.fields)
             addField(message, field);
         message.body() = std::move(response.body);
@@ -106,12 +106,12 @@
 
     Awaitable<bool> beginStream(Response head) override
     {
-        http::response<http::empty_body> message {static_cast<http::status>(head.status), 11};
+        http::response<http::empty_body> message{static_cast<http::status>(head.status), 11};
         for (const Header &field : head.headers.fields)
             addField(message, field);
         message.keep_alive(this->keepAlive);
         message.chunked(true);
-        http::response_serializer<http::empty_body> serializer {message};
+        http::response_serializer<http::empty_body> serializer{message};
         this->headWritten = true;
         beast::error_code error;
         this->stream.expires_after(this->options.writeTimeout);
@@ -238,7 +238,7 @@
     Awaitable<void> drainBriefly()
     {
         constexpr std::size_t kMostBytes = 4 << 20;
-        constexpr Common::Milliseconds kMostTime {500};
+        constexpr Common::Milliseconds kMostTime{500};
         beast::error_code error;
         this->stream.socket().shutdown(tcp::socket::shutdown_send, error);
         std::vector<char> discarded(16 << 10);
@@ -321,7 +321,7 @@
 
 Awaitable<void> refuseConnection(tcp::socket socket)
 {
-    http::response<http::string_body> message {http::status::service_unavailable, 11};
+    http::response<http::string_body> message{http::status::service_unavailable, 11};
     message.body() = errorBody("overloaded", "too many connections");
     message.set(http::field::content_type, "application/json");
     message.keep_alive(false);
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -22,11 +22,11 @@
     std::size_t maxTargetBytes = 2 << 10;
     std::size_t maxConnections = 10000;
     // How long a connection may wait for the first byte of its next request.
-    Common::Milliseconds idleTimeout {60000};
+    Common::Milliseconds idleTimeout{60000};
     // How long a caller may take to send one whole request.
-    Common::Milliseconds requestTimeout {5000};
+    Common::Milliseconds requestTimeout{5000};
     // How long one write to a caller may take.
-    Common::Milliseconds writeTimeout {10000};
+    Common::Milliseconds writeTimeout{10000};
 };
 
 // One request and the means to answer it. Used on the connection's executor only.
--- a/Source/Core/Lists/EntitlementList.h
+++ b/Source/Core/Lists/EntitlementList.h
@@ -16,7 +16,7 @@
     std::string action;
     std::int64_t count = 0;
     // Windows follow one another from the start of the epoch.
-    std::chrono::seconds window {0};
+    std::chrono::seconds window{0};
 };
 
 struct Entitlement
--- a/Source/Core/Lists/PlanList.cpp
+++ b/Source/Core/Lists/PlanList.cpp
@@ -1,7 +1,5 @@
 #include "Lists/PlanList.h"
 
-#include <set>
-
 namespace Tanagerbay::Lists {
 
 namespace {
@@ -82,11 +80,10 @@
 
 void indexWorkspaces(PlanList &list, Common::JsonFaults &faults)
 {
-    std::set<Common::WorkspaceId> ids;
     for (std::size_t i = 0; i < list.workspaces.size(); ++i) {
         const Workspace &workspace = list.workspaces[i];
         const std::string path = "workspaces[" + std::to_string(i) + "]";
-        if (!ids.insert(workspace.id).second)
+        if (!list.workspaceById.emplace(workspace.id, i).second)
             faults.push_back({path + ".id", "stands twice: " + workspace.id.value});
         if (!list.findPlan(workspace.plan))
             faults.push_back(
--- a/Source/Core/Lists/PlanList.h
+++ b/Source/Core/Lists/PlanList.h
@@ -29,7 +29,7 @@
 // What a plan promises for one pipeline or service, where that differs from the plan's default.
 struct Promise
 {
-    Common::Milliseconds deadline {0};
+    Common::Milliseconds deadline{0};
     Priority priority = Priority::Interactive;
 };
 
@@ -61,6 +61,8 @@
     std::vector<Workspace> workspaces;
     // Index into `workspaces` by key digest.
     std::unordered_map<std::string, std::size_t> workspaceByKey;
+    // Index into `workspaces` by identifier.
+    std::unordered_map<Common::WorkspaceId, std::size_t> workspaceById;
 
     const Plan *findPlan(const Common::PlanName &name) const;
     // Returns the workspace whose key has the digest, or null.
--- a/Source/Core/Membership/Members.h
+++ b/Source/Core/Membership/Members.h
@@ -42,6 +42,9 @@
     std::uint64_t plansVersion = 0;
     std::uint64_t entitlementsVersion = 0;
     std::uint32_t requestsInProgress = 0;
+    // The slot that the instance holds, if any, and the version of its row.
+    std::optional<std::size_t> slot;
+    std::uint64_t slotVersion = 0;
 };
 
 struct Member
@@ -57,7 +60,7 @@
 struct Members
 {
     Common::InstanceId self;
-    Common::Milliseconds suspectAfter {0};
+    Common::Milliseconds suspectAfter{0};
     std::map<Common::InstanceId, Member> byId;
     bool platformListRead = false;
 };
--- a/Source/Core/Node/CallerApi.cpp
+++ b/Source/Core/Node/CallerApi.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::size_t kMostIdLength = 128;
-constexpr Common::Milliseconds kOtherEntryRetryAfter {100};
+constexpr Common::Milliseconds kOtherEntryRetryAfter{100};
 
 std::string_view bearerOf(const Http::Request &request)
 {
@@ -54,9 +54,7 @@
 
 } // namespace
 
-CallerApi::CallerApi(std::vector<std::unique_ptr<Worker>> &workers, Shared &shared,
-                     std::vector<std::unique_ptr<OutcomeWriter>> &outcomes)
-    : workers(workers), shared(shared), outcomes(outcomes)
+CallerApi::CallerApi(const CallerParts &parts) : parts(parts), shared(parts.shared)
 {
 }
 
@@ -83,15 +81,15 @@
     });
     json::array list;
     for (const Membership::EntryAnswer &entry : answers) {
-        list.push_back(json::object {{"address", Common::formatAddress(entry.address)},
-                                     {"failureDomain", entry.failureDomain.value},
-                                     {"weight", entry.weight}});
+        list.push_back(json::object{{"address", Common::formatAddress(entry.address)},
+                                    {"failureDomain", entry.failureDomain.value},
+                                    {"weight", entry.weight}});
     }
     return Http::jsonResponse(
         200,
-        json::serialize(json::object {{"version", 1},
-                                      {"ttlMs", this->shared.settings.caller.entriesTtl.count()},
-                                      {"entries", list}}));
+        json::serialize(json::object{{"version", 1},
+                                     {"ttlMs", this->shared.settings.caller.entriesTtl.count()},
+                                     {"entries", list}}));
 }
 
 Common::Result<CallerApi::Route> CallerApi::routeOf(const Http::Request &request) const
@@ -167,8 +165,8 @@
     if (!isPlain(requestId) || !isPlain(key))
         return Common::notRun(ErrorCode::BadInput,
                               "Request-Id and Idempotency-Key take up to 128 visible characters");
-    Worker &worker = *this->workers[exchange.contextIndex()];
-    RequestScope scope {worker, this->shared, exchange, std::move(lists), *access, route.action};
+    Worker &worker = *this->parts.workers[exchange.contextIndex()];
+    RequestScope scope{worker, this->shared, exchange, std::move(lists), *access, route.action};
     scope.requestId
         = Common::RequestId(requestId.empty() ? randomId(worker.random) : std::string(requestId));
     scope.promise = access->plan->promiseFor(route.action);
@@ -177,11 +175,32 @@
     return scope;
 }
 
+// Takes what the limits demand before the action begins.
+Http::Awaitable<RequestOutcome> CallerApi::runWithinLimits(RequestScope &scope, const Route &route)
+{
+    const auto share = this->parts.shares.admit(scope.access, scope.deadline, scope.startedAt);
+    if (!share)
+        co_return co_await answerError(scope, Common::Error(share.error()));
+    const Lists::Allowance *allowance = scope.access.entitlement->allowanceFor(scope.action);
+    if (!allowance)
+        co_return co_await this->runAction(scope, route);
+    const auto unit = co_await this->parts.allowances.spend(scope, *allowance);
+    if (!unit)
+        co_return co_await answerError(scope, Common::Error(unit.error()));
+    const RequestOutcome outcome = co_await this->runAction(scope, route);
+    if (!scope.anyWritten)
+        this->parts.allowances.refund(*unit);
+    co_return outcome;
+}
+
 Http::Awaitable<RequestOutcome> CallerApi::runAction(RequestScope &scope, const Route &route)
 {
-    if (route.pipeline)
-        co_return co_await handlePipeline(scope, *route.pipeline);
-    OutcomeWriter &writer = *this->outcomes[scope.worker.index];
+    if (route.pipeline) {
+        const auto gate = this->parts.gates.find(route.pipeline->stages.back().pool);
+        AdmissionGate *admission = gate == this->parts.gates.end() ? nullptr : gate->second.get();
+        co_return co_await handlePipeline(scope, *route.pipeline, admission);
+    }
+    OutcomeWriter &writer = *this->parts.outcomes[scope.worker.index];
     co_return co_await handleService(scope, *route.service, route.servicePath, writer);
 }
 
@@ -226,7 +245,7 @@
                 if (scope.cancelCalls)
                     scope.cancelCalls();
             });
-            const RequestOutcome outcome = co_await this->runAction(*scope, route);
+            const RequestOutcome outcome = co_await this->runWithinLimits(*scope, route);
             exchange.onCallerGone(nullptr);
             this->account(*scope, outcome);
             co_return;
--- a/Source/Core/Node/CallerApi.h
+++ b/Source/Core/Node/CallerApi.h
@@ -1,16 +1,32 @@
 // The port for callers: which entry to use, pipelines and services.
 #pragma once
 
+#include "Node/AdmissionGate.h"
+#include "Node/AllowanceKeeper.h"
 #include "Node/ServiceHandler.h"
+#include "Node/ShareKeeper.h"
 
 namespace Tanagerbay::Node {
 
+// The gate of each pool of engines, by the pool's name.
+using AdmissionGates = std::map<std::string, std::unique_ptr<AdmissionGate>, std::less<>>;
+
+// What the caller port works with. Everything outlives it.
+struct CallerParts
+{
+    std::vector<std::unique_ptr<Worker>> &workers;
+    // One writer for each worker.
+    std::vector<std::unique_ptr<OutcomeWriter>> &outcomes;
+    Shared &shared;
+    ShareKeeper &shares;
+    AllowanceKeeper &allowances;
+    AdmissionGates &gates;
+};
+
 class CallerApi
 {
 public:
-    // `outcomes` holds one writer for each worker.
-    CallerApi(std::vector<std::unique_ptr<Worker>> &workers, Shared &shared,
-              std::vector<std::unique_ptr<OutcomeWriter>> &outcomes);
+    explicit CallerApi(const CallerParts &parts);
 
     Http::Awaitable<void> handle(Http::Exchange &exchange);
 
@@ -29,12 +45,12 @@
     Common::Result<RequestScope> openScope(Http::Exchange &exchange, const Route &route);
     std::optional<Common::Error> refusalOf(Common::Time now) const;
     Http::Awaitable<void> handleAction(Http::Exchange &exchange);
+    Http::Awaitable<RequestOutcome> runWithinLimits(RequestScope &scope, const Route &route);
     Http::Awaitable<RequestOutcome> runAction(RequestScope &scope, const Route &route);
     void account(const RequestScope &scope, const RequestOutcome &outcome);
 
-    std::vector<std::unique_ptr<Worker>> &workers;
+    CallerParts parts;
     Shared &shared;
-    std::vector<std::unique_ptr<OutcomeWriter>> &outcomes;
 };
 
 } // namespace Tanagerbay::Node
--- a/Source/Core/Node/EndpointsKeeper.cpp
+++ b/Source/Core/Node/EndpointsKeeper.cpp
@@ -15,10 +15,10 @@
 namespace {
 
 // Every endpoint is asked for its load about this often; replies to calls bring it in between.
-constexpr Common::Milliseconds kObservePeriod {1000};
+constexpr Common::Milliseconds kObservePeriod{1000};
 // Endpoints asked by one instance in one period, whatever the size of the pool.
 constexpr std::size_t kObservedPerPeriod = 16;
-constexpr Common::Milliseconds kObserveTimeout {300};
+constexpr Common::Milliseconds kObserveTimeout{300};
 
 struct Observed
 {
@@ -156,7 +156,7 @@
 {
     Http::CallOptions options;
     options.deadline = clockNow() + kObserveTimeout;
-    Http::Request loadRequest {"GET", "/v1/load", {}, ""};
+    Http::Request loadRequest{"GET", "/v1/load", {}, ""};
     const auto load = co_await this->worker.client.call(address, std::move(loadRequest), options);
     PoolShard &shard = this->shared.poolNamed(pool);
     const auto report = load && load->status == 200 ? parseLoadReport(load->body) : std::nullopt;
@@ -169,7 +169,7 @@
     if (!hasCache || !report)
         co_return;
     std::uint64_t &last = this->lastEvent[id];
-    Http::Request eventRequest {"GET", "/v1/cache-events?since=" + std::to_string(last), {}, ""};
+    Http::Request eventRequest{"GET", "/v1/cache-events?since=" + std::to_string(last), {}, ""};
     options.deadline = clockNow() + kObserveTimeout;
     const auto events
         = co_await this->worker.client.call(address, std::move(eventRequest), options);
--- a/Source/Core/Node/Generation.cpp
+++ b/Source/Core/Node/Generation.cpp
@@ -20,8 +20,8 @@
 namespace {
 
 // Bounds of the wait for an engine's next bytes, beyond which it is taken to have stopped.
-constexpr Common::Milliseconds kLeastFirstTokenWait {800};
-constexpr Common::Milliseconds kLeastTokenWait {400};
+constexpr Common::Milliseconds kLeastFirstTokenWait{800};
+constexpr Common::Milliseconds kLeastTokenWait{400};
 constexpr double kFirstTokenMargin = 3;
 constexpr double kTokenMargin = 20;
 // A stream's pace is judged once it has given this many tokens.
@@ -252,7 +252,7 @@
     this->parser = Http::EventParser();
     const Pipeline::AttemptTag tag
         = Pipeline::beginAttempt(this->run, randomId(this->scope.worker.random), false);
-    Http::Request request {
+    Http::Request request{
         "POST", Wire::stageTarget("generation"),
         callHeaders(this->scope, tag, "application/json", this->run.deadline, now),
         Pipeline::generationBody(this->call.prompt, this->call.model, this->call.maxTokens,
--- a/Source/Core/Node/Instance.cpp
+++ b/Source/Core/Node/Instance.cpp
@@ -11,11 +11,13 @@
 
 namespace {
 
-constexpr Common::Milliseconds kIdleConnectionAge {30'000};
-constexpr Common::Milliseconds kIdleCheckPeriod {5'000};
-constexpr Common::Milliseconds kDrainPoll {20};
-constexpr Common::Milliseconds kWaitPoll {20};
-constexpr Common::Milliseconds kOperatorIdleTimeout {600'000};
+constexpr Common::Milliseconds kIdleConnectionAge{30'000};
+constexpr Common::Milliseconds kIdleCheckPeriod{5'000};
+constexpr Common::Milliseconds kDrainPoll{20};
+// How often the queues look for changes that no event of this instance brings.
+constexpr Common::Milliseconds kPumpPeriod{25};
+constexpr Common::Milliseconds kWaitPoll{20};
+constexpr Common::Milliseconds kOperatorIdleTimeout{600'000};
 constexpr std::size_t kMostListBytes = 64 << 20;
 
 } // namespace
@@ -32,7 +34,16 @@
     this->peers = std::make_unique<PeerService>(first, this->shared);
     this->lists = std::make_unique<ListsKeeper>(first, this->shared, *this->peers);
     this->endpoints = std::make_unique<EndpointsKeeper>(first, this->shared);
-    this->callerApi = std::make_unique<CallerApi>(this->workers, this->shared, this->outcomes);
+    this->shares = std::make_unique<ShareKeeper>(first, this->shared, *this->peers);
+    this->allowances = std::make_unique<AllowanceKeeper>(this->shared);
+    for (const Pipeline::PipelineDefinition &pipeline : this->shared.settings.pipelines) {
+        const std::string &pool = pipeline.stages.back().pool;
+        if (pipeline.streams() && !this->gates.contains(pool))
+            this->gates.emplace(pool, std::make_unique<AdmissionGate>(this->shared, pool));
+    }
+    const CallerParts parts{this->workers, this->outcomes,    this->shared,
+                            *this->shares, *this->allowances, this->gates};
+    this->callerApi = std::make_unique<CallerApi>(parts);
     this->operatorApi
         = std::make_unique<OperatorApi>(this->shared, *this->lists, [this] { this->drain(); });
 }
@@ -65,7 +76,7 @@
     operatorOptions.idleTimeout = kOperatorIdleTimeout;
     // Control work stays on the first thread.
     this->operatorServer = std::make_unique<Http::Server>(
-        std::vector<asio::io_context *> {contexts.front()}, operatorOptions,
+        std::vector<asio::io_context *>{contexts.front()}, operatorOptions,
         [this](Http::Exchange &exchange) { return this->operatorApi->handle(exchange); });
     std::string problem = this->callerServer->start();
     if (problem.empty())
@@ -82,6 +93,7 @@
     if (!problem.empty())
         return problem;
     asio::co_spawn(this->workers.front()->context, this->startUp(), asio::detached);
+    asio::co_spawn(this->workers.front()->context, this->pumpLoop(), asio::detached);
     for (const auto &worker : this->workers) {
         asio::co_spawn(worker->context, this->closeIdleLoop(*worker), asio::detached);
         this->threads.emplace_back([&worker] { worker->context.run(); });
@@ -98,7 +110,18 @@
     co_await this->endpoints->readInstances();
     this->peers->heartbeat(true);
     this->endpoints->start();
+    co_await this->shares->claimSlot();
     this->lists->start();
+    this->shares->start();
+}
+
+Http::Awaitable<void> Instance::pumpLoop()
+{
+    while (!this->drained) {
+        co_await sleepFor(kPumpPeriod);
+        for (const auto &[pool, gate] : this->gates)
+            gate->pump();
+    }
 }
 
 Http::Awaitable<void> Instance::closeIdleLoop(Worker &worker)
@@ -147,9 +170,12 @@
         co_await sleepFor(kDrainPoll);
     }
     this->cutOffWork = !this->isIdle();
+    co_await this->allowances->returnAll(*this->workers.front());
+    co_await this->shares->releaseSlot();
     this->callerServer->stopAccepting();
     this->lists->stop();
     this->endpoints->stop();
+    this->shares->stop();
     this->peers->stop();
     LOG(INFO) << "instance " << settings.instance.value
               << (this->cutOffWork ? " gave up waiting for work in progress" : " has drained");
--- a/Source/Core/Node/Instance.h
+++ b/Source/Core/Node/Instance.h
@@ -32,6 +32,7 @@
     std::string startPorts();
     Http::Awaitable<void> startUp();
     Http::Awaitable<void> drainSteps();
+    Http::Awaitable<void> pumpLoop();
     Http::Awaitable<void> closeIdleLoop(Worker &worker);
     bool isIdle() const;
 
@@ -41,14 +42,17 @@
     std::unique_ptr<PeerService> peers;
     std::unique_ptr<ListsKeeper> lists;
     std::unique_ptr<EndpointsKeeper> endpoints;
+    std::unique_ptr<ShareKeeper> shares;
+    std::unique_ptr<AllowanceKeeper> allowances;
+    AdmissionGates gates;
     std::unique_ptr<CallerApi> callerApi;
     std::unique_ptr<OperatorApi> operatorApi;
     std::unique_ptr<Http::Server> callerServer;
     std::unique_ptr<Http::Server> operatorServer;
     std::vector<std::thread> threads;
-    std::atomic<bool> drainBegun {false};
-    std::atomic<bool> drained {false};
-    std::atomic<bool> cutOffWork {false};
+    std::atomic<bool> drainBegun{false};
+    std::atomic<bool> drained{false};
+    std::atomic<bool> cutOffWork{false};
 };
 
 } // namespace Tanagerbay::Node
--- a/Source/Core/Node/ListsKeeper.cpp
+++ b/Source/Core/Node/ListsKeeper.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr const char *kListsTable = "lists";
-constexpr Common::Milliseconds kInForcePoll {10};
-constexpr Common::Milliseconds kResolveDelay {50};
-constexpr Common::Milliseconds kResolveTime {3000};
+constexpr Common::Milliseconds kInForcePoll{10};
+constexpr Common::Milliseconds kResolveDelay{50};
+constexpr Common::Milliseconds kResolveTime{3000};
 
 // The head row of a list holds only its edit id. It is written together with the body, so both
 // always have the same version, and polls need not read the body.
@@ -30,7 +30,7 @@
 
 std::string encodeStored(const std::string &editId, const std::string &body)
 {
-    return json::serialize(json::object {{"editId", editId}, {"body", body}});
+    return json::serialize(json::object{{"editId", editId}, {"body", body}});
 }
 
 std::optional<Lists::Document> decodeStored(const Platform::Row &row)
@@ -40,7 +40,7 @@
     if (!document)
         return std::nullopt;
     Common::ObjectReader reader(*document, "", faults);
-    Lists::Document stored {row.version, reader.text("editId"), reader.text("body")};
+    Lists::Document stored{row.version, reader.text("editId"), reader.text("body")};
     if (!faults.empty())
         return std::nullopt;
     return stored;
@@ -93,12 +93,13 @@
     std::vector<Platform::RowName> heads;
     for (const auto &[kind, name] : Common::EnumNames<Lists::ListKind>::table)
         heads.push_back(headRow(kind));
+    const Common::Time askedAt = clockNow();
     const auto rows = co_await this->worker.table.read(std::move(heads));
     if (!rows) {
         this->shared.counters.add(Common::Counter::ListPollFailures);
         co_return false;
     }
-    this->shared.noteConfirmed(clockNow());
+    this->shared.noteConfirmed(askedAt);
     bool complete = true;
     for (std::size_t i = 0; i < rows->size(); ++i) {
         const Lists::ListKind kind = Common::EnumNames<Lists::ListKind>::table[i].first;
@@ -245,12 +246,12 @@
         outcome.kind = overtaken ? EditOutcome::Kind::Conflict : EditOutcome::Kind::Rejected;
         outcome.lines = overtaken
             ? Lists::describeDifference(edit.kind, winner.body, edit.body)
-            : std::vector<std::string> {"the store did not take the edit; nothing was written"};
+            : std::vector<std::string>{"the store did not take the edit; nothing was written"};
         co_return outcome;
     }
     outcome.kind = EditOutcome::Kind::Committed;
     outcome.version = edit.expectedVersion + 1;
-    const Lists::Document document {outcome.version, outcome.editId, edit.body};
+    const Lists::Document document{outcome.version, outcome.editId, edit.body};
     this->shared.applyList(edit.kind, document);
     this->peers.pushList(edit.kind, document);
     co_await this->awaitInForce(edit, outcome);
--- a/Source/Core/Node/ListsKeeper.h
+++ b/Source/Core/Node/ListsKeeper.h
@@ -37,7 +37,7 @@
     std::string body;
     std::uint64_t expectedVersion = 0;
     bool acceptWarnings = false;
-    Common::Milliseconds waitInForce {0};
+    Common::Milliseconds waitInForce{0};
 };
 
 // Used on its worker's thread only.
--- a/Source/Core/Node/Metrics.h
+++ b/Source/Core/Node/Metrics.h
@@ -58,7 +58,7 @@
 {
     std::uint64_t calls = 0;
     std::uint64_t failedCalls = 0;
-    Common::Duration busy {0};
+    Common::Duration busy{0};
     DurationSeries durations;
 };
 
--- a/Source/Core/Node/OnceCall.cpp
+++ b/Source/Core/Node/OnceCall.cpp
@@ -17,8 +17,8 @@
 // Store calls that may fail before the attempt is given up, so that a caller hears soon.
 constexpr std::uint32_t kMostStoreFailures = 2;
 constexpr std::uint32_t kMostEndpoints = 3;
-constexpr Common::Milliseconds kStoreRetryAfter {1000};
-constexpr Common::Milliseconds kEndpointRetryAfter {500};
+constexpr Common::Milliseconds kStoreRetryAfter{1000};
+constexpr Common::Milliseconds kEndpointRetryAfter{500};
 
 class OnceCall
 {
@@ -160,11 +160,11 @@
 {
     const Once::Outcome &outcome = this->stored.row.outcome;
     if (!outcome.bodyKept) {
-        return tl::unexpected(Common::Error {ErrorCode::OutcomeUnknown,
-                                             "the call ran with status "
-                                                 + std::to_string(outcome.status)
-                                                 + "; its answer was too large to keep",
-                                             Ran::Yes});
+        return tl::unexpected(Common::Error{ErrorCode::OutcomeUnknown,
+                                            "the call ran with status "
+                                                + std::to_string(outcome.status)
+                                                + "; its answer was too large to keep",
+                                            Ran::Yes});
     }
     Http::Response response;
     response.status = outcome.status;
@@ -177,9 +177,9 @@
 Http::Awaitable<Http::CallResult<Http::Response>> OnceCall::sendTo(const ChosenEndpoint &endpoint)
 {
     const Common::Time now = clockNow();
-    const Pipeline::AttemptTag tag {this->attempt.id.value, 0, 0,
-                                    randomId(this->scope.worker.random)};
-    Http::Request call {
+    const Pipeline::AttemptTag tag{this->attempt.id.value, 0, 0,
+                                   randomId(this->scope.worker.random)};
+    Http::Request call{
         "POST", "/v1/call/" + this->request.path,
         callHeaders(this->scope, tag, this->request.contentType, this->scope.deadline, now),
         this->scope.exchange.request().body};
@@ -233,9 +233,9 @@
         row.outcome.body = reply.body;
     this->outcomes.record(this->key, this->stored.version, row);
     if (row.outcome.ran != Ran::Yes) {
-        return tl::unexpected(Common::Error {ErrorCode::EndpointFailed,
-                                             "the service answered " + std::to_string(reply.status),
-                                             Ran::Maybe});
+        return tl::unexpected(Common::Error{ErrorCode::EndpointFailed,
+                                            "the service answered " + std::to_string(reply.status),
+                                            Ran::Maybe});
     }
     Http::Response response;
     response.status = reply.status;
--- a/Source/Core/Node/OperatorApi.cpp
+++ b/Source/Core/Node/OperatorApi.cpp
@@ -14,12 +14,12 @@
 
 namespace {
 
-constexpr Common::Milliseconds kDefaultWait {10'000};
+constexpr Common::Milliseconds kDefaultWait{10'000};
 constexpr std::int64_t kMostWaitMs = 120'000;
 
 Http::Response refuse(ErrorCode code, std::string message)
 {
-    return errorResponse(Common::Error {code, std::move(message)});
+    return errorResponse(Common::Error{code, std::move(message)});
 }
 
 // Reads a version from a quoted entity tag. Returns false where the text is not one.
@@ -57,7 +57,7 @@
 Http::Response describeEdit(const EditOutcome &outcome)
 {
     using Kind = EditOutcome::Kind;
-    json::object body {{"version", outcome.version}, {"lines", toJson(outcome.lines)}};
+    json::object body{{"version", outcome.version}, {"lines", toJson(outcome.lines)}};
     if (!outcome.editId.empty())
         body["editId"] = outcome.editId;
     unsigned status = 500;
@@ -194,7 +194,7 @@
     (kind == Lists::ListKind::Plans ? wanted.plans : wanted.entitlements) = version;
     const auto missing = this->lists.missing(wanted);
     return Http::jsonResponse(200,
-                              json::serialize(json::object {
+                              json::serialize(json::object{
                                   {"version", version},
                                   {"state", missing.empty() ? "in-force" : "committed"},
                                   {"missing", toJson(missing)},
--- a/Source/Core/Node/OutcomeWriter.cpp
+++ b/Source/Core/Node/OutcomeWriter.cpp
@@ -12,8 +12,8 @@
 
 constexpr std::size_t kMostBatch = 64;
 constexpr std::size_t kMostQueued = 20'000;
-constexpr Common::Milliseconds kFirstRetryDelay {100};
-constexpr Common::Milliseconds kLongestRetryDelay {2000};
+constexpr Common::Milliseconds kFirstRetryDelay{100};
+constexpr Common::Milliseconds kLongestRetryDelay{2000};
 
 Common::Milliseconds retryDelay(std::uint32_t tries)
 {
@@ -137,7 +137,7 @@
         if (stored && stored->version > 0) {
             const auto parsed = Once::decodeRow(stored->body);
             readable = parsed.has_value();
-            decoded = {stored->version, parsed.value_or(Once::LedgerRow {})};
+            decoded = {stored->version, parsed.value_or(Once::LedgerRow{})};
         }
         const auto step = Once::afterVoidRead(readable ? &decoded : nullptr, row.attempt);
         if (step == Once::VoidStep::Done) {
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -31,6 +31,10 @@
     record.set_plans_version(report.plansVersion);
     record.set_entitlements_version(report.entitlementsVersion);
     record.set_requests_in_progress(report.requestsInProgress);
+    if (report.slot) {
+        record.set_slot_plus_one(static_cast<std::uint32_t>(*report.slot + 1));
+        record.set_slot_version(report.slotVersion);
+    }
 }
 
 // Returns false where the record is not usable.
@@ -45,6 +49,9 @@
     report.plansVersion = record.plans_version();
     report.entitlementsVersion = record.entitlements_version();
     report.requestsInProgress = record.requests_in_progress();
+    if (record.slot_plus_one() > 0)
+        report.slot = record.slot_plus_one() - 1;
+    report.slotVersion = record.slot_version();
     return !report.id.empty() && Common::parseAddress(record.caller_address(), report.callerAddress)
         && Common::parseAddress(record.peer_address(), report.peerAddress);
 }
@@ -119,10 +126,46 @@
     report.plansVersion = versions.plans;
     report.entitlementsVersion = versions.entitlements;
     report.requestsInProgress = this->shared.requestsInProgress.load();
+    report.slot = this->ownSlot;
+    report.slotVersion = this->ownSlotVersion;
+    this->sentAt[this->sequence % kRememberedSequences] = {this->sequence, now};
     this->shared.members.with(
         [&](Membership::Members &members) { Membership::noteReport(members, report, now); });
 }
 
+void PeerService::setSlot(std::optional<std::size_t> slot, std::uint64_t version)
+{
+    this->ownSlot = slot;
+    this->ownSlotVersion = version;
+}
+
+// Tells the receiver which of its heartbeats arrived here, so that it knows that it is not cut off.
+void PeerService::sendHeartbeat(const Common::Address &peer, Peer::Envelope &message)
+{
+    wire::Heartbeat &body = *message.mutable_heartbeat();
+    this->shared.members.with([&](Membership::Members &members) {
+        body.set_heard_sequence(0);
+        for (const auto &[id, member] : members.byId) {
+            if (member.report.peerAddress != peer || !member.heardAt)
+                continue;
+            body.set_heard_sequence(member.report.sequence);
+            body.set_heard_incarnation(member.report.incarnation);
+        }
+    });
+    this->send(peer, message);
+}
+
+// An answer proves contact as of when the heartbeat that it answers was sent. Messages that waited
+// in a buffer while this process was paused prove nothing newer.
+void PeerService::noteHeard(std::uint64_t incarnation, std::uint64_t heardSequence)
+{
+    if (incarnation != this->incarnation)
+        return;
+    const SentHeartbeat &sent = this->sentAt[heardSequence % kRememberedSequences];
+    if (sent.sequence == heardSequence)
+        this->shared.noteConfirmed(sent.at);
+}
+
 Peer::Envelope PeerService::heartbeatMessage(bool announce)
 {
     Peer::Envelope message;
@@ -151,7 +194,7 @@
         targets = this->shared.settings.peer.seeds;
     for (const Common::Address &target : targets) {
         if (target != this->shared.settings.peer.address)
-            this->send(target, message);
+            this->sendHeartbeat(target, message);
     }
 }
 
@@ -250,8 +293,8 @@
         this->shared.counters.add(Common::Counter::PeerMessagesBad);
         return;
     }
-    this->shared.noteConfirmed(now);
-    Lists::Versions newest {report.plansVersion, report.entitlementsVersion};
+    this->noteHeard(body.heard_incarnation(), body.heard_sequence());
+    Lists::Versions newest{report.plansVersion, report.entitlementsVersion};
     this->shared.members.with([&](Membership::Members &members) {
         Membership::noteReport(members, report, now);
         for (const wire::MemberRecord &record : body.others()) {
@@ -272,13 +315,13 @@
         return;
     this->refreshSelf(now);
     Peer::Envelope answer = this->heartbeatMessage(false);
-    this->send(report.peerAddress, answer);
+    this->sendHeartbeat(report.peerAddress, answer);
 }
 
 void PeerService::takeDocument(const Peer::Envelope &message)
 {
     const wire::ListDocument &body = message.list_document();
-    Lists::Document document {body.version(), body.edit_id(), body.body()};
+    Lists::Document document{body.version(), body.edit_id(), body.body()};
     const auto kind = body.kind() == static_cast<std::uint32_t>(Lists::ListKind::Plans)
         ? Lists::ListKind::Plans
         : Lists::ListKind::Entitlements;
@@ -289,7 +332,7 @@
         return;
     this->refreshSelf(clockNow());
     Peer::Envelope answer = this->heartbeatMessage(false);
-    this->send(sender, answer);
+    this->sendHeartbeat(sender, answer);
 }
 
 void PeerService::answerRequest(const Peer::Envelope &message)
@@ -299,7 +342,7 @@
         return;
     const Lists::SnapshotPtr lists = this->shared.lists.current();
     const wire::ListRequest &body = message.list_request();
-    const Lists::Versions asked {body.plans_version(), body.entitlements_version()};
+    const Lists::Versions asked{body.plans_version(), body.entitlements_version()};
     for (const auto &[kind, name] : Common::EnumNames<Lists::ListKind>::table) {
         if (lists->document(kind).version <= asked.of(kind))
             continue;
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -29,12 +29,24 @@
     using ShareReceiver = std::function<void(const Peer::Envelope &)>;
     void onShareMessage(ShareReceiver receiver);
     void send(const Common::Address &peer, Peer::Envelope &message);
+    // States which slot this instance holds, for its heartbeats.
+    void setSlot(std::optional<std::size_t> slot, std::uint64_t version);
     // Peer addresses of all other instances that are known.
     std::vector<Common::Address> knownPeers() const;
     std::size_t openPeers() const;
 
 private:
+    struct SentHeartbeat
+    {
+        std::uint64_t sequence = 0;
+        Common::Time at;
+    };
+    // Answers to heartbeats older than this many are ignored.
+    static constexpr std::size_t kRememberedSequences = 64;
+
     Http::Awaitable<void> heartbeatLoop();
+    void sendHeartbeat(const Common::Address &peer, Peer::Envelope &message);
+    void noteHeard(std::uint64_t incarnation, std::uint64_t heardSequence);
     void receive(std::unique_ptr<Peer::Envelope> message);
     void takeHeartbeat(const Peer::Envelope &message);
     void takeDocument(const Peer::Envelope &message);
@@ -49,6 +61,9 @@
     ShareReceiver shareReceiver;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
+    std::array<SentHeartbeat, kRememberedSequences> sentAt = {};
+    std::optional<std::size_t> ownSlot;
+    std::uint64_t ownSlotVersion = 0;
     bool stopping = false;
 };
 
--- a/Source/Core/Node/PipelineHandler.cpp
+++ b/Source/Core/Node/PipelineHandler.cpp
@@ -32,6 +32,34 @@
     return expected;
 }
 
+std::int64_t tokensWanted(const RequestScope &scope, const Pipeline::RequestBody &body)
+{
+    return body.maxTokens > 0 ? body.maxTokens : scope.shared.settings.defaultMaxTokens;
+}
+
+// Predicts how long the run takes from its admission on, from recent stages and the engines' pace.
+Common::Duration expectedDuration(RequestScope &scope, const Pipeline::PipelineDefinition &pipeline,
+                                  const Pipeline::RequestBody &body)
+{
+    constexpr double kTypical = 0.5;
+    Common::Duration expected{0};
+    for (const Pipeline::StageDefinition &stage : pipeline.stages) {
+        PoolShard &shard = scope.shared.poolNamed(stage.pool);
+        const std::lock_guard<std::mutex> guard(shard.lock);
+        const Routing::Pool &pool = shard.pool;
+        if (stage.kind != Pipeline::StageKind::Generation) {
+            expected += pool.durations.quantile(kTypical, Common::Duration::zero());
+            continue;
+        }
+        const double seconds
+            = static_cast<double>(tokensWanted(scope, body)) * pool.usualPaceSeconds;
+        expected += pool.firstTokens.quantile(kTypical, Common::Duration::zero());
+        expected
+            += std::chrono::duration_cast<Common::Duration>(std::chrono::duration<double>(seconds));
+    }
+    return expected;
+}
+
 Http::Awaitable<Common::Result<json::value>> runStage(RequestScope &scope, Pipeline::Run &run,
                                                       const Pipeline::PipelineDefinition &pipeline,
                                                       const json::value &input,
@@ -59,7 +87,7 @@
 
 Http::Awaitable<bool> answerStreamEnd(RequestScope &scope, const GenerationEnd &end)
 {
-    const json::object done {{"tokens", end.tokens.count()}, {"digest", end.digest}};
+    const json::object done{{"tokens", end.tokens.count()}, {"digest", end.digest}};
     std::string bytes;
     Http::appendEvent(bytes, {"", std::string(Wire::kDoneEvent), json::serialize(done)});
     if (!co_await scope.exchange.writeChunk(bytes))
@@ -69,7 +97,7 @@
 
 Http::Awaitable<bool> answerWhole(RequestScope &scope, json::value output)
 {
-    json::object body {{"requestId", scope.requestId.value}, {"output", std::move(output)}};
+    json::object body{{"requestId", scope.requestId.value}, {"output", std::move(output)}};
     Http::Response response = Http::jsonResponse(200, json::serialize(body));
     response.headers.add("Request-Id", scope.requestId.value);
     co_return co_await scope.exchange.respond(std::move(response));
@@ -80,7 +108,7 @@
     std::string text;
     for (const std::string &token : end.tokens.tokens)
         text += token;
-    return json::object {{"text", text}, {"tokens", end.tokens.count()}, {"digest", end.digest}};
+    return json::object{{"text", text}, {"tokens", end.tokens.count()}, {"digest", end.digest}};
 }
 
 Http::Awaitable<RequestOutcome> runGeneration(RequestScope &scope, Pipeline::Run &run,
@@ -131,11 +159,19 @@
 }
 
 Http::Awaitable<RequestOutcome> handlePipeline(RequestScope &scope,
-                                               const Pipeline::PipelineDefinition &pipeline)
+                                               const Pipeline::PipelineDefinition &pipeline,
+                                               AdmissionGate *gate)
 {
     auto body = Pipeline::parseRequestBody(scope.exchange.request().body, kMostTokens);
     if (!body)
         co_return co_await answerError(scope, std::move(body.error()));
+    AdmissionGate::Ticket ticket;
+    if (gate) {
+        auto admitted = co_await gate->enter(scope, expectedDuration(scope, pipeline, *body));
+        if (!admitted)
+            co_return co_await answerError(scope, std::move(admitted.error()));
+        ticket = std::move(*admitted);
+    }
     Pipeline::Run run;
     run.id = Common::RunId(randomId(scope.worker.random));
     run.startedAt = scope.startedAt;
--- a/Source/Core/Node/PipelineHandler.h
+++ b/Source/Core/Node/PipelineHandler.h
@@ -1,6 +1,7 @@
 // Runs a pipeline for one caller and answers it.
 #pragma once
 
+#include "Node/AdmissionGate.h"
 #include "Node/RequestScope.h"
 #include "Pipeline/Definition.h"
 
@@ -14,9 +15,11 @@
     Common::Ran ran = Common::Ran::No;
 };
 
+// Waits for admission where the pipeline ends in a pool with a gate, then runs the stages.
 // Answers the caller in every case; an error after the head of a stream is sent as its last event.
 Http::Awaitable<RequestOutcome> handlePipeline(RequestScope &scope,
-                                               const Pipeline::PipelineDefinition &pipeline);
+                                               const Pipeline::PipelineDefinition &pipeline,
+                                               AdmissionGate *gate);
 
 // Sends an error: as a response, or as the last event of a stream that has begun.
 Http::Awaitable<RequestOutcome> answerError(RequestScope &scope, Common::Error error);
--- a/Source/Core/Node/RequestScope.cpp
+++ b/Source/Core/Node/RequestScope.cpp
@@ -56,14 +56,14 @@
 
 std::string errorBody(const Common::Error &error)
 {
-    json::object entry {
+    json::object entry{
         {"code", Common::nameOf(error.code)},
         {"message", error.message},
         {"ran", Common::nameOf(error.ran)},
     };
     if (error.retryAfter)
         entry["retryAfterMs"] = error.retryAfter->count();
-    return json::serialize(json::object {{"error", entry}});
+    return json::serialize(json::object{{"error", entry}});
 }
 
 Http::Response errorResponse(const Common::Error &error)
--- a/Source/Core/Node/ServiceHandler.cpp
+++ b/Source/Core/Node/ServiceHandler.cpp
@@ -47,8 +47,8 @@
 {
     const std::string_view key = scope.exchange.request().headers.find("Idempotency-Key");
     if (key.empty()) {
-        Common::Error error {Common::ErrorCode::BadInput,
-                             "an Idempotency-Key is required, since this call may not be repeated"};
+        Common::Error error{Common::ErrorCode::BadInput,
+                            "an Idempotency-Key is required, since this call may not be repeated"};
         co_return co_await answerError(scope, std::move(error));
     }
     OnceRequest request;
--- a/Source/Core/Node/Settings.h
+++ b/Source/Core/Node/Settings.h
@@ -18,10 +18,10 @@
     std::size_t maxBodyBytes = 0;
     std::size_t maxHeaderBytes = 0;
     std::size_t maxConnections = 0;
-    Common::Milliseconds requestTimeout {0};
-    Common::Milliseconds idleTimeout {0};
+    Common::Milliseconds requestTimeout{0};
+    Common::Milliseconds idleTimeout{0};
     // How long callers keep the answer of `GET /v1/entries`.
-    Common::Milliseconds entriesTtl {0};
+    Common::Milliseconds entriesTtl{0};
 };
 
 struct OperatorPortSettings
@@ -36,9 +36,9 @@
     Common::Address address;
     // Instances to announce oneself to before the instance list was read.
     std::vector<Common::Address> seeds;
-    Common::Milliseconds heartbeatInterval {0};
+    Common::Milliseconds heartbeatInterval{0};
     // An instance that was not heard of for this long is suspected.
-    Common::Milliseconds suspectAfter {0};
+    Common::Milliseconds suspectAfter{0};
 };
 
 struct PlatformSettings
@@ -46,11 +46,11 @@
     Common::Address tableService;
     Common::Address objectStore;
     Common::Address instanceList;
-    Common::Milliseconds callTimeout {0};
-    Common::Milliseconds listPollInterval {0};
-    Common::Milliseconds instancePollInterval {0};
+    Common::Milliseconds callTimeout{0};
+    Common::Milliseconds listPollInterval{0};
+    Common::Milliseconds instancePollInterval{0};
     // An instance that confirmed with neither the store nor a peer for this long refuses new work.
-    Common::Milliseconds cutOffAfter {0};
+    Common::Milliseconds cutOffAfter{0};
 };
 
 struct PoolSettings
@@ -63,12 +63,12 @@
 struct OnceSettings
 {
     // How long an attempt may take from its first claim to its first byte.
-    Common::Milliseconds claimTimeout {0};
+    Common::Milliseconds claimTimeout{0};
     // How long ledger rows are kept. Must exceed the callers' retry horizon.
-    Common::Milliseconds retention {0};
+    Common::Milliseconds retention{0};
     std::size_t maxKeptBodyBytes = 0;
     // Outcomes are gathered for this long and written in one transaction.
-    Common::Milliseconds finishBatch {0};
+    Common::Milliseconds finishBatch{0};
 };
 
 struct RoutingSettings
@@ -78,7 +78,7 @@
     bool retryUnlimited = false;
     // An attempt slower than this quantile of the stage may be hedged; zero turns hedging off.
     double hedgeQuantile = 0;
-    Common::Milliseconds connectTimeout {0};
+    Common::Milliseconds connectTimeout{0};
 };
 
 struct AdmissionSettings
@@ -111,7 +111,7 @@
     // From 0, lowest cost, to 1, highest attainment.
     double attainmentWeight = 0.5;
     std::int64_t defaultMaxTokens = 0;
-    Common::Milliseconds drainTimeout {0};
+    Common::Milliseconds drainTimeout{0};
     std::vector<PoolSettings> pools;
     std::vector<Pipeline::PipelineDefinition> pipelines;
     std::vector<Pipeline::ServiceDefinition> services;
--- /dev/null
+++ b/Source/Core/Node/ShareKeeper.cpp
@@ -0,0 +1,564 @@
+#include "Node/ShareKeeper.h"
+
+#include "Common/Hash.h"
+#include "Peer/Generated/Peer.pb.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <easylogging++.h>
+
+namespace Tanagerbay::Node {
+
+namespace asio = boost::asio;
+namespace wire = ::tanagerbay::peer;
+
+using Common::Counter;
+using Common::ErrorCode;
+
+namespace {
+
+constexpr const char *kSlotsTable = "slots";
+constexpr Common::Milliseconds kSlotPeriod{1000};
+// Tries in a row while other instances claim slots at the same time.
+constexpr int kClaimTries = 8;
+constexpr Common::Milliseconds kShareRound{250};
+// Rounds between two requests for loans of the same workspaces.
+constexpr std::uint32_t kRoundsPerLoan = 4;
+// Loans outlast the longest deadline of a plan by this much.
+constexpr Common::Milliseconds kPeriodMargin{3000};
+// No loan is longer than this, so that a slot is soon usable again after a crash. Requests with a
+// later deadline are admitted by base shares only.
+constexpr Common::Milliseconds kLongestPeriod{15'000};
+// Workspaces in one message.
+constexpr int kMostWorkspacesPerMessage = 200;
+constexpr Common::Milliseconds kConcurrencyRetryAfter{200};
+
+Platform::RowName slotRow(std::size_t slot)
+{
+    return {kSlotsTable, std::to_string(slot)};
+}
+
+Limits::Amount limitOf(const Lists::Plan &plan)
+{
+    return {static_cast<std::uint32_t>(plan.concurrency), static_cast<double>(plan.ratePerSecond)};
+}
+
+// How long shares of the plan's workspaces are lent: a request that is admitted by a grant ends
+// before the grant does.
+Common::Duration lendingPeriod(const Lists::Plan &plan)
+{
+    Common::Milliseconds longest = plan.defaultPromise.deadline;
+    for (const auto &[action, promise] : plan.promises)
+        longest = std::max(longest, promise.deadline);
+    return std::min(longest + kPeriodMargin, kLongestPeriod);
+}
+
+} // namespace
+
+ShareKeeper::Ticket::Ticket(ShareKeeper *keeper, Common::WorkspaceId workspace,
+                            Limits::ShareSource source)
+    : keeper(keeper), workspace(std::move(workspace)), source(source)
+{
+}
+
+ShareKeeper::Ticket::~Ticket()
+{
+    if (!this->keeper)
+        return;
+    this->keeper->holders.with(this->workspace,
+                               [this](Held &held) { Limits::release(held.holder, this->source); });
+}
+
+ShareKeeper::Ticket::Ticket(Ticket &&other) noexcept
+    : keeper(std::exchange(other.keeper, nullptr)), workspace(std::move(other.workspace)),
+      source(other.source)
+{
+}
+
+ShareKeeper::Ticket &ShareKeeper::Ticket::operator=(Ticket &&other) noexcept
+{
+    std::swap(this->keeper, other.keeper);
+    std::swap(this->workspace, other.workspace);
+    std::swap(this->source, other.source);
+    return *this;
+}
+
+ShareKeeper::ShareKeeper(Worker &worker, Shared &shared, PeerService &peers)
+    : worker(worker), shared(shared), peers(peers), startedAt(clockNow())
+{
+}
+
+void ShareKeeper::start()
+{
+    this->peers.onShareMessage([this](const Peer::Envelope &message) { this->receive(message); });
+    asio::co_spawn(this->worker.context, this->slotLoop(), asio::detached);
+    asio::co_spawn(this->worker.context, this->shareLoop(), asio::detached);
+}
+
+void ShareKeeper::stop()
+{
+    this->stopping = true;
+}
+
+void ShareKeeper::prepare(Held &held, const Common::WorkspaceId &workspace, const Lists::Plan &plan,
+                          Common::Time now)
+{
+    held.usedAt = now;
+    held.period = lendingPeriod(plan);
+    const Limits::Amount limit = limitOf(plan);
+    std::optional<Limits::HeldSlot> current;
+    {
+        const std::lock_guard<std::mutex> guard(this->slotLock);
+        current = this->slot;
+    }
+    const bool usable = current && now >= current->usableFrom;
+    const std::size_t slotNumber = usable ? current->slot : SIZE_MAX;
+    const std::uint64_t version = usable ? current->version : 0;
+    const bool sameLimit = held.limit.concurrency == limit.concurrency
+        && held.limit.ratePerSecond == limit.ratePerSecond;
+    if (slotNumber == held.baseSlot && version == held.baseVersion && sameLimit)
+        return;
+    // What was lent of another slot is not this instance's any more.
+    if (slotNumber != held.baseSlot || version != held.baseVersion) {
+        held.holder.lent = {};
+        held.holder.lentUntil = {};
+    }
+    held.baseSlot = slotNumber;
+    held.baseVersion = version;
+    held.limit = limit;
+    held.holder.base = usable
+        ? Limits::baseShare(limit, slotNumber, this->shared.settings.limits.instances, workspace)
+        : Limits::Amount{};
+}
+
+Common::Result<ShareKeeper::Ticket> ShareKeeper::admit(const Lists::Access &access,
+                                                       Common::Time deadline, Common::Time now)
+{
+    const Common::WorkspaceId &workspace = access.workspace->id;
+    const Limits::ShareDecision decision = this->holders.with(workspace, [&](Held &held) {
+        this->prepare(held, workspace, *access.plan, now);
+        return Limits::admit(held.holder, deadline, now);
+    });
+    if (decision.verdict == Limits::ShareVerdict::Admitted)
+        return Ticket(this, workspace, decision.source);
+    if (decision.verdict == Limits::ShareVerdict::OverRate) {
+        this->shared.counters.add(Counter::RateRefusals);
+        const auto after
+            = Common::Milliseconds(1000 / std::max<std::int64_t>(access.plan->ratePerSecond, 1));
+        return Common::notRun(ErrorCode::LimitReached, "the workspace's rate is used up",
+                              std::max(after, Common::Milliseconds(50)));
+    }
+    this->shared.counters.add(Counter::ConcurrencyRefusals);
+    return Common::notRun(ErrorCode::LimitReached, "the workspace's concurrency is used up",
+                          kConcurrencyRetryAfter);
+}
+
+Http::Awaitable<std::optional<std::vector<Limits::SlotRow>>> ShareKeeper::readSlots()
+{
+    std::vector<Platform::RowName> names;
+    for (std::size_t i = 0; i < this->shared.settings.limits.instances; ++i)
+        names.push_back(slotRow(i));
+    const auto stored = co_await this->worker.table.read(std::move(names));
+    if (!stored)
+        co_return std::nullopt;
+    std::vector<Limits::SlotRow> rows;
+    for (const Platform::Row &row : *stored) {
+        const auto decoded = Limits::decodeSlotRow(row.version, row.body);
+        if (!decoded)
+            co_return std::nullopt;
+        rows.push_back(*decoded);
+    }
+    co_return rows;
+}
+
+Http::Awaitable<void> ShareKeeper::claimSlot()
+{
+    for (int tries = 0; tries < kClaimTries; ++tries) {
+        if (co_await this->tryClaim() != Platform::CommitState::Conflict)
+            break;
+    }
+}
+
+Http::Awaitable<Platform::CommitState> ShareKeeper::tryClaim()
+{
+    const auto rows = co_await this->readSlots();
+    if (!rows)
+        co_return Platform::CommitState::NotDone;
+    const auto isLost = [this](const Common::InstanceId &id) {
+        return this->shared.members.with([&](Membership::Members &members) {
+            const auto found = members.byId.find(id);
+            const bool known = found != members.byId.end();
+            return members.platformListRead && !known;
+        });
+    };
+    const auto choice = Limits::chooseSlot(*rows, this->shared.settings.instance, isLost);
+    if (!choice)
+        co_return Platform::CommitState::NotDone;
+    Limits::SlotRow mine;
+    mine.holder = this->shared.settings.instance;
+    mine.incarnation = static_cast<std::uint64_t>(this->startedAt.time_since_epoch().count());
+    Platform::Transaction transaction;
+    transaction.checks.push_back({slotRow(choice->slot), choice->version});
+    transaction.puts.push_back({slotRow(choice->slot), Limits::encodeSlotRow(mine)});
+    const auto result = co_await this->worker.table.commit(std::move(transaction));
+    // After a lost reply the row is read again in the next round, where it shows as this
+    // instance's own and is taken over like that of an earlier process.
+    if (result.state != Platform::CommitState::Committed)
+        co_return result.state;
+    const Common::Time now = clockNow();
+    Limits::HeldSlot held{choice->slot, result.versions.front(), now + choice->wait};
+    if (choice->takenOver) {
+        held.usableFrom = now + this->shared.settings.platform.cutOffAfter + kLongestPeriod;
+    }
+    {
+        const std::lock_guard<std::mutex> guard(this->slotLock);
+        this->slot = held;
+    }
+    this->peers.setSlot(held.slot, held.version);
+    LOG(INFO) << "slot " << held.slot << " is held at version " << held.version
+              << (choice->takenOver ? ", taken over" : "");
+    co_return result.state;
+}
+
+void ShareKeeper::dropSlot(const char *reason)
+{
+    const std::lock_guard<std::mutex> guard(this->slotLock);
+    if (!this->slot)
+        return;
+    LOG(INFO) << "slot " << this->slot->slot << " is dropped: " << reason;
+    this->slot.reset();
+    this->peers.setSlot(std::nullopt, 0);
+}
+
+bool ShareKeeper::slotTakenByPeer()
+{
+    std::optional<Limits::HeldSlot> held;
+    {
+        const std::lock_guard<std::mutex> guard(this->slotLock);
+        held = this->slot;
+    }
+    if (!held)
+        return false;
+    return this->shared.members.with([&](Membership::Members &members) {
+        for (const auto &[id, member] : members.byId) {
+            if (id != members.self && member.report.slot
+                && Limits::isTakenOver(*held, *member.report.slot, member.report.slotVersion))
+                return true;
+        }
+        return false;
+    });
+}
+
+Http::Awaitable<void> ShareKeeper::confirmSlot()
+{
+    std::optional<Limits::HeldSlot> held;
+    {
+        const std::lock_guard<std::mutex> guard(this->slotLock);
+        held = this->slot;
+    }
+    Platform::RowName name = slotRow(held->slot);
+    const auto row = co_await this->worker.table.readOne(std::move(name));
+    // Without the store the slot stays: nobody can take it over then.
+    if (row && row->version != held->version)
+        this->dropSlot("another instance has taken it over");
+}
+
+Http::Awaitable<void> ShareKeeper::slotLoop()
+{
+    while (!this->stopping) {
+        bool holds = false;
+        {
+            const std::lock_guard<std::mutex> guard(this->slotLock);
+            holds = this->slot.has_value();
+        }
+        if (holds && this->slotTakenByPeer())
+            this->dropSlot("another instance reports that it has it");
+        else if (holds)
+            co_await this->confirmSlot();
+        else if (this->shared.phase.load() <= Phase::Serving)
+            co_await this->claimSlot();
+        co_await sleepFor(withJitter(kSlotPeriod, this->worker.random));
+    }
+}
+
+Http::Awaitable<void> ShareKeeper::releaseSlot()
+{
+    std::optional<Limits::HeldSlot> held;
+    {
+        const std::lock_guard<std::mutex> guard(this->slotLock);
+        held = std::exchange(this->slot, std::nullopt);
+    }
+    this->peers.setSlot(std::nullopt, 0);
+    if (!held)
+        co_return;
+    // What was lent is still with the coordinators for a while; the next holder waits for that.
+    const Common::Time now = clockNow();
+    Limits::SlotRow row;
+    row.holder = this->shared.settings.instance;
+    row.released = true;
+    this->holders.retainIf([&row, now](const Common::WorkspaceId &, Held &entry) {
+        if (now < entry.holder.lentUntil) {
+            const auto left = std::chrono::ceil<Common::Milliseconds>(entry.holder.lentUntil - now);
+            row.lentFor = std::max(row.lentFor, left);
+        }
+        return true;
+    });
+    Platform::Transaction transaction;
+    transaction.checks.push_back({slotRow(held->slot), held->version});
+    transaction.puts.push_back({slotRow(held->slot), Limits::encodeSlotRow(row)});
+    co_await this->worker.table.commit(std::move(transaction));
+}
+
+const Lists::Plan *ShareKeeper::planOf(const Lists::Snapshot &lists,
+                                       const Common::WorkspaceId &workspace)
+{
+    const auto found = lists.plans.workspaceById.find(workspace);
+    if (found == lists.plans.workspaceById.end())
+        return nullptr;
+    return lists.plans.findPlan(lists.plans.workspaces[found->second].plan);
+}
+
+std::optional<Common::Address> ShareKeeper::coordinatorOf(const Common::WorkspaceId &workspace)
+{
+    return this->shared.members.with(
+        [&](Membership::Members &members) -> std::optional<Common::Address> {
+            const Common::Time now = clockNow();
+            std::vector<std::string> candidates;
+            std::vector<Common::Address> addresses;
+            for (const auto &[id, member] : members.byId) {
+                const bool leaving = member.report.state == Membership::MemberState::Leaving;
+                if (leaving || !member.report.peerAddress.isSet()
+                    || Membership::isSuspect(members, member, now))
+                    continue;
+                candidates.push_back(id.value);
+                addresses.push_back(member.report.peerAddress);
+            }
+            if (candidates.empty())
+                return std::nullopt;
+            return addresses[Common::rendezvousChoice(workspace.value, candidates)];
+        });
+}
+
+std::optional<Common::Time> ShareKeeper::timeOfStamp(std::uint64_t stamp) const
+{
+    const Common::Time time{Common::Duration(static_cast<Common::Duration::rep>(stamp))};
+    if (time < this->startedAt || time > clockNow())
+        return std::nullopt;
+    return time;
+}
+
+Http::Awaitable<void> ShareKeeper::shareLoop()
+{
+    for (std::uint32_t round = 0; !this->stopping; ++round) {
+        const Common::Time now = clockNow();
+        for (auto entry = this->coordinated.begin(); entry != this->coordinated.end();) {
+            const bool keep = Limits::expire(entry->second, now);
+            entry = keep ? std::next(entry) : this->coordinated.erase(entry);
+        }
+        if (round % kRoundsPerLoan == 0)
+            this->askForLoans(now);
+        this->askForGrants(now);
+        this->holders.retainIf([now](const Common::WorkspaceId &, Held &held) {
+            const bool inUse = held.holder.baseInUse + held.holder.grantInUse > 0;
+            return inUse || now < held.holder.lentUntil || now - held.usedAt < held.period;
+        });
+        co_await sleepFor(kShareRound);
+    }
+}
+
+void ShareKeeper::askForLoans(Common::Time now)
+{
+    if (this->coordinated.empty())
+        return;
+    Peer::Envelope message;
+    wire::LendRequest &body = *message.mutable_lend_request();
+    body.set_stamp(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+    for (const auto &[workspace, coordinator] : this->coordinated) {
+        if (body.workspaces_size() < kMostWorkspacesPerMessage)
+            body.add_workspaces(workspace.value);
+    }
+    for (const Common::Address &peer : this->peers.knownPeers())
+        this->peers.send(peer, message);
+    // This instance lends to itself by the same rules.
+    message.set_from_instance(this->shared.settings.instance.value);
+    message.set_from_address(Common::formatAddress(this->shared.settings.peer.address));
+    this->takeLendRequest(message);
+}
+
+void ShareKeeper::askForGrants(Common::Time now)
+{
+    std::map<Common::Address, Peer::Envelope> messages;
+    this->holders.retainIf([&](const Common::WorkspaceId &workspace, Held &held) {
+        const Limits::Demand demand = Limits::measureDemand(held.holder, now);
+        if (!Limits::wantsGrant(held.holder, demand, now))
+            return true;
+        const auto coordinator = this->coordinatorOf(workspace);
+        if (!coordinator)
+            return true;
+        wire::ShareRequest &body = *messages[*coordinator].mutable_share_request();
+        body.set_stamp(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+        if (body.demands_size() >= kMostWorkspacesPerMessage)
+            return true;
+        wire::ShareDemand &row = *body.add_demands();
+        row.set_workspace(workspace.value);
+        row.set_concurrency_wanted(demand.concurrency);
+        row.set_concurrency_used(held.holder.grantInUse);
+        row.set_rate_wanted(demand.ratePerSecond);
+        row.set_applied_grant(held.holder.grantNumber);
+        return true;
+    });
+    for (auto &[address, message] : messages) {
+        if (address != this->shared.settings.peer.address) {
+            this->peers.send(address, message);
+            continue;
+        }
+        message.set_from_instance(this->shared.settings.instance.value);
+        message.set_from_address(Common::formatAddress(address));
+        this->takeShareRequest(message);
+    }
+}
+
+void ShareKeeper::receive(const Peer::Envelope &message)
+{
+    switch (message.body_case()) {
+    case wire::Envelope::kLendRequest:
+        this->takeLendRequest(message);
+        break;
+    case wire::Envelope::kLendReply:
+        this->takeLendReply(message);
+        break;
+    case wire::Envelope::kShareRequest:
+        this->takeShareRequest(message);
+        break;
+    case wire::Envelope::kShareReply:
+        this->takeShareReply(message);
+        break;
+    default:
+        break;
+    }
+}
+
+void ShareKeeper::takeLendRequest(const Peer::Envelope &message)
+{
+    Common::Address sender;
+    if (!Common::parseAddress(message.from_address(), sender))
+        return;
+    const Common::Time now = clockNow();
+    // An instance that may be cut off lends nothing: it cannot know whether its slot is its own.
+    if (this->shared.isCutOff(now))
+        return;
+    const Lists::SnapshotPtr lists = this->shared.lists.current();
+    const Common::InstanceId borrower(message.from_instance());
+    Peer::Envelope answer;
+    wire::LendReply &body = *answer.mutable_lend_reply();
+    body.set_stamp(message.lend_request().stamp());
+    for (const std::string &name : message.lend_request().workspaces()) {
+        const Common::WorkspaceId workspace(name);
+        const Lists::Plan *plan = this->planOf(*lists, workspace);
+        if (!plan)
+            continue;
+        this->holders.with(workspace, [&](Held &held) {
+            this->prepare(held, workspace, *plan, now);
+            const bool same = held.borrower == borrower;
+            const Limits::Amount amount = Limits::lend(held.holder, held.period, same, now);
+            if (amount.concurrency == 0 && amount.ratePerSecond <= 0)
+                return;
+            held.borrower = borrower;
+            wire::Lent &row = *body.add_lent();
+            row.set_workspace(name);
+            row.set_concurrency(amount.concurrency);
+            row.set_rate_per_second(amount.ratePerSecond);
+            row.set_lent_for_ms(static_cast<std::uint32_t>(Common::toMilliseconds(held.period)));
+        });
+    }
+    if (sender != this->shared.settings.peer.address) {
+        this->peers.send(sender, answer);
+        return;
+    }
+    answer.set_from_instance(borrower.value);
+    this->takeLendReply(answer);
+}
+
+void ShareKeeper::takeLendReply(const Peer::Envelope &message)
+{
+    const auto askedAt = this->timeOfStamp(message.lend_reply().stamp());
+    if (!askedAt)
+        return;
+    for (const wire::Lent &row : message.lend_reply().lent()) {
+        const auto found = this->coordinated.find(Common::WorkspaceId(row.workspace()));
+        if (found == this->coordinated.end())
+            continue;
+        Limits::noteLoan(found->second, Common::InstanceId(message.from_instance()),
+                         {row.concurrency(), row.rate_per_second()},
+                         Common::Milliseconds(row.lent_for_ms()), *askedAt);
+    }
+}
+
+void ShareKeeper::takeShareRequest(const Peer::Envelope &message)
+{
+    Common::Address sender;
+    if (!Common::parseAddress(message.from_address(), sender))
+        return;
+    const Common::Time now = clockNow();
+    if (this->shared.isCutOff(now))
+        return;
+    const std::size_t known = this->coordinated.size();
+    Peer::Envelope answer;
+    wire::ShareReply &body = *answer.mutable_share_reply();
+    body.set_stamp(message.share_request().stamp());
+    for (const wire::ShareDemand &row : message.share_request().demands()) {
+        Limits::Coordinator &coordinator = this->coordinated[Common::WorkspaceId(row.workspace())];
+        Limits::ShareRequest request;
+        request.from = Common::InstanceId(message.from_instance());
+        request.demand = {row.concurrency_wanted(), row.rate_wanted()};
+        request.inUse = row.concurrency_used();
+        request.appliedGrant = row.applied_grant();
+        const Limits::GrantedShare granted = Limits::grantShare(coordinator, request, now);
+        if (granted.number == 0)
+            continue;
+        wire::ShareGrant &out = *body.add_grants();
+        out.set_workspace(row.workspace());
+        out.set_concurrency(granted.amount.concurrency);
+        out.set_rate_per_second(granted.amount.ratePerSecond);
+        out.set_grant(granted.number);
+        out.set_valid_for_ms(static_cast<std::uint32_t>(Common::toMilliseconds(granted.validFor)));
+    }
+    // The first request for a workspace finds no loans yet; ask for them without delay.
+    if (this->coordinated.size() > known)
+        this->askForLoans(now);
+    if (body.grants_size() == 0)
+        return;
+    answer.set_from_instance(this->shared.settings.instance.value);
+    if (sender == this->shared.settings.peer.address)
+        this->takeShareReply(answer);
+    else
+        this->peers.send(sender, answer);
+}
+
+void ShareKeeper::takeShareReply(const Peer::Envelope &message)
+{
+    const auto askedAt = this->timeOfStamp(message.share_reply().stamp());
+    if (!askedAt)
+        return;
+    for (const wire::ShareGrant &row : message.share_reply().grants()) {
+        this->holders.with(Common::WorkspaceId(row.workspace()), [&](Held &held) {
+            Limits::receiveGrant(held.holder, {row.concurrency(), row.rate_per_second()},
+                                 row.grant(), Common::Milliseconds(row.valid_for_ms()), *askedAt);
+        });
+    }
+}
+
+ShareKeeper::Figures ShareKeeper::figures()
+{
+    Figures figures;
+    {
+        const std::lock_guard<std::mutex> guard(this->slotLock);
+        if (this->slot)
+            figures.slot = this->slot->slot;
+    }
+    figures.workspacesHeld = this->holders.size();
+    figures.workspacesCoordinated = this->coordinated.size();
+    return figures;
+}
+
+} // namespace Tanagerbay::Node
--- a/Source/Core/Node/Shared.cpp
+++ b/Source/Core/Node/Shared.cpp
@@ -81,14 +81,16 @@
     return outcome;
 }
 
-void Shared::noteConfirmed(Common::Time now)
+void Shared::noteConfirmed(Common::Time at)
 {
-    this->lastConfirmed.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+    const Common::Duration::rep ticks = at.time_since_epoch().count();
+    Common::Duration::rep known = this->lastConfirmed.load(std::memory_order_relaxed);
+    while (ticks > known && !this->lastConfirmed.compare_exchange_weak(known, ticks)) { }
 }
 
 bool Shared::isCutOff(Common::Time now) const
 {
-    const Common::Time last {Common::Duration(this->lastConfirmed.load(std::memory_order_relaxed))};
+    const Common::Time last{Common::Duration(this->lastConfirmed.load(std::memory_order_relaxed))};
     return now - last > this->settings.platform.cutOffAfter;
 }
 
--- a/Source/Core/Node/Shared.h
+++ b/Source/Core/Node/Shared.h
@@ -91,17 +91,20 @@
     Metrics metrics;
     ListsInUse lists;
     MembersShard members;
-    std::atomic<Phase> phase {Phase::Starting};
+    std::atomic<Phase> phase{Phase::Starting};
     // Monotonic time, in ticks, of the last exchange with the store or another instance.
-    std::atomic<Common::Duration::rep> lastConfirmed {0};
+    std::atomic<Common::Duration::rep> lastConfirmed{0};
     // By pool name; the set of pools is fixed by the settings.
     std::map<std::string, std::unique_ptr<PoolShard>, std::less<>> pools;
-    std::atomic<std::uint32_t> requestsInProgress {0};
+    std::atomic<std::uint32_t> requestsInProgress{0};
+    // Instances that callers are told of, this one included.
+    std::atomic<std::size_t> liveInstances{1};
 
     PoolShard &poolNamed(std::string_view name);
     // Applies a list from the store or from another instance, and counts what came of it.
     Lists::ApplyOutcome applyList(Lists::ListKind kind, const Lists::Document &document);
-    void noteConfirmed(Common::Time now);
+    // Notes that the store or another instance was in contact at the given time.
+    void noteConfirmed(Common::Time at);
     // True where neither the store nor any instance was heard of for too long.
     bool isCutOff(Common::Time now) const;
 };
--- a/Source/Core/Node/StageCall.cpp
+++ b/Source/Core/Node/StageCall.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 // A hedge is never sent earlier than this after the attempt before it.
-constexpr Common::Milliseconds kLeastHedgeDelay {10};
+constexpr Common::Milliseconds kLeastHedgeDelay{10};
 constexpr std::uint64_t kLeastHedgeSamples = 30;
 constexpr double kHedgeMargin = 1.3;
 
@@ -121,9 +121,9 @@
     attempt->endpoint = chosen->id;
     race->attempts.push_back(attempt);
     race->tried.push_back(chosen->id);
-    Http::Request request {"POST", call.target,
-                           callHeaders(scope, attempt->tag, call.contentType, call.deadline, now),
-                           call.body};
+    Http::Request request{"POST", call.target,
+                          callHeaders(scope, attempt->tag, call.contentType, call.deadline, now),
+                          call.body};
     Http::CallOptions options;
     options.deadline = call.deadline;
     scope.shared.counters.add(Counter::StageAttempts);
@@ -202,7 +202,7 @@
         return std::nullopt;
     Routing::beginCall(shard.pool, *index);
     const Routing::Endpoint &endpoint = shard.pool.endpoints[*index];
-    return ChosenEndpoint {endpoint.id, endpoint.address};
+    return ChosenEndpoint{endpoint.id, endpoint.address};
 }
 
 Http::Headers callHeaders(const RequestScope &scope, const Pipeline::AttemptTag &tag,
--- a/Source/Core/Node/StateDump.cpp
+++ b/Source/Core/Node/StateDump.cpp
@@ -32,7 +32,7 @@
         for (const auto &[id, member] : members.byId) {
             if (rows.size() >= kMostRows)
                 break;
-            json::object row {
+            json::object row{
                 {"id", id.value},
                 {"failureDomain", member.report.failureDomain.value},
                 {"state", Common::nameOf(member.report.state)},
@@ -46,7 +46,7 @@
                 row["heardMsAgo"] = Common::toMilliseconds(now - *member.heardAt);
             rows.push_back(std::move(row));
         }
-        return json::object {{"count", members.byId.size()}, {"instances", rows}};
+        return json::object{{"count", members.byId.size()}, {"instances", rows}};
     });
 }
 
@@ -82,7 +82,7 @@
                 break;
             rows.push_back(dumpEndpoint(endpoint, now));
         }
-        pools[name] = json::object {
+        pools[name] = json::object{
             {"count", pool.endpoints.size()},
             {"usualPaceMs", pool.usualPaceSeconds * 1000},
             {"retryBudgetSaved", pool.budget.saved},
@@ -149,17 +149,17 @@
     json::object stages;
     shared.metrics.visit([&](const auto &planFigures, const auto &stageFigures, const auto &) {
         for (const auto &[name, figures] : planFigures) {
-            plans[name] = json::object {{"inTime", figures.inTime},
-                                        {"late", figures.late},
-                                        {"refused", figures.refused},
-                                        {"failed", figures.failed},
-                                        {"durations", summaryOf(figures.durations)}};
+            plans[name] = json::object{{"inTime", figures.inTime},
+                                       {"late", figures.late},
+                                       {"refused", figures.refused},
+                                       {"failed", figures.failed},
+                                       {"durations", summaryOf(figures.durations)}};
         }
         for (const auto &[name, figures] : stageFigures) {
-            stages[name] = json::object {{"calls", figures.calls},
-                                         {"failedCalls", figures.failedCalls},
-                                         {"busySeconds", Common::toSeconds(figures.busy)},
-                                         {"durations", summaryOf(figures.durations)}};
+            stages[name] = json::object{{"calls", figures.calls},
+                                        {"failedCalls", figures.failedCalls},
+                                        {"busySeconds", Common::toSeconds(figures.busy)},
+                                        {"durations", summaryOf(figures.durations)}};
         }
     });
     return {
--- a/Source/Core/Once/Ledger.cpp
+++ b/Source/Core/Once/Ledger.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Common::Milliseconds kHeldRetryAfter {500};
+constexpr Common::Milliseconds kHeldRetryAfter{500};
 
 } // namespace
 
--- a/Source/Core/Pipeline/Prompt.cpp
+++ b/Source/Core/Pipeline/Prompt.cpp
@@ -49,7 +49,7 @@
 
 std::string stageBody(const json::value &input, const json::value &previous)
 {
-    return json::serialize(json::object {{"input", input}, {"previous", previous}});
+    return json::serialize(json::object{{"input", input}, {"previous", previous}});
 }
 
 std::optional<json::value> stageOutput(std::string_view body)
@@ -84,7 +84,7 @@
     json::array tokens;
     for (const std::string &token : prefix)
         tokens.emplace_back(token);
-    return json::serialize(json::object {
+    return json::serialize(json::object{
         {"prompt", prompt}, {"model", model}, {"maxTokens", maxTokens}, {"prefix", tokens}});
 }
 
--- a/Source/Core/Pipeline/Run.cpp
+++ b/Source/Core/Pipeline/Run.cpp
@@ -42,7 +42,7 @@
 
 Common::Duration sumFrom(const std::vector<Common::Duration> &durations, std::size_t first)
 {
-    Common::Duration total {0};
+    Common::Duration total{0};
     for (std::size_t i = first; i < durations.size(); ++i)
         total += durations[i];
     return total;
@@ -60,7 +60,7 @@
 {
     if (!hedge)
         run.open.clear();
-    AttemptTag tag {run.id.value, run.stage, run.attempts, std::move(nonce)};
+    AttemptTag tag{run.id.value, run.stage, run.attempts, std::move(nonce)};
     ++run.attempts;
     run.open.push_back(tag);
     return tag;
--- a/Source/Core/Platform/InstanceList.cpp
+++ b/Source/Core/Platform/InstanceList.cpp
@@ -38,7 +38,7 @@
 {
     Http::CallOptions options;
     options.deadline = std::chrono::steady_clock::now() + this->callTimeout;
-    Http::Request request {"GET", "/v1/instances", {}, ""};
+    Http::Request request{"GET", "/v1/instances", {}, ""};
     const auto reply = co_await this->client.call(this->address, std::move(request), options);
     if (!reply || reply->status != 200)
         co_return std::nullopt;
--- a/Source/Core/Platform/ObjectStore.cpp
+++ b/Source/Core/Platform/ObjectStore.cpp
@@ -11,7 +11,7 @@
 Http::Awaitable<Http::CallResult<Http::Response>>
 ObjectStore::call(std::string method, std::string name, std::string body)
 {
-    Http::Request request {std::move(method), "/v1/objects/" + name, {}, std::move(body)};
+    Http::Request request{std::move(method), "/v1/objects/" + name, {}, std::move(body)};
     Http::CallOptions options;
     options.deadline = std::chrono::steady_clock::now() + this->callTimeout;
     co_return co_await this->client.call(this->address, std::move(request), options);
--- a/Source/Core/Platform/TableService.cpp
+++ b/Source/Core/Platform/TableService.cpp
@@ -29,7 +29,7 @@
             entry["keepForMs"] = put.keepFor.count();
         puts.push_back(std::move(entry));
     }
-    return json::serialize(json::object {{"checks", checks}, {"puts", puts}});
+    return json::serialize(json::object{{"checks", checks}, {"puts", puts}});
 }
 
 bool decodeVersions(const std::string &body, std::vector<std::uint64_t> &versions)
@@ -98,7 +98,7 @@
 Http::Awaitable<CommitResult> TableService::commit(Transaction transaction)
 {
     this->counters.add(Common::Counter::StoreCalls);
-    Http::Request request {"POST", "/v1/transactions", {}, encode(transaction)};
+    Http::Request request{"POST", "/v1/transactions", {}, encode(transaction)};
     const auto reply
         = co_await this->client.call(this->address, std::move(request), this->options(false));
     CommitResult result;
@@ -123,8 +123,7 @@
     json::array names;
     for (const RowName &row : rows)
         names.push_back(toJson(row));
-    Http::Request request {
-        "POST", "/v1/reads", {}, json::serialize(json::object {{"rows", names}})};
+    Http::Request request{"POST", "/v1/reads", {}, json::serialize(json::object{{"rows", names}})};
     const auto reply
         = co_await this->client.call(this->address, std::move(request), this->options(true));
     std::optional<std::vector<Row>> decoded;
--- a/Source/Core/Platform/TableService.h
+++ b/Source/Core/Platform/TableService.h
@@ -36,7 +36,7 @@
     RowName row;
     std::string body;
     // The service may remove the row after this time; zero keeps it.
-    Common::Milliseconds keepFor {0};
+    Common::Milliseconds keepFor{0};
 };
 
 struct Transaction
--- a/Source/Core/Routing/Endpoint.cpp
+++ b/Source/Core/Routing/Endpoint.cpp
@@ -11,10 +11,10 @@
 constexpr double kErrorGain = 0.2;
 constexpr double kMostSlowness = 50;
 // After this time without a sample half of the excess slowness is forgotten.
-constexpr Common::Milliseconds kSlownessHalfLife {5000};
+constexpr Common::Milliseconds kSlownessHalfLife{5000};
 constexpr std::uint32_t kErrorsBeforeEjection = 3;
-constexpr Common::Milliseconds kFirstEjection {500};
-constexpr Common::Milliseconds kLongestEjection {8000};
+constexpr Common::Milliseconds kFirstEjection{500};
+constexpr Common::Milliseconds kLongestEjection{8000};
 constexpr std::uint32_t kFirstReturnCap = 1;
 constexpr std::uint32_t kLastReturnCap = 64;
 
--- a/Source/Core/Routing/Endpoint.h
+++ b/Source/Core/Routing/Endpoint.h
@@ -68,7 +68,7 @@
     std::uint64_t callsBegun = 0;
     std::uint64_t callsFailed = 0;
     // Work that the endpoint reported for this instance's calls.
-    Common::Duration busy {0};
+    Common::Duration busy{0};
 };
 
 // Estimates the calls at the endpoint now: what others had there when it reported, and own work.
--- a/Source/Core/Routing/Pool.cpp
+++ b/Source/Core/Routing/Pool.cpp
@@ -186,10 +186,10 @@
         if (!indexById.emplace(entry.id, next.size()).second)
             continue;
         const Endpoint *known = find(pool, entry.id);
-        Endpoint endpoint = known ? *known : Endpoint {};
+        Endpoint endpoint = known ? *known : Endpoint{};
         // An endpoint that comes back at another address is a new one.
         if (known && known->address != entry.address)
-            endpoint = Endpoint {};
+            endpoint = Endpoint{};
         endpoint.id = entry.id;
         endpoint.address = entry.address;
         endpoint.failureDomain = entry.failureDomain;
--- a/Source/Core/Routing/Pool.h
+++ b/Source/Core/Routing/Pool.h
@@ -92,12 +92,12 @@
 {
     Common::EndpointId endpoint;
     CallEnd end = CallEnd::Succeeded;
-    Common::Duration duration {0};
+    Common::Duration duration{0};
     // What endpoints are compared by: the duration of a call, or an engine's time between tokens.
     // Zero where it was not measured.
-    Common::Duration pace {0};
+    Common::Duration pace{0};
     // Time the endpoint says it worked.
-    Common::Duration busy {0};
+    Common::Duration busy{0};
     std::optional<LoadReport> load;
 };
 
--- a/Source/Core/Routing/PrefixIndex.cpp
+++ b/Source/Core/Routing/PrefixIndex.cpp
@@ -53,7 +53,7 @@
     for (std::size_t count = blocks.size(); count > 0; --count) {
         const auto found = this->entries.find(blocks[count - 1]);
         if (found != this->entries.end())
-            return Match {found->second.endpoint, count};
+            return Match{found->second.endpoint, count};
     }
     return std::nullopt;
 }
--- a/Source/Load/Caller.cpp
+++ b/Source/Load/Caller.cpp
@@ -17,8 +17,8 @@
 
 constexpr std::uint32_t kMostTries = 4;
 // Callers wait a little beyond the deadline, so that late answers are seen as late.
-constexpr Common::Milliseconds kGrace {2000};
-constexpr Common::Milliseconds kRetryDelay {20};
+constexpr Common::Milliseconds kGrace{2000};
+constexpr Common::Milliseconds kRetryDelay{20};
 
 Common::Time clockNow()
 {
@@ -33,7 +33,7 @@
     bool tryAgain = false;
     std::string code;
     std::string ran = "maybe";
-    Common::Milliseconds retryAfter {0};
+    Common::Milliseconds retryAfter{0};
 };
 
 class Waiting
--- a/Source/Load/EntryDirectory.cpp
+++ b/Source/Load/EntryDirectory.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr Common::Milliseconds kAskTimeout {500};
+constexpr Common::Milliseconds kAskTimeout{500};
 // How long the last answer serves on while no entry answers.
-constexpr Common::Milliseconds kRetryDelay {200};
+constexpr Common::Milliseconds kRetryDelay{200};
 
 } // namespace
 
@@ -24,7 +24,7 @@
 {
     Http::CallOptions options;
     options.deadline = std::chrono::steady_clock::now() + kAskTimeout;
-    Http::Request request {"GET", "/v1/entries", {}, ""};
+    Http::Request request{"GET", "/v1/entries", {}, ""};
     const auto reply = co_await this->client.call(address, std::move(request), options);
     if (!reply || reply->status != 200)
         co_return false;
--- a/Source/Load/Generator.cpp
+++ b/Source/Load/Generator.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr Common::Milliseconds kCountsTimeout {5000};
+constexpr Common::Milliseconds kCountsTimeout{5000};
 
 // One thread's share of the callers.
 class Lane
@@ -98,7 +98,7 @@
     const auto ask = [&]() -> Http::Awaitable<void> {
         Http::CallOptions options;
         options.deadline = std::chrono::steady_clock::now() + kCountsTimeout;
-        Http::Request request {"GET", "/v1/counts", {}, ""};
+        Http::Request request{"GET", "/v1/counts", {}, ""};
         const auto reply = co_await client.call(*settings.control, std::move(request), options);
         boost::system::error_code ignored;
         if (reply && reply->status == 200)
--- a/Source/Load/Report.cpp
+++ b/Source/Load/Report.cpp
@@ -178,7 +178,7 @@
     for (const auto &[name, row] : this->plans) {
         offered += row.offered;
         inTime += row.inTime;
-        byPlan[name] = json::object {
+        byPlan[name] = json::object{
             {"offered", row.offered},
             {"inTime", row.inTime},
             {"late", row.late},
--- a/Source/Load/Report.h
+++ b/Source/Load/Report.h
@@ -30,8 +30,8 @@
     std::string plan;
     AnswerState state = AnswerState::Failed;
     std::string code;
-    Common::Duration duration {0};
-    Common::Duration firstToken {0};
+    Common::Duration duration{0};
+    Common::Duration firstToken{0};
     std::uint32_t tries = 0;
     std::uint64_t tokens = 0;
     std::vector<float> tokenGapsMs;
--- a/Source/Load/Workload.cpp
+++ b/Source/Load/Workload.cpp
@@ -76,12 +76,12 @@
 void planPipeline(PlannedRequest &planned, std::mt19937_64 &random)
 {
     const ActionSettings &action = *planned.action;
-    json::object input {{"text", "question " + randomText(random, 6)}};
+    json::object input{{"text", "question " + randomText(random, 6)}};
     if (action.contexts > 0)
         input["context"] = contextText(action, random() % action.contexts);
     std::uniform_int_distribution<std::int64_t> tokens(action.leastTokens, action.mostTokens);
     const std::int64_t count = tokens(random);
-    json::object body {{"input", input}, {"stream", action.stream}};
+    json::object body{{"input", input}, {"stream", action.stream}};
     if (action.generates)
         body["maxTokens"] = count;
     planned.request.target = "/v1/pipelines/" + action.pipeline;
@@ -95,14 +95,14 @@
         return;
     }
     planned.expectedBody
-        = json::serialize(json::object {{"requestId", planned.requestId}, {"output", previous}});
+        = json::serialize(json::object{{"requestId", planned.requestId}, {"output", previous}});
 }
 
 void planService(PlannedRequest &planned, std::mt19937_64 &random)
 {
     const ActionSettings &action = *planned.action;
     planned.request.target = "/v1/services/" + action.service + "/" + action.path;
-    planned.request.body = json::serialize(json::object {{"entry", randomText(random, 8)}});
+    planned.request.body = json::serialize(json::object{{"entry", randomText(random, 8)}});
     planned.expectedBody
         = StandIns::serviceReply(action.service, action.path, planned.request.body);
     if (!action.onceOnly)
--- a/Source/Load/Workload.h
+++ b/Source/Load/Workload.h
@@ -26,7 +26,7 @@
     bool onceOnly = false;
     bool stream = false;
     double weight = 1;
-    Common::Milliseconds deadline {0};
+    Common::Milliseconds deadline{0};
     std::int64_t leastTokens = 16;
     std::int64_t mostTokens = 64;
     // Shared texts that go before the question, as lesson material does.
--- a/Source/StandIns/Answers.cpp
+++ b/Source/StandIns/Answers.cpp
@@ -18,7 +18,7 @@
     json::array embedding;
     for (std::size_t i = 0; i < kEmbeddingLength; ++i)
         embedding.emplace_back(static_cast<std::int64_t>(Common::hash64(text, i) % 1000));
-    return json::object {{"embedding", embedding}};
+    return json::object{{"embedding", embedding}};
 }
 
 json::value retrieve(const json::value &input, const json::value &previous)
@@ -27,7 +27,7 @@
     json::array documents;
     for (std::size_t i = 0; i < kRetrievedDocuments; ++i)
         documents.emplace_back("document " + Common::digestOf(query + std::to_string(i)));
-    return json::object {{"documents", documents}};
+    return json::object{{"documents", documents}};
 }
 
 json::value rerank(const json::value &previous)
@@ -44,7 +44,7 @@
         for (std::size_t i = 0; i < sorted.size() && i < kRerankedDocuments; ++i)
             chosen.push_back(sorted[i]);
     }
-    return json::object {{"documents", chosen}};
+    return json::object{{"documents", chosen}};
 }
 
 } // namespace
@@ -83,7 +83,7 @@
 
 std::string serviceReply(std::string_view service, std::string_view path, std::string_view body)
 {
-    return json::serialize(json::object {
+    return json::serialize(json::object{
         {"service", service},
         {"path", path},
         {"receipt",
--- a/Source/StandIns/Engine.cpp
+++ b/Source/StandIns/Engine.cpp
@@ -24,7 +24,7 @@
 
 constexpr std::size_t kMostEvents = 10'000;
 constexpr std::size_t kMostEventsPerReply = 1000;
-constexpr Common::Milliseconds kHeldPoll {10};
+constexpr Common::Milliseconds kHeldPoll{10};
 
 Common::Time clockNow()
 {
@@ -33,7 +33,7 @@
 
 Http::Response badRequest(const std::string &problem)
 {
-    return Http::jsonResponse(400, json::serialize(json::object {{"error", problem}}));
+    return Http::jsonResponse(400, json::serialize(json::object{{"error", problem}}));
 }
 
 } // namespace
@@ -78,7 +78,7 @@
         problem = Common::describeFaults(faultsFound);
         return nullptr;
     }
-    auto sequence = std::make_shared<Sequence>(Sequence {asio::steady_timer(this->executor)});
+    auto sequence = std::make_shared<Sequence>(Sequence{asio::steady_timer(this->executor)});
     sequence->promptDigest = Common::digestOf(prompt);
     sequence->blocks = Routing::prefixBlocks(prompt, Wire::kPrefixBlockBytes);
     sequence->produced = prefix.size();
@@ -149,7 +149,7 @@
     }
     const auto micros
         = std::chrono::duration_cast<std::chrono::microseconds>(sequence.busy).count();
-    const json::object done {
+    const json::object done{
         {"tokens", sent},
         {"digest", Pipeline::streamDigest(all)},
         {"busyMicros", micros},
@@ -239,7 +239,7 @@
             timer.expires_after(kHeldPoll);
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
-        Common::Duration prefillTime {0};
+        Common::Duration prefillTime{0};
         this->admitWaiting(prefillTime);
         Common::Duration duration = this->stepDuration() + prefillTime;
         if (const auto slow = this->faults.hit(this->endpoint.id, FaultKind::Slow, clockNow()))
@@ -298,11 +298,11 @@
         if (event.at > latest || list.size() >= kMostEventsPerReply)
             break;
         // Hashes are sent as text, since JSON numbers do not hold 64 bits everywhere.
-        list.push_back(json::object {{"number", event.number},
-                                     {"added", event.added},
-                                     {"block", std::to_string(event.block)}});
+        list.push_back(json::object{{"number", event.number},
+                                    {"added", event.added},
+                                    {"block", std::to_string(event.block)}});
     }
-    return Http::jsonResponse(200, json::serialize(json::object {{"events", list}}));
+    return Http::jsonResponse(200, json::serialize(json::object{{"events", list}}));
 }
 
 void Engine::noteLoad()
--- a/Source/StandIns/Engine.h
+++ b/Source/StandIns/Engine.h
@@ -57,7 +57,7 @@
         std::size_t wanted = 0;
         bool patient = false;
         bool abandoned = false;
-        Common::Duration busy {0};
+        Common::Duration busy{0};
     };
     using SequencePtr = std::shared_ptr<Sequence>;
 
@@ -103,7 +103,7 @@
     std::uint64_t cancelled = 0;
     std::uint64_t blocksPrefilled = 0;
     std::uint64_t blocksFromCache = 0;
-    Common::Duration busy {0};
+    Common::Duration busy{0};
 };
 
 } // namespace Tanagerbay::StandIns
--- a/Source/StandIns/Host.cpp
+++ b/Source/StandIns/Host.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-constexpr Common::Milliseconds kListenerWatch {20};
+constexpr Common::Milliseconds kListenerWatch{20};
 constexpr std::int64_t kMostFaultMs = 24 * 3600 * 1000;
 // Callers keep connections to the stand-ins for the length of a run.
-constexpr Common::Milliseconds kIdleTimeout {600'000};
+constexpr Common::Milliseconds kIdleTimeout{600'000};
 
 Common::Time clockNow()
 {
@@ -25,7 +25,7 @@
 Http::Response badInput(const Common::JsonFaults &faults)
 {
     return Http::jsonResponse(
-        400, json::serialize(json::object {{"error", Common::describeFaults(faults)}}));
+        400, json::serialize(json::object{{"error", Common::describeFaults(faults)}}));
 }
 
 } // namespace
@@ -83,7 +83,7 @@
     options.address = endpoint.address;
     options.idleTimeout = kIdleTimeout;
     options.maxBodyBytes = 64 << 20;
-    member->server = std::make_unique<Http::Server>(std::vector<asio::io_context *> {&context},
+    member->server = std::make_unique<Http::Server>(std::vector<asio::io_context *>{&context},
                                                     options, std::move(handler));
     const std::string problem = member->server->start();
     this->instances.put({endpoint.id, pool.name, endpoint.address, {}, endpoint.failureDomain},
@@ -250,13 +250,13 @@
             pool = json::object();
         pool.get_object()[member->id] = std::move(entry);
     }
-    const json::object table {
+    const json::object table{
         {"transactions", this->table.transactionCount()},
         {"puts", this->table.putCount()},
         {"reads", this->table.readCount()},
     };
     co_return Http::jsonResponse(200,
-                                 json::serialize(json::object {
+                                 json::serialize(json::object{
                                      {"pools", pools},
                                      {"table", table},
                                      {"objects", this->objects.objectCount()},
--- a/Source/StandIns/LoadHistory.cpp
+++ b/Source/StandIns/LoadHistory.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr Common::Milliseconds kResolution {5};
+constexpr Common::Milliseconds kResolution{5};
 constexpr std::size_t kMostEntries = 4000;
 
 } // namespace
--- a/Source/StandIns/Platform.cpp
+++ b/Source/StandIns/Platform.cpp
@@ -105,7 +105,7 @@
         ++this->puts;
         versions.emplace_back(row.version);
     }
-    return Http::jsonResponse(200, json::serialize(json::object {{"versions", versions}}));
+    return Http::jsonResponse(200, json::serialize(json::object{{"versions", versions}}));
 }
 
 Http::Response TableStandIn::readRows(const json::value &document)
@@ -118,10 +118,10 @@
     json::array result;
     for (const json::value &name : *names) {
         const auto found = this->rows.find({textOf(name, "table"), textOf(name, "key")});
-        const Row row = found == this->rows.end() ? Row {} : found->second;
-        result.push_back(json::object {{"version", row.version}, {"body", row.body}});
+        const Row row = found == this->rows.end() ? Row{} : found->second;
+        result.push_back(json::object{{"version", row.version}, {"body", row.body}});
     }
-    return Http::jsonResponse(200, json::serialize(json::object {{"rows", result}}));
+    return Http::jsonResponse(200, json::serialize(json::object{{"rows", result}}));
 }
 
 ObjectStoreStandIn::ObjectStoreStandIn(FaultBoard &faults, Common::Milliseconds latency)
@@ -207,7 +207,7 @@
     json::array list;
     if (!this->versions.empty()) {
         for (const auto &[id, record] : this->versions.front().records) {
-            json::object entry {
+            json::object entry{
                 {"id", record.id},
                 {"address", Common::formatAddress(record.address)},
                 {"failureDomain", record.failureDomain.value},
@@ -220,7 +220,7 @@
             list.push_back(std::move(entry));
         }
     }
-    return json::serialize(json::object {{"instances", list}});
+    return json::serialize(json::object{{"instances", list}});
 }
 
 Http::Awaitable<void> InstanceListStandIn::handle(Http::Exchange &exchange)
--- a/Source/StandIns/Platform.h
+++ b/Source/StandIns/Platform.h
@@ -51,9 +51,9 @@
     Common::Milliseconds latency;
     std::mutex lock;
     std::map<RowKey, Row> rows;
-    std::atomic<std::uint64_t> transactions {0};
-    std::atomic<std::uint64_t> puts {0};
-    std::atomic<std::uint64_t> reads {0};
+    std::atomic<std::uint64_t> transactions{0};
+    std::atomic<std::uint64_t> puts{0};
+    std::atomic<std::uint64_t> reads{0};
 };
 
 class ObjectStoreStandIn
--- a/Source/StandIns/Settings.h
+++ b/Source/StandIns/Settings.h
@@ -26,14 +26,14 @@
     std::vector<EndpointSettings> endpoints;
     std::uint32_t slots = 8;
     // Time a stage or service works on one call.
-    Common::Milliseconds service {5};
+    Common::Milliseconds service{5};
     // Time between two tokens of one sequence on an engine with one sequence.
-    Common::Milliseconds tokenInterval {15};
+    Common::Milliseconds tokenInterval{15};
     // How much longer the interval is on a full engine, as a share.
     double batchSlowdown = 0.5;
-    std::chrono::microseconds prefillPerBlock {500};
+    std::chrono::microseconds prefillPerBlock{500};
     std::uint32_t cacheBlocks = 2000;
-    Common::Milliseconds reportLag {100};
+    Common::Milliseconds reportLag{100};
     // Cache events that never arrive, as a share.
     double cacheEventLoss = 0.1;
     bool checksFencing = true;
@@ -56,8 +56,8 @@
     Common::Address objectStore;
     Common::Address instanceList;
     Common::Address weightStore;
-    Common::Milliseconds storeLatency {1};
-    Common::Milliseconds instanceListLag {1000};
+    Common::Milliseconds storeLatency{1};
+    Common::Milliseconds instanceListLag{1000};
     std::int64_t weightBytesPerSecond = 1'000'000'000;
     std::vector<PoolSettings> pools;
     std::vector<EntrySettings> entries;
--- a/Source/StandIns/Station.cpp
+++ b/Source/StandIns/Station.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr Common::Milliseconds kPollInterval {10};
+constexpr Common::Milliseconds kPollInterval{10};
 
 Common::Time clockNow()
 {
@@ -101,7 +101,7 @@
             ++position;
     }
     const auto waiter = this->waiters.insert(
-        position, Waiter {asio::steady_timer(this->executor), patient, false});
+        position, Waiter{asio::steady_timer(this->executor), patient, false});
     this->noteLoad();
     exchange.onCallerGone([waiter] { waiter->timer.cancel(); });
     waiter->timer.expires_at(Common::Time::max());
@@ -170,7 +170,7 @@
         const std::string_view kind = path.substr(path.rfind('/') + 1);
         const json::value output = stageOutput(kind, input ? *input : json::value(),
                                                previous ? *previous : json::value());
-        response.body = json::serialize(json::object {{"output", output}});
+        response.body = json::serialize(json::object{{"output", output}});
     }
     const std::string_view tag = request.headers.find(Wire::kAttemptTag);
     const bool foreign
@@ -210,7 +210,7 @@
     const bool patient = request.headers.find(Wire::kPriority) == "patient";
     if (!co_await this->acquire(exchange, patient))
         co_return;
-    Common::Duration worked {0};
+    Common::Duration worked{0};
     const bool finished = co_await this->work(exchange, worked);
     this->release();
     if (!finished || !passFaultsAfter(this->faults, this->endpoint.id))
--- a/Source/StandIns/Station.h
+++ b/Source/StandIns/Station.h
@@ -75,7 +75,7 @@
     std::unordered_map<std::string, std::uint64_t> runs;
     std::uint64_t total = 0;
     std::uint64_t cancelled = 0;
-    Common::Duration busy {0};
+    Common::Duration busy{0};
 };
 
 } // namespace Tanagerbay::StandIns
--- a/Source/Tanagerbay/DemoCommand.cpp
+++ b/Source/Tanagerbay/DemoCommand.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-constexpr Common::Milliseconds kCallTimeout {20'000};
-constexpr Common::Milliseconds kReadyPoll {50};
-constexpr Common::Milliseconds kReadyTimeout {10'000};
+constexpr Common::Milliseconds kCallTimeout{20'000};
+constexpr Common::Milliseconds kReadyPoll{50};
+constexpr Common::Milliseconds kReadyTimeout{10'000};
 constexpr std::size_t kShownLetters = 160;
 
 // Waits until the instance has read the lists.
@@ -35,7 +35,7 @@
     const auto body = readFile(path);
     if (!body)
         return false;
-    Http::Request request {"PUT", "/v1/lists/" + name + "?acceptWarnings=true", {}, *body};
+    Http::Request request{"PUT", "/v1/lists/" + name + "?acceptWarnings=true", {}, *body};
     request.headers.add("Authorization", "Bearer " + token);
     request.headers.add("If-Match", "\"0\"");
     const auto reply = callAndWait(settings.operatorPort.address, std::move(request), kCallTimeout);
--- a/Source/Tanagerbay/DumpCommand.cpp
+++ b/Source/Tanagerbay/DumpCommand.cpp
@@ -6,7 +6,7 @@
 
 int dump(const Words &words)
 {
-    constexpr Common::Milliseconds kTimeout {5000};
+    constexpr Common::Milliseconds kTimeout{5000};
     cxxopts::Options options("tanagerbay dump",
                              "Prints the state of an instance as JSON.\n"
                              "The operator's token is read from TANAGERBAY_TOKEN.");
@@ -27,7 +27,7 @@
     if (!token)
         return ExitCode::Failure;
     const bool metrics = result["metrics"].as<bool>();
-    Http::Request request {"GET", metrics ? "/metrics" : "/v1/state", {}, ""};
+    Http::Request request{"GET", metrics ? "/metrics" : "/v1/state", {}, ""};
     request.headers.add("Authorization", "Bearer " + *token);
     const auto reply = callAndWait(*address, std::move(request), kTimeout);
     if (!reply) {
--- a/Source/Tanagerbay/ListsCommand.cpp
+++ b/Source/Tanagerbay/ListsCommand.cpp
@@ -11,11 +11,11 @@
 
 namespace {
 
-constexpr Common::Milliseconds kCallTimeout {150'000};
+constexpr Common::Milliseconds kCallTimeout{150'000};
 
 Http::Request operatorRequest(std::string method, std::string target, const std::string &token)
 {
-    Http::Request request {std::move(method), std::move(target), {}, ""};
+    Http::Request request{std::move(method), std::move(target), {}, ""};
     request.headers.add("Authorization", "Bearer " + token);
     return request;
 }
--- a/Source/Tanagerbay/Support.cpp
+++ b/Source/Tanagerbay/Support.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr Common::Milliseconds kSignalPoll {50};
+constexpr Common::Milliseconds kSignalPoll{50};
 
 // Reads a JSON file and parses it with `parse(document, faults)`.
 template <typename Parse>
@@ -46,7 +46,7 @@
                               cxxopts::ParseResult &result)
 {
     options.add_options()("h,help", "Print this help and exit");
-    std::vector<const char *> pointers {"tanagerbay"};
+    std::vector<const char *> pointers{"tanagerbay"};
     for (const std::string &word : words)
         pointers.push_back(word.c_str());
     try {
@@ -114,7 +114,7 @@
     asio::io_context context(1);
     Http::Client client(context.get_executor());
     Http::CallResult<Http::Response> result
-        = tl::unexpected(Http::CallError {Http::CallFailure::Timeout, false, "no answer"});
+        = tl::unexpected(Http::CallError{Http::CallFailure::Timeout, false, "no answer"});
     const auto call = [&]() -> Http::Awaitable<void> {
         Http::CallOptions options;
         options.deadline = std::chrono::steady_clock::now() + timeout;
--- a/Source/UnitTests/Lists/SnapshotTest.cpp
+++ b/Source/UnitTests/Lists/SnapshotTest.cpp
@@ -113,34 +113,34 @@
 
 BOOST_AUTO_TEST_CASE(lostWrite_rowWithOwnEditId_isCommitted)
 {
-    const Document row {4, "mine", ""};
+    const Document row{4, "mine", ""};
     BOOST_TEST((resolveEdit(WriteReply::Lost, &row, 3, "mine") == EditState::Committed));
 }
 
 BOOST_AUTO_TEST_CASE(lostWrite_rowAtGuardedVersion_isUnknownSinceItMayStillLand)
 {
-    const Document row {3, "before", ""};
+    const Document row{3, "before", ""};
     BOOST_TEST((resolveEdit(WriteReply::Lost, &row, 3, "mine") == EditState::Unknown));
 }
 
 BOOST_AUTO_TEST_CASE(lostWrite_nextVersionOfAnother_isNotWritten)
 {
-    const Document row {4, "theirs", ""};
+    const Document row{4, "theirs", ""};
     BOOST_TEST((resolveEdit(WriteReply::Lost, &row, 3, "mine") == EditState::NotWritten));
 }
 
 BOOST_AUTO_TEST_CASE(lostWrite_severalVersionsOn_isUnknown)
 {
-    const Document row {6, "theirs", ""};
+    const Document row{6, "theirs", ""};
     BOOST_TEST((resolveEdit(WriteReply::Lost, &row, 3, "mine") == EditState::Unknown));
 }
 
 BOOST_AUTO_TEST_CASE(inForce_silentLiveInstance_countsAsMissing)
 {
-    const std::vector<Common::InstanceId> live {Common::InstanceId("a"), Common::InstanceId("b"),
-                                                Common::InstanceId("c")};
-    const std::vector<InstanceVersions> reported {{Common::InstanceId("a"), {4, 2}},
-                                                  {Common::InstanceId("b"), {3, 2}}};
+    const std::vector<Common::InstanceId> live{Common::InstanceId("a"), Common::InstanceId("b"),
+                                               Common::InstanceId("c")};
+    const std::vector<InstanceVersions> reported{{Common::InstanceId("a"), {4, 2}},
+                                                 {Common::InstanceId("b"), {3, 2}}};
     const auto missing = missingInstances({4, 0}, live, reported);
     BOOST_REQUIRE(missing.size() == 2u);
     BOOST_TEST(missing[0].value == "b");
--- a/Source/UnitTests/Node/SettingsTest.cpp
+++ b/Source/UnitTests/Node/SettingsTest.cpp
@@ -73,7 +73,7 @@
 
 BOOST_AUTO_TEST_CASE(settings_notAnObject_isOneFaultAndNoCrash)
 {
-    Node::parseSettings(boost::json::array {}, this->faults);
+    Node::parseSettings(boost::json::array{}, this->faults);
     BOOST_TEST(!this->faults.empty());
 }
 
--- a/Source/UnitTests/Once/LedgerTest.cpp
+++ b/Source/UnitTests/Once/LedgerTest.cpp
@@ -10,7 +10,7 @@
 struct LedgerFixture
 {
     Common::Time now = Common::Time(std::chrono::seconds(100));
-    Attempt mine {Common::AttemptId("mine"), "digest", now + std::chrono::seconds(3)};
+    Attempt mine{Common::AttemptId("mine"), "digest", now + std::chrono::seconds(3)};
 
     StoredRow rowOf(RowState state, const std::string &attempt, const std::string &digest) const
     {
--- a/Source/UnitTests/Routing/PoolTest.cpp
+++ b/Source/UnitTests/Routing/PoolTest.cpp
@@ -12,8 +12,8 @@
 struct PoolFixture
 {
     Common::Time now = Common::Time(std::chrono::seconds(100));
-    Pool pool {1000};
-    std::mt19937_64 random {7};
+    Pool pool{1000};
+    std::mt19937_64 random{7};
     ChoiceRequest request;
 
     PoolFixture()
