--- /dev/null
+++ b/Source/Core/Placement/Lease.cpp
@@ -0,0 +1,83 @@
+#include "Placement/Lease.h"
+
+#include "Common/JsonReader.h"
+
+namespace Tanagerbay::Placement {
+
+namespace {
+
+constexpr std::int64_t kMostDurationMs = 3'600'000;
+
+} // namespace
+
+std::string encodeLeaseRow(const LeaseRow &row)
+{
+    return boost::json::serialize(boost::json::object{
+            {"holder", row.holder.value},
+            {"durationMs", row.duration.count()},
+            {"released", row.released},
+    });
+}
+
+std::optional<LeaseRow> decodeLeaseRow(std::string_view text)
+{
+    Common::JsonFaults faults;
+    const auto document = Common::parseJson(text, faults);
+    if (!document)
+        return std::nullopt;
+    Common::ObjectReader reader(*document, "", faults);
+    LeaseRow row;
+    row.holder = Common::InstanceId(reader.text("holder"));
+    row.duration = Common::Milliseconds(reader.integer("durationMs", 0, kMostDurationMs));
+    row.released = reader.flag("released");
+    if (!faults.empty())
+        return std::nullopt;
+    return row;
+}
+
+void noteReading(LeaseWatch &watch, std::uint64_t version, const LeaseRow &row,
+                 Common::Time readAt)
+{
+    // An older reading that arrives late tells nothing.
+    if (version < watch.version || (version == watch.version && version != 0))
+        return;
+    watch.version = version;
+    watch.seenAt = readAt;
+    watch.row = row;
+}
+
+LeaseStep decideClaim(const LeaseWatch &watch, Common::Time now)
+{
+    if (watch.version == 0 || watch.row.released)
+        return LeaseStep::Claim;
+    return now >= watch.seenAt + watch.row.duration ? LeaseStep::Claim : LeaseStep::Wait;
+}
+
+HeldLease claimed(const LeaseWatch &watch, std::uint64_t newVersion, Common::Milliseconds duration,
+                  Common::Duration longestOrder, Common::Time askedAt, Common::Time now)
+{
+    HeldLease held;
+    held.fencingNumber = newVersion;
+    held.expiresAt = askedAt + duration;
+    const bool clean = watch.version == 0 || watch.row.released;
+    // The old lease is over by now; its last order may have been sent just before its end.
+    held.orderUncheckedFrom = clean ? now : now + longestOrder;
+    return held;
+}
+
+void renewed(HeldLease &held, std::uint64_t newVersion, Common::Milliseconds duration,
+             Common::Time askedAt)
+{
+    held.fencingNumber = newVersion;
+    held.expiresAt = askedAt + duration;
+}
+
+bool mayOrder(const HeldLease &held, bool endpointChecksNumbers, const OrderRules &rules,
+              Common::Time now)
+{
+    if (held.expiresAt - now <= rules.orderTimeout + rules.margin)
+        return false;
+    return endpointChecksNumbers || now >= held.orderUncheckedFrom;
+}
+
+} // namespace Tanagerbay::Placement
