--- a/Source/Core/Node/ListsKeeper.cpp
+++ b/Source/Core/Node/ListsKeeper.cpp
@@ -99,7 +99,6 @@
         this->shared.counters.add(Common::Counter::ListPollFailures);
         co_return false;
     }
-    this->shared.noteConfirmed(askedAt);
     bool complete = true;
     for (std::size_t i = 0; i < rows->size(); ++i) {
         const Lists::ListKind kind = Common::EnumNames<Lists::ListKind>::table[i].first;
@@ -109,6 +108,8 @@
         if ((*rows)[i].version > own)
             complete = co_await this->fetch(kind) && complete;
     }
+    if (complete)
+        this->shared.noteConfirmed(askedAt);
     co_return complete;
 }
 
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -293,7 +293,6 @@
         this->shared.counters.add(Common::Counter::PeerMessagesBad);
         return;
     }
-    this->noteHeard(body.heard_incarnation(), body.heard_sequence());
     Lists::Versions newest{report.plansVersion, report.entitlementsVersion};
     this->shared.members.with([&](Membership::Members &members) {
         Membership::noteReport(members, report, now);
@@ -304,6 +303,9 @@
         }
     });
     const bool behind = !this->shared.lists.current()->versions().reaches(newest);
+    // An instance that comes back from being cut off serves again only with lists that are in force.
+    if (!behind)
+        this->noteHeard(body.heard_incarnation(), body.heard_sequence());
     if (behind) {
         Peer::Envelope request;
         const Lists::Versions own = this->shared.lists.current()->versions();
