--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -303,7 +303,8 @@
         }
     });
     const bool behind = !this->shared.lists.current()->versions().reaches(newest);
-    // An instance that comes back from being cut off serves again only with lists that are in force.
+    // An instance that comes back from being cut off serves again only with lists that are in
+    // force.
     if (!behind)
         this->noteHeard(body.heard_incarnation(), body.heard_sequence());
     if (behind) {
--- a/Source/Core/Once/Ledger.cpp
+++ b/Source/Core/Once/Ledger.cpp
@@ -110,8 +110,10 @@
     const LedgerRow &row = stored->row;
     if (row.state == RowState::Claimed && row.attempt == attempt)
         return VoidStep::Write;
-    // A row that another attempt wrote: a claim of this attempt that is still under way is guarded
-    // by an older version and fails.
+    // A row voided by another attempt may be the one that a claim still under way is guarded by.
+    if (row.state == RowState::Voided && row.attempt != attempt)
+        return VoidStep::Write;
+    // Any claim of this attempt that is still under way is guarded by an older version and fails.
     return VoidStep::Done;
 }
 
--- a/Source/Core/Placement/Lease.cpp
+++ b/Source/Core/Placement/Lease.cpp
@@ -13,9 +13,9 @@
 std::string encodeLeaseRow(const LeaseRow &row)
 {
     return boost::json::serialize(boost::json::object{
-            {"holder", row.holder.value},
-            {"durationMs", row.duration.count()},
-            {"released", row.released},
+        {"holder", row.holder.value},
+        {"durationMs", row.duration.count()},
+        {"released", row.released},
     });
 }
 
@@ -35,8 +35,7 @@
     return row;
 }
 
-void noteReading(LeaseWatch &watch, std::uint64_t version, const LeaseRow &row,
-                 Common::Time readAt)
+void noteReading(LeaseWatch &watch, std::uint64_t version, const LeaseRow &row, Common::Time readAt)
 {
     // An older reading that arrives late tells nothing.
     if (version < watch.version || (version == watch.version && version != 0))
--- a/Source/UnitTests/Admission/QueueTest.cpp
+++ b/Source/UnitTests/Admission/QueueTest.cpp
@@ -56,21 +56,21 @@
 
 BOOST_AUTO_TEST_CASE(arrival_freeWindow_isAdmitted)
 {
-    BOOST_TEST((this->enter(this->add("w", WorkClass::Interactive, 7000, 1000))
-                == ArrivalVerdict::Admit));
+    BOOST_TEST(
+        (this->enter(this->add("w", WorkClass::Interactive, 7000, 1000)) == ArrivalVerdict::Admit));
 }
 
 BOOST_AUTO_TEST_CASE(arrival_fullWindow_waits)
 {
     this->fill();
     BOOST_TEST(
-            (this->enter(this->add("w", WorkClass::Interactive, 7000, 1000)) == ArrivalVerdict::Wait));
+        (this->enter(this->add("w", WorkClass::Interactive, 7000, 1000)) == ArrivalVerdict::Wait));
 }
 
 BOOST_AUTO_TEST_CASE(arrival_cannotFinishInTime_isRefusedAtOnce)
 {
-    BOOST_TEST((this->enter(this->add("w", WorkClass::Interactive, 900, 1000))
-                == ArrivalVerdict::Refuse));
+    BOOST_TEST(
+        (this->enter(this->add("w", WorkClass::Interactive, 900, 1000)) == ArrivalVerdict::Refuse));
     this->fill();
     BOOST_TEST((this->enter(this->add("w", WorkClass::Interactive, 1300, 1000))
                 == ArrivalVerdict::Refuse));
--- a/Source/UnitTests/Limits/SharesTest.cpp
+++ b/Source/UnitTests/Limits/SharesTest.cpp
@@ -141,7 +141,8 @@
         const auto send = [&](std::function<void()> deliver) {
             if (random() % 100 < 15)
                 return;
-            messages.push_back({time + std::chrono::milliseconds(random() % 4000), std::move(deliver)});
+            messages.push_back(
+                {time + std::chrono::milliseconds(random() % 4000), std::move(deliver)});
         };
         std::uint32_t most = 0;
         for (int step = 0; step < 1200; ++step) {
@@ -223,7 +224,8 @@
     rows[0] = {4, Common::InstanceId("a"), 1, false};
     rows[1] = {2, Common::InstanceId("b"), 1, true, Common::Milliseconds(700)};
     rows[2] = {9, Common::InstanceId("c"), 1, false};
-    const auto choice = chooseSlot(rows, Common::InstanceId("d"), [](const auto &) { return true; });
+    const auto choice
+        = chooseSlot(rows, Common::InstanceId("d"), [](const auto &) { return true; });
     BOOST_REQUIRE(choice.has_value());
     BOOST_TEST(choice->slot == 1u);
     BOOST_TEST(!choice->takenOver);
--- a/Source/UnitTests/Once/LedgerTest.cpp
+++ b/Source/UnitTests/Once/LedgerTest.cpp
@@ -118,6 +118,14 @@
     BOOST_TEST((afterVoidRead(&stored, this->mine.id) == VoidStep::Done));
 }
 
+BOOST_AUTO_TEST_CASE(void_rowVoidedByAnother_isWrittenSinceAClaimMayBeGuardedByIt)
+{
+    const StoredRow theirs = this->rowOf(RowState::Voided, "other", "digest");
+    BOOST_TEST((afterVoidRead(&theirs, this->mine.id) == VoidStep::Write));
+    const StoredRow own = this->rowOf(RowState::Voided, "mine", "digest");
+    BOOST_TEST((afterVoidRead(&own, this->mine.id) == VoidStep::Done));
+}
+
 BOOST_AUTO_TEST_CASE(row_finishedOutcome_survivesEncoding)
 {
     LedgerRow row = this->rowOf(RowState::Finished, "mine", "digest").row;
--- a/Source/UnitTests/Scenario/RandomFaultsTest.cpp
+++ b/Source/UnitTests/Scenario/RandomFaultsTest.cpp
@@ -76,7 +76,8 @@
             const int target = this->instance();
             const auto kind = edit % 2 ? Lists::ListKind::Entitlements : Lists::ListKind::Plans;
             const std::string name = "e" + std::to_string(edit);
-            world.at(this->moment(), [&world, name, kind, target] { world.edit(name, kind, target); });
+            world.at(this->moment(),
+                     [&world, name, kind, target] { world.edit(name, kind, target); });
         }
         for (int i = 0; i < 6; ++i) {
             const int target = this->instance();
@@ -95,9 +96,24 @@
             this->addFault(world);
         // Pauses end on their own within the longest period.
         world.at(kFaultTime + Milliseconds(15'000), [&world] { world.heal(); });
+        // A key that was said not to have run, by an instance that still lives, runs when it is
+        // asked for again.
+        std::vector<std::string> retried;
+        world.at(kEnd - Milliseconds(20'000), [&world, &retried] {
+            for (const std::string &key : world.keysNotRun()) {
+                if (world.diedSince(key))
+                    continue;
+                retried.push_back(key);
+                world.call(key, "b", 1);
+            }
+        });
         world.at(kEnd - Milliseconds(1), [&world] { world.checkAtRest(); });
         world.runUntil(kEnd);
         std::string text;
+        for (const std::string &key : retried) {
+            if (world.runs(key) != 1)
+                text += key + " was said not to have run and cannot be run\n";
+        }
         for (const std::string &line : world.broken())
             text += line + "\n";
         return text.empty() ? "" : "seed " + std::to_string(seed) + ":\n" + text + world.trace();
--- a/Source/UnitTests/Scenario/Script.cpp
+++ b/Source/UnitTests/Scenario/Script.cpp
@@ -25,9 +25,7 @@
 class Reader
 {
 public:
-    Reader(const std::string &file, const Statement &statement)
-        : file(file)
-        , statement(statement)
+    Reader(const std::string &file, const Statement &statement) : file(file), statement(statement)
     {
     }
 
@@ -66,7 +64,8 @@
         const std::string &word = this->next("an instance such as i1");
         if (!x3::parse(word.begin(), word.end(), 'i' >> x3::int_ >> x3::eoi, value) || value < 1
             || value > this->instances)
-            throw ScriptError(this->file, this->statement.line, "an instance such as i1, not " + word);
+            throw ScriptError(this->file, this->statement.line,
+                              "an instance such as i1, not " + word);
         return value;
     }
     Milliseconds duration()
@@ -119,17 +118,16 @@
     {"maybe", CallAnswer::Kind::Maybe},
 };
 const std::vector<std::pair<std::string, EditAnswer>> kEdits{
-    {"pending", EditAnswer::Pending},   {"in-force", EditAnswer::InForce},
+    {"pending", EditAnswer::Pending},     {"in-force", EditAnswer::InForce},
     {"committed", EditAnswer::Committed}, {"conflict", EditAnswer::Conflict},
-    {"rejected", EditAnswer::Rejected}, {"unknown", EditAnswer::Unknown},
+    {"rejected", EditAnswer::Rejected},   {"unknown", EditAnswer::Unknown},
 };
 
 class Runner
 {
 public:
     Runner(const std::string &file, const std::vector<Statement> &statements)
-        : file(file)
-        , statements(statements)
+        : file(file), statements(statements)
     {
         for (const Statement &statement : statements) {
             Reader reader(file, statement);
@@ -226,7 +224,8 @@
     void performCut(Reader &reader)
     {
         const int instance = reader.instance();
-        const std::vector<std::pair<std::string, int>> parts{{"store", 1}, {"peers", 2}, {"all", 3}};
+        const std::vector<std::pair<std::string, int>> parts{
+            {"store", 1}, {"peers", 2}, {"all", 3}};
         const int part = reader.choice(parts);
         reader.skip("for");
         const Milliseconds period = reader.duration();
@@ -237,7 +236,8 @@
     }
     void performFault(Reader &reader)
     {
-        const std::vector<std::pair<std::string, bool>> targets{{"store", true}, {"service", false}};
+        const std::vector<std::pair<std::string, bool>> targets{{"store", true},
+                                                                {"service", false}};
         if (reader.choice(targets)) {
             const StoreFault fault = reader.choice(kStoreFaults);
             reader.skip("for");
@@ -261,7 +261,8 @@
     }
 
     template <typename Value>
-    static std::string nameIn(const std::vector<std::pair<std::string, Value>> &choices, Value value)
+    static std::string nameIn(const std::vector<std::pair<std::string, Value>> &choices,
+                              Value value)
     {
         for (const auto &[name, entry] : choices) {
             if (entry == value)
@@ -300,7 +301,8 @@
             const bool least = word == "at-least";
             const int wanted = least ? reader.number("a count") : std::atoi(word.c_str());
             const int spent = this->world->spent();
-            this->check(statement, least ? spent >= wanted : spent == wanted, std::to_string(spent));
+            this->check(statement, least ? spent >= wanted : spent == wanted,
+                        std::to_string(spent));
         } else if (what == "holders") {
             const int wanted = reader.number("a count");
             const std::size_t found = this->world->leaseHolders().size();
@@ -308,7 +310,7 @@
         } else {
             throw ScriptError(this->file, statement.line,
                               "runs, answer, edit, version, serves, refuses, spent or holders, not "
-                                      + what);
+                                  + what);
         }
     }
 
@@ -331,8 +333,7 @@
     units.add("ms", 1)("s", 1000);
     const auto setAmount = [&amount](auto &context) { amount = x3::_attr(context); };
     const auto setScale = [&scale](auto &context) { scale = x3::_attr(context); };
-    if (!x3::parse(text.begin(), text.end(),
-                   x3::double_[setAmount] >> units[setScale] >> x3::eoi))
+    if (!x3::parse(text.begin(), text.end(), x3::double_[setAmount] >> units[setScale] >> x3::eoi))
         throw ScriptError(file, line, "a duration such as 1500ms or 2.5s, not " + text);
     return Milliseconds(static_cast<std::int64_t>(amount * scale));
 }
@@ -349,7 +350,8 @@
         const bool parsed
             = x3::phrase_parse(begin, line.end(), *kWord >> x3::eoi, x3::space, words);
         if (!parsed)
-            throw ScriptError(file, number, "words of letters, digits, dots, dashes and underscores");
+            throw ScriptError(file, number,
+                              "words of letters, digits, dots, dashes and underscores");
         if (words.empty())
             continue;
         Statement statement;
--- a/Source/UnitTests/Scenario/World.cpp
+++ b/Source/UnitTests/Scenario/World.cpp
@@ -16,9 +16,7 @@
 
 } // namespace
 
-World::World(std::uint64_t seed, int instanceCount)
-    : time(this->start)
-    , random(seed)
+World::World(std::uint64_t seed, int instanceCount) : time(this->start), random(seed)
 {
     this->engines = {{true, 0, ""}, {false, 0, ""}};
     for (int i = 0; i <= instanceCount; ++i) {
@@ -131,7 +129,8 @@
             std::uint64_t version = 0;
             const CommitState state = this->applyCommit(checks, puts, version);
             if (answered)
-                this->onInstance(instance, jitter(3), [reply, state, version] { reply(state, version); });
+                this->onInstance(instance, jitter(3),
+                                 [reply, state, version] { reply(state, version); });
         });
     }
     if (!answered)
@@ -160,7 +159,7 @@
 bool World::connected(int left, int right) const
 {
     return this->time >= this->instances[left].peersCutUntil
-            && this->time >= this->instances[right].peersCutUntil;
+        && this->time >= this->instances[right].peersCutUntil;
 }
 
 void World::startInstance(int instance)
@@ -176,7 +175,8 @@
     fresh.storeCutUntil = storeCut;
     fresh.peersCutUntil = peersCut;
     // It announces itself before it reads the lists.
-    this->onInstance(instance, Milliseconds(1), [this, instance] { this->heartbeatLoop(instance); });
+    this->onInstance(instance, Milliseconds(1),
+                     [this, instance] { this->heartbeatLoop(instance); });
     this->onInstance(instance, Milliseconds(20), [this, instance] { this->pollLoop(instance); });
     this->onInstance(instance, jitter(1000), [this, instance] { this->leaseLoop(instance); });
 }
@@ -203,9 +203,9 @@
                    const auto apply = [&](Lists::ListKind kind, const StoredRow &row) {
                        const std::size_t bar = row.body.find('|');
                        if (row.version > 0)
-                           this->applyList(instance, kind,
-                                           {row.version, row.body.substr(0, bar),
-                                            row.body.substr(bar + 1)});
+                           this->applyList(
+                               instance, kind,
+                               {row.version, row.body.substr(0, bar), row.body.substr(bar + 1)});
                    };
                    apply(Lists::ListKind::Plans, (*found)[0]);
                    apply(Lists::ListKind::Entitlements, (*found)[1]);
@@ -218,7 +218,8 @@
 void World::pollLoop(int instance)
 {
     this->poll(instance, [](bool) {});
-    this->onInstance(instance, kPollPeriod + jitter(300), [this, instance] { this->pollLoop(instance); });
+    this->onInstance(instance, kPollPeriod + jitter(300),
+                     [this, instance] { this->pollLoop(instance); });
 }
 
 void World::heartbeatLoop(int instance)
@@ -232,7 +233,8 @@
             this->deliverHeartbeat(instance, other, sentAt);
         });
     }
-    this->onInstance(instance, kHeartbeatPeriod, [this, instance] { this->heartbeatLoop(instance); });
+    this->onInstance(instance, kHeartbeatPeriod,
+                     [this, instance] { this->heartbeatLoop(instance); });
 }
 
 void World::deliverHeartbeat(int from, int to, Time sentAt)
@@ -265,7 +267,7 @@
 {
     const Instance &target = this->instances[instance];
     return target.alive && target.started && this->time >= target.pausedUntil
-            && this->time - target.lastConfirmed <= kCutOffAfter;
+        && this->time - target.lastConfirmed <= kCutOffAfter;
 }
 
 std::vector<Common::InstanceId> World::acceptanceSet() const
@@ -295,6 +297,7 @@
 {
     this->note("kill " + this->instances[instance].id);
     this->instances[instance].alive = false;
+    this->everKilled.insert(this->instances[instance].id);
     this->instances[instance].deadSince = this->time;
 }
 
@@ -362,6 +365,29 @@
     return found == this->answersByKey.end() ? std::vector<CallAnswer>() : found->second;
 }
 
+bool World::diedSince(const std::string &key) const
+{
+    for (const CallAnswer &answer : this->answers(key)) {
+        if (this->everKilled.contains(answer.instance))
+            return true;
+    }
+    return false;
+}
+
+std::vector<std::string> World::keysNotRun() const
+{
+    std::vector<std::string> keys;
+    for (const auto &[key, answers] : this->answersByKey) {
+        const bool onlyNo
+            = std::all_of(answers.begin(), answers.end(), [](const CallAnswer &answer) {
+                  return answer.kind == CallAnswer::Kind::No;
+              });
+        if (onlyNo)
+            keys.push_back(key);
+    }
+    return keys;
+}
+
 EditAnswer World::editAnswer(const std::string &name) const
 {
     const auto found = this->editAnswers.find(name);
--- a/Source/UnitTests/Scenario/World.h
+++ b/Source/UnitTests/Scenario/World.h
@@ -85,6 +85,11 @@
     // Observations.
     int runs(const std::string &key) const;
     std::vector<CallAnswer> answers(const std::string &key) const;
+    // Keys whose callers have only heard that their calls did not run.
+    std::vector<std::string> keysNotRun() const;
+    // True where an instance that answered for the key was killed afterwards or before, so that
+    // its claim may never be voided.
+    bool diedSince(const std::string &key) const;
     EditAnswer editAnswer(const std::string &name) const;
     std::uint64_t version(int instance, Lists::ListKind kind) const;
     bool serves(int instance) const;
@@ -236,6 +241,7 @@
     int alertsRun = 0;
     int alertsRefused = 0;
     std::vector<EngineState> engines;
+    std::set<std::string> everKilled;
     std::vector<std::string> violations;
     std::deque<std::string> lines;
     int nextAttempt = 0;
--- a/Source/UnitTests/Scenario/WorldCalls.cpp
+++ b/Source/UnitTests/Scenario/WorldCalls.cpp
@@ -23,7 +23,7 @@
     if (kind == Lists::ListKind::Entitlements)
         return R"({"entitlements":[{"plan":"p","pipelines":["ask"]}]})";
     return R"({"plans":[{"name":"p","deadlineMs":)" + std::to_string(1000 + version)
-            + R"(,"priority":"patient","concurrency":1,"ratePerSecond":1}],"workspaces":[]})";
+        + R"(,"priority":"patient","concurrency":1,"ratePerSecond":1}],"workspaces":[]})";
 }
 
 } // namespace
@@ -62,49 +62,47 @@
 
 void World::claimCall(std::shared_ptr<Call> call)
 {
-    this->commit(call->instance, {{ledgerKey(call->key), call->stored.version}},
-                 {{ledgerKey(call->key), Once::encodeRow(call->claimed)}},
-                 [this, call](CommitState state, std::uint64_t version) {
-                     using Reply = Once::ClaimReply;
-                     if (state == CommitState::Committed) {
-                         call->claimMayLand = true;
-                         call->stored = {version, call->claimed};
-                         return this->stepCall(call, Once::afterClaimReply(Reply::Committed,
-                                                                           call->attempt, this->time));
-                     }
-                     if (state == CommitState::Conflict)
-                         return this->stepCall(call, Once::afterClaimReply(Reply::Conflict,
-                                                                           call->attempt, this->time));
-                     ++call->storeFailures;
-                     if (state == CommitState::NotDone)
-                         return this->stepCall(call, Once::ClaimStep::WriteClaim);
-                     call->claimMayLand = true;
-                     this->stepCall(call, Once::afterClaimReply(Reply::Lost, call->attempt, this->time));
-                 });
+    this->commit(
+        call->instance, {{ledgerKey(call->key), call->stored.version}},
+        {{ledgerKey(call->key), Once::encodeRow(call->claimed)}},
+        [this, call](CommitState state, std::uint64_t version) {
+            using Reply = Once::ClaimReply;
+            if (state == CommitState::Committed) {
+                call->claimMayLand = true;
+                call->stored = {version, call->claimed};
+                return this->stepCall(
+                    call, Once::afterClaimReply(Reply::Committed, call->attempt, this->time));
+            }
+            if (state == CommitState::Conflict)
+                return this->stepCall(
+                    call, Once::afterClaimReply(Reply::Conflict, call->attempt, this->time));
+            ++call->storeFailures;
+            if (state == CommitState::NotDone)
+                return this->stepCall(call, Once::ClaimStep::WriteClaim);
+            call->claimMayLand = true;
+            this->stepCall(call, Once::afterClaimReply(Reply::Lost, call->attempt, this->time));
+        });
 }
 
 void World::readCall(std::shared_ptr<Call> call)
 {
-    this->read(call->instance, {ledgerKey(call->key)},
-               [this, call](const std::vector<StoredRow> *found) {
-                   if (!found) {
-                       ++call->storeFailures;
-                       return this->stepCall(call,
-                                             Once::afterRead(nullptr, call->attempt, this->time));
-                   }
-                   const StoredRow &row = found->front();
-                   call->stored = {};
-                   if (row.version > 0)
-                       call->stored = {row.version, Once::decodeRow(row.body).value()};
-                   this->stepCall(call,
-                                  Once::afterRead(&call->stored, call->attempt, this->time));
-               });
+    this->read(
+        call->instance, {ledgerKey(call->key)}, [this, call](const std::vector<StoredRow> *found) {
+            if (!found) {
+                ++call->storeFailures;
+                return this->stepCall(call, Once::afterRead(nullptr, call->attempt, this->time));
+            }
+            const StoredRow &row = found->front();
+            call->stored = {};
+            if (row.version > 0)
+                call->stored = {row.version, Once::decodeRow(row.body).value()};
+            this->stepCall(call, Once::afterRead(&call->stored, call->attempt, this->time));
+        });
 }
 
 void World::stepCall(std::shared_ptr<Call> call, Once::ClaimStep step)
 {
-    const bool asksStore
-        = step == Once::ClaimStep::WriteClaim || step == Once::ClaimStep::ReadBack;
+    const bool asksStore = step == Once::ClaimStep::WriteClaim || step == Once::ClaimStep::ReadBack;
     if (asksStore && call->storeFailures >= kMostStoreFailures)
         step = Once::ClaimStep::GiveUp;
     switch (step) {
@@ -158,8 +156,8 @@
 
 void World::finishCall(std::shared_ptr<Call> call, Common::Ran ran)
 {
-    this->answerCall(call, ran == Common::Ran::Yes ? CallAnswer::Kind::Yes
-                                                   : CallAnswer::Kind::Maybe);
+    this->answerCall(call,
+                     ran == Common::Ran::Yes ? CallAnswer::Kind::Yes : CallAnswer::Kind::Maybe);
     Once::LedgerRow row = call->claimed;
     row.state = Once::RowState::Finished;
     row.outcome.ran = ran;
@@ -197,27 +195,26 @@
         this->onInstance(call->instance, Milliseconds(500),
                          [this, call, tries] { this->voidCall(call, tries + 1); });
     };
-    this->read(call->instance, {ledgerKey(call->key)},
-               [this, call, again](const std::vector<StoredRow> *found) {
-                   Once::StoredRow stored;
-                   if (found && found->front().version > 0)
-                       stored = {found->front().version,
-                                 Once::decodeRow(found->front().body).value()};
-                   const auto step
-                       = Once::afterVoidRead(found ? &stored : nullptr, call->attempt.id);
-                   if (step == Once::VoidStep::Done)
-                       return;
-                   if (step == Once::VoidStep::ReadAgain)
-                       return again();
-                   Once::LedgerRow row = call->claimed;
-                   row.state = Once::RowState::Voided;
-                   this->commit(call->instance, {{ledgerKey(call->key), stored.version}},
-                                {{ledgerKey(call->key), Once::encodeRow(row)}},
-                                [again](CommitState state, std::uint64_t) {
-                                    if (state != CommitState::Committed)
-                                        again();
-                                });
-               });
+    this->read(
+        call->instance, {ledgerKey(call->key)},
+        [this, call, again](const std::vector<StoredRow> *found) {
+            Once::StoredRow stored;
+            if (found && found->front().version > 0)
+                stored = {found->front().version, Once::decodeRow(found->front().body).value()};
+            const auto step = Once::afterVoidRead(found ? &stored : nullptr, call->attempt.id);
+            if (step == Once::VoidStep::Done)
+                return;
+            if (step == Once::VoidStep::ReadAgain)
+                return again();
+            Once::LedgerRow row = call->claimed;
+            row.state = Once::RowState::Voided;
+            this->commit(call->instance, {{ledgerKey(call->key), stored.version}},
+                         {{ledgerKey(call->key), Once::encodeRow(row)}},
+                         [again](CommitState state, std::uint64_t) {
+                             if (state != CommitState::Committed)
+                                 again();
+                         });
+        });
 }
 
 struct World::EditRun
@@ -261,19 +258,18 @@
     const auto other = plans ? Lists::ListKind::Entitlements : Lists::ListKind::Plans;
     const std::string key = plans ? "plans" : "entitlements";
     const std::string otherKey = plans ? "entitlements" : "plans";
-    this->commit(run->instance,
-                 {{key, run->expected}, {otherKey, this->version(run->instance, other)}},
-                 {{key, run->editId + "|" + run->body}},
-                 [this, run](CommitState state, std::uint64_t) {
-                     if (state == CommitState::Committed)
-                         this->acceptEdit(run);
-                     else if (state == CommitState::Conflict)
-                         this->editAnswers[run->name] = EditAnswer::Conflict;
-                     else if (state == CommitState::NotDone)
-                         this->editAnswers[run->name] = EditAnswer::Rejected;
-                     else
-                         this->resolveEdit(run, 0);
-                 });
+    this->commit(
+        run->instance, {{key, run->expected}, {otherKey, this->version(run->instance, other)}},
+        {{key, run->editId + "|" + run->body}}, [this, run](CommitState state, std::uint64_t) {
+            if (state == CommitState::Committed)
+                this->acceptEdit(run);
+            else if (state == CommitState::Conflict)
+                this->editAnswers[run->name] = EditAnswer::Conflict;
+            else if (state == CommitState::NotDone)
+                this->editAnswers[run->name] = EditAnswer::Rejected;
+            else
+                this->resolveEdit(run, 0);
+        });
 }
 
 void World::resolveEdit(std::shared_ptr<EditRun> run, int tries)
@@ -393,34 +389,34 @@
             return finish(0, false, false);
         const StoredRow stored = found->front();
         const Limits::GrantRow row = stored.version == 0
-                ? Limits::GrantRow()
-                : Limits::decodeGrantRow(stored.body).value();
+            ? Limits::GrantRow()
+            : Limits::decodeGrantRow(stored.body).value();
         const Common::InstanceId self(this->instances[instance].id);
         const std::string grantId = "g" + std::to_string(++this->nextAttempt);
         const std::int64_t wanted = Limits::blockSize(kAllowance - row.granted, 2, 10);
-        const auto plan = Limits::planGrant(row, {kAllowance, std::chrono::hours(24)}, self,
-                                            grantId, wanted);
+        const auto plan
+            = Limits::planGrant(row, {kAllowance, std::chrono::hours(24)}, self, grantId, wanted);
         if (!plan)
             return finish(0, true, true);
-        this->commit(instance, {{"alerts", stored.version}},
-                     {{"alerts", Limits::encodeGrantRow(plan->row)}},
-                     [this, instance, finish, self, grantId, size = plan->size](
-                             CommitState state, std::uint64_t) {
-                         if (state == CommitState::Committed)
-                             return finish(size, false, true);
-                         if (state != CommitState::Unknown)
-                             return finish(0, false, state == CommitState::Conflict);
-                         this->read(instance, {"alerts"},
-                                    [finish, self, grantId, size](const std::vector<StoredRow> *again) {
-                                        std::optional<Limits::GrantRow> row;
-                                        if (again && again->front().version > 0)
-                                            row = Limits::decodeGrantRow(again->front().body);
-                                        const std::int64_t units = Limits::unitsGranted(
-                                                Limits::GrantReply::Lost, row ? &*row : nullptr,
-                                                self, grantId, size);
-                                        finish(units, false, units > 0);
-                                    });
-                     });
+        this->commit(
+            instance, {{"alerts", stored.version}}, {{"alerts", Limits::encodeGrantRow(plan->row)}},
+            [this, instance, finish, self, grantId, size = plan->size](CommitState state,
+                                                                       std::uint64_t) {
+                if (state == CommitState::Committed)
+                    return finish(size, false, true);
+                if (state != CommitState::Unknown)
+                    return finish(0, false, state == CommitState::Conflict);
+                this->read(instance, {"alerts"},
+                           [finish, self, grantId, size](const std::vector<StoredRow> *again) {
+                               std::optional<Limits::GrantRow> row;
+                               if (again && again->front().version > 0)
+                                   row = Limits::decodeGrantRow(again->front().body);
+                               const std::int64_t units = Limits::unitsGranted(
+                                   Limits::GrantReply::Lost, row ? &*row : nullptr, self, grantId,
+                                   size);
+                               finish(units, false, units > 0);
+                           });
+            });
     });
 }
 
--- a/Source/UnitTests/Scenario/WorldLeases.cpp
+++ b/Source/UnitTests/Scenario/WorldLeases.cpp
@@ -83,9 +83,9 @@
                              return;
                          Instance &holder = this->instances[instance];
                          this->note(holder.id + " takes the lease at " + std::to_string(version));
-                         holder.lease = Placement::claimed(holder.leaseWatch, version,
-                                                           kLeaseDuration, kOrderTimeout, askedAt,
-                                                           this->time);
+                         holder.lease
+                             = Placement::claimed(holder.leaseWatch, version, kLeaseDuration,
+                                                  kOrderTimeout, askedAt, this->time);
                      });
     });
 }
@@ -95,7 +95,8 @@
     for (std::size_t i = 0; i < this->engines.size(); ++i) {
         const Instance &holder = this->instances[instance];
         if (!holder.lease
-            || !Placement::mayOrder(*holder.lease, this->engines[i].checksNumbers, kRules, this->time))
+            || !Placement::mayOrder(*holder.lease, this->engines[i].checksNumbers, kRules,
+                                    this->time))
             continue;
         const std::uint64_t number = holder.lease->fencingNumber;
         // A pause may come between the decision and the first byte.
