Node: Test an instance over real sockets and end it without leftovers

Cause: 19 tests of an instance in front of stand-ins crashed at teardown and showed two faults. Change: worker waits and calls can be ended, so that every coroutine comes to its end before its parts go; a server gives up its acceptor before its contexts go (a use after free that the address sanitizer found); a request that arrives too slowly is answered with 408, where the stream's own timeout had closed the connection first.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <set>
 #include <unordered_map>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,10 +24,31 @@
     {
     }
 
+    ~ClientConnection()
+    {
+        if (this->active)
+            this->active->erase(this);
+    }
+    ClientConnection(const ClientConnection &) = delete;
+    ClientConnection &operator=(const ClientConnection &) = delete;
+
+    // Notes the connection among those in use, until it is idle or gone.
+    void enter(std::shared_ptr<std::set<ClientConnection *>> connections)
+    {
+        this->active = std::move(connections);
+        this->active->insert(this);
+    }
+    void leave()
+    {
+        this->active->erase(this);
+        this->active.reset();
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     Common::Time idleSince;
     bool reused = false;
+    std::shared_ptr<std::set<ClientConnection *>> active;
 };
 
 using ConnectionPtr = std::unique_ptr<ClientConnection>;
@@ -35,6 +57,9 @@
 {
     asio::any_io_executor executor;
     std::unordered_map<Address, std::vector<ConnectionPtr>> idle;
+    std::shared_ptr<std::set<ClientConnection *>> active
+        = std::make_shared<std::set<ClientConnection *>>();
+    bool closed = false;
 
     ConnectionPtr take(const Address &address);
     void give(const Address &address, ConnectionPtr connection);
@@ -95,10 +120,14 @@
     return message;
 }
 
+using ActiveConnections = std::shared_ptr<std::set<ClientConnection *>>;
+
 Awaitable<CallResult<ConnectionPtr>> connect(const asio::any_io_executor &executor,
+                                             const ActiveConnections &active,
                                              const Address &address, const CallOptions &options)
 {
     auto connection = std::make_unique<ClientConnection>(executor);
+    connection->enter(active);
     beast::error_code error;
     const auto ip = asio::ip::make_address(address.ip, error);
     if (error)
@@ -130,6 +159,7 @@
         found->second.pop_back();
         if (!isStale(*connection)) {
             connection->reused = true;
+            connection->enter(this->active);
             return connection;
         }
     }
@@ -138,6 +168,7 @@
 
 void Client::Pool::give(const Address &address, ConnectionPtr connection)
 {
+    connection->leave();
     connection->stream.expires_never();
     connection->idleSince = std::chrono::steady_clock::now();
     std::vector<ConnectionPtr> &connections = this->idle[address];
@@ -160,6 +191,13 @@
     return total;
 }
 
+void Client::cancelAll()
+{
+    this->pool->closed = true;
+    for (ClientConnection *connection : *this->pool->active)
+        connection->stream.close();
+}
+
 void Client::closeIdle(Common::Time before)
 {
     for (auto &[address, connections] : this->pool->idle) {
@@ -175,11 +213,12 @@
     const BeastRequest message = toBeast(address, std::move(request));
     bool fresh = options.freshConnection;
     while (true) {
-        if (options.handle && options.handle->isCancelled())
+        if (this->pool->closed || (options.handle && options.handle->isCancelled()))
             co_return tl::unexpected(CallError{CallFailure::Cancelled, false, "cancelled"});
         ConnectionPtr connection = fresh ? nullptr : this->pool->take(address);
         if (!connection) {
-            auto connected = co_await connect(this->pool->executor, address, options);
+            auto connected
+                = co_await connect(this->pool->executor, this->pool->active, address, options);
             if (!connected)
                 co_return tl::unexpected(connected.error());
             connection = std::move(*connected);
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -120,6 +120,8 @@
     // Sends a request and reads the head of the response.
     Awaitable<CallResult<ResponseStream>> open(Address address, Request request,
                                                CallOptions options);
+    // Ends every call in progress and refuses new ones.
+    void cancelAll();
     std::size_t idleConnections() const;
     // Closes idle connections that were unused since `before`.
     void closeIdle(Common::Time before);
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -1,5 +1,7 @@
 #include "Http/Server.h"
 
+#include <set>
+
 #include <sys/socket.h>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -9,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -21,6 +24,10 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+namespace {
+class Connection;
+} // namespace
+
 struct Server::State
 {
     std::vector<asio::io_context *> contexts;
@@ -30,6 +37,9 @@
     std::atomic<bool> accepting{true};
     std::atomic<std::size_t> connections{0};
     unsigned short port = 0;
+    // Open connections by context; each set is used on its context's thread only.
+    std::vector<std::set<Connection *>> open;
+    std::atomic<bool> closing{false};
 };
 
 namespace {
@@ -53,7 +63,8 @@
 {
 public:
     Connection(tcp::socket socket, const ServerOptions &options, std::size_t contextIndex)
-        : stream(std::move(socket)), options(options), context(contextIndex)
+        : stream(std::move(socket)), requestTimer(this->stream.get_executor()), options(options),
+          context(contextIndex)
     {
         beast::error_code ignored;
         this->stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -145,6 +156,13 @@
         co_return !error;
     }
 
+    // Ends the connection as if the caller had closed it.
+    void abandon()
+    {
+        this->noteGone();
+        this->stream.close();
+    }
+
     // Serves requests until the connection ends.
     Awaitable<void> serve(const Handler &handler, const std::atomic<bool> &accepting)
     {
@@ -177,10 +195,13 @@
             if (error)
                 co_return false;
         }
-        this->stream.expires_after(this->options.requestTimeout);
+        // The stream's own timeout would close the connection before the caller could be told.
+        this->stream.expires_never();
+        this->startRequestTimer();
         co_await http::async_read_header(this->stream, this->buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, error));
         if (!error && parser.get().target().size() > this->options.maxTargetBytes) {
+            this->requestTimer.cancel();
             co_await this->reject(414, "too_large", "the URL is too long");
             co_return false;
         }
@@ -190,6 +211,7 @@
             co_await http::async_read(this->stream, this->buffer, parser,
                                       asio::redirect_error(asio::use_awaitable, error));
         }
+        this->requestTimer.cancel();
         if (error) {
             co_await this->rejectFor(error);
             co_return false;
@@ -205,6 +227,19 @@
         this->buffer.commit(bytes);
     }
 
+    void startRequestTimer()
+    {
+        this->requestTimedOut = false;
+        this->requestTimer.expires_after(this->options.requestTimeout);
+        this->requestTimer.async_wait([self = this->shared_from_this()](beast::error_code error) {
+            if (error)
+                return;
+            self->requestTimedOut = true;
+            beast::error_code ignored;
+            self->stream.socket().cancel(ignored);
+        });
+    }
+
     Awaitable<void> writeContinue(beast::error_code &error)
     {
         static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -214,7 +249,7 @@
 
     Awaitable<void> rejectFor(beast::error_code error)
     {
-        if (error == beast::error::timeout)
+        if (this->requestTimedOut)
             co_await this->reject(408, "bad_input", "the request took too long to arrive");
         else if (error == http::error::body_limit)
             co_await this->reject(413, "too_large", "the body is too large");
@@ -293,6 +328,8 @@
     }
 
     beast::tcp_stream stream;
+    asio::steady_timer requestTimer;
+    bool requestTimedOut = false;
     const ServerOptions &options;
     std::size_t context;
     beast::flat_buffer buffer;
@@ -359,6 +396,7 @@
     : state(std::make_shared<State>())
 {
     this->state->contexts = std::move(contexts);
+    this->state->open.resize(this->state->contexts.size());
     this->state->options = std::move(options);
     this->state->handler = std::move(handler);
 }
@@ -366,6 +404,9 @@
 Server::~Server()
 {
     this->stopAccepting();
+    // Connections may outlive the server, and with them the state, until their contexts go; the
+    // acceptor must not outlive its own context.
+    this->state->acceptor.reset();
 }
 
 std::string Server::start()
@@ -405,6 +446,18 @@
     });
 }
 
+void Server::closeAll()
+{
+    this->stopAccepting();
+    this->state->closing = true;
+    for (std::size_t i = 0; i < this->state->contexts.size(); ++i) {
+        asio::post(*this->state->contexts[i], [state = this->state, i] {
+            for (Connection *connection : state->open[i])
+                connection->abandon();
+        });
+    }
+}
+
 std::size_t Server::openConnections() const
 {
     return this->state->connections.load();
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -67,6 +67,8 @@
     std::string start();
     // Stops accepting; connections in progress go on and close after their answer.
     void stopAccepting();
+    // Closes every connection, as if all callers had left.
+    void closeAll();
     std::size_t openConnections() const;
     unsigned short port() const;
 
--- a/Source/Core/Node/AllowanceKeeper.cpp
+++ b/Source/Core/Node/AllowanceKeeper.cpp
@@ -145,14 +145,14 @@
             co_await this->fetch(scope, allowance, key, window);
             break;
         case Limits::SpendStep::Wait:
-            co_await sleepFor(kWaitForFetch);
+            co_await scope.worker.sleepFor(kWaitForFetch);
             break;
         case Limits::SpendStep::RefuseExhausted:
         case Limits::SpendStep::RefuseUnreachable:
             this->shared.counters.add(Counter::AllowanceRefusals);
             co_return tl::unexpected(this->refusal(step, allowance));
         }
-        if (clockNow() >= scope.deadline || scope.callerGone) {
+        if (clockNow() >= scope.deadline || scope.callerGone || scope.worker.ending) {
             co_return tl::unexpected(
                 this->refusal(Limits::SpendStep::RefuseUnreachable, allowance));
         }
--- a/Source/Core/Node/EndpointsKeeper.cpp
+++ b/Source/Core/Node/EndpointsKeeper.cpp
@@ -144,9 +144,9 @@
 
 Http::Awaitable<void> EndpointsKeeper::instanceLoop()
 {
-    while (!this->stopping) {
+    while (!this->stopping && !this->worker.ending) {
         co_await this->readInstances();
-        co_await sleepFor(
+        co_await this->worker.sleepFor(
             withJitter(this->shared.settings.platform.instancePollInterval, this->worker.random));
     }
 }
@@ -187,7 +187,7 @@
 
 Http::Awaitable<void> EndpointsKeeper::observeLoop(std::string pool, bool hasCache)
 {
-    while (!this->stopping) {
+    while (!this->stopping && !this->worker.ending) {
         const std::vector<Observed> sampled
             = sampleEndpoints(this->shared.poolNamed(pool), this->worker.random);
         for (const Observed &endpoint : sampled) {
@@ -195,7 +195,7 @@
                            this->observe(pool, endpoint.id, endpoint.address, hasCache),
                            asio::detached);
         }
-        co_await sleepFor(withJitter(kObservePeriod, this->worker.random));
+        co_await this->worker.sleepFor(withJitter(kObservePeriod, this->worker.random));
     }
 }
 
--- a/Source/Core/Node/Instance.cpp
+++ b/Source/Core/Node/Instance.cpp
@@ -17,6 +17,7 @@
 // How often the queues look for changes that no event of this instance brings.
 constexpr Common::Milliseconds kPumpPeriod{25};
 constexpr Common::Milliseconds kWaitPoll{20};
+constexpr Common::Milliseconds kStopTimeout{5'000};
 constexpr Common::Milliseconds kOperatorIdleTimeout{600'000};
 constexpr std::size_t kMostListBytes = 64 << 20;
 
@@ -96,7 +97,11 @@
     asio::co_spawn(this->workers.front()->context, this->pumpLoop(), asio::detached);
     for (const auto &worker : this->workers) {
         asio::co_spawn(worker->context, this->closeIdleLoop(*worker), asio::detached);
-        this->threads.emplace_back([&worker] { worker->context.run(); });
+        this->runningThreads.fetch_add(1);
+        this->threads.emplace_back([this, &worker] {
+            worker->context.run();
+            this->runningThreads.fetch_sub(1);
+        });
     }
     LOG(INFO) << "instance " << this->shared.settings.instance.value << " listens on "
               << Common::formatAddress(this->shared.settings.caller.address);
@@ -117,8 +122,8 @@
 
 Http::Awaitable<void> Instance::pumpLoop()
 {
-    while (!this->drained) {
-        co_await sleepFor(kPumpPeriod);
+    while (!this->drained && !this->workers.front()->ending) {
+        co_await this->workers.front()->sleepFor(kPumpPeriod);
         for (const auto &[pool, gate] : this->gates)
             gate->pump();
     }
@@ -126,8 +131,8 @@
 
 Http::Awaitable<void> Instance::closeIdleLoop(Worker &worker)
 {
-    while (!this->drained) {
-        co_await sleepFor(kIdleCheckPeriod);
+    while (!this->drained && !worker.ending) {
+        co_await worker.sleepFor(kIdleCheckPeriod);
         worker.client.closeIdle(clockNow() - kIdleConnectionAge);
     }
 }
@@ -158,16 +163,17 @@
     this->shared.phase = Phase::Leaving;
     this->peers->heartbeat(true);
     // Callers keep the addresses that they were told for this long.
-    co_await sleepFor(settings.caller.entriesTtl + 2 * settings.peer.heartbeatInterval);
+    co_await this->workers.front()->sleepFor(settings.caller.entriesTtl
+                                             + 2 * settings.peer.heartbeatInterval);
     this->shared.phase = Phase::Draining;
     const Common::Time refusingSince = clockNow();
     this->peers->heartbeat(true);
-    while (clockNow() - begun < settings.drainTimeout) {
+    while (clockNow() - begun < settings.drainTimeout && !this->workers.front()->ending) {
         // Those who come late still hear that they were refused.
         const bool lingered = clockNow() - refusingSince >= settings.caller.entriesTtl;
         if (lingered && this->isIdle())
             break;
-        co_await sleepFor(kDrainPoll);
+        co_await this->workers.front()->sleepFor(kDrainPoll);
     }
     this->cutOffWork = !this->isIdle();
     co_await this->allowances->returnAll(*this->workers.front());
@@ -191,13 +197,25 @@
 
 void Instance::stop()
 {
-    for (const auto &worker : this->workers) {
-        worker->guard.reset();
-        worker->context.stop();
+    if (this->threads.empty())
+        return;
+    this->callerServer->closeAll();
+    this->operatorServer->closeAll();
+    // Work that begins after the first round is ended by the next one.
+    const Common::Time forcedAt = clockNow() + kStopTimeout;
+    while (this->runningThreads.load() > 0) {
+        for (const auto &worker : this->workers)
+            asio::post(worker->context, [&worker] { worker->endWork(); });
+        if (clockNow() >= forcedAt) {
+            for (const auto &worker : this->workers)
+                worker->context.stop();
+        }
+        std::this_thread::sleep_for(kWaitPoll);
     }
     for (std::thread &thread : this->threads)
         thread.join();
     this->threads.clear();
+    this->peers->closeLink();
 }
 
 } // namespace Tanagerbay::Node
--- a/Source/Core/Node/Instance.h
+++ b/Source/Core/Node/Instance.h
@@ -50,6 +50,7 @@
     std::unique_ptr<Http::Server> callerServer;
     std::unique_ptr<Http::Server> operatorServer;
     std::vector<std::thread> threads;
+    std::atomic<std::size_t> runningThreads{0};
     std::atomic<bool> drainBegun{false};
     std::atomic<bool> drained{false};
     std::atomic<bool> cutOffWork{false};
--- a/Source/Core/Node/ListsKeeper.cpp
+++ b/Source/Core/Node/ListsKeeper.cpp
@@ -115,7 +115,7 @@
 
 Http::Awaitable<void> ListsKeeper::pollLoop()
 {
-    while (!this->stopping) {
+    while (!this->stopping && !this->worker.ending) {
         const bool answered = co_await this->poll();
         if (!answered)
             this->peers.requestLists();
@@ -132,7 +132,7 @@
         const bool waiting = this->shared.phase.load() == Phase::Starting;
         const Common::Milliseconds period
             = waiting ? Common::Milliseconds(200) : this->shared.settings.platform.listPollInterval;
-        co_await sleepFor(withJitter(period, this->worker.random));
+        co_await this->worker.sleepFor(withJitter(period, this->worker.random));
     }
 }
 
@@ -179,14 +179,14 @@
 {
     const Common::Time until = clockNow() + kResolveTime;
     Lists::EditState state = Lists::EditState::Unknown;
-    while (state == Lists::EditState::Unknown && clockNow() < until) {
+    while (state == Lists::EditState::Unknown && clockNow() < until && !this->worker.ending) {
         Platform::RowName name = headRow(edit.kind);
         const auto row = co_await this->worker.table.readOne(std::move(name));
         const auto head = row && row->version > 0 ? decodeStored(*row) : std::nullopt;
         state = Lists::resolveEdit(Lists::WriteReply::Lost, head ? &*head : nullptr,
                                    edit.expectedVersion, editId);
         if (state == Lists::EditState::Unknown)
-            co_await sleepFor(kResolveDelay);
+            co_await this->worker.sleepFor(kResolveDelay);
     }
     co_return state;
 }
@@ -201,9 +201,9 @@
         outcome.missing = this->missing(wanted);
         if (outcome.missing.empty())
             outcome.kind = EditOutcome::Kind::InForce;
-        if (outcome.missing.empty() || clockNow() >= until)
+        if (outcome.missing.empty() || clockNow() >= until || this->worker.ending)
             break;
-        co_await sleepFor(kInForcePoll);
+        co_await this->worker.sleepFor(kInForcePoll);
     }
 }
 
--- a/Source/Core/Node/OutcomeWriter.cpp
+++ b/Source/Core/Node/OutcomeWriter.cpp
@@ -60,8 +60,8 @@
 Http::Awaitable<void> OutcomeWriter::writeLoop()
 {
     std::uint32_t failures = 0;
-    while (!this->queue.empty()) {
-        co_await sleepFor(this->shared.settings.once.finishBatch);
+    while (!this->queue.empty() && !this->worker.ending) {
+        co_await this->worker.sleepFor(this->shared.settings.once.finishBatch);
         std::vector<Entry> batch;
         while (!this->queue.empty() && batch.size() < kMostBatch) {
             batch.push_back(std::move(this->queue.front()));
@@ -76,7 +76,7 @@
         }
         for (auto entry = batch.rbegin(); entry != batch.rend(); ++entry)
             this->queue.push_front(std::move(*entry));
-        co_await sleepFor(retryDelay(failures));
+        co_await this->worker.sleepFor(retryDelay(failures));
         ++failures;
     }
     this->loopRuns = false;
@@ -129,7 +129,7 @@
 Http::Awaitable<void> OutcomeWriter::voidLoop(std::string key, Once::LedgerRow row)
 {
     const Common::Time giveUpAt = clockNow() + this->shared.settings.once.retention;
-    for (std::uint32_t tries = 0; clockNow() < giveUpAt; ++tries) {
+    for (std::uint32_t tries = 0; clockNow() < giveUpAt && !this->worker.ending; ++tries) {
         Platform::RowName name = rowName(key);
         const auto stored = co_await this->worker.table.readOne(std::move(name));
         Once::StoredRow decoded;
@@ -155,7 +155,7 @@
                 break;
             }
         }
-        co_await sleepFor(retryDelay(tries));
+        co_await this->worker.sleepFor(retryDelay(tries));
     }
     --this->voiding;
 }
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -66,22 +66,23 @@
 } // namespace
 
 PeerService::PeerService(Worker &worker, Shared &shared)
-    : worker(worker), shared(shared),
-      link(shared.settings.peer.address, shared.counters,
-           [this](std::unique_ptr<Peer::Envelope> message) {
-               asio::post(this->worker.context, [this, message = std::move(message)]() mutable {
-                   this->receive(std::move(message));
-               });
-           }),
-      incarnation(startTimeMicros())
+    : worker(worker)
+    , shared(shared)
+    , incarnation(startTimeMicros())
 {
+    const auto receive = [this](std::unique_ptr<Peer::Envelope> message) {
+        asio::post(this->worker.context, [this, message = std::move(message)]() mutable {
+            this->receive(std::move(message));
+        });
+    };
+    this->link = std::make_unique<Peer::Link>(shared.settings.peer.address, shared.counters, receive);
 }
 
 PeerService::~PeerService() = default;
 
 std::string PeerService::start()
 {
-    const std::string problem = this->link.start();
+    const std::string problem = this->link->start();
     if (!problem.empty())
         return problem;
     asio::co_spawn(this->worker.context, this->heartbeatLoop(), asio::detached);
@@ -93,6 +94,11 @@
     this->stopping = true;
 }
 
+void PeerService::closeLink()
+{
+    this->link.reset();
+}
+
 void PeerService::onShareMessage(ShareReceiver receiver)
 {
     this->shareReceiver = std::move(receiver);
@@ -100,14 +106,15 @@
 
 std::size_t PeerService::openPeers() const
 {
-    return this->link.openPeers();
+    return this->link->openPeers();
 }
 
 void PeerService::send(const Common::Address &peer, Peer::Envelope &message)
 {
     message.set_from_instance(this->shared.settings.instance.value);
     message.set_from_address(Common::formatAddress(this->shared.settings.peer.address));
-    this->link.send(peer, message);
+    if (this->link)
+        this->link->send(peer, message);
 }
 
 void PeerService::refreshSelf(Common::Time now)
@@ -212,12 +219,12 @@
 
 Http::Awaitable<void> PeerService::heartbeatLoop()
 {
-    while (!this->stopping) {
+    while (!this->stopping && !this->worker.ending) {
         this->heartbeat(false);
         this->shared.members.with(
             [](Membership::Members &members) { Membership::forgetLost(members, clockNow()); });
-        this->link.keepOnly(this->knownPeers());
-        co_await sleepFor(
+        this->link->keepOnly(this->knownPeers());
+        co_await this->worker.sleepFor(
             withJitter(this->shared.settings.peer.heartbeatInterval, this->worker.random));
     }
 }
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -18,6 +18,8 @@
     // Starts to listen and announces this instance. Returns an empty text, or why it could not.
     std::string start();
     void stop();
+    // Closes all sockets; nothing is received any more. Called once the worker's thread has ended.
+    void closeLink();
 
     // Sends a list's document to all known instances.
     void pushList(Lists::ListKind kind, const Lists::Document &document);
@@ -57,7 +59,7 @@
 
     Worker &worker;
     Shared &shared;
-    Peer::Link link;
+    std::unique_ptr<Peer::Link> link;
     ShareReceiver shareReceiver;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
--- a/Source/Core/Node/ShareKeeper.cpp
+++ b/Source/Core/Node/ShareKeeper.cpp
@@ -265,7 +265,7 @@
 
 Http::Awaitable<void> ShareKeeper::slotLoop()
 {
-    while (!this->stopping) {
+    while (!this->stopping && !this->worker.ending) {
         bool holds = false;
         {
             const std::lock_guard<std::mutex> guard(this->slotLock);
@@ -277,7 +277,7 @@
             co_await this->confirmSlot();
         else if (this->shared.phase.load() <= Phase::Serving)
             co_await this->claimSlot();
-        co_await sleepFor(withJitter(kSlotPeriod, this->worker.random));
+        co_await this->worker.sleepFor(withJitter(kSlotPeriod, this->worker.random));
     }
 }
 
@@ -349,7 +349,7 @@
 
 Http::Awaitable<void> ShareKeeper::shareLoop()
 {
-    for (std::uint32_t round = 0; !this->stopping; ++round) {
+    for (std::uint32_t round = 0; !this->stopping && !this->worker.ending; ++round) {
         const Common::Time now = clockNow();
         for (auto entry = this->coordinated.begin(); entry != this->coordinated.end();) {
             const bool keep = Limits::expire(entry->second, now);
@@ -362,7 +362,7 @@
             const bool inUse = held.holder.baseInUse + held.holder.grantInUse > 0;
             return inUse || now < held.holder.lentUntil || now - held.usedAt < held.period;
         });
-        co_await sleepFor(kShareRound);
+        co_await this->worker.sleepFor(kShareRound);
     }
 }
 
--- a/Source/Core/Node/Worker.cpp
+++ b/Source/Core/Node/Worker.cpp
@@ -3,8 +3,6 @@
 #include "Common/Hash.h"
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace Tanagerbay::Node {
@@ -32,11 +30,24 @@
 {
 }
 
-Http::Awaitable<void> sleepFor(Common::Duration duration)
+Http::Awaitable<void> Worker::sleepFor(Common::Duration duration)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    if (this->ending)
+        co_return;
+    asio::steady_timer timer(this->context, duration);
+    this->sleeps.insert(&timer);
     boost::system::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    this->sleeps.erase(&timer);
+}
+
+void Worker::endWork()
+{
+    this->ending = true;
+    for (asio::steady_timer *timer : this->sleeps)
+        timer->cancel();
+    this->client.cancelAll();
+    this->guard.reset();
 }
 
 std::string randomId(std::mt19937_64 &random)
--- a/Source/Core/Node/Worker.h
+++ b/Source/Core/Node/Worker.h
@@ -8,9 +8,11 @@
 #include "Platform/TableService.h"
 
 #include <random>
+#include <set>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace Tanagerbay::Node {
 
@@ -18,6 +20,12 @@
 {
     Worker(std::size_t index, const Settings &settings, Common::Counters &counters);
 
+    // Waits on this worker's thread. Returns at once when the worker is ending.
+    Http::Awaitable<void> sleepFor(Common::Duration duration);
+    // Ends all waits and calls, so that every coroutine of the worker comes to its end. Called on
+    // the worker's thread.
+    void endWork();
+
     std::size_t index;
     boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
@@ -26,11 +34,10 @@
     Platform::ObjectStore objects;
     Platform::InstanceList instanceList;
     std::mt19937_64 random;
+    bool ending = false;
+    std::set<boost::asio::steady_timer *> sleeps;
 };
 
-// Waits on the executor of the calling coroutine.
-Http::Awaitable<void> sleepFor(Common::Duration duration);
-
 inline Common::Time clockNow()
 {
     return std::chrono::steady_clock::now();
--- /dev/null
+++ b/Source/UnitTests/Node/InstanceFixture.h
@@ -0,0 +1,62 @@
+// An entry instance and the stand-ins in this process, on free ports of loopback.
+#pragma once
+
+#include "Node/Instance.h"
+#include "StandIns/Host.h"
+
+#include <memory>
+
+namespace Tanagerbay::Tests {
+
+struct Reply
+{
+    // Zero where there was no answer.
+    unsigned status = 0;
+    std::string body;
+    Http::Headers headers;
+};
+
+class InstanceFixture
+{
+public:
+    InstanceFixture();
+    ~InstanceFixture();
+
+protected:
+    // Sends one request and waits for the whole answer.
+    Reply call(const Common::Address &address, Http::Request request);
+    Reply pipeline(const std::string &name, const std::string &body);
+    Reply service(const std::string &name, const std::string &path, const std::string &key,
+                  const std::string &body);
+    Reply operatorCall(const std::string &method, const std::string &target,
+                       const std::string &body, const std::string &ifMatch);
+    // Sends bytes as they are and returns what comes back until the connection ends.
+    std::string rawCall(const std::string &bytes);
+    // Sends a request and closes the connection at once, without waiting for the answer.
+    void abandonedCall(const std::string &bytes);
+
+    void setFault(const std::string &target, const std::string &kind, double probability = 1,
+                  double value = 1);
+    void heal();
+    // How often calls with the caller's key ran, by the services' own count.
+    std::uint64_t runsOf(const std::string &callerKey);
+    std::map<std::string, std::uint64_t> tokensByEngine();
+    boost::json::value counts();
+    std::uint64_t counter(Common::Counter counter);
+
+    Common::Address callerAddress;
+    Common::Address operatorAddress;
+    Common::Address control;
+    std::unique_ptr<StandIns::Host> host;
+    std::unique_ptr<Node::Instance> instance;
+
+private:
+    boost::json::value standInSettings();
+    boost::json::value entrySettings();
+    void putLists();
+    std::string nextAddress();
+
+    std::map<std::string, std::string> addresses;
+};
+
+} // namespace Tanagerbay::Tests
--- /dev/null
+++ b/Source/UnitTests/Node/InstanceTest.cpp
@@ -0,0 +1,280 @@
+#include "UnitTests/Node/InstanceFixture.h"
+
+#include "Http/EventStream.h"
+#include "Pipeline/TokenStream.h"
+
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagerbay;
+using Tanagerbay::Tests::InstanceFixture;
+using Tanagerbay::Tests::Reply;
+
+namespace {
+
+const std::string kAsk = R"({"input":{"text":"question"},"stream":true,"maxTokens":20})";
+
+struct Stream
+{
+    std::vector<std::string> tokens;
+    std::string lastType;
+    std::string lastData;
+};
+
+Stream readStream(const std::string &body)
+{
+    Http::EventParser parser;
+    parser.feed(body);
+    Http::Event event;
+    Stream stream;
+    while (parser.next(event)) {
+        if (event.type.empty())
+            stream.tokens.push_back(event.data);
+        stream.lastType = event.type;
+        stream.lastData = event.data;
+    }
+    return stream;
+}
+
+bool isWhole(const std::string &body, std::size_t tokens)
+{
+    const Stream stream = readStream(body);
+    return stream.lastType == "done" && stream.tokens.size() == tokens
+        && stream.lastData.find(Pipeline::streamDigest(stream.tokens)) != std::string::npos;
+}
+
+std::string ranOf(const Reply &reply)
+{
+    const boost::json::value document = boost::json::parse(reply.body);
+    return std::string(document.at("error").at("ran").as_string());
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(InstanceAnswers, InstanceFixture)
+
+BOOST_AUTO_TEST_CASE(pipeline_streamed_isWhole)
+{
+    const Reply reply = this->pipeline("ask", kAsk);
+    BOOST_TEST(reply.status == 200u);
+    BOOST_TEST(isWhole(reply.body, 20));
+}
+
+BOOST_AUTO_TEST_CASE(pipeline_withoutGeneration_answersTheLastStagesOutput)
+{
+    const Reply reply = this->pipeline("search", R"({"input":{"text":"question"}})");
+    BOOST_TEST(reply.status == 200u);
+    BOOST_TEST(reply.body.find("documents") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(badInput_eachKind_getsItsOwnError)
+{
+    BOOST_TEST(this->pipeline("ask", "{").status == 400u);
+    BOOST_TEST(this->pipeline("ask", "[]").status == 400u);
+    BOOST_TEST(this->pipeline("ask", R"({"input":1,"colour":2})").status == 400u);
+    BOOST_TEST(this->pipeline("ask", R"({"input":1,"maxTokens":0})").status == 400u);
+    BOOST_TEST(this->pipeline("nothing", kAsk).status == 404u);
+    BOOST_TEST(this->pipeline("ask", std::string(100'000, 'x')).status == 413u);
+    BOOST_TEST(this->service("roster", "push", "", "b").status == 400u);
+    BOOST_TEST(this->service("roster", "push", "a b", "b").status == 400u);
+    Http::Request unknown{"POST", "/v1/pipelines/ask", {}, kAsk};
+    unknown.headers.add("Authorization", "Bearer nobody");
+    BOOST_TEST(this->call(this->callerAddress, unknown).status == 401u);
+    Http::Request wide{"GET", "/v1/entries", {}, ""};
+    wide.headers.add("X-Wide", std::string(40'000, 'x'));
+    BOOST_TEST(this->call(this->callerAddress, wide).status == 431u);
+    BOOST_TEST(this->call(this->callerAddress, {"GET", "/" + std::string(5000, 'x'), {}, ""}).status
+               == 414u);
+    // None of it has disturbed anything.
+    BOOST_TEST(isWhole(this->pipeline("ask", kAsk).body, 20));
+}
+
+BOOST_AUTO_TEST_CASE(badHttp_garbageAndHalfRequests_areAnsweredAndClosed)
+{
+    BOOST_TEST(this->rawCall("nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+    BOOST_TEST(this->rawCall("POST /v1/pipelines/ask HTTP/1.1\r\nContent-Length: 10\r\n\r\nab")
+                   .starts_with("HTTP/1.1 408"));
+}
+
+BOOST_AUTO_TEST_CASE(foreignReplies_areDroppedAndTheStageIsRetried)
+{
+    this->setFault("encoders-1", "foreign-tag");
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(this->pipeline("search", R"({"input":{"text":"q"}})").status != 0u);
+    BOOST_TEST(this->counter(Common::Counter::RepliesForeign) > 0u);
+    this->heal();
+}
+
+BOOST_AUTO_TEST_CASE(engineDiesInMidStream_continuesOnAnotherWithoutMixing)
+{
+    const std::string longAsk = R"({"input":{"text":"question"},"stream":true,"maxTokens":600})";
+    const Reply before = this->pipeline("ask", longAsk);
+    const std::map<std::string, std::uint64_t> idle = this->tokensByEngine();
+    std::thread breaker([this, &idle] {
+        std::this_thread::sleep_for(Common::Milliseconds(300));
+        for (const auto &[engine, tokens] : this->tokensByEngine()) {
+            if (tokens > idle.at(engine))
+                this->setFault(engine, "truncate");
+        }
+    });
+    const Reply reply = this->pipeline("ask", longAsk);
+    breaker.join();
+    this->heal();
+    BOOST_TEST(isWhole(reply.body, 600));
+    BOOST_TEST((readStream(reply.body).tokens == readStream(before.body).tokens));
+    BOOST_TEST(this->counter(Common::Counter::StreamsContinued) > 0u);
+}
+
+BOOST_AUTO_TEST_CASE(onceOnly_repeated_runsOnceAndReplays)
+{
+    const Reply first = this->service("roster", "push", "k1", "body");
+    const Reply second = this->service("roster", "push", "k1", "body");
+    BOOST_TEST(first.status == 200u);
+    // The outcome may not be written yet; then the key is in progress, which is true as well.
+    BOOST_TEST((second.status == 200u || second.status == 409u));
+    BOOST_TEST(this->runsOf("k1") == 1u);
+    BOOST_TEST(this->service("roster", "push", "k1", "other").status == 422u);
+    BOOST_TEST(this->runsOf("k1") == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(onceOnly_replyLost_isMaybeAndNeverSentAgain)
+{
+    this->setFault("roster", "drop-after");
+    const Reply lost = this->service("roster", "push", "k2", "body");
+    this->heal();
+    BOOST_TEST(lost.status == 502u);
+    BOOST_TEST(ranOf(lost) == "maybe");
+    const Reply again = this->service("roster", "push", "k2", "body");
+    BOOST_TEST(again.status == 409u);
+    BOOST_TEST(ranOf(again) == "maybe");
+    BOOST_TEST(this->runsOf("k2") == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(onceOnly_storeDown_isRefusedAsNotRunAndNotSent)
+{
+    this->service("roster", "push", "warm", "body");
+    this->setFault("table-service", "refuse");
+    const Reply refused = this->service("roster", "push", "k3", "body");
+    this->heal();
+    BOOST_TEST((refused.status == 503u || refused.status == 429u));
+    BOOST_TEST(ranOf(refused) == "no");
+    BOOST_TEST(this->runsOf("k3") == 0u);
+    BOOST_TEST(isWhole(this->pipeline("ask", kAsk).body, 20));
+}
+
+BOOST_AUTO_TEST_CASE(onceOnly_noEndpoint_isNotRunAndTheKeyIsFreeAgain)
+{
+    this->setFault("roster", "die");
+    std::this_thread::sleep_for(Common::Milliseconds(200));
+    const Reply refused = this->service("roster", "push", "k4", "body");
+    BOOST_TEST(ranOf(refused) == "no");
+    this->heal();
+    unsigned status = 0;
+    for (int i = 0; i < 200 && status != 200; ++i) {
+        status = this->service("roster", "push", "k4", "body").status;
+        std::this_thread::sleep_for(Common::Milliseconds(50));
+    }
+    BOOST_TEST(status == 200u);
+    BOOST_TEST(this->runsOf("k4") == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(allowance_usedUp_isRefusedAsNotRun)
+{
+    int answered = 0;
+    int refused = 0;
+    for (int i = 0; i < 34; ++i) {
+        const Reply reply = this->service("roster", "push", "a" + std::to_string(i), "body");
+        answered += reply.status == 200 ? 1 : 0;
+        if (reply.status == 429) {
+            ++refused;
+            BOOST_TEST(ranOf(reply) == "no");
+        }
+    }
+    BOOST_TEST(answered == 30);
+    BOOST_TEST(refused == 4);
+}
+
+BOOST_AUTO_TEST_CASE(callerLeaves_workAtTheEngineIsCancelled)
+{
+    const std::string body = R"({"input":{"text":"q"},"stream":true,"maxTokens":5000})";
+    this->abandonedCall(
+        "POST /v1/pipelines/ask HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-w1\r\n"
+        "Content-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body);
+    std::uint64_t gone = 0;
+    for (int i = 0; i < 400 && gone == 0; ++i) {
+        std::this_thread::sleep_for(Common::Milliseconds(10));
+        gone = this->counter(Common::Counter::CallersGone);
+    }
+    BOOST_TEST(gone == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(lists_staleVersion_getsTheConflictAndTheDifference)
+{
+    const Reply reply
+        = this->operatorCall("PUT", "/v1/lists/entitlements", R"({"entitlements":[]})", "\"0\"");
+    BOOST_TEST(reply.status == 412u);
+    BOOST_TEST(reply.body.find("- entitlement p") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(lists_planLeftWithNothing_needsConfirmation)
+{
+    const Reply reply
+        = this->operatorCall("PUT", "/v1/lists/entitlements", R"({"entitlements":[]})", "\"1\"");
+    BOOST_TEST(reply.status == 409u);
+    BOOST_TEST(isWhole(this->pipeline("ask", kAsk).body, 20));
+}
+
+BOOST_AUTO_TEST_CASE(lists_acceptedEdit_isInForceAtOnce)
+{
+    const Reply reply = this->operatorCall("PUT", "/v1/lists/entitlements?acceptWarnings=true",
+                                           R"({"entitlements":[]})", "\"1\"");
+    BOOST_TEST(reply.status == 200u);
+    BOOST_TEST(this->pipeline("ask", kAsk).status == 403u);
+}
+
+BOOST_AUTO_TEST_CASE(lists_writeReplyLost_isResolvedByTheEditId)
+{
+    // The first calls of the edit read; the fault hits about half of the calls.
+    this->setFault("table-service", "drop-after", 0.5);
+    const Reply reply = this->operatorCall("PUT", "/v1/lists/entitlements?acceptWarnings=true",
+                                           R"({"entitlements":[]})", "\"1\"");
+    this->heal();
+    // Whatever was told, it is true.
+    const Reply now = this->operatorCall("GET", "/v1/lists/entitlements", "", "");
+    if (reply.status == 200)
+        BOOST_TEST(now.headers.find("ETag") == "\"2\"");
+    else
+        BOOST_TEST((reply.status == 400u || reply.status == 412u || reply.status == 503u));
+}
+
+BOOST_AUTO_TEST_CASE(operator_withoutToken_isRefused)
+{
+    BOOST_TEST(this->call(this->operatorAddress, {"GET", "/v1/state", {}, ""}).status == 401u);
+    BOOST_TEST(this->call(this->operatorAddress, {"GET", "/healthz", {}, ""}).status == 200u);
+}
+
+BOOST_AUTO_TEST_CASE(dump_holdsNoSecret)
+{
+    const Reply reply = this->operatorCall("GET", "/v1/state", "", "");
+    BOOST_TEST(reply.body.find("key-w1") == std::string::npos);
+    BOOST_TEST(reply.body.find(R"("token")") == std::string::npos);
+    BOOST_TEST(this->operatorCall("GET", "/metrics", "", "").body.find("tanagerbay_")
+               != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(drain_requestInProgress_isFinished)
+{
+    Reply reply;
+    std::thread caller([this, &reply] {
+        reply = this->pipeline("ask", R"({"input":{"text":"q"},"stream":true,"maxTokens":900})");
+    });
+    std::this_thread::sleep_for(Common::Milliseconds(200));
+    this->instance->drain();
+    BOOST_TEST(this->instance->waitUntilDrained());
+    caller.join();
+    BOOST_TEST(isWhole(reply.body, 900));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
