Limits: Borrow on lasting demand, not on a few requests close together

Ruled out: lost slots (7 of 7 were held). A few arrivals within 250 ms looked like a rate near the base share, so instances borrowed, and the death of the coordinator left the lenders with a tenth of their base for up to 15 s. Change: demand is the smoothed rate; the instant rate counts only where requests were refused by rate.

--- a/Source/Core/Limits/Shares.cpp
+++ b/Source/Core/Limits/Shares.cpp
@@ -10,7 +10,7 @@
 
 // Most tokens that are saved up, in seconds of the rate that is held.
 constexpr double kBurstSeconds = 0.25;
-constexpr double kDemandGain = 0.5;
+constexpr double kDemandGain = 0.25;
 // A holder asks for a grant when its demand passes this share of its base.
 constexpr double kPressure = 0.7;
 // Demand is rounded up by this factor, so that growth does not wait for the next round.
@@ -124,8 +124,10 @@
         ++holder.refusedConcurrency;
         return {ShareVerdict::OverConcurrency};
     }
-    if (holder.tokens < 1)
+    if (holder.tokens < 1) {
+        ++holder.refusedRate;
         return {ShareVerdict::OverRate};
+    }
     holder.tokens -= 1;
     // Grants run out, so they are used first.
     const ShareSource source = grantFree ? ShareSource::Grant : ShareSource::Base;
@@ -145,12 +147,16 @@
     const double rate = holder.arrivals / seconds;
     holder.arrivalRate += kDemandGain * (rate - holder.arrivalRate);
     Demand demand;
-    demand.ratePerSecond = std::max(rate, holder.arrivalRate) * kHeadroom;
+    // A few requests close together are no reason to borrow; requests that were refused are.
+    const double wanted = holder.refusedRate > 0 ? std::max(rate, holder.arrivalRate)
+                                                 : holder.arrivalRate;
+    demand.ratePerSecond = wanted * kHeadroom;
     const double calls
         = holder.baseInUse + holder.grantInUse + static_cast<double>(holder.refusedConcurrency);
     demand.concurrency = static_cast<std::uint32_t>(calls * kHeadroom) + (calls > 0 ? 1 : 0);
     holder.arrivals = 0;
     holder.refusedConcurrency = 0;
+    holder.refusedRate = 0;
     holder.demandAt = now;
     return demand;
 }
--- a/Source/Core/Limits/Shares.h
+++ b/Source/Core/Limits/Shares.h
@@ -50,6 +50,7 @@
     Common::Time tokensAt;
     // Demand since the last request for a share.
     std::uint32_t refusedConcurrency = 0;
+    std::uint32_t refusedRate = 0;
     double arrivals = 0;
     double arrivalRate = 0;
     Common::Time demandAt;
