--- a/Source/Load/Caller.cpp
+++ b/Source/Load/Caller.cpp
@@ -240,7 +240,11 @@
     TryResult result;
     bool everMaybe = false;
     for (std::uint32_t tries = 0; tries < kMostTries && clockNow() < deadline; ++tries) {
-        const auto entry = co_await this->directory.pick();
+        std::optional<Http::Address> entry;
+        if (action.direct.isSet())
+            entry = action.direct;
+        else
+            entry = co_await this->directory.pick();
         if (!entry) {
             result.code = "no entry answers";
             result.ran = "no";
--- a/Source/Load/Workload.cpp
+++ b/Source/Load/Workload.cpp
@@ -22,6 +22,9 @@
     action.pipeline = reader.text("pipeline", "");
     action.service = reader.text("service", "");
     action.path = reader.text("path", "");
+    const std::string direct = reader.text("direct", "");
+    if (!direct.empty() && !Common::parseAddress(direct, action.direct))
+        reader.fault("direct", "must be ip:port");
     action.stages = reader.textArray("stages", false);
     action.generates = reader.flag("generates", false);
     action.onceOnly = reader.flag("onceOnly", false);
@@ -101,7 +104,9 @@
 void planService(PlannedRequest &planned, std::mt19937_64 &random)
 {
     const ActionSettings &action = *planned.action;
-    planned.request.target = "/v1/services/" + action.service + "/" + action.path;
+    const bool direct = action.direct.isSet();
+    planned.request.target
+        = (direct ? "/v1/call/" : "/v1/services/" + action.service + "/") + action.path;
     planned.request.body = json::serialize(json::object{{"entry", randomText(random, 8)}});
     planned.expectedBody
         = StandIns::serviceReply(action.service, action.path, planned.request.body);
--- a/Source/Load/Workload.h
+++ b/Source/Load/Workload.h
@@ -20,6 +20,9 @@
     std::string pipeline;
     std::string service;
     std::string path;
+    // Where set, the service's endpoint is called itself, for comparison with the way through an
+    // entry.
+    Common::Address direct;
     // Kinds of the pipeline's stages before generation; empty `model` means no generation.
     std::vector<std::string> stages;
     bool generates = false;
