Node: Take up streams that were cut off and checkpoints of patient runs

Cause: a caller that was cut off had to begin again, and a retried patient run repeated all of its stages. Change: the engine keeps a stream whose reader left; Stream-Id with Last-Event-ID and the same Request-Id takes it up at any entry. A stream's name holds a digest of workspace and request, so another's cannot be taken up, and where the engine no longer keeps it the caller hears so: two generations are never mixed. Patient runs keep the result before generation in the object store.

--- a/Source/Core/Limits/Shares.cpp
+++ b/Source/Core/Limits/Shares.cpp
@@ -148,8 +148,8 @@
     holder.arrivalRate += kDemandGain * (rate - holder.arrivalRate);
     Demand demand;
     // A few requests close together are no reason to borrow; requests that were refused are.
-    const double wanted = holder.refusedRate > 0 ? std::max(rate, holder.arrivalRate)
-                                                 : holder.arrivalRate;
+    const double wanted
+        = holder.refusedRate > 0 ? std::max(rate, holder.arrivalRate) : holder.arrivalRate;
     demand.ratePerSecond = wanted * kHeadroom;
     const double calls
         = holder.baseInUse + holder.grantInUse + static_cast<double>(holder.refusedConcurrency);
--- a/Source/Core/Node/Generation.cpp
+++ b/Source/Core/Node/Generation.cpp
@@ -1,5 +1,6 @@
 #include "Node/Generation.h"
 
+#include "Common/Hash.h"
 #include "Http/EventStream.h"
 #include "Node/StageCall.h"
 #include "Pipeline/Prompt.h"
@@ -54,6 +55,8 @@
 
 private:
     Http::Awaitable<Part> runPart(const ChosenEndpoint &engine);
+    Http::Request requestFor(const Pipeline::AttemptTag &tag, Common::Time now);
+    std::optional<ChosenEndpoint> engineToResume();
     Http::Awaitable<Part> readPart(Http::ResponseStream &reply, Part part);
     Http::Awaitable<bool> forward(std::string_view bytes);
     bool takeEvent(const Http::Event &event, Part &part, std::string &outgoing);
@@ -62,6 +65,7 @@
     bool isTooSlow(Common::Time now, std::uint64_t tokensOfPart) const;
     void account(const Part &part, Common::Time start);
     bool mayContinue();
+    Common::Error lostStream() const;
     std::optional<ChosenEndpoint> chooseEngine();
 
     RequestScope &scope;
@@ -76,6 +80,11 @@
     Common::Time partStart;
     Common::Time firstTokenAt;
     std::uint64_t partFirst = 0;
+    // True while the next part takes up a stream that an engine keeps.
+    bool resuming = false;
+    // True where the caller must be told of a new identity of its stream.
+    bool moved = false;
+    std::string streamId;
 };
 
 std::optional<ChosenEndpoint> Relay::chooseEngine()
@@ -188,6 +197,7 @@
         head.headers.add("Content-Type", "text/event-stream");
         head.headers.add("Cache-Control", "no-store");
         head.headers.add("Request-Id", this->scope.requestId.value);
+        head.headers.add(Wire::kStreamId, this->streamId);
         if (!co_await exchange.beginStream(std::move(head)))
             co_return false;
     }
@@ -217,6 +227,9 @@
             break;
         this->parser.feed(*bytes);
         outgoing.clear();
+        if (this->moved && this->call.stream && this->scope.exchange.started())
+            Http::appendEvent(outgoing, {"", std::string(Wire::kMovedEvent), this->streamId});
+        this->moved = false;
         while (usable && !this->done && this->parser.next(event))
             usable = this->takeEvent(event, part, outgoing);
         const std::uint64_t after = this->result.tokens.count() - this->partFirst;
@@ -242,6 +255,31 @@
     co_return part;
 }
 
+Http::Request Relay::requestFor(const Pipeline::AttemptTag &tag, Common::Time now)
+{
+    Http::Request request{
+        "POST", Wire::stageTarget("generation"),
+        callHeaders(this->scope, tag, "application/json", this->run.deadline, now)};
+    if (this->resuming)
+        request.target = Wire::streamTarget(this->call.resume->streamName);
+    else
+        request.body = Pipeline::generationBody(this->call.prompt, this->call.model,
+                                                this->call.maxTokens, this->result.tokens.tokens);
+    return request;
+}
+
+// The engine that keeps the caller's stream, where it is still in the pool.
+std::optional<ChosenEndpoint> Relay::engineToResume()
+{
+    const std::lock_guard<std::mutex> guard(this->shard.lock);
+    const auto found = this->shard.pool.indexById.find(this->call.resume->engine);
+    if (found == this->shard.pool.indexById.end())
+        return std::nullopt;
+    Routing::beginCall(this->shard.pool, found->second);
+    const Routing::Endpoint &endpoint = this->shard.pool.endpoints[found->second];
+    return ChosenEndpoint{endpoint.id, endpoint.address};
+}
+
 Http::Awaitable<Part> Relay::runPart(const ChosenEndpoint &engine)
 {
     Part part;
@@ -252,11 +290,10 @@
     this->parser = Http::EventParser();
     const Pipeline::AttemptTag tag
         = Pipeline::beginAttempt(this->run, randomId(this->scope.worker.random), false);
-    Http::Request request{
-        "POST", Wire::stageTarget("generation"),
-        callHeaders(this->scope, tag, "application/json", this->run.deadline, now),
-        Pipeline::generationBody(this->call.prompt, this->call.model, this->call.maxTokens,
-                                 this->result.tokens.tokens)};
+    Http::Request request = this->requestFor(tag, now);
+    // The engine keeps the stream under this name once its reader has left.
+    const std::string tagText = Pipeline::formatTag(tag);
+    this->streamId = engine.id.value + "/" + tagText.substr(0, tagText.rfind(':'));
     Http::CallHandle handle;
     this->scope.cancelCalls = [&handle] { handle.cancel(); };
     Http::CallOptions options;
@@ -326,6 +363,13 @@
     return allowed;
 }
 
+Common::Error Relay::lostStream() const
+{
+    return {ErrorCode::OutcomeUnknown,
+            "the engine no longer keeps the stream; ask again without Last-Event-ID",
+            Common::Ran::Maybe};
+}
+
 Http::Awaitable<Common::Result<GenerationEnd>> Relay::runToEnd()
 {
     {
@@ -333,10 +377,12 @@
         Routing::noteFirstAttempt(this->shard.pool.budget);
     }
     std::string problem = "pool " + this->call.pool + " has no engine";
+    this->resuming = this->call.resume.has_value();
+    this->result.tokens.callerHolds = this->resuming ? this->call.resume->tokensHeld : 0;
     for (std::uint32_t engines = 0; engines < kMostEngines; ++engines) {
         if (engines > 0 && !this->mayContinue())
             break;
-        const auto engine = this->chooseEngine();
+        const auto engine = this->resuming ? this->engineToResume() : this->chooseEngine();
         if (!engine)
             break;
         this->tried.push_back(engine->id);
@@ -355,18 +401,59 @@
                                               "the answer was not generated in time"));
         case PartEnd::Broken:
         case PartEnd::TooSlow:
+            // Without the tokens that the caller holds, another generation must not go on for it.
+            if (this->result.tokens.count() < this->result.tokens.callerHolds)
+                co_return tl::unexpected(this->lostStream());
+            this->resuming = false;
             problem = "engine " + engine->id.value + ": "
                 + (part.end == PartEnd::TooSlow ? "too slow" : part.problem);
             break;
         }
-        if (this->result.tokens.count() > 0)
+        if (this->result.tokens.count() > 0) {
             this->scope.shared.counters.add(Counter::StreamsContinued);
+            this->moved = true;
+        }
     }
+    if (this->resuming)
+        co_return tl::unexpected(this->lostStream());
     co_return tl::unexpected(runError(this->scope, ErrorCode::EndpointFailed, problem));
 }
 
 } // namespace
 
+std::string streamOwner(const Common::WorkspaceId &workspace, const Common::RequestId &request)
+{
+    return Common::digestOf(std::to_string(workspace.value.size()) + ":" + workspace.value + "/"
+                            + request.value);
+}
+
+Common::Result<std::optional<ResumePoint>> readResumePoint(const RequestScope &scope)
+{
+    const Http::Headers &headers = scope.exchange.request().headers;
+    const std::string_view last = headers.find("Last-Event-ID");
+    const std::string_view id = headers.find(Wire::kStreamId);
+    if (last.empty())
+        return std::nullopt;
+    ResumePoint point;
+    std::uint64_t lastToken = 0;
+    const auto parsed = std::from_chars(last.data(), last.data() + last.size(), lastToken);
+    const std::size_t slash = id.find('/');
+    const bool readable = parsed.ec == std::errc() && parsed.ptr == last.data() + last.size()
+        && slash != std::string_view::npos;
+    if (!readable) {
+        return Common::notRun(
+            ErrorCode::BadInput,
+            "to go on with a stream, send Last-Event-ID, Stream-Id and Request-Id");
+    }
+    point.engine = Common::EndpointId(std::string(id.substr(0, slash)));
+    point.streamName = std::string(id.substr(slash + 1));
+    point.tokensHeld = lastToken + 1;
+    if (!point.streamName.starts_with(streamOwner(scope.access.workspace->id, scope.requestId)
+                                      + "-"))
+        return Common::notRun(ErrorCode::NotAllowed, "the stream belongs to another request");
+    return point;
+}
+
 Http::Awaitable<Common::Result<GenerationEnd>> generate(RequestScope &scope, Pipeline::Run &run,
                                                         GenerationCall call)
 {
--- a/Source/Core/Node/Instance.cpp
+++ b/Source/Core/Node/Instance.cpp
@@ -35,7 +35,8 @@
     this->peers = std::make_unique<PeerService>(first, this->shared);
     this->lists = std::make_unique<ListsKeeper>(first, this->shared, *this->peers);
     this->endpoints = std::make_unique<EndpointsKeeper>(first, this->shared);
-    this->shares = std::make_unique<ShareKeeper>(first, this->shared, *this->peers);
+    this->slots = std::make_unique<SlotKeeper>(first, this->shared, *this->peers);
+    this->shares = std::make_unique<ShareKeeper>(first, this->shared, *this->peers, *this->slots);
     this->allowances = std::make_unique<AllowanceKeeper>(this->shared);
     for (const Pipeline::PipelineDefinition &pipeline : this->shared.settings.pipelines) {
         const std::string &pool = pipeline.stages.back().pool;
@@ -115,8 +116,9 @@
     co_await this->endpoints->readInstances();
     this->peers->heartbeat(true);
     this->endpoints->start();
-    co_await this->shares->claimSlot();
+    co_await this->slots->claim();
     this->lists->start();
+    this->slots->start();
     this->shares->start();
 }
 
@@ -177,11 +179,13 @@
     }
     this->cutOffWork = !this->isIdle();
     co_await this->allowances->returnAll(*this->workers.front());
-    co_await this->shares->releaseSlot();
+    const Common::Milliseconds lentFor = this->shares->lentFor(clockNow());
+    co_await this->slots->release(lentFor);
     this->callerServer->stopAccepting();
     this->lists->stop();
     this->endpoints->stop();
     this->shares->stop();
+    this->slots->stop();
     this->peers->stop();
     LOG(INFO) << "instance " << settings.instance.value
               << (this->cutOffWork ? " gave up waiting for work in progress" : " has drained");
--- a/Source/Core/Node/Instance.h
+++ b/Source/Core/Node/Instance.h
@@ -42,6 +42,7 @@
     std::unique_ptr<PeerService> peers;
     std::unique_ptr<ListsKeeper> lists;
     std::unique_ptr<EndpointsKeeper> endpoints;
+    std::unique_ptr<SlotKeeper> slots;
     std::unique_ptr<ShareKeeper> shares;
     std::unique_ptr<AllowanceKeeper> allowances;
     AdmissionGates gates;
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -66,16 +66,15 @@
 } // namespace
 
 PeerService::PeerService(Worker &worker, Shared &shared)
-    : worker(worker)
-    , shared(shared)
-    , incarnation(startTimeMicros())
+    : worker(worker), shared(shared), incarnation(startTimeMicros())
 {
     const auto receive = [this](std::unique_ptr<Peer::Envelope> message) {
         asio::post(this->worker.context, [this, message = std::move(message)]() mutable {
             this->receive(std::move(message));
         });
     };
-    this->link = std::make_unique<Peer::Link>(shared.settings.peer.address, shared.counters, receive);
+    this->link
+        = std::make_unique<Peer::Link>(shared.settings.peer.address, shared.counters, receive);
 }
 
 PeerService::~PeerService() = default;
--- a/Source/Core/Node/PipelineHandler.cpp
+++ b/Source/Core/Node/PipelineHandler.cpp
@@ -1,6 +1,7 @@
 #include "Node/PipelineHandler.h"
 
 #include "Http/EventStream.h"
+#include "Node/Checkpoint.h"
 #include "Node/Generation.h"
 #include "Node/StageCall.h"
 #include "Pipeline/Prompt.h"
@@ -114,7 +115,8 @@
 Http::Awaitable<RequestOutcome> runGeneration(RequestScope &scope, Pipeline::Run &run,
                                               const Pipeline::PipelineDefinition &pipeline,
                                               const Pipeline::RequestBody &body,
-                                              const json::value &previous)
+                                              const json::value &previous,
+                                              std::optional<ResumePoint> resume)
 {
     const Pipeline::StageDefinition &stage = pipeline.stages.back();
     GenerationCall call;
@@ -123,6 +125,7 @@
     call.prompt = Pipeline::buildPrompt(body.input, previous);
     call.maxTokens = body.maxTokens > 0 ? body.maxTokens : scope.shared.settings.defaultMaxTokens;
     call.stream = body.stream;
+    call.resume = std::move(resume);
     auto end = co_await generate(scope, run, std::move(call));
     if (!end)
         co_return co_await answerError(scope, std::move(end.error()));
@@ -165,6 +168,9 @@
     auto body = Pipeline::parseRequestBody(scope.exchange.request().body, kMostTokens);
     if (!body)
         co_return co_await answerError(scope, std::move(body.error()));
+    auto resume = readResumePoint(scope);
+    if (!resume)
+        co_return co_await answerError(scope, std::move(resume.error()));
     AdmissionGate::Ticket ticket;
     if (gate) {
         auto admitted = co_await gate->enter(scope, expectedDuration(scope, pipeline, *body));
@@ -173,20 +179,29 @@
         ticket = std::move(*admitted);
     }
     Pipeline::Run run;
-    run.id = Common::RunId(randomId(scope.worker.random));
+    run.id = Common::RunId(streamOwner(scope.access.workspace->id, scope.requestId) + "-"
+                           + randomId(scope.worker.random));
     run.startedAt = scope.startedAt;
     run.deadline = scope.deadline;
     run.stageCount = static_cast<std::uint32_t>(pipeline.stages.size());
     json::value previous;
     const std::uint32_t plainStages = run.stageCount - (pipeline.streams() ? 1 : 0);
+    // A stream that an engine keeps needs none of the stages before it.
+    if (resume->has_value())
+        run.stage = plainStages;
+    Checkpoint checkpoint(scope, pipeline, body->input);
+    if (run.stage < plainStages && co_await checkpoint.load(previous))
+        run.stage = plainStages;
     while (run.stage < plainStages) {
         auto output = co_await runStage(scope, run, pipeline, body->input, previous);
         if (!output)
             co_return co_await answerError(scope, std::move(output.error()));
         previous = std::move(*output);
+        if (run.stage == plainStages)
+            checkpoint.save(previous);
     }
     if (pipeline.streams())
-        co_return co_await runGeneration(scope, run, pipeline, *body, previous);
+        co_return co_await runGeneration(scope, run, pipeline, *body, previous, std::move(*resume));
     RequestOutcome outcome;
     outcome.ran = Common::Ran::Yes;
     outcome.answered = co_await answerWhole(scope, std::move(previous));
--- a/Source/Core/Node/ShareKeeper.cpp
+++ b/Source/Core/Node/ShareKeeper.cpp
@@ -17,27 +17,15 @@
 
 namespace {
 
-constexpr const char *kSlotsTable = "slots";
-constexpr Common::Milliseconds kSlotPeriod{1000};
-// Tries in a row while other instances claim slots at the same time.
-constexpr int kClaimTries = 8;
 constexpr Common::Milliseconds kShareRound{250};
 // Rounds between two requests for loans of the same workspaces.
 constexpr std::uint32_t kRoundsPerLoan = 4;
 // Loans outlast the longest deadline of a plan by this much.
 constexpr Common::Milliseconds kPeriodMargin{3000};
-// No loan is longer than this, so that a slot is soon usable again after a crash. Requests with a
-// later deadline are admitted by base shares only.
-constexpr Common::Milliseconds kLongestPeriod{15'000};
 // Workspaces in one message.
 constexpr int kMostWorkspacesPerMessage = 200;
 constexpr Common::Milliseconds kConcurrencyRetryAfter{200};
 
-Platform::RowName slotRow(std::size_t slot)
-{
-    return {kSlotsTable, std::to_string(slot)};
-}
-
 Limits::Amount limitOf(const Lists::Plan &plan)
 {
     return {static_cast<std::uint32_t>(plan.concurrency), static_cast<double>(plan.ratePerSecond)};
@@ -50,7 +38,7 @@
     Common::Milliseconds longest = plan.defaultPromise.deadline;
     for (const auto &[action, promise] : plan.promises)
         longest = std::max(longest, promise.deadline);
-    return std::min(longest + kPeriodMargin, kLongestPeriod);
+    return std::min(longest + kPeriodMargin, kLongestLoan);
 }
 
 } // namespace
@@ -83,15 +71,14 @@
     return *this;
 }
 
-ShareKeeper::ShareKeeper(Worker &worker, Shared &shared, PeerService &peers)
-    : worker(worker), shared(shared), peers(peers), startedAt(clockNow())
+ShareKeeper::ShareKeeper(Worker &worker, Shared &shared, PeerService &peers, SlotKeeper &slots)
+    : worker(worker), shared(shared), peers(peers), slots(slots), startedAt(clockNow())
 {
 }
 
 void ShareKeeper::start()
 {
     this->peers.onShareMessage([this](const Peer::Envelope &message) { this->receive(message); });
-    asio::co_spawn(this->worker.context, this->slotLoop(), asio::detached);
     asio::co_spawn(this->worker.context, this->shareLoop(), asio::detached);
 }
 
@@ -106,11 +93,7 @@
     held.usedAt = now;
     held.period = lendingPeriod(plan);
     const Limits::Amount limit = limitOf(plan);
-    std::optional<Limits::HeldSlot> current;
-    {
-        const std::lock_guard<std::mutex> guard(this->slotLock);
-        current = this->slot;
-    }
+    const std::optional<Limits::HeldSlot> current = this->slots.current();
     const bool usable = current && now >= current->usableFrom;
     const std::size_t slotNumber = usable ? current->slot : SIZE_MAX;
     const std::uint64_t version = usable ? current->version : 0;
@@ -153,160 +136,17 @@
                           kConcurrencyRetryAfter);
 }
 
-Http::Awaitable<std::optional<std::vector<Limits::SlotRow>>> ShareKeeper::readSlots()
+Common::Milliseconds ShareKeeper::lentFor(Common::Time now)
 {
-    std::vector<Platform::RowName> names;
-    for (std::size_t i = 0; i < this->shared.settings.limits.instances; ++i)
-        names.push_back(slotRow(i));
-    const auto stored = co_await this->worker.table.read(std::move(names));
-    if (!stored)
-        co_return std::nullopt;
-    std::vector<Limits::SlotRow> rows;
-    for (const Platform::Row &row : *stored) {
-        const auto decoded = Limits::decodeSlotRow(row.version, row.body);
-        if (!decoded)
-            co_return std::nullopt;
-        rows.push_back(*decoded);
-    }
-    co_return rows;
-}
-
-Http::Awaitable<void> ShareKeeper::claimSlot()
-{
-    for (int tries = 0; tries < kClaimTries; ++tries) {
-        if (co_await this->tryClaim() != Platform::CommitState::Conflict)
-            break;
-    }
-}
-
-Http::Awaitable<Platform::CommitState> ShareKeeper::tryClaim()
-{
-    const auto rows = co_await this->readSlots();
-    if (!rows)
-        co_return Platform::CommitState::NotDone;
-    const auto isLost = [this](const Common::InstanceId &id) {
-        return this->shared.members.with([&](Membership::Members &members) {
-            const auto found = members.byId.find(id);
-            const bool known = found != members.byId.end();
-            return members.platformListRead && !known;
-        });
-    };
-    const auto choice = Limits::chooseSlot(*rows, this->shared.settings.instance, isLost);
-    if (!choice)
-        co_return Platform::CommitState::NotDone;
-    Limits::SlotRow mine;
-    mine.holder = this->shared.settings.instance;
-    mine.incarnation = static_cast<std::uint64_t>(this->startedAt.time_since_epoch().count());
-    Platform::Transaction transaction;
-    transaction.checks.push_back({slotRow(choice->slot), choice->version});
-    transaction.puts.push_back({slotRow(choice->slot), Limits::encodeSlotRow(mine)});
-    const auto result = co_await this->worker.table.commit(std::move(transaction));
-    // After a lost reply the row is read again in the next round, where it shows as this
-    // instance's own and is taken over like that of an earlier process.
-    if (result.state != Platform::CommitState::Committed)
-        co_return result.state;
-    const Common::Time now = clockNow();
-    Limits::HeldSlot held{choice->slot, result.versions.front(), now + choice->wait};
-    if (choice->takenOver) {
-        held.usableFrom = now + this->shared.settings.platform.cutOffAfter + kLongestPeriod;
-    }
-    {
-        const std::lock_guard<std::mutex> guard(this->slotLock);
-        this->slot = held;
-    }
-    this->peers.setSlot(held.slot, held.version);
-    LOG(INFO) << "slot " << held.slot << " is held at version " << held.version
-              << (choice->takenOver ? ", taken over" : "");
-    co_return result.state;
-}
-
-void ShareKeeper::dropSlot(const char *reason)
-{
-    const std::lock_guard<std::mutex> guard(this->slotLock);
-    if (!this->slot)
-        return;
-    LOG(INFO) << "slot " << this->slot->slot << " is dropped: " << reason;
-    this->slot.reset();
-    this->peers.setSlot(std::nullopt, 0);
-}
-
-bool ShareKeeper::slotTakenByPeer()
-{
-    std::optional<Limits::HeldSlot> held;
-    {
-        const std::lock_guard<std::mutex> guard(this->slotLock);
-        held = this->slot;
-    }
-    if (!held)
-        return false;
-    return this->shared.members.with([&](Membership::Members &members) {
-        for (const auto &[id, member] : members.byId) {
-            if (id != members.self && member.report.slot
-                && Limits::isTakenOver(*held, *member.report.slot, member.report.slotVersion))
-                return true;
-        }
-        return false;
-    });
-}
-
-Http::Awaitable<void> ShareKeeper::confirmSlot()
-{
-    std::optional<Limits::HeldSlot> held;
-    {
-        const std::lock_guard<std::mutex> guard(this->slotLock);
-        held = this->slot;
-    }
-    Platform::RowName name = slotRow(held->slot);
-    const auto row = co_await this->worker.table.readOne(std::move(name));
-    // Without the store the slot stays: nobody can take it over then.
-    if (row && row->version != held->version)
-        this->dropSlot("another instance has taken it over");
-}
-
-Http::Awaitable<void> ShareKeeper::slotLoop()
-{
-    while (!this->stopping && !this->worker.ending) {
-        bool holds = false;
-        {
-            const std::lock_guard<std::mutex> guard(this->slotLock);
-            holds = this->slot.has_value();
-        }
-        if (holds && this->slotTakenByPeer())
-            this->dropSlot("another instance reports that it has it");
-        else if (holds)
-            co_await this->confirmSlot();
-        else if (this->shared.phase.load() <= Phase::Serving)
-            co_await this->claimSlot();
-        co_await this->worker.sleepFor(withJitter(kSlotPeriod, this->worker.random));
-    }
-}
-
-Http::Awaitable<void> ShareKeeper::releaseSlot()
-{
-    std::optional<Limits::HeldSlot> held;
-    {
-        const std::lock_guard<std::mutex> guard(this->slotLock);
-        held = std::exchange(this->slot, std::nullopt);
-    }
-    this->peers.setSlot(std::nullopt, 0);
-    if (!held)
-        co_return;
-    // What was lent is still with the coordinators for a while; the next holder waits for that.
-    const Common::Time now = clockNow();
-    Limits::SlotRow row;
-    row.holder = this->shared.settings.instance;
-    row.released = true;
-    this->holders.retainIf([&row, now](const Common::WorkspaceId &, Held &entry) {
+    Common::Milliseconds longest{0};
+    this->holders.retainIf([&longest, now](const Common::WorkspaceId &, Held &entry) {
         if (now < entry.holder.lentUntil) {
             const auto left = std::chrono::ceil<Common::Milliseconds>(entry.holder.lentUntil - now);
-            row.lentFor = std::max(row.lentFor, left);
+            longest = std::max(longest, left);
         }
         return true;
     });
-    Platform::Transaction transaction;
-    transaction.checks.push_back({slotRow(held->slot), held->version});
-    transaction.puts.push_back({slotRow(held->slot), Limits::encodeSlotRow(row)});
-    co_await this->worker.table.commit(std::move(transaction));
+    return longest;
 }
 
 const Lists::Plan *ShareKeeper::planOf(const Lists::Snapshot &lists,
@@ -551,11 +391,8 @@
 ShareKeeper::Figures ShareKeeper::figures()
 {
     Figures figures;
-    {
-        const std::lock_guard<std::mutex> guard(this->slotLock);
-        if (this->slot)
-            figures.slot = this->slot->slot;
-    }
+    if (const auto held = this->slots.current())
+        figures.slot = held->slot;
     figures.workspacesHeld = this->holders.size();
     figures.workspacesCoordinated = this->coordinated.size();
     return figures;
--- a/Source/Core/Node/ShareKeeper.h
+++ b/Source/Core/Node/ShareKeeper.h
@@ -1,11 +1,10 @@
-// Keeps this instance's shares of the workspaces' limits on concurrency and rate: claims a slot,
-// lends base shares to coordinators, coordinates some workspaces, and asks for grants.
+// Keeps this instance's shares of the workspaces' limits on concurrency and rate: lends base
+// shares to coordinators, coordinates some workspaces, and asks for grants.
 #pragma once
 
 #include "Common/Sharded.h"
 #include "Limits/Shares.h"
-#include "Limits/Slot.h"
-#include "Node/PeerService.h"
+#include "Node/SlotKeeper.h"
 
 namespace Tanagerbay::Node {
 
@@ -30,14 +29,12 @@
         Limits::ShareSource source = Limits::ShareSource::Base;
     };
 
-    ShareKeeper(Worker &worker, Shared &shared, PeerService &peers);
+    ShareKeeper(Worker &worker, Shared &shared, PeerService &peers, SlotKeeper &slots);
 
     void start();
     void stop();
-    // Tries to claim a slot. Called at start, before requests are accepted.
-    Http::Awaitable<void> claimSlot();
-    // Hands the slot back, on drain.
-    Http::Awaitable<void> releaseSlot();
+    // For how long shares of this instance may still be with coordinators.
+    Common::Milliseconds lentFor(Common::Time now);
 
     // Admits a request of a workspace, from any thread. The error is of a request that did not run.
     Common::Result<Ticket> admit(const Lists::Access &access, Common::Time deadline,
@@ -66,12 +63,6 @@
 
     void prepare(Held &held, const Common::WorkspaceId &workspace, const Lists::Plan &plan,
                  Common::Time now);
-    Http::Awaitable<void> slotLoop();
-    Http::Awaitable<Platform::CommitState> tryClaim();
-    Http::Awaitable<void> confirmSlot();
-    Http::Awaitable<std::optional<std::vector<Limits::SlotRow>>> readSlots();
-    void dropSlot(const char *reason);
-    bool slotTakenByPeer();
     Http::Awaitable<void> shareLoop();
     void askForLoans(Common::Time now);
     void askForGrants(Common::Time now);
@@ -88,11 +79,10 @@
     Worker &worker;
     Shared &shared;
     PeerService &peers;
+    SlotKeeper &slots;
     Common::ShardedMap<Common::WorkspaceId, Held> holders;
     // Used on the worker's thread only.
     std::map<Common::WorkspaceId, Limits::Coordinator> coordinated;
-    std::mutex slotLock;
-    std::optional<Limits::HeldSlot> slot;
     Common::Time startedAt;
     bool stopping = false;
 };
--- a/Source/Load/Caller.cpp
+++ b/Source/Load/Caller.cpp
@@ -159,6 +159,8 @@
                 result.whole = true;
                 co_return result;
             }
+            if (event.type == "moved")
+                continue;
             if (event.id != std::to_string(this->tokens.size()))
                 this->fault("token " + event.id + " came out of order");
             this->tokens.push_back(event.data);
--- a/Source/StandIns/Engine.cpp
+++ b/Source/StandIns/Engine.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t kMostEvents = 10'000;
 constexpr std::size_t kMostEventsPerReply = 1000;
 constexpr Common::Milliseconds kHeldPoll{10};
+constexpr Common::Milliseconds kKeepLeftStreams{15'000};
 
 Common::Time clockNow()
 {
@@ -54,6 +55,11 @@
         co_await this->generate(exchange);
         co_return;
     }
+    constexpr std::string_view kStreams = "/v1/streams/";
+    if (target.path.starts_with(kStreams)) {
+        co_await this->resume(exchange, target.path.substr(kStreams.size()));
+        co_return;
+    }
     Http::Response response = Http::jsonResponse(404, R"({"error":"not found"})");
     if (target.path == "/v1/load")
         response = Http::jsonResponse(200, this->loadReport());
@@ -97,27 +103,64 @@
         co_return;
     }
     const std::size_t first = sequence->produced;
+    this->enqueue(sequence);
+    co_await this->stream(exchange, sequence, first);
+}
+
+// Takes up a stream whose reader left, from its first token on.
+Http::Awaitable<void> Engine::resume(Http::Exchange &exchange, std::string_view streamName)
+{
+    const std::string name(streamName);
+    this->forgetOldStreams(clockNow());
+    const auto found = this->leftStreams.find(name);
+    if (found == this->leftStreams.end()) {
+        Http::Response unknown = Http::jsonResponse(404, R"({"error":"no such stream"})");
+        co_await exchange.respond(std::move(unknown));
+        co_return;
+    }
+    const SequencePtr sequence = found->second.sequence;
+    this->leftStreams.erase(found);
+    sequence->abandoned = false;
+    if (sequence->produced < sequence->wanted)
+        this->enqueue(sequence);
+    co_await this->stream(exchange, sequence, 0);
+}
+
+void Engine::forgetOldStreams(Common::Time now)
+{
+    for (auto entry = this->leftStreams.begin(); entry != this->leftStreams.end();) {
+        const bool old = now - entry->second.leftAt > kKeepLeftStreams;
+        entry = old ? this->leftStreams.erase(entry) : std::next(entry);
+    }
+}
+
+Http::Awaitable<void> Engine::stream(Http::Exchange &exchange, SequencePtr sequence,
+                                     std::size_t first)
+{
     exchange.onCallerGone([sequence] { sequence->wake.cancel(); });
     Http::Response head;
     head.headers.add("Content-Type", "text/event-stream");
     const bool foreign
         = this->faults.hit(this->endpoint.id, FaultKind::ForeignTag, clockNow()).has_value();
-    head.headers.add(Wire::kAttemptTag,
-                     foreign ? "other-run:0:0:0"
-                             : exchange.request().headers.find(Wire::kAttemptTag));
+    const std::string tag(exchange.request().headers.find(Wire::kAttemptTag));
+    head.headers.add(Wire::kAttemptTag, foreign ? "other-run:0:0:0" : tag);
     head.headers.add(Wire::kLoadReport, this->loadReport());
-    if (!co_await exchange.beginStream(std::move(head)))
-        co_return;
-    this->enqueue(sequence);
-    const bool whole = co_await this->sendTokens(exchange, *sequence, first);
+    bool whole = co_await exchange.beginStream(std::move(head));
+    if (whole)
+        whole = co_await this->sendTokens(exchange, *sequence, first);
     exchange.onCallerGone(nullptr);
-    if (!whole) {
-        if (sequence->produced < sequence->wanted)
-            ++this->cancelled;
-        sequence->abandoned = true;
+    if (whole) {
+        co_await exchange.endStream();
         co_return;
     }
-    co_await exchange.endStream();
+    if (sequence->produced < sequence->wanted)
+        ++this->cancelled;
+    // Work stops, and what was produced is kept for a reader that comes back.
+    sequence->abandoned = true;
+    const std::string name = tag.substr(0, tag.rfind(':'));
+    if (!this->faults.hit(this->endpoint.id, FaultKind::Die, clockNow()))
+        this->leftStreams[name] = {sequence, clockNow()};
+    this->forgetOldStreams(clockNow());
 }
 
 Http::Awaitable<bool> Engine::sendTokens(Http::Exchange &exchange, Sequence &sequence,
--- a/Source/StandIns/Engine.h
+++ b/Source/StandIns/Engine.h
@@ -62,6 +62,10 @@
     using SequencePtr = std::shared_ptr<Sequence>;
 
     Http::Awaitable<void> generate(Http::Exchange &exchange);
+    Http::Awaitable<void> resume(Http::Exchange &exchange, std::string_view streamName);
+    Http::Awaitable<void> stream(Http::Exchange &exchange, std::shared_ptr<Sequence> sequence,
+                                 std::size_t first);
+    void forgetOldStreams(Common::Time now);
     SequencePtr startSequence(const Http::Request &request, std::string &problem);
     Http::Awaitable<bool> sendTokens(Http::Exchange &exchange, Sequence &sequence,
                                      std::size_t first);
@@ -86,6 +90,13 @@
     std::list<SequencePtr> waiting;
     std::list<SequencePtr> running;
     bool batchRuns = false;
+    // Streams whose reader left before the end, which a reader may take up again for a while.
+    struct LeftStream
+    {
+        SequencePtr sequence;
+        Common::Time leftAt;
+    };
+    std::unordered_map<std::string, LeftStream> leftStreams;
 
     std::list<std::uint64_t> cacheOrder;
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> cache;
--- a/Source/UnitTests/Node/InstanceFixture.cpp
+++ b/Source/UnitTests/Node/InstanceFixture.cpp
@@ -151,6 +151,7 @@
         {"pools", pools},
         {"pipelines",
          json::array{json::object{{"name", "ask"}, {"stages", allStages}},
+                     json::object{{"name", "pack"}, {"stages", allStages}},
                      json::object{{"name", "search"}, {"stages", plainStages}}}},
         {"services",
          json::array{
@@ -163,9 +164,10 @@
 {
     const std::string plans
         = R"({"plans":[{"name":"p","deadlineMs":20000,"priority":"interactive","concurrency":100,
-            "ratePerSecond":1000}],"workspaces":[{"id":"w1","plan":"p","keyDigests":[")"
+            "ratePerSecond":1000,"promises":[{"for":"pack","deadlineMs":20000,"priority":"patient"}]}],"workspaces":[{"id":"w1","plan":"p","keyDigests":[")"
         + Common::secretDigestOf(kKey) + R"("]}]})";
-    const std::string entitlements = R"({"entitlements":[{"plan":"p","pipelines":["ask","search"],
+    const std::string entitlements
+        = R"({"entitlements":[{"plan":"p","pipelines":["ask","search","pack"],
             "services":["roster","schedule"],"models":["tutor"],
             "allowances":[{"action":"roster","count":30,"windowSeconds":31536000}]}]})";
     const std::string target = "/v1/lists/plans?acceptWarnings=true";
@@ -233,6 +235,20 @@
     return reply;
 }
 
+std::string InstanceFixture::cutCall(const std::string &bytes, const std::string &until)
+{
+    asio::io_context context(1);
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(this->callerAddress.ip), this->callerAddress.port});
+    asio::write(socket, asio::buffer(bytes));
+    std::string reply;
+    boost::system::error_code error;
+    std::array<char, 4096> piece = {};
+    while (!error && reply.find(until) == std::string::npos)
+        reply.append(piece.data(), socket.read_some(asio::buffer(piece), error));
+    return reply;
+}
+
 void InstanceFixture::abandonedCall(const std::string &bytes)
 {
     asio::io_context context(1);
--- a/Source/UnitTests/Node/InstanceFixture.h
+++ b/Source/UnitTests/Node/InstanceFixture.h
@@ -32,6 +32,8 @@
                        const std::string &body, const std::string &ifMatch);
     // Sends bytes as they are and returns what comes back until the connection ends.
     std::string rawCall(const std::string &bytes);
+    // Sends bytes, reads until the answer holds the text, and closes the connection.
+    std::string cutCall(const std::string &bytes, const std::string &until);
     // Sends a request and closes the connection at once, without waiting for the answer.
     void abandonedCall(const std::string &bytes);
 
--- a/Source/UnitTests/Node/InstanceTest.cpp
+++ b/Source/UnitTests/Node/InstanceTest.cpp
@@ -1,6 +1,7 @@
 #include "UnitTests/Node/InstanceFixture.h"
 
 #include "Http/EventStream.h"
+#include "Node/Generation.h"
 #include "Pipeline/TokenStream.h"
 
 #include <thread>
@@ -126,6 +127,69 @@
     BOOST_TEST(this->counter(Common::Counter::StreamsContinued) > 0u);
 }
 
+BOOST_AUTO_TEST_CASE(callerCutOff_goesOnWithItsStreamWhereItEnded)
+{
+    const std::string body = R"({"input":{"text":"question"},"stream":true,"maxTokens":400})";
+    const std::vector<std::string> expected = readStream(this->pipeline("ask", body).body).tokens;
+    const std::string head
+        = "POST /v1/pipelines/ask HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-w1\r\n"
+          "Request-Id: r-1\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n";
+    const std::string part = this->cutCall(head + body, "id: 30\n");
+    const std::string mark = "Stream-Id: ";
+    const std::size_t at = part.find(mark) + mark.size();
+    const std::string streamId = part.substr(at, part.find("\r\n", at) - at);
+
+    Http::Request request{"POST", "/v1/pipelines/ask", {}, body};
+    request.headers.add("Authorization", "Bearer key-w1");
+    request.headers.add("Last-Event-ID", "30");
+    request.headers.add("Stream-Id", streamId);
+    // Another request may not take the stream up.
+    BOOST_TEST(this->call(this->callerAddress, request).status == 403u);
+    request.headers.add("Request-Id", "r-1");
+    Reply reply;
+    // The engine may not have noticed yet that its reader left.
+    for (int tries = 0; tries < 100 && reply.status != 200; ++tries) {
+        std::this_thread::sleep_for(Common::Milliseconds(20));
+        reply = this->call(this->callerAddress, request);
+    }
+    const Stream rest = readStream(reply.body);
+    BOOST_TEST(rest.lastType == "done");
+    BOOST_REQUIRE(rest.tokens.size() == 400u - 31u);
+    BOOST_TEST(std::equal(rest.tokens.begin(), rest.tokens.end(), expected.begin() + 31));
+    BOOST_TEST(rest.lastData.find(Pipeline::streamDigest(expected)) != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(callerCutOff_streamNoLongerKept_isNotMixedWithAnother)
+{
+    Http::Request request{"POST", "/v1/pipelines/ask", {}, kAsk};
+    request.headers.add("Authorization", "Bearer key-w1");
+    request.headers.add("Request-Id", "r-2");
+    request.headers.add("Last-Event-ID", "3");
+    const std::string owner
+        = Node::streamOwner(Common::WorkspaceId("w1"), Common::RequestId("r-2"));
+    request.headers.add("Stream-Id", "tutors-1/" + owner + "-unknown:3:0");
+    const Reply reply = this->call(this->callerAddress, request);
+    BOOST_TEST(reply.status == 409u);
+    BOOST_TEST(ranOf(reply) == "maybe");
+}
+
+BOOST_AUTO_TEST_CASE(patientRun_retried_takesUpItsCheckpoint)
+{
+    Http::Request request{
+        "POST", "/v1/pipelines/pack", {}, R"({"input":{"text":"lesson"},"maxTokens":10})"};
+    request.headers.add("Authorization", "Bearer key-w1");
+    request.headers.add("Request-Id", "pack-1");
+    const Reply first = this->call(this->callerAddress, request);
+    BOOST_TEST(first.status == 200u);
+    // The checkpoint is written in the background.
+    for (int i = 0; i < 200 && this->counter(Common::Counter::CheckpointsUsed) == 0; ++i) {
+        std::this_thread::sleep_for(Common::Milliseconds(10));
+        BOOST_TEST(this->call(this->callerAddress, request).body == first.body);
+    }
+    BOOST_TEST(this->counter(Common::Counter::CheckpointsUsed) > 0u);
+}
+
 BOOST_AUTO_TEST_CASE(onceOnly_repeated_runsOnceAndReplays)
 {
     const Reply first = this->service("roster", "push", "k1", "body");
