Http: Bound reads and writes by a deadline that does not touch a timer each time

Change: LazyDeadline leaves its timer alone while the deadline moves on; the server's separate request timer goes.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -1,5 +1,7 @@
 #include "Http/Client.h"
 
+#include "Http/LazyDeadline.h"
+
 #include <sys/socket.h>
 
 #include <set>
@@ -20,7 +22,8 @@
 
 struct ClientConnection
 {
-    explicit ClientConnection(const asio::any_io_executor &executor) : stream(executor)
+    explicit ClientConnection(const asio::any_io_executor &executor)
+        : stream(executor), deadline(executor, [this] { this->stream.cancel(); })
     {
     }
 
@@ -45,6 +48,8 @@
     }
 
     beast::tcp_stream stream;
+    // Bounds every read and write once the connection is made.
+    LazyDeadline deadline;
     beast::flat_buffer buffer;
     Common::Time idleSince;
     bool reused = false;
@@ -93,12 +98,13 @@
     return !(count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
-CallError errorOf(beast::error_code error, bool written, const CallHandle *handle)
+CallError errorOf(beast::error_code error, const ClientConnection &connection, bool written,
+                  const CallHandle *handle)
 {
     CallFailure failure = CallFailure::ConnectionLost;
     if (handle && handle->isCancelled())
         failure = CallFailure::Cancelled;
-    else if (error == beast::error::timeout)
+    else if (error == beast::error::timeout || connection.deadline.hasExpired())
         failure = CallFailure::Timeout;
     else if (error.category() == http::make_error_code(http::error::bad_method).category()
              && error != http::error::end_of_stream && error != http::error::partial_message)
@@ -137,11 +143,12 @@
     co_await connection->stream.async_connect(tcp::endpoint(ip, address.port),
                                               asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        CallError failed = errorOf(error, false, options.handle);
+        CallError failed = errorOf(error, *connection, false, options.handle);
         if (failed.failure != CallFailure::Cancelled)
             failed.failure = CallFailure::ConnectFailed;
         co_return tl::unexpected(failed);
     }
+    connection->stream.expires_never();
     beast::error_code ignored;
     connection->stream.socket().set_option(tcp::no_delay(true), ignored);
     co_return connection;
@@ -169,7 +176,7 @@
 void Client::Pool::give(const Address &address, ConnectionPtr connection)
 {
     connection->leave();
-    connection->stream.expires_never();
+    connection->deadline.disarm();
     connection->idleSince = std::chrono::steady_clock::now();
     std::vector<ConnectionPtr> &connections = this->idle[address];
     if (connections.size() < kMaxIdlePerAddress)
@@ -240,7 +247,7 @@
             options.handle->abort = [&tcpStream] { tcpStream.cancel(); };
 
         beast::error_code error;
-        tcpStream.expires_at(options.deadline);
+        state.connection->deadline.moveTo(options.deadline);
         co_await http::async_write(tcpStream, message,
                                    asio::redirect_error(asio::use_awaitable, error));
         if (!error) {
@@ -253,7 +260,7 @@
             co_return tl::unexpected(CallError{CallFailure::BadReply, true, "foreign reply"});
         if (!error)
             co_return std::move(stream);
-        CallError failed = errorOf(error, true, options.handle);
+        CallError failed = errorOf(error, *state.connection, true, options.handle);
         const bool stale
             = state.connection->reused && failed.failure == CallFailure::ConnectionLost;
         if (!stale || !options.repeatable)
@@ -309,7 +316,7 @@
         co_return std::string_view();
     auto &body = state.parser.get().body();
     beast::tcp_stream &tcpStream = state.connection->stream;
-    tcpStream.expires_at(deadline);
+    state.connection->deadline.moveTo(deadline);
     if (state.handle)
         state.handle->abort = [&tcpStream] { tcpStream.cancel(); };
     beast::error_code error;
@@ -328,7 +335,7 @@
     if (state.handle)
         state.handle->abort = nullptr;
     if (error) {
-        CallError failed = errorOf(error, true, state.handle);
+        CallError failed = errorOf(error, *state.connection, true, state.handle);
         state.connection.reset();
         co_return tl::unexpected(std::move(failed));
     }
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -1,5 +1,7 @@
 #include "Http/Server.h"
 
+#include "Http/LazyDeadline.h"
+
 #include <set>
 
 #include <sys/socket.h>
@@ -11,7 +13,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -46,6 +47,11 @@
 
 using Parser = http::request_parser<http::string_body>;
 
+Common::Time clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
 template <bool IsRequest>
 void addField(http::header<IsRequest> &message, const Header &field)
 {
@@ -63,7 +69,8 @@
 {
 public:
     Connection(tcp::socket socket, const ServerOptions &options, std::size_t contextIndex)
-        : stream(std::move(socket)), requestTimer(this->stream.get_executor()), options(options),
+        : stream(std::move(socket)),
+          deadline(this->stream.get_executor(), [this] { this->cancelSocket(); }), options(options),
           context(contextIndex)
     {
         beast::error_code ignored;
@@ -107,9 +114,10 @@
         message.prepare_payload();
         this->headWritten = true;
         beast::error_code error;
-        this->stream.expires_after(this->options.writeTimeout);
+        this->deadline.moveTo(clockNow() + this->options.writeTimeout);
         co_await http::async_write(this->stream, message,
                                    asio::redirect_error(asio::use_awaitable, error));
+        this->deadline.clear();
         this->answered = !error;
         this->gone = this->gone || error.failed();
         co_return !error;
@@ -125,9 +133,10 @@
         http::response_serializer<http::empty_body> serializer{message};
         this->headWritten = true;
         beast::error_code error;
-        this->stream.expires_after(this->options.writeTimeout);
+        this->deadline.moveTo(clockNow() + this->options.writeTimeout);
         co_await http::async_write_header(this->stream, serializer,
                                           asio::redirect_error(asio::use_awaitable, error));
+        this->deadline.clear();
         this->gone = this->gone || error.failed();
         co_return !error;
     }
@@ -137,10 +146,11 @@
         if (this->gone)
             co_return false;
         beast::error_code error;
-        this->stream.expires_after(this->options.writeTimeout);
+        this->deadline.moveTo(clockNow() + this->options.writeTimeout);
         co_await asio::async_write(this->stream,
                                    http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
                                    asio::redirect_error(asio::use_awaitable, error));
+        this->deadline.clear();
         this->gone = this->gone || error.failed();
         co_return !error;
     }
@@ -148,9 +158,10 @@
     Awaitable<bool> endStream() override
     {
         beast::error_code error;
-        this->stream.expires_after(this->options.writeTimeout);
+        this->deadline.moveTo(clockNow() + this->options.writeTimeout);
         co_await asio::async_write(this->stream, http::make_chunk_last(),
                                    asio::redirect_error(asio::use_awaitable, error));
+        this->deadline.clear();
         this->answered = !error;
         this->gone = this->gone || error.failed();
         co_return !error;
@@ -190,18 +201,15 @@
         parser.body_limit(this->options.maxBodyBytes);
         beast::error_code error;
         if (this->buffer.size() == 0) {
-            this->stream.expires_after(this->options.idleTimeout);
+            this->deadline.moveTo(clockNow() + this->options.idleTimeout);
             co_await this->readFirstByte(error);
             if (error)
                 co_return false;
         }
-        // The stream's own timeout would close the connection before the caller could be told.
-        this->stream.expires_never();
-        this->startRequestTimer();
+        this->deadline.moveTo(clockNow() + this->options.requestTimeout);
         co_await http::async_read_header(this->stream, this->buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, error));
         if (!error && parser.get().target().size() > this->options.maxTargetBytes) {
-            this->requestTimer.cancel();
             co_await this->reject(414, "too_large", "the URL is too long");
             co_return false;
         }
@@ -211,7 +219,6 @@
             co_await http::async_read(this->stream, this->buffer, parser,
                                       asio::redirect_error(asio::use_awaitable, error));
         }
-        this->requestTimer.cancel();
         if (error) {
             co_await this->rejectFor(error);
             co_return false;
@@ -227,17 +234,11 @@
         this->buffer.commit(bytes);
     }
 
-    void startRequestTimer()
+    void cancelSocket()
     {
-        this->requestTimedOut = false;
-        this->requestTimer.expires_after(this->options.requestTimeout);
-        this->requestTimer.async_wait([self = this->shared_from_this()](beast::error_code error) {
-            if (error)
-                return;
-            self->requestTimedOut = true;
-            beast::error_code ignored;
-            self->stream.socket().cancel(ignored);
-        });
+        // The stream's own timeout would close the connection before the caller could be told.
+        beast::error_code ignored;
+        this->stream.socket().cancel(ignored);
     }
 
     Awaitable<void> writeContinue(beast::error_code &error)
@@ -249,7 +250,7 @@
 
     Awaitable<void> rejectFor(beast::error_code error)
     {
-        if (this->requestTimedOut)
+        if (this->deadline.hasExpired())
             co_await this->reject(408, "bad_input", "the request took too long to arrive");
         else if (error == http::error::body_limit)
             co_await this->reject(413, "too_large", "the body is too large");
@@ -277,7 +278,7 @@
         beast::error_code error;
         this->stream.socket().shutdown(tcp::socket::shutdown_send, error);
         std::vector<char> discarded(16 << 10);
-        this->stream.expires_after(kMostTime);
+        this->deadline.moveTo(clockNow() + kMostTime);
         std::size_t total = 0;
         while (!error && total < kMostBytes) {
             total += co_await this->stream.async_read_some(
@@ -301,7 +302,7 @@
     // Watches for the end of the connection while a request is handled.
     void watchCaller()
     {
-        this->stream.expires_never();
+        this->deadline.clear();
         this->stream.socket().async_wait(
             tcp::socket::wait_read,
             asio::bind_cancellation_slot(
@@ -328,8 +329,7 @@
     }
 
     beast::tcp_stream stream;
-    asio::steady_timer requestTimer;
-    bool requestTimedOut = false;
+    LazyDeadline deadline;
     const ServerOptions &options;
     std::size_t context;
     beast::flat_buffer buffer;
--- a/Source/UnitTests/Node/InstanceFixture.cpp
+++ b/Source/UnitTests/Node/InstanceFixture.cpp
@@ -184,7 +184,7 @@
     const auto run = [&]() -> Http::Awaitable<void> {
         Http::CallOptions options;
         options.deadline = std::chrono::steady_clock::now() + kCallTimeout;
-        auto result = co_await client.call(address, std::move(request), options);
+        auto result = co_await client.call(address, request, options);
         if (!result)
             co_return;
         reply.status = result->status;
