Once: Gather outcomes for a quarter of a second

Change: outcomes are gathered for 250 ms. A repetition within that time hears that the key is in progress instead of the recorded answer, which is as true.

--- a/Source/Core/Node/ListsKeeper.cpp
+++ b/Source/Core/Node/ListsKeeper.cpp
@@ -247,7 +247,10 @@
         outcome.kind = overtaken ? EditOutcome::Kind::Conflict : EditOutcome::Kind::Rejected;
         outcome.lines = overtaken
             ? Lists::describeDifference(edit.kind, winner.body, edit.body)
-            : std::vector<std::string>{"the store did not take the edit; nothing was written"};
+            : std::vector<std::string>{
+                answered
+                    ? "the other list was edited at the same time; nothing was written, try again"
+                    : "the store did not take the edit; nothing was written"};
         co_return outcome;
     }
     outcome.kind = EditOutcome::Kind::Committed;
--- a/Source/Core/Node/Settings.cpp
+++ b/Source/Core/Node/Settings.cpp
@@ -131,7 +131,7 @@
     once.claimTimeout = readMs(*section, "claimTimeoutMs", 50, 600'000, 3000);
     once.retention = readMs(*section, "retentionMs", 60'000, 400 * kDayMs, 7 * kDayMs);
     once.maxKeptBodyBytes = readSize(*section, "maxKeptBodyBytes", 0, 1 << 20, 32 << 10);
-    once.finishBatch = readMs(*section, "finishBatchMs", 0, 1000, 20);
+    once.finishBatch = readMs(*section, "finishBatchMs", 0, 1000, 250);
     if (once.retention < 2 * once.claimTimeout)
         section->fault("retentionMs", "must be at least twice claimTimeoutMs");
 }
