Node: Send share messages one way and judge each reply by its open attempt

Cause: a last reading found the case of an instance writing to itself handled in four places, and Pipeline's rule on replies of open attempts tested but not used by the stage calls, which docs/PROMISES.md credits with it. Change: ShareKeeper::deliver sends to a peer or deals with the message here; judgeEnded asks judgeReply besides the check on the reply's head.

--- a/Source/Core/Node/ShareKeeper.cpp
+++ b/Source/Core/Node/ShareKeeper.cpp
@@ -227,11 +227,8 @@
         row.set_rate_per_second(amount.ratePerSecond);
     }
     for (const Common::Address &peer : others)
-        this->peers.send(peer, message);
-    // This instance lends to itself by the same rules.
-    message.set_from_instance(this->shared.settings.instance.value);
-    message.set_from_address(Common::formatAddress(this->shared.settings.peer.address));
-    this->takeLendRequest(message);
+        this->deliver(peer, message);
+    this->deliver(this->shared.settings.peer.address, message);
 }
 
 void ShareKeeper::askForGrants(Common::Time now)
@@ -256,15 +253,20 @@
         row.set_applied_grant(held.holder.grantNumber);
         return true;
     });
-    for (auto &[address, message] : messages) {
-        if (address != this->shared.settings.peer.address) {
-            this->peers.send(address, message);
-            continue;
-        }
-        message.set_from_instance(this->shared.settings.instance.value);
-        message.set_from_address(Common::formatAddress(address));
-        this->takeShareRequest(message);
+    for (auto &[address, message] : messages)
+        this->deliver(address, message);
+}
+
+// Sends a message to an instance. This instance deals with its own messages by the same rules.
+void ShareKeeper::deliver(const Common::Address &address, Peer::Envelope &message)
+{
+    if (address != this->shared.settings.peer.address) {
+        this->peers.send(address, message);
+        return;
     }
+    message.set_from_instance(this->shared.settings.instance.value);
+    message.set_from_address(Common::formatAddress(address));
+    this->receive(message);
 }
 
 void ShareKeeper::receive(const Peer::Envelope &message)
@@ -323,12 +325,7 @@
             row.set_lent_for_ms(static_cast<std::uint32_t>(Common::toMilliseconds(held.period)));
         });
     }
-    if (sender != this->shared.settings.peer.address) {
-        this->peers.send(sender, answer);
-        return;
-    }
-    answer.set_from_instance(borrower.value);
-    this->takeLendReply(answer);
+    this->deliver(sender, answer);
 }
 
 void ShareKeeper::takeLendReply(const Peer::Envelope &message)
@@ -380,11 +377,7 @@
         this->askForLoans(now);
     if (body.grants_size() == 0)
         return;
-    answer.set_from_instance(this->shared.settings.instance.value);
-    if (sender == this->shared.settings.peer.address)
-        this->takeShareReply(answer);
-    else
-        this->peers.send(sender, answer);
+    this->deliver(sender, answer);
 }
 
 void ShareKeeper::takeShareReply(const Peer::Envelope &message)
--- a/Source/Core/Node/ShareKeeper.h
+++ b/Source/Core/Node/ShareKeeper.h
@@ -66,6 +66,7 @@
     Http::Awaitable<void> shareLoop();
     void askForLoans(Common::Time now);
     void askForGrants(Common::Time now);
+    void deliver(const Common::Address &address, Peer::Envelope &message);
     void receive(const Peer::Envelope &message);
     void takeLendRequest(const Peer::Envelope &message);
     void takeLendReply(const Peer::Envelope &message);
--- a/Source/Core/Node/StageCall.cpp
+++ b/Source/Core/Node/StageCall.cpp
@@ -176,8 +176,13 @@
         attempt->judged = true;
         Http::CallResult<Http::Response> &result = *attempt->result;
         scope.anyWritten = scope.anyWritten || result || result.error().written;
+        const bool accepted = result && result->status == 200
+            && Pipeline::judgeReply(run, result->headers.find(Wire::kAttemptTag))
+                == Pipeline::ReplyVerdict::Accept;
         Pipeline::closeAttempt(run, attempt->tag);
-        if (!result) {
+        if (result && result->status == 200 && !accepted) {
+            judgement.problem = "a reply belongs to no open attempt";
+        } else if (!result) {
             judgement.problem = std::string(Common::nameOf(result.error().failure));
             if (result.error().failure == Http::CallFailure::ConnectionLost)
                 scope.shared.counters.add(Counter::RepliesTruncated);
