--- /dev/null
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -0,0 +1,310 @@
+#include "Entry/EntryInstance.h"
+
+#include <csignal>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+namespace Tanagerbay::Entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// How long callers keep an answer of the directory. Short, since a leaving instance should lose its
+// callers before it ends; each caller asks once in this time.
+constexpr Common::Milliseconds kDirectoryTtl{2000};
+constexpr std::size_t kMostDirectoryEntries = 64;
+// A leaving instance ends this long before the platform would kill it.
+constexpr Common::Milliseconds kLeaveMargin{400};
+// It stays at least this long for callers who still have its address, some of whom keep it for
+// three times the time that they were told.
+constexpr Common::Milliseconds kLeastLeaving{6000};
+// Callers that keep their connections send again within this time.
+constexpr Common::Milliseconds kQuietBeforeEnd{1000};
+constexpr Common::Milliseconds kLeavePoll{50};
+// Log lines are gathered this long.
+constexpr Common::Milliseconds kHousekeeping{250};
+constexpr Common::Milliseconds kIdleConnectionAge{8000};
+// The list of instances in the store is read this often, for those that no heartbeat names.
+constexpr Common::Milliseconds kListInterval{5000};
+constexpr Common::Milliseconds kListRetry{500};
+// Largest request before the catalog names a limit.
+constexpr std::size_t kMostBodyBytes = 8 << 20;
+// A header a little over the limit is still read, so that its sender hears why it is refused.
+constexpr std::size_t kHeaderSlack = 4 << 10;
+
+} // namespace
+
+EntryInstance::EntryInstance(Settings settings, const Platform &platform, Reload reload)
+    : state(std::move(settings), platform.dialect), store(platform.makeStore(this->state)),
+      reload(std::move(reload)), gossip(this->state), mesh(this->state), stageOwner(this->state),
+      stageClient(this->state, this->mesh, this->stageOwner),
+      catalogs(this->state, this->mesh, this->gossip, *this->store),
+      endpoints(this->state, this->stageOwner, *this->store), parts{this->state, this->catalogs,
+                                                                    this->endpoints,
+                                                                    this->stageClient}
+{
+}
+
+EntryInstance::~EntryInstance() = default;
+
+std::unique_ptr<Http::Server> EntryInstance::makeServer(const Common::Address &address,
+                                                        Http::Handler handler)
+{
+    Http::ServerOptions options;
+    options.address = address;
+    options.maxBodyBytes = kMostBodyBytes;
+    options.maxConnections = this->state.settings.mostConnections;
+    return std::make_unique<Http::Server>(std::vector<asio::io_context *>{&this->state.context},
+                                          options, std::move(handler));
+}
+
+std::string EntryInstance::startPorts()
+{
+    const Settings &settings = this->state.settings;
+    this->callerServer = this->makeServer(settings.callers, [this](Http::Exchange &exchange) {
+        return this->handleCaller(exchange);
+    });
+    this->directoryServer = this->makeServer(settings.directory, [this](Http::Exchange &exchange) {
+        return this->handleDirectory(exchange);
+    });
+    this->readinessServer = this->makeServer(settings.readiness, [this](Http::Exchange &exchange) {
+        return this->handleReadiness(exchange);
+    });
+    std::vector<Http::Server *> servers{this->callerServer.get(), this->directoryServer.get(),
+                                        this->readinessServer.get()};
+    const auto operations
+        = [this](Http::Exchange &exchange) { return this->handleOperations(exchange); };
+    if (settings.control.isSet()) {
+        this->controlServer = this->makeServer(settings.control, operations);
+        servers.push_back(this->controlServer.get());
+    }
+    if (settings.metrics.isSet()) {
+        this->metricsServer = this->makeServer(settings.metrics, operations);
+        servers.push_back(this->metricsServer.get());
+    }
+    for (Http::Server *server : servers) {
+        if (const std::string problem = server->start(); !problem.empty())
+            return problem;
+    }
+    if (const std::string problem = this->mesh.start(); !problem.empty())
+        return problem;
+    return this->gossip.start();
+}
+
+std::string EntryInstance::run()
+{
+    ::signal(SIGPIPE, SIG_IGN);
+    if (const std::string problem = this->startPorts(); !problem.empty())
+        return problem;
+    this->state.logState(LogLine("started")
+                             .text("instance", this->state.settings.instance.value)
+                             .text("callers", Common::formatAddress(this->state.settings.callers))
+                             .text("store", Common::formatAddress(this->state.settings.store)));
+    this->catalogs.onChange([this] { this->applyCatalog(); });
+    this->catalogs.start();
+    this->endpoints.start();
+    this->stageClient.start();
+    asio::co_spawn(this->state.context, this->watchSignals(), asio::detached);
+    asio::co_spawn(this->state.context, this->listInstances(), asio::detached);
+    asio::co_spawn(this->state.context, this->housekeeping(), asio::detached);
+    this->state.context.run();
+    this->state.logState(LogLine("stopped").number(
+        "requestsInProgress", static_cast<std::int64_t>(this->state.requestsInProgress)));
+    return "";
+}
+
+void EntryInstance::applyCatalog()
+{
+    const Catalog::CallerLimits &limits = this->state.catalog->limits;
+    Http::ServerOptions options;
+    options.maxBodyBytes = limits.maxBodyBytes;
+    options.maxHeaderBytes = limits.maxHeaderBytes + kHeaderSlack;
+    options.requestTimeout = limits.headerTimeout;
+    options.bodyTimeout = limits.idleTimeout;
+    options.idleTimeout = limits.idleTimeout;
+    this->callerServer->applyLimits(options);
+    this->stageOwner.refresh();
+}
+
+Http::Awaitable<void> EntryInstance::handleCaller(Http::Exchange &exchange)
+{
+    this->state.lastRequestAt = clockNow();
+    ++this->state.requestsInProgress;
+    auto request = this->state.dialect.readRequest(exchange.request());
+    if (request) {
+        request->receivedAt = exchange.receivedAt();
+        RequestFlow flow(this->parts, exchange, std::move(*request));
+        co_await flow.run();
+    } else {
+        this->state.log.write(LogLine("request-invalid").text("fault", request.error()),
+                              clockNow());
+        co_await exchange.respond(
+            this->state.dialect.writeRefusal({RefusalReason::BadRequest, true, std::nullopt}, ""));
+    }
+    --this->state.requestsInProgress;
+}
+
+Http::Awaitable<void> EntryInstance::handleDirectory(Http::Exchange &exchange)
+{
+    const auto question = this->state.dialect.readDirectoryQuestion(exchange.request());
+    if (!question) {
+        co_await exchange.respond(Http::jsonResponse(404, R"({"error":"not found"})"));
+        co_return;
+    }
+    std::vector<Membership::EntryAnswer> entries
+        = Membership::entriesFor(this->state.members, question->failureDomain, clockNow());
+    if (entries.size() > kMostDirectoryEntries)
+        entries.resize(kMostDirectoryEntries);
+    const auto ttl
+        = std::min<Common::Duration>(kDirectoryTtl, this->state.settings.bounds.mostDirectoryTtl);
+    co_await exchange.respond(this->state.dialect.writeDirectoryAnswer(entries, ttl));
+}
+
+Http::Awaitable<void> EntryInstance::handleReadiness(Http::Exchange &exchange)
+{
+    const bool asked = this->state.dialect.isReadinessQuestion(exchange.request());
+    const unsigned status = !asked ? 404 : this->state.isReady() ? 200 : 503;
+    co_await exchange.respond(Http::jsonResponse(status, "{}"));
+}
+
+Http::Awaitable<void> EntryInstance::handleOperations(Http::Exchange &exchange)
+{
+    const Http::Target target = Http::splitTarget(exchange.request().target);
+    if (target.path == "/metrics") {
+        Http::Response response;
+        response.headers.add("Content-Type", "text/plain; version=0.0.4");
+        response.body = this->state.metrics.text();
+        co_await exchange.respond(std::move(response));
+    } else if (target.path == "/v1/state") {
+        co_await exchange.respond(Http::jsonResponse(200, this->stateDump()));
+    } else {
+        co_await exchange.respond(Http::jsonResponse(404, R"({"error":"not found"})"));
+    }
+}
+
+std::string EntryInstance::stateDump() const
+{
+    const Common::Time now = clockNow();
+    boost::json::object dump;
+    dump["instance"] = this->state.settings.instance.value;
+    dump["leaving"] = this->state.leaving;
+    dump["catalogVersion"] = this->state.catalog ? this->state.catalog->version : 0;
+    dump["requestsInProgress"] = this->state.requestsInProgress;
+    dump["openPieces"] = this->stageOwner.openPieces();
+    dump["linesDropped"] = this->state.log.droppedLines();
+    boost::json::array members;
+    for (const auto &[id, member] : this->state.members.byId) {
+        members.push_back({{"id", id.value},
+                           {"state", Common::nameOf(member.report.state)},
+                           {"suspect", Membership::isSuspect(this->state.members, member, now)},
+                           {"catalogVersion", member.report.catalogVersion}});
+    }
+    dump["instances"] = std::move(members);
+    boost::json::array endpoints;
+    for (const auto &[service, pool] : this->state.pools) {
+        for (const Routing::Endpoint &endpoint : pool.endpoints) {
+            endpoints.push_back({{"service", service},
+                                 {"id", endpoint.id.value},
+                                 {"address", Common::formatAddress(endpoint.address)},
+                                 {"state", Common::nameOf(endpoint.state)},
+                                 {"inFlight", endpoint.ownInFlight},
+                                 {"errorRate", endpoint.health.errorRate},
+                                 {"slowness", Routing::slownessNow(endpoint.health, now)},
+                                 {"eligible", Routing::isEligible(endpoint, now)}});
+        }
+    }
+    dump["endpoints"] = std::move(endpoints);
+    return boost::json::serialize(dump);
+}
+
+Http::Awaitable<void> EntryInstance::watchSignals()
+{
+    asio::signal_set signals(this->state.context, SIGTERM, SIGINT, SIGHUP);
+    while (true) {
+        boost::system::error_code error;
+        const int number
+            = co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return;
+        if (number == SIGHUP) {
+            this->reloadSettings();
+        } else if (!this->state.leaving) {
+            asio::co_spawn(this->state.context, this->leave(), asio::detached);
+        }
+    }
+}
+
+void EntryInstance::reloadSettings()
+{
+    const auto settings = this->reload();
+    if (!settings) {
+        this->state.logState(LogLine("settings-invalid"));
+        return;
+    }
+    // Ports cannot change while they are open; the rest holds from now on.
+    this->state.settings.seeds = settings->seeds;
+    this->state.settings.store = settings->store;
+    this->state.settings.bounds = settings->bounds;
+    this->state.logState(
+        LogLine("settings-reloaded").text("store", Common::formatAddress(settings->store)));
+}
+
+Http::Awaitable<void> EntryInstance::leave()
+{
+    const Common::Time begun = clockNow();
+    this->state.leaving = true;
+    this->state.logState(LogLine("leaving").number(
+        "requestsInProgress", static_cast<std::int64_t>(this->state.requestsInProgress)));
+    this->callerServer->closeAfterAnswers();
+    this->gossip.announce();
+    asio::co_spawn(
+        this->state.context,
+        [this]() -> Http::Awaitable<void> {
+            co_await this->store->removeInstance(this->state.settings.instance);
+        },
+        asio::detached);
+    const Common::Time mustEnd = begun + this->state.settings.bounds.grace - kLeaveMargin;
+    while (clockNow() < mustEnd) {
+        const Common::Time now = clockNow();
+        const bool quiet = now - std::max(begun, this->state.lastRequestAt) > kQuietBeforeEnd;
+        const bool idle = this->state.requestsInProgress == 0 && this->stageOwner.openPieces() == 0;
+        if (quiet && idle && now - begun > kLeastLeaving)
+            break;
+        co_await this->state.sleepFor(kLeavePoll);
+    }
+    this->state.context.stop();
+}
+
+Http::Awaitable<void> EntryInstance::listInstances()
+{
+    // A temporary aggregate in the awaited expression would be destroyed twice (GCC bug 98401).
+    const ListedInstance self{this->state.settings.instance, this->state.settings.peers};
+    bool written = false;
+    while (!this->state.leaving) {
+        if (!written)
+            written = co_await this->store->writeInstance(self);
+        const auto listed = co_await this->store->readInstances();
+        if (listed) {
+            for (const ListedInstance &instance : *listed)
+                this->gossip.addListed(instance);
+        }
+        co_await this->state.sleepFor(written && listed ? kListInterval : kListRetry);
+    }
+}
+
+Http::Awaitable<void> EntryInstance::housekeeping()
+{
+    while (true) {
+        co_await this->state.sleepFor(kHousekeeping);
+        this->state.log.flush();
+        this->state.client.closeIdle(clockNow() - kIdleConnectionAge);
+    }
+}
+
+} // namespace Tanagerbay::Entry
--- /dev/null
+++ b/Source/Core/Entry/Metrics.h
@@ -0,0 +1,42 @@
+// Counters and latency histograms of an entry instance, as text for a collector.
+#pragma once
+
+#include "Common/Time.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Tanagerbay::Entry {
+
+// Upper bounds of the histogram's buckets in milliseconds; the last bucket has none.
+constexpr std::array<std::int64_t, 12> kLatencyBoundsMs
+    = {5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200, 6400, 12800};
+
+struct Histogram
+{
+    std::array<std::uint64_t, kLatencyBoundsMs.size() + 1> buckets = {};
+    std::uint64_t count = 0;
+    double sumSeconds = 0;
+
+    void add(Common::Duration sample);
+};
+
+struct Metrics
+{
+    // By name of the event and its label.
+    std::map<std::string, std::uint64_t> counters;
+    // By name and label of what was timed.
+    std::map<std::string, Histogram> histograms;
+
+    void count(const std::string &name, std::uint64_t more = 1);
+    void time(const std::string &name, Common::Duration sample);
+    // Returns everything in the text format of Prometheus.
+    std::string text() const;
+};
+
+// Returns `name{label="value"}`.
+std::string labelled(std::string_view name, std::string_view label, std::string_view value);
+
+} // namespace Tanagerbay::Entry
--- /dev/null
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -0,0 +1,535 @@
+#include "Entry/RequestFlow.h"
+
+#include "Routing/HomeChoice.h"
+
+namespace Tanagerbay::Entry {
+
+using Serving::NextStep;
+using Serving::SendOutcome;
+
+namespace {
+
+// Taken off what is left when a request is sent on, for the way back to the caller.
+constexpr Common::Milliseconds kDeadlineMargin{20};
+// Longest wait where neither the caller nor the route names one.
+constexpr Common::Milliseconds kLongestWait{60'000};
+// Prompt tokens that an engine reads in a millisecond, about what the deployments' sheets name.
+constexpr double kPromptTokensPerMs = 38;
+// Besides the prompt, an engine needs this long to its first event: fetching inputs, queueing,
+// steps.
+constexpr Common::Milliseconds kEngineOverhead{100};
+// When a refused caller should come back, where nothing better is known: about one stage call.
+constexpr Common::Milliseconds kRetryAfter{300};
+constexpr Common::Milliseconds kConnectTimeout{250};
+// Without a byte for this long, a request that may be repeated goes to another endpoint: this many
+// objectives for answers, and a fixed time for streams, well within the two seconds of callers.
+constexpr int kSilentObjectives = 2;
+constexpr Common::Milliseconds kSilentStream{1200};
+// An endpoint that says that it leaves may only close this connection; its entry settles it.
+constexpr Common::Milliseconds kAvoidLeaving{1500};
+// An address that another endpoint has taken over; the old entry is gone by then.
+constexpr Common::Milliseconds kAvoidReplaced{5000};
+// Most urgent value given to engines; 5 is what a request without a value gets.
+constexpr int kUrgencyBase = 3;
+constexpr int kMostUrgency = 9;
+constexpr unsigned kFirstFailureStatus = 500;
+
+bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(const FlowParts &parts, Http::Exchange &exchange, CallerRequest given)
+    : parts(parts), state(parts.state), exchange(exchange), request(std::move(given)),
+      events(this->request.lastEvent)
+{
+}
+
+bool RequestFlow::isStream() const
+{
+    return this->route->kind == Catalog::RouteKind::Streaming;
+}
+
+std::string_view RequestFlow::homeKey() const
+{
+    const std::vector<PromptPart> &parts = this->request.prompt.sharedParts;
+    return parts.empty() ? std::string_view() : std::string_view(parts.back().id);
+}
+
+Common::Duration RequestFlow::engineTime() const
+{
+    const double milliseconds
+        = static_cast<double>(this->request.prompt.tokensIn) / kPromptTokensPerMs;
+    return kEngineOverhead + Common::Milliseconds(static_cast<std::int64_t>(milliseconds));
+}
+
+Common::Duration RequestFlow::timeLeft(Common::Time now) const
+{
+    return this->deadline - now;
+}
+
+Http::Awaitable<void> RequestFlow::run()
+{
+    this->exchange.onCallerGone([this] {
+        this->callerGone = true;
+        this->call.cancel();
+        if (this->stageRun)
+            this->stageRun->cancel();
+    });
+    if (!co_await this->admit())
+        co_return;
+    if (!this->route->stages.empty() && !co_await this->runStages())
+        co_return;
+    co_await this->sendUntilAnswered();
+}
+
+std::optional<RefusalReason> RequestFlow::findRouteAndWorkspace()
+{
+    this->catalog = this->state.catalog;
+    if (!this->catalog)
+        return RefusalReason::NotReady;
+    this->route = Catalog::findRoute(*this->catalog, this->request.host, this->request.path);
+    if (!this->route)
+        return RefusalReason::NoSuchRoute;
+    this->workspace = Catalog::findWorkspace(*this->catalog, this->request.key);
+    const bool needsKey = !this->route->isPublic && !this->catalog->workspaces.empty();
+    if (needsKey && !this->workspace)
+        return RefusalReason::UnknownKey;
+    return std::nullopt;
+}
+
+Http::Awaitable<std::optional<Refusal>> RequestFlow::checkRoute()
+{
+    auto reason = this->findRouteAndWorkspace();
+    if (!reason)
+        co_return std::nullopt;
+    if (*reason == RefusalReason::NotReady)
+        co_return Refusal{*reason, true, kRetryAfter};
+    // The operator may have allowed the request a moment ago.
+    if (!co_await this->parts.catalogs.confirm())
+        co_return Refusal{RefusalReason::NotReady, true, kRetryAfter};
+    reason = this->findRouteAndWorkspace();
+    if (!reason)
+        co_return std::nullopt;
+    co_return Refusal{*reason, true, std::nullopt};
+}
+
+Http::Awaitable<bool> RequestFlow::admit()
+{
+    if (const auto refusal = co_await this->checkRoute()) {
+        co_await this->refuse(*refusal, "");
+        co_return false;
+    }
+    if (this->callerGone) {
+        this->noteEnd("caller-gone", "before it was sent");
+        co_return false;
+    }
+    Common::Duration wait = kLongestWait;
+    if (this->route->timeout.count() > 0)
+        wait = this->route->timeout;
+    if (this->request.patience)
+        wait = std::min(wait, *this->request.patience);
+    this->deadline = this->request.receivedAt + wait - kDeadlineMargin;
+    this->priority = this->route->priority;
+    if (this->workspace && this->workspace->priority)
+        this->priority = *this->workspace->priority;
+    this->attempts.repeatable = Catalog::isRepeatable(*this->route);
+    this->attempts.maxAttempts = this->route->maxAttempts;
+    this->attempts.deadline = this->deadline;
+    std::uniform_real_distribution<double> draw(0, 1);
+    this->service = Catalog::chooseService(*this->route, draw(this->state.random));
+    co_return true;
+}
+
+Http::Awaitable<bool> RequestFlow::runStages()
+{
+    const Common::Time now = clockNow();
+    const auto home = this->chooseEndpoint(now);
+    if (!home) {
+        co_await this->refuse({RefusalReason::NoEndpoint, true, kRetryAfter}, this->service);
+        co_return false;
+    }
+    StagePlan plan;
+    plan.requestId = this->request.id;
+    plan.catalog = this->catalog.get();
+    plan.route = this->route;
+    plan.pieceCounts = this->request.pieceCounts;
+    plan.pieceKey = this->request.pieceKey;
+    plan.usedIn = this->state.poolOf(this->service).endpoints[*home].failureDomain;
+    plan.priority = this->priority;
+    plan.endpointTime = this->engineTime();
+    plan.objectiveAt = this->request.receivedAt + this->route->objective;
+    plan.expiresAt = this->deadline - this->engineTime();
+    this->stageRun = std::make_unique<StageRun>(this->state, this->parts.stages, std::move(plan));
+    const auto fault = co_await this->stageRun->run();
+    this->stagedAt = clockNow();
+    if (this->callerGone) {
+        this->noteEnd("caller-gone", "in its stages");
+        co_return false;
+    }
+    if (fault) {
+        co_await this->refuse({RefusalReason::NotRunInTime, true, kRetryAfter},
+                              Common::nameOf(*fault));
+        co_return false;
+    }
+    this->stageResults = this->stageRun->finalResults();
+    co_return true;
+}
+
+std::optional<std::size_t> RequestFlow::chooseEndpoint(Common::Time now)
+{
+    Routing::Pool &pool = this->state.poolOf(this->service);
+    const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
+    if (entry && entry->engine)
+        return Routing::chooseHome(pool, {this->homeKey(), this->tried}, now);
+    Routing::ChoiceRequest choice;
+    choice.failureDomain = this->state.settings.failureDomain;
+    choice.tried = this->tried;
+    return Routing::choose(pool, choice, now, this->state.random);
+}
+
+bool RequestFlow::takeExtraSend(Common::Time now)
+{
+    const bool taken = this->state.budgets[this->service].takeExtra(
+        this->state.settings.bounds.extraSends, this->state.liveInstances(now), now);
+    this->state.metrics.count(
+        labelled(taken ? "extra_sends" : "extra_sends_denied", "service", this->service));
+    return taken;
+}
+
+Http::Awaitable<void> RequestFlow::sendUntilAnswered()
+{
+    this->state.budgets[this->service].noteFirst(clockNow());
+    bool stagedAgain = false;
+    while (true) {
+        Common::Time now = clockNow();
+        const auto chosen = this->chooseEndpoint(now);
+        if (!chosen || this->timeLeft(now) <= Common::Duration(0)) {
+            const bool late = chosen.has_value();
+            Refusal refusal{late ? RefusalReason::NotRunInTime : RefusalReason::NoEndpoint, true,
+                            kRetryAfter};
+            if (this->attempts.mayHaveRun)
+                refusal = {RefusalReason::OutcomeUnknown, false, std::nullopt};
+            co_await this->refuse(refusal, this->service);
+            co_return;
+        }
+        const Routing::Endpoint endpoint = this->state.poolOf(this->service).endpoints[*chosen];
+        this->tried.push_back(endpoint.id);
+        SendResult sent = co_await this->sendTo(endpoint);
+        if (sent.answered)
+            co_return;
+        if (this->callerGone) {
+            this->noteEnd("caller-gone", sent.detail);
+            co_return;
+        }
+        if (sent.inputsGone && !stagedAgain) {
+            stagedAgain = true;
+            this->tried.pop_back();
+            if (!co_await this->runStages())
+                co_return;
+            continue;
+        }
+        now = clockNow();
+        Serving::noteOutcome(this->attempts, sent.outcome);
+        bool another = Serving::mayTryAnother(this->attempts, sent.outcome, now)
+            && this->chooseEndpoint(now).has_value();
+        // A connection that could not be made brought nothing to the service.
+        if (another && sent.outcome != SendOutcome::NotSent)
+            another = this->takeExtraSend(now);
+        const NextStep step = Serving::nextStep(this->attempts, sent.outcome, another);
+        this->state.log.write(LogLine("send-ended")
+                                  .text("request", this->request.id)
+                                  .text("endpoint", endpoint.id.value)
+                                  .text("outcome", Common::nameOf(sent.outcome))
+                                  .text("detail", sent.detail)
+                                  .number("reached", this->attempts.reached)
+                                  .flag("another", another)
+                                  .milliseconds("leftMs", this->timeLeft(now)),
+                              now);
+        if (step == NextStep::TryAnother) {
+            this->call = Http::CallHandle();
+            continue;
+        }
+        co_await this->endWithout(step, std::move(sent));
+        co_return;
+    }
+}
+
+Common::Time RequestFlow::sendDeadline(Common::Time now) const
+{
+    const bool another
+        = this->attempts.repeatable && this->attempts.reached + 1 < this->attempts.maxAttempts;
+    if (!another)
+        return this->deadline;
+    const Common::Duration silence = this->isStream()
+        ? std::max<Common::Duration>(kSilentStream, this->engineTime() * kSilentObjectives)
+        : Common::Duration(this->route->objective * kSilentObjectives);
+    return std::min(this->deadline, now + silence);
+}
+
+Http::CallOptions RequestFlow::callOptions(Common::Time now)
+{
+    Http::CallOptions options;
+    options.deadline = this->sendDeadline(now);
+    options.connectTimeout = kConnectTimeout;
+    // A kept connection may die under a request, which then cannot be sent again.
+    options.freshConnection = !this->attempts.repeatable;
+    options.repeatable = false;
+    options.handle = &this->call;
+    return options;
+}
+
+void RequestFlow::noteAnswerHead(const Routing::Endpoint &endpoint, const EndpointAnswer &answer)
+{
+    Routing::Pool &pool = this->state.poolOf(this->service);
+    const auto found = pool.indexById.find(endpoint.id);
+    if (found != pool.indexById.end() && answer.load)
+        Routing::noteReport(pool.endpoints[found->second], *answer.load);
+    if (answer.otherEndpoint)
+        this->parts.endpoints.avoid(endpoint.id, kAvoidReplaced);
+    else if (answer.isLeaving)
+        this->parts.endpoints.avoid(endpoint.id, kAvoidLeaving);
+}
+
+Http::Awaitable<RequestFlow::SendResult> RequestFlow::sendTo(const Routing::Endpoint &endpoint)
+{
+    const Common::Time begun = clockNow();
+    Routing::Pool &pool = this->state.poolOf(this->service);
+    if (const auto found = pool.indexById.find(endpoint.id); found != pool.indexById.end())
+        Routing::beginCall(pool, found->second);
+    EndpointCall call;
+    call.endpoint = endpoint.id;
+    call.timeLeft = this->timeLeft(begun);
+    if (this->workspace)
+        call.workspace = this->workspace->id.value;
+    call.stageResults = this->stageResults;
+    call.afterEvent = this->events.lastEvent();
+    if (const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
+        entry && entry->engine)
+        call.urgency = std::min(kUrgencyBase + this->priority, kMostUrgency);
+    this->lastEndpoint = endpoint.id.value;
+
+    SendResult result;
+    auto opened = co_await this->state.client.open(
+        endpoint.address, this->state.dialect.writeCall(this->request, call),
+        this->callOptions(begun));
+    Routing::CallReport report;
+    report.endpoint = endpoint.id;
+    if (!opened) {
+        const Http::CallError &error = opened.error();
+        result.outcome = error.written ? SendOutcome::Unknown : SendOutcome::NotSent;
+        result.detail = std::string(Common::nameOf(error.failure)) + ": " + error.message;
+        report.end = error.failure == Http::CallFailure::ConnectFailed
+            ? Routing::CallEnd::Unreachable
+            : Routing::CallEnd::Failed;
+    } else {
+        const unsigned status = opened->status();
+        const EndpointAnswer answer = this->state.dialect.readAnswer(status, opened->headers());
+        this->noteAnswerHead(endpoint, answer);
+        const bool matches = answer.requestId == this->request.id;
+        const bool unnamed = answer.requestId.empty() && !opened->reusedConnection();
+        if (answer.saysNotRun || answer.otherEndpoint) {
+            result = co_await this->takeNotRun(*opened, status, matches || unnamed);
+        } else if (!matches) {
+            opened->close();
+            result.detail = "the answer names another request";
+        } else if (isSuccess(status) && (!answer.isSigned || answer.isEncoded)) {
+            opened->close();
+            result.detail = "the answer is not the endpoint's own";
+        } else if (isSuccess(status) && this->isStream()) {
+            result = co_await this->relayEvents(*opened);
+        } else {
+            result = co_await this->relayWhole(*opened, answer);
+        }
+        const bool good = result.answered && isSuccess(status);
+        report.end = good ? Routing::CallEnd::Succeeded : Routing::CallEnd::Failed;
+    }
+    const Common::Time now = clockNow();
+    report.duration = now - begun;
+    if (this->isStream() && this->events.eventCount() > 0)
+        report.pace = report.duration / static_cast<std::int64_t>(this->events.eventCount());
+    else if (!this->isStream())
+        report.pace = report.duration;
+    if (this->callerGone)
+        report.end = Routing::CallEnd::Cancelled;
+    Routing::endCall(this->state.poolOf(this->service), report, now);
+    co_return result;
+}
+
+Http::Awaitable<std::optional<std::string>> RequestFlow::readBody(Http::ResponseStream &stream)
+{
+    std::string body;
+    while (true) {
+        const auto bytes = co_await stream.read(this->deadline);
+        if (!bytes)
+            co_return std::nullopt;
+        if (bytes->empty())
+            co_return body;
+        body.append(*bytes);
+    }
+}
+
+Http::Awaitable<RequestFlow::SendResult> RequestFlow::takeNotRun(Http::ResponseStream &stream,
+                                                                 unsigned status, bool matches)
+{
+    constexpr unsigned kConflict = 409;
+    SendResult result;
+    const auto body = co_await this->readBody(stream);
+    const bool certain = body.has_value() && matches;
+    result.outcome = certain ? SendOutcome::NotRun : SendOutcome::Unknown;
+    result.inputsGone = certain && status == kConflict;
+    result.detail = "not run, status " + std::to_string(status);
+    co_return result;
+}
+
+Http::Awaitable<RequestFlow::SendResult> RequestFlow::relayWhole(Http::ResponseStream &stream,
+                                                                 const EndpointAnswer &answer)
+{
+    SendResult result;
+    Http::Response response;
+    response.status = answer.status;
+    response.headers = this->state.dialect.relayedHeaders(stream.headers());
+    auto body = co_await this->readBody(stream);
+    if (!body) {
+        result.detail = "the answer is not whole";
+        co_return result;
+    }
+    response.body = std::move(*body);
+    if (answer.status >= kFirstFailureStatus) {
+        result.outcome = SendOutcome::EndpointFailed;
+        result.detail = "status " + std::to_string(answer.status);
+        result.failure = std::move(response);
+        co_return result;
+    }
+    result.answered = true;
+    const bool delivered = co_await this->exchange.respond(std::move(response));
+    this->noteEnd(delivered ? "answered" : "caller-gone",
+                  "status " + std::to_string(answer.status));
+    co_return result;
+}
+
+Http::Awaitable<bool> RequestFlow::relayReadyEvents(const Http::Headers &headers, unsigned status)
+{
+    const std::string ready = this->events.takeReady();
+    if (ready.empty())
+        co_return true;
+    if (!this->firstEventAt) {
+        this->firstEventAt = clockNow();
+        // The engine has read its inputs.
+        if (this->stageRun)
+            this->stageRun->releaseAll();
+    }
+    if (!this->exchange.started()) {
+        Http::Response head;
+        head.status = status;
+        head.headers = this->state.dialect.relayedHeaders(headers);
+        if (!co_await this->exchange.beginStream(std::move(head)))
+            co_return false;
+    }
+    co_return co_await this->exchange.writeChunk(ready);
+}
+
+Http::Awaitable<RequestFlow::SendResult> RequestFlow::relayEvents(Http::ResponseStream &stream)
+{
+    SendResult result;
+    const Http::Headers headers = stream.headers();
+    const unsigned status = stream.status();
+    while (true) {
+        const auto bytes = co_await stream.read(this->sendDeadline(clockNow()));
+        if (!bytes) {
+            result.detail = "stream cut: " + bytes.error().message;
+            break;
+        }
+        if (bytes->empty() && this->events.hasTornEvent()) {
+            result.detail = "stream ended within an event";
+            break;
+        }
+        if (bytes->empty()) {
+            result.answered = true;
+            if (!this->exchange.started()) {
+                // A stream without events is whole as it is.
+                Http::Response empty{status, this->state.dialect.relayedHeaders(headers), ""};
+                co_await this->exchange.respond(std::move(empty));
+            } else {
+                co_await this->exchange.endStream();
+            }
+            this->noteEnd(this->callerGone ? "caller-gone" : "answered", "stream");
+            co_return result;
+        }
+        if (this->events.feed(*bytes) != Serving::SequenceFault::None) {
+            result.detail = "stream out of order";
+            break;
+        }
+        if (!co_await this->relayReadyEvents(headers, status)) {
+            this->callerGone = true;
+            break;
+        }
+    }
+    stream.close();
+    this->events.dropTornEvent();
+    co_return result;
+}
+
+Http::Awaitable<void> RequestFlow::endWithout(NextStep step, SendResult last)
+{
+    if (this->exchange.started()) {
+        // The connection closes without the stream's end, so that it does not look whole.
+        this->noteEnd("cut", last.detail);
+        co_return;
+    }
+    if (step == NextStep::RelayFailure && last.failure) {
+        const unsigned status = last.failure->status;
+        co_await this->exchange.respond(std::move(*last.failure));
+        this->noteEnd("endpoint-failed", "status " + std::to_string(status));
+        co_return;
+    }
+    if (step == NextStep::Refuse) {
+        const auto reason
+            = this->attempts.reached > 0 ? RefusalReason::Overloaded : RefusalReason::NoEndpoint;
+        co_await this->refuse({reason, true, kRetryAfter}, last.detail);
+        co_return;
+    }
+    const bool late = this->timeLeft(clockNow()) <= Common::Duration(0);
+    co_await this->refuse(
+        {late ? RefusalReason::DeadlinePassed : RefusalReason::OutcomeUnknown, false, std::nullopt},
+        last.detail);
+}
+
+Http::Awaitable<void> RequestFlow::refuse(Refusal refusal, std::string_view detail)
+{
+    this->noteEnd(Common::nameOf(refusal.reason), detail);
+    if (!this->callerGone)
+        co_await this->exchange.respond(
+            this->state.dialect.writeRefusal(refusal, this->request.id));
+}
+
+void RequestFlow::noteEnd(std::string_view outcome, std::string_view detail)
+{
+    const Common::Time now = clockNow();
+    const Common::Duration took = now - this->request.receivedAt;
+    LogLine line("request-ended");
+    line.text("request", this->request.id).text("outcome", outcome).text("detail", detail);
+    if (this->catalog)
+        line.number("catalog", static_cast<std::int64_t>(this->catalog->version));
+    if (this->route) {
+        line.text("route", this->route->name).text("service", this->service);
+        line.milliseconds("objectiveMs", this->route->objective);
+    }
+    if (!this->lastEndpoint.empty())
+        line.text("endpoint", this->lastEndpoint).number("reached", this->attempts.reached);
+    if (this->stagedAt)
+        line.milliseconds("stagedMs", *this->stagedAt - this->request.receivedAt);
+    if (this->firstEventAt) {
+        line.milliseconds("firstEventMs", *this->firstEventAt - this->request.receivedAt);
+        line.number("events", static_cast<std::int64_t>(this->events.eventCount()));
+    }
+    line.milliseconds("tookMs", took);
+    this->state.log.write(line, now);
+    this->state.metrics.count(labelled("requests", "outcome", outcome));
+    if (this->route)
+        this->state.metrics.time(labelled("request", "route", this->route->name), took);
+}
+
+} // namespace Tanagerbay::Entry
--- /dev/null
+++ b/Source/Core/Entry/Settings.cpp
@@ -0,0 +1,110 @@
+#include "Entry/Settings.h"
+
+#include <cmath>
+
+namespace Tanagerbay::Entry {
+
+namespace {
+
+using Common::Milliseconds;
+using Common::ObjectReader;
+
+constexpr std::int64_t kDayMs = 24 * 3600 * 1000;
+constexpr std::int64_t kMostPort = 65535;
+
+Common::Address readAddress(ObjectReader &reader, std::string_view key, bool required)
+{
+    Common::Address address;
+    const std::string text = required ? reader.text(key) : reader.text(key, "");
+    if (!text.empty() && !Common::parseAddress(text, address))
+        reader.fault(key, "must be ip:port with a port above zero, is " + text);
+    return address;
+}
+
+// The platform gives times as whole numbers or fractions, in seconds or milliseconds.
+Milliseconds readTime(ObjectReader &reader, std::string_view key, Milliseconds unit,
+                      Milliseconds fallback)
+{
+    const double perUnit = static_cast<double>(unit.count());
+    const double value = reader.number(key, 0, static_cast<double>(kDayMs) / perUnit,
+                                       static_cast<double>(fallback.count()) / perUnit);
+    return Milliseconds(std::llround(value * perUnit));
+}
+
+Bounds readBounds(const boost::json::value &value, std::string path, Common::JsonFaults &faults)
+{
+    constexpr double kMostRatio = 100;
+    constexpr double kMostSlack = 1e9;
+    Bounds bounds;
+    ObjectReader reader(value, std::move(path), faults);
+    constexpr Milliseconds kMillisecond{1};
+    constexpr Milliseconds kSecond{1000};
+    bounds.grace = readTime(reader, "graceSeconds", kSecond, bounds.grace);
+    bounds.catalogDelay = readTime(reader, "catalogDelayMs", kMillisecond, bounds.catalogDelay);
+    bounds.mostDirectoryTtl
+        = readTime(reader, "mostDirectoryTtlSeconds", kSecond, bounds.mostDirectoryTtl);
+    bounds.extraSends.ratio = reader.number("extraSendRatio", 0, kMostRatio, 0.0);
+    bounds.extraSends.slack = reader.number("extraSendSlack", 0, kMostSlack, 0.0);
+    bounds.extraSends.window
+        = readTime(reader, "extraSendWindowSeconds", kSecond, Milliseconds(10'000));
+    reader.finish();
+    return bounds;
+}
+
+void readListen(const boost::json::value &value, std::string path, Settings &settings,
+                Common::JsonFaults &faults)
+{
+    ObjectReader reader(value, std::move(path), faults);
+    settings.callers = readAddress(reader, "callers", true);
+    settings.readiness = readAddress(reader, "readiness", true);
+    settings.directory = readAddress(reader, "directory", true);
+    settings.control = readAddress(reader, "control", false);
+    reader.finish();
+}
+
+void readPeers(const boost::json::value &value, std::string path, Settings &settings,
+               Common::JsonFaults &faults)
+{
+    ObjectReader reader(value, std::move(path), faults);
+    settings.peers.ip = settings.callers.ip;
+    settings.peers.port = static_cast<std::uint16_t>(reader.integer("port", 1, kMostPort));
+    settings.metrics.ip = settings.callers.ip;
+    settings.metrics.port
+        = static_cast<std::uint16_t>(reader.integer("metricsPort", 0, kMostPort, 0));
+    for (const std::string &seed : reader.textArray("seeds", false)) {
+        Common::Address address;
+        if (!Common::parseAddress(seed, address))
+            reader.fault("seeds", "must be ip:port with a port above zero, is " + seed);
+        else
+            settings.seeds.push_back(address.ip);
+    }
+    reader.finish();
+}
+
+} // namespace
+
+Settings parseSettings(const boost::json::value &document, Common::JsonFaults &faults)
+{
+    Settings settings;
+    ObjectReader reader(document, "", faults);
+    reader.text("dialect");
+    settings.instance = Common::InstanceId(reader.text("instance"));
+    settings.failureDomain = Common::FailureDomain(reader.text("failureDomain"));
+    settings.store = readAddress(reader, "store", true);
+    settings.mostConnections
+        = static_cast<std::size_t>(reader.integer("mostConnections", 1, 1'000'000, 3000));
+    static const boost::json::value kEmpty = boost::json::object();
+    const auto section = [&reader](std::string_view key) -> const boost::json::value & {
+        const boost::json::value *member = reader.member(key);
+        if (!member)
+            reader.fault(key, "is missing");
+        return member ? *member : kEmpty;
+    };
+    readListen(section("listen"), reader.pathOf("listen"), settings, faults);
+    readPeers(section("peers"), reader.pathOf("peers"), settings, faults);
+    settings.bounds = readBounds(section("bounds"), reader.pathOf("bounds"), faults);
+    reader.finish();
+    return settings;
+}
+
+} // namespace Tanagerbay::Entry
--- /dev/null
+++ b/Source/Core/Entry/StageClient.cpp
@@ -0,0 +1,399 @@
+#include "Entry/StageClient.h"
+
+#include "Common/Hash.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Tanagerbay::Entry {
+
+namespace json = boost::json;
+
+namespace {
+
+// While pieces are handed in, their owner is asked for a sign of life this often, and counts as
+// lost when it gives none for `kOwnerTimeout`. Frozen and cut-off machines are found by this; a
+// machine that runs six times slower still answers in time.
+constexpr Common::Milliseconds kPingInterval{200};
+constexpr Common::Milliseconds kOwnerTimeout{600};
+// An owner that was lost is left out for this long, the time that heartbeats need to settle it.
+constexpr Common::Milliseconds kAvoidOwner{2000};
+// Without pieces handed in, the watch sleeps.
+constexpr Common::Milliseconds kIdleWatch{60'000};
+
+std::int64_t millisecondsFrom(Common::Time now, Common::Time at)
+{
+    return Common::toMilliseconds(at - now);
+}
+
+json::object pieceToJson(const Staging::PieceRequest &piece, std::size_t index, Common::Time now)
+{
+    json::object object;
+    object["index"] = index;
+    object["id"] = piece.requestId;
+    object["stage"] = piece.stage;
+    object["piece"] = piece.piece;
+    if (piece.inputs)
+        object["inputs"] = json::array(piece.inputs->begin(), piece.inputs->end());
+    else
+        object["key"] = piece.key;
+    if (!piece.usedIn.empty())
+        object["usedIn"] = piece.usedIn.value;
+    object["bytes"] = piece.resultBytes;
+    object["priority"] = piece.priority;
+    object["startByMs"] = millisecondsFrom(now, piece.startBy);
+    object["expiresMs"] = millisecondsFrom(now, piece.expiresAt);
+    return object;
+}
+
+std::int64_t signedOf(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    return value && value->is_int64() ? value->get_int64() : 0;
+}
+
+Staging::PieceRequest pieceFromJson(const json::object &object, Common::Time now)
+{
+    Staging::PieceRequest piece;
+    piece.requestId = textOf(object, "id");
+    piece.stage = static_cast<std::uint32_t>(numberOf(object, "stage"));
+    piece.piece = static_cast<std::uint32_t>(numberOf(object, "piece"));
+    piece.key = textOf(object, "key");
+    if (const json::array *inputs = arrayOf(object, "inputs")) {
+        piece.inputs.emplace();
+        for (const json::value &input : *inputs)
+            piece.inputs->push_back(input.is_string() ? std::string(input.get_string()) : "");
+    }
+    piece.usedIn = Common::FailureDomain(textOf(object, "usedIn"));
+    piece.resultBytes = numberOf(object, "bytes");
+    piece.priority = static_cast<int>(signedOf(object, "priority"));
+    piece.startBy = now + Common::Milliseconds(signedOf(object, "startByMs"));
+    piece.expiresAt = now + Common::Milliseconds(signedOf(object, "expiresMs"));
+    return piece;
+}
+
+} // namespace
+
+StageClient::StageClient(State &state, PeerMesh &mesh, StageOwner &owner)
+    : state(state), mesh(mesh), owner(owner),
+      watch(std::make_unique<boost::asio::steady_timer>(state.context))
+{
+}
+
+void StageClient::start()
+{
+    this->mesh.on("submit", [this](const PeerLinkPtr &link, const json::object &message) {
+        this->onSubmit(link, message);
+    });
+    this->mesh.on("settled", [this](const PeerLinkPtr &, const json::object &message) {
+        this->onSettled(message);
+    });
+    this->mesh.on("withdraw", [this](const PeerLinkPtr &, const json::object &message) {
+        this->onWithdraw(message);
+    });
+    this->mesh.on("release", [this](const PeerLinkPtr &, const json::object &message) {
+        this->onRelease(message);
+    });
+    boost::asio::co_spawn(this->state.context, this->watchOwners(), boost::asio::detached);
+}
+
+Common::InstanceId StageClient::ownerOf(const std::string &service, Common::Time now) const
+{
+    std::vector<std::string> candidates;
+    for (const auto &[id, member] : this->state.members.byId) {
+        const auto avoidedUntil = this->avoided.find(id);
+        const bool avoid = avoidedUntil != this->avoided.end() && now < avoidedUntil->second;
+        const bool heard = member.heardAt.has_value()
+            && !Membership::isSuspect(this->state.members, member, now);
+        const bool leaving = member.report.state == Membership::MemberState::Leaving;
+        // An instance without a catalog cannot know the service.
+        if (heard && !leaving && !avoid && member.report.catalogVersion > 0)
+            candidates.push_back(id.value);
+    }
+    if (candidates.empty())
+        return this->state.settings.instance;
+    return Common::InstanceId(candidates[Common::rendezvousChoice(service, candidates)]);
+}
+
+WorkNumber StageClient::submit(StageWork work, StageAction action)
+{
+    const WorkNumber number = ++this->lastNumber;
+    Work &entry = this->open[number];
+    entry.work = std::move(work);
+    entry.action = std::move(action);
+    entry.results.resize(entry.work.pieces.size());
+    entry.open = entry.work.pieces.size();
+    this->handIn(number, entry);
+    return number;
+}
+
+void StageClient::handIn(WorkNumber number, Work &work)
+{
+    const Common::Time now = clockNow();
+    const Common::InstanceId owner = this->ownerOf(work.work.service, now);
+    work.handedToId = owner;
+    work.handedAt = now;
+    work.handedTo.reset();
+    if (owner == this->state.settings.instance) {
+        this->handInHere(number, work);
+        return;
+    }
+    work.handedTo = this->state.members.byId.at(owner).report.peerAddress;
+    this->handInAt(number, work, *work.handedTo);
+    this->watch->cancel();
+}
+
+void StageClient::handInHere(WorkNumber number, Work &work)
+{
+    const std::string service = work.work.service;
+    for (std::size_t i = 0; i < work.work.pieces.size(); ++i) {
+        if (work.results[i])
+            continue;
+        const auto ticket = this->owner.submit(
+            service, work.work.pieces[i], [this, number, i](const Staging::SettledPiece &piece) {
+                this->takePiece(number, i, piece);
+            });
+        if (ticket) {
+            work.ownTickets.push_back(*ticket);
+            continue;
+        }
+        // The catalog has no such stage service; the route that names it is about to change.
+        boost::asio::post(this->state.context,
+                          [this, number] { this->finish(number, Staging::PieceEnd::Failed); });
+        return;
+    }
+    this->owner.pump(service);
+}
+
+void StageClient::handInAt(WorkNumber number, Work &work, const Common::Address &owner)
+{
+    const Common::Time now = clockNow();
+    json::array pieces;
+    for (std::size_t i = 0; i < work.work.pieces.size(); ++i) {
+        if (!work.results[i])
+            pieces.push_back(pieceToJson(work.work.pieces[i], i, now));
+    }
+    json::object message;
+    message["type"] = "submit";
+    message["from"] = this->state.settings.instance.value;
+    message["work"] = number;
+    message["service"] = work.work.service;
+    message["pieces"] = std::move(pieces);
+    this->mesh.send(owner, message);
+}
+
+void StageClient::onSubmit(const PeerLinkPtr &link, const json::object &message)
+{
+    const std::string service = textOf(message, "service");
+    const std::uint64_t work = numberOf(message, "work");
+    const std::string name = textOf(message, "from") + "/" + std::to_string(work);
+    const json::array *pieces = arrayOf(message, "pieces");
+    if (!pieces)
+        return;
+    const Common::Time now = clockNow();
+    for (const json::value &value : *pieces) {
+        if (!value.is_object())
+            continue;
+        const std::uint64_t index = numberOf(value.get_object(), "index");
+        const auto settle = [this, link, work, index, name](const Staging::SettledPiece &piece) {
+            json::object answer;
+            answer["type"] = "settled";
+            answer["work"] = work;
+            answer["index"] = index;
+            answer["end"] = Common::nameOf(piece.end);
+            answer["handle"] = piece.handle;
+            answer["maker"] = piece.maker.value;
+            this->mesh.reply(link, answer);
+            const auto known = this->foreign.find(name);
+            if (known == this->foreign.end())
+                return;
+            known->second.erase(index);
+            if (known->second.empty())
+                this->foreign.erase(known);
+        };
+        const auto ticket
+            = this->owner.submit(service, pieceFromJson(value.get_object(), now), settle);
+        if (ticket) {
+            this->foreign[name][index] = {service, *ticket};
+            continue;
+        }
+        settle({0, Staging::PieceEnd::Failed, {}, {}});
+    }
+    this->owner.pump(service);
+}
+
+void StageClient::onSettled(const json::object &message)
+{
+    Staging::SettledPiece piece;
+    piece.end = Common::valueNamed<Staging::PieceEnd>(textOf(message, "end"))
+                    .value_or(Staging::PieceEnd::Failed);
+    piece.handle = textOf(message, "handle");
+    piece.maker = Common::EndpointId(textOf(message, "maker"));
+    this->takePiece(numberOf(message, "work"), numberOf(message, "index"), piece);
+}
+
+void StageClient::takePiece(WorkNumber number, std::size_t index,
+                            const Staging::SettledPiece &piece)
+{
+    const auto found = this->open.find(number);
+    // Late results of work that was handed in twice or given up stay until their lifetime ends.
+    if (found == this->open.end() || index >= found->second.results.size()
+        || found->second.results[index])
+        return;
+    Work &work = found->second;
+    if (piece.end != Staging::PieceEnd::Made) {
+        this->finish(number, piece.end);
+        return;
+    }
+    work.results[index] = piece;
+    if (--work.open == 0)
+        this->finish(number, std::nullopt);
+}
+
+void StageClient::finish(WorkNumber number, std::optional<Staging::PieceEnd> fault)
+{
+    const auto found = this->open.find(number);
+    if (found == this->open.end())
+        return;
+    const StageAction action = std::move(found->second.action);
+    StageOutcome outcome;
+    outcome.fault = fault;
+    for (auto &result : found->second.results) {
+        if (result)
+            outcome.results.push_back(std::move(*result));
+    }
+    if (fault) {
+        this->release(found->second.work.service, outcome.results);
+        outcome.results.clear();
+        for (auto &result : found->second.results)
+            result.reset();
+        this->cancel(number);
+    }
+    this->open.erase(number);
+    // Later, since whoever submits the work has not its number yet.
+    boost::asio::post(this->state.context, [action, outcome] { action(outcome); });
+}
+
+void StageClient::cancel(WorkNumber number)
+{
+    const auto found = this->open.find(number);
+    if (found == this->open.end())
+        return;
+    Work &work = found->second;
+    for (const Staging::PieceTicket ticket : work.ownTickets)
+        this->owner.withdraw(work.work.service, ticket);
+    if (work.handedTo) {
+        this->mesh.send(*work.handedTo,
+                        {{"type", "withdraw"},
+                         {"from", this->state.settings.instance.value},
+                         {"work", number}});
+    }
+    std::vector<Staging::SettledPiece> made;
+    for (const auto &result : work.results) {
+        if (result)
+            made.push_back(*result);
+    }
+    this->release(work.work.service, made);
+    this->open.erase(found);
+}
+
+void StageClient::onWithdraw(const json::object &message)
+{
+    const std::string name
+        = textOf(message, "from") + "/" + std::to_string(numberOf(message, "work"));
+    const auto found = this->foreign.find(name);
+    if (found == this->foreign.end())
+        return;
+    for (const auto &[index, piece] : found->second)
+        this->owner.withdraw(piece.first, piece.second);
+    this->foreign.erase(found);
+}
+
+void StageClient::release(const std::string &service,
+                          const std::vector<Staging::SettledPiece> &results)
+{
+    if (results.empty())
+        return;
+    const Common::InstanceId owner = this->ownerOf(service, clockNow());
+    if (owner == this->state.settings.instance) {
+        for (const Staging::SettledPiece &piece : results)
+            this->owner.release(service, piece.maker, piece.handle);
+        return;
+    }
+    json::array released;
+    for (const Staging::SettledPiece &piece : results)
+        released.push_back({{"maker", piece.maker.value}, {"handle", piece.handle}});
+    json::object message;
+    message["type"] = "release";
+    message["service"] = service;
+    message["results"] = std::move(released);
+    this->mesh.send(this->state.members.byId.at(owner).report.peerAddress, message);
+}
+
+void StageClient::onRelease(const json::object &message)
+{
+    const json::array *results = arrayOf(message, "results");
+    if (!results)
+        return;
+    const std::string service = textOf(message, "service");
+    for (const json::value &value : *results) {
+        if (!value.is_object())
+            continue;
+        this->owner.release(service, Common::EndpointId(textOf(value.get_object(), "maker")),
+                            textOf(value.get_object(), "handle"));
+    }
+}
+
+void StageClient::suspect(const Common::InstanceId &id, const Common::Address &address)
+{
+    const Common::Time now = clockNow();
+    this->avoided[id] = now + kAvoidOwner;
+    this->mesh.drop(address);
+    std::vector<WorkNumber> numbers;
+    for (const auto &[number, work] : this->open) {
+        if (work.handedTo && work.handedToId == id)
+            numbers.push_back(number);
+    }
+    this->state.logState(LogLine("stage-owner-lost")
+                             .text("instance", id.value)
+                             .number("works", static_cast<std::int64_t>(numbers.size())));
+    for (const WorkNumber number : numbers)
+        this->handIn(number, this->open.at(number));
+}
+
+Http::Awaitable<void> StageClient::watchOwners()
+{
+    while (true) {
+        std::map<Common::InstanceId, std::pair<Common::Address, Common::Time>> owners;
+        for (const auto &[number, work] : this->open) {
+            if (!work.handedTo)
+                continue;
+            const auto [entry, added]
+                = owners.emplace(work.handedToId, std::pair(*work.handedTo, work.handedAt));
+            if (!added)
+                entry->second.second = std::min(entry->second.second, work.handedAt);
+        }
+        const Common::Time now = clockNow();
+        for (const auto &[id, owner] : owners) {
+            const auto &[address, handedAt] = owner;
+            const auto heardAt = this->mesh.heardAt(address);
+            const Common::Time last = std::max(heardAt.value_or(handedAt), handedAt);
+            if (now - last > kOwnerTimeout)
+                this->suspect(id, address);
+            else
+                this->mesh.send(address, {{"type", "ping"}});
+        }
+        this->watch->expires_after(owners.empty() ? kIdleWatch : kPingInterval);
+        boost::system::error_code ignored;
+        co_await this->watch->async_wait(
+            boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        // Woken by new work: the first sign of life is asked for a little later.
+        if (ignored)
+            co_await this->state.sleepFor(kPingInterval);
+    }
+}
+
+} // namespace Tanagerbay::Entry
--- /dev/null
+++ b/Source/Core/Entry/StageClient.h
@@ -0,0 +1,80 @@
+// Hands the pieces of a request's stage to the instance that owns the service's queue, and hands
+// them in again where that instance is lost.
+#pragma once
+
+#include "Entry/PeerMesh.h"
+#include "Entry/StageOwner.h"
+
+namespace Tanagerbay::Entry {
+
+// One stage of one request.
+struct StageWork
+{
+    std::string service;
+    std::vector<Staging::PieceRequest> pieces;
+};
+
+struct StageOutcome
+{
+    // One entry a piece. Each is made unless `fault` is set.
+    std::vector<Staging::SettledPiece> results;
+    std::optional<Staging::PieceEnd> fault;
+};
+
+using WorkNumber = std::uint64_t;
+using StageAction = std::function<void(const StageOutcome &)>;
+
+class StageClient
+{
+public:
+    StageClient(State &state, PeerMesh &mesh, StageOwner &owner);
+
+    void start();
+    // Runs `action` once, when all pieces are made or one cannot be.
+    WorkNumber submit(StageWork work, StageAction action);
+    // Nobody waits for the work any more. Results that are made already are released.
+    void cancel(WorkNumber work);
+    void release(const std::string &service, const std::vector<Staging::SettledPiece> &results);
+
+private:
+    struct Work
+    {
+        StageWork work;
+        StageAction action;
+        std::vector<std::optional<Staging::SettledPiece>> results;
+        std::size_t open = 0;
+        // The instance that the pieces were handed to; unset for this one.
+        std::optional<Common::Address> handedTo;
+        Common::InstanceId handedToId;
+        Common::Time handedAt;
+        std::vector<Staging::PieceTicket> ownTickets;
+    };
+
+    Common::InstanceId ownerOf(const std::string &service, Common::Time now) const;
+    void handIn(WorkNumber number, Work &work);
+    void handInHere(WorkNumber number, Work &work);
+    void handInAt(WorkNumber number, Work &work, const Common::Address &owner);
+    void takePiece(WorkNumber number, std::size_t index, const Staging::SettledPiece &piece);
+    void finish(WorkNumber number, std::optional<Staging::PieceEnd> fault);
+    void onSubmit(const PeerLinkPtr &link, const boost::json::object &message);
+    void onSettled(const boost::json::object &message);
+    void onWithdraw(const boost::json::object &message);
+    void onRelease(const boost::json::object &message);
+    Http::Awaitable<void> watchOwners();
+    void suspect(const Common::InstanceId &id, const Common::Address &address);
+
+    State &state;
+    PeerMesh &mesh;
+    StageOwner &owner;
+    std::map<WorkNumber, Work> open;
+    WorkNumber lastNumber = 0;
+    // Instances that did not answer, and until when they are left out as owners.
+    std::map<Common::InstanceId, Common::Time> avoided;
+    // Services and tickets of pieces that other instances handed in, by their name for the work
+    // and the piece's index.
+    std::map<std::string, std::map<std::uint64_t, std::pair<std::string, Staging::PieceTicket>>>
+        foreign;
+    std::unique_ptr<boost::asio::steady_timer> watch;
+};
+
+} // namespace Tanagerbay::Entry
--- /dev/null
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -0,0 +1,232 @@
+#include "Entry/StageOwner.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Tanagerbay::Entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Results that are not needed any more are gathered for this long before their endpoint is told,
+// a fraction of a call's 200 ms.
+constexpr Common::Milliseconds kFreeDelay{50};
+constexpr Common::Milliseconds kFreeTimeout{500};
+// A few round trips between failure domains; a dark endpoint holds pieces up for this long.
+constexpr Common::Milliseconds kConnectTimeout{250};
+// Queue timers are not set closer than this.
+constexpr Common::Milliseconds kLeastWake{5};
+
+} // namespace
+
+StageOwner::StageOwner(State &state) : state(state)
+{
+}
+
+StageOwner::Queue *StageOwner::find(const std::string &service)
+{
+    const auto found = this->queues.find(service);
+    if (found != this->queues.end())
+        return &found->second;
+    const Catalog::Service *entry
+        = this->state.catalog ? Catalog::findService(*this->state.catalog, service) : nullptr;
+    if (!entry || !entry->batching)
+        return nullptr;
+    Queue &queue = this->queues[service];
+    queue.queue.service = service;
+    queue.queue.batching = *entry->batching;
+    queue.wake = std::make_unique<asio::steady_timer>(this->state.context);
+    queue.freeTimer = std::make_unique<asio::steady_timer>(this->state.context);
+    Staging::applyEndpoints(queue.queue, this->state.poolOf(service).endpoints, clockNow());
+    return &queue;
+}
+
+void StageOwner::refresh()
+{
+    for (auto &[service, queue] : this->queues) {
+        const Catalog::Service *entry
+            = this->state.catalog ? Catalog::findService(*this->state.catalog, service) : nullptr;
+        if (entry && entry->batching)
+            queue.queue.batching = *entry->batching;
+        Staging::applyEndpoints(queue.queue, this->state.poolOf(service).endpoints, clockNow());
+        this->pump(service);
+    }
+}
+
+std::optional<Staging::PieceTicket>
+StageOwner::submit(const std::string &service, Staging::PieceRequest request, PieceAction action)
+{
+    Queue *queue = this->find(service);
+    if (!queue)
+        return std::nullopt;
+    const Staging::PieceTicket ticket
+        = Staging::submit(queue->queue, std::move(request), clockNow());
+    queue->actions.emplace(ticket, std::move(action));
+    return ticket;
+}
+
+void StageOwner::pump(const std::string &service)
+{
+    Queue *queue = this->find(service);
+    if (!queue)
+        return;
+    std::vector<Staging::SettledPiece> settled;
+    const Common::Time now = clockNow();
+    Staging::requeueOverdue(queue->queue, now);
+    for (Staging::PlannedCall &call : Staging::planCalls(queue->queue, now, settled)) {
+        asio::co_spawn(this->state.context, this->runCall(service, std::move(call)),
+                       asio::detached);
+    }
+    this->settle(*queue, settled);
+    this->armWake(service, *queue);
+}
+
+void StageOwner::armWake(const std::string &service, Queue &queue)
+{
+    const Common::Time now = clockNow();
+    auto wake = Staging::nextWake(queue.queue, now);
+    if (!wake) {
+        queue.wake->cancel();
+        queue.wakeAt.reset();
+        return;
+    }
+    const Common::Time at = std::max(*wake, now + kLeastWake);
+    // A timer that fires a little early is armed again; that is cheaper than moving it each time.
+    if (queue.wakeAt && *queue.wakeAt <= at && *queue.wakeAt > now)
+        return;
+    queue.wakeAt = at;
+    queue.wake->expires_at(at);
+    queue.wake->async_wait([this, service](const boost::system::error_code &error) {
+        if (error)
+            return;
+        this->queues[service].wakeAt.reset();
+        this->pump(service);
+    });
+}
+
+void StageOwner::withdraw(const std::string &service, Staging::PieceTicket ticket)
+{
+    Queue *queue = this->find(service);
+    if (!queue)
+        return;
+    Staging::withdraw(queue->queue, ticket);
+    queue->actions.erase(ticket);
+}
+
+void StageOwner::release(const std::string &service, const Common::EndpointId &maker,
+                         const std::string &handle)
+{
+    Queue *queue = this->find(service);
+    if (!queue)
+        return;
+    Staging::release(queue->queue, maker, handle);
+    this->armFreeTimer(service, *queue);
+}
+
+void StageOwner::armFreeTimer(const std::string &service, Queue &queue)
+{
+    if (queue.freeTimerRuns)
+        return;
+    queue.freeTimerRuns = true;
+    queue.freeTimer->expires_after(kFreeDelay);
+    queue.freeTimer->async_wait([this, service](const boost::system::error_code &error) {
+        if (error)
+            return;
+        Queue &late = this->queues[service];
+        late.freeTimerRuns = false;
+        this->sendFreeOrders(late);
+        this->pump(service);
+    });
+}
+
+void StageOwner::sendFreeOrders(Queue &queue)
+{
+    for (Staging::FreeOrder &order : Staging::takeFreeOrders(queue.queue)) {
+        asio::co_spawn(this->state.context, this->runFreeOrder(std::move(order)), asio::detached);
+    }
+}
+
+Http::Awaitable<void> StageOwner::runFreeOrder(Staging::FreeOrder order)
+{
+    Http::CallOptions options;
+    options.deadline = clockNow() + kFreeTimeout;
+    options.connectTimeout = kConnectTimeout;
+    const auto answer = co_await this->state.client.call(
+        order.address, this->state.dialect.writeFreeOrder(order.handles), options);
+    // The endpoint drops the results by itself after their lifetime.
+    if (!answer || answer->status != 200)
+        this->state.metrics.count("stage_frees_failed");
+}
+
+std::size_t StageOwner::openPieces() const
+{
+    std::size_t open = 0;
+    for (const auto &[service, queue] : this->queues)
+        open += queue.queue.pieces.size();
+    return open;
+}
+
+void StageOwner::settle(Queue &queue, const std::vector<Staging::SettledPiece> &settled)
+{
+    for (const Staging::SettledPiece &piece : settled) {
+        const auto found = queue.actions.find(piece.ticket);
+        if (found == queue.actions.end())
+            continue;
+        const PieceAction action = std::move(found->second);
+        queue.actions.erase(found);
+        action(piece);
+    }
+}
+
+Http::Awaitable<void> StageOwner::runCall(std::string service, Staging::PlannedCall call)
+{
+    const Common::Time sentAt = clockNow();
+    const std::string endpoint = call.endpoint.id.value;
+    Http::CallOptions options;
+    options.deadline = call.deadline;
+    options.connectTimeout = kConnectTimeout;
+    options.repeatable = false;
+    Http::Request request = this->state.dialect.writeStageCall(call, sentAt);
+    const auto answer
+        = co_await this->state.client.call(call.endpoint.address, std::move(request), options);
+    const Common::Time now = clockNow();
+    std::vector<Staging::SettledPiece> settled;
+    std::string_view outcome = "answered";
+    Queue &queue = this->queues[service];
+    if (!answer) {
+        const auto fault
+            = answer.error().written ? Staging::CallFault::Lost : Staging::CallFault::Unreachable;
+        outcome = Common::nameOf(answer.error().failure);
+        settled = Staging::callFailed(queue.queue, call.number, fault, now);
+    } else {
+        const EndpointAnswer head = this->state.dialect.readAnswer(answer->status, answer->headers);
+        const auto results = answer->status == 200
+            ? this->state.dialect.readStageResults(answer->body)
+            : std::nullopt;
+        if (results) {
+            settled = Staging::callAnswered(queue.queue, call.number, *results, now);
+        } else {
+            const bool refused = head.saysNotRun || head.otherEndpoint;
+            outcome = refused ? "refused" : "invalid";
+            const auto fault = refused ? Staging::CallFault::Refused : Staging::CallFault::Lost;
+            settled = Staging::callFailed(queue.queue, call.number, fault, now);
+        }
+    }
+    this->state.metrics.count(labelled("stage_calls", "outcome", outcome));
+    this->state.metrics.count("stage_pieces", call.pieces.size());
+    this->state.metrics.time(labelled("stage_call", "service", service), now - sentAt);
+    this->state.log.write(
+        LogLine("stage-call")
+            .text("service", service)
+            .text("endpoint", endpoint)
+            .number("pieces", static_cast<std::int64_t>(call.pieces.size()))
+            .number("waiting", static_cast<std::int64_t>(queue.queue.waiting.size()))
+            .text("outcome", outcome)
+            .milliseconds("tookMs", now - sentAt),
+        now);
+    this->settle(queue, settled);
+    this->pump(service);
+}
+
+} // namespace Tanagerbay::Entry
--- /dev/null
+++ b/Source/Core/Entry/State.h
@@ -0,0 +1,56 @@
+// What the parts of an entry instance share. Everything runs on one thread: the machines have a
+// fraction of one core, where a second thread costs wake-ups and gains nothing.
+#pragma once
+
+#include "Entry/EventLog.h"
+#include "Entry/Metrics.h"
+#include "Entry/Ports.h"
+#include "Entry/Settings.h"
+#include "Http/Client.h"
+#include "Membership/Members.h"
+#include "Routing/Pool.h"
+
+#include <map>
+#include <random>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace Tanagerbay::Entry {
+
+inline Common::Time clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+struct State
+{
+    State(Settings settings, const Dialect &dialect);
+
+    Http::Awaitable<void> sleepFor(Common::Duration duration);
+    // Returns the service's endpoints; an empty pool where it has none.
+    Routing::Pool &poolOf(const std::string &service);
+    // Instances that are heard of, this one included.
+    std::size_t liveInstances(Common::Time now) const;
+    bool isReady() const;
+    void logState(const LogLine &line);
+
+    boost::asio::io_context context;
+    Settings settings;
+    const Dialect &dialect;
+    Common::Time startedAt;
+    std::mt19937_64 random;
+    EventLog log;
+    Metrics metrics;
+    Http::Client client;
+    Catalog::CatalogPtr catalog;
+    std::map<std::string, Routing::Pool> pools;
+    std::unordered_map<std::string, Serving::FleetBudget> budgets;
+    Membership::Members members;
+    bool leaving = false;
+    std::size_t requestsInProgress = 0;
+    Common::Time lastRequestAt;
+};
+
+} // namespace Tanagerbay::Entry
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -4,6 +4,8 @@
 
 #include <sys/socket.h>
 
+#include <charconv>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -52,11 +54,15 @@
     LazyDeadline deadline;
     beast::flat_buffer buffer;
     Common::Time idleSince;
+    // When the peer may close the connection while it is idle; unset where it did not say.
+    std::optional<Common::Time> idleUntil;
     bool reused = false;
+    // Set while the request is still being written; the reply may come first.
+    bool writing = false;
     std::shared_ptr<std::set<ClientConnection *>> active;
 };
 
-using ConnectionPtr = std::unique_ptr<ClientConnection>;
+using ConnectionPtr = std::shared_ptr<ClientConnection>;
 
 struct Client::Pool
 {
@@ -74,18 +80,36 @@
 {
     static constexpr std::size_t kReadBytes = 4096;
 
+    State() = default;
+    ~State()
+    {
+        this->closeConnection();
+    }
+    State(const State &) = delete;
+    State &operator=(const State &) = delete;
+    // A write in progress keeps the connection alive, so it has to be closed by hand.
+    void closeConnection()
+    {
+        if (this->connection)
+            this->connection->stream.close();
+        this->connection.reset();
+    }
+
     ConnectionPtr connection;
     http::response_parser<http::buffer_body> parser;
     std::array<char, kReadBytes> bytes;
     std::shared_ptr<Client::Pool> pool;
     Address address;
     CallHandle *handle = nullptr;
+    bool reused = false;
 };
 
 namespace {
 
 constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr std::uint32_t kMaxReplyHeaderBytes = 32 << 10;
+// Part of the idle time that a peer grants in `Keep-Alive` in which its connection is used again.
+constexpr double kUsedPartOfIdleTime = 0.5;
 
 using BeastRequest = http::request<http::string_body>;
 
@@ -112,13 +136,29 @@
     return {failure, written, error.message()};
 }
 
+// Returns how long the peer keeps an idle connection, from `Keep-Alive: timeout=5`.
+std::optional<Common::Duration> grantedIdleTime(std::string_view keepAlive)
+{
+    constexpr std::string_view kName = "timeout=";
+    const auto at = keepAlive.find(kName);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    unsigned seconds = 0;
+    const char *begin = keepAlive.data() + at + kName.size();
+    const auto parsed = std::from_chars(begin, keepAlive.data() + keepAlive.size(), seconds);
+    if (parsed.ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 BeastRequest toBeast(const Address &address, Request &&request)
 {
     BeastRequest message;
     message.method_string(request.method);
     message.target(request.target);
     message.version(11);
-    message.set(http::field::host, formatAddress(address));
+    if (request.headers.find("Host").empty())
+        message.set(http::field::host, formatAddress(address));
     for (const Header &field : request.headers.fields)
         message.insert(field.name, field.value);
     message.body() = std::move(request.body);
@@ -132,7 +172,7 @@
                                              const ActiveConnections &active,
                                              const Address &address, const CallOptions &options)
 {
-    auto connection = std::make_unique<ClientConnection>(executor);
+    auto connection = std::make_shared<ClientConnection>(executor);
     connection->enter(active);
     beast::error_code error;
     const auto ip = asio::ip::make_address(address.ip, error);
@@ -164,7 +204,9 @@
     while (!found->second.empty()) {
         ConnectionPtr connection = std::move(found->second.back());
         found->second.pop_back();
-        if (!isStale(*connection)) {
+        const bool mayEnd
+            = connection->idleUntil && *connection->idleUntil <= std::chrono::steady_clock::now();
+        if (!mayEnd && !isStale(*connection)) {
             connection->reused = true;
             connection->enter(this->active);
             return connection;
@@ -175,6 +217,12 @@
 
 void Client::Pool::give(const Address &address, ConnectionPtr connection)
 {
+    // Bytes after the reply belong to no request, and a body that is still being written would mix
+    // with the next one.
+    if (connection->buffer.size() != 0 || connection->writing) {
+        connection->stream.close();
+        return;
+    }
     connection->leave();
     connection->deadline.disarm();
     connection->idleSince = std::chrono::steady_clock::now();
@@ -217,7 +265,7 @@
 Awaitable<CallResult<ResponseStream>> Client::open(Address address, Request request,
                                                    CallOptions options)
 {
-    const BeastRequest message = toBeast(address, std::move(request));
+    const auto message = std::make_shared<const BeastRequest>(toBeast(address, std::move(request)));
     bool fresh = options.freshConnection;
     while (true) {
         if (this->pool->closed || (options.handle && options.handle->isCancelled()))
@@ -237,6 +285,7 @@
         stream.state = std::make_unique<ResponseStream::State>();
         ResponseStream::State &state = *stream.state;
         state.connection = std::move(connection);
+        state.reused = state.connection->reused;
         state.parser.body_limit(options.maxBodyBytes);
         state.parser.header_limit(kMaxReplyHeaderBytes);
         state.pool = this->pool;
@@ -248,12 +297,16 @@
 
         beast::error_code error;
         state.connection->deadline.moveTo(options.deadline);
-        co_await http::async_write(tcpStream, message,
-                                   asio::redirect_error(asio::use_awaitable, error));
-        if (!error) {
-            co_await http::async_read_header(tcpStream, state.connection->buffer, state.parser,
-                                             asio::redirect_error(asio::use_awaitable, error));
-        }
+        // The reply may come before the endpoint has read the whole request, so both go on at once.
+        // A write that fails shows in the read.
+        state.connection->writing = true;
+        http::async_write(
+            tcpStream, *message,
+            [message, connection = state.connection](beast::error_code failed, std::size_t) {
+                connection->writing = failed.failed();
+            });
+        co_await http::async_read_header(tcpStream, state.connection->buffer, state.parser,
+                                         asio::redirect_error(asio::use_awaitable, error));
         if (options.handle)
             options.handle->abort = nullptr;
         if (!error && options.acceptHead && !options.acceptHead(stream))
@@ -276,10 +329,7 @@
         co_return tl::unexpected(opened.error());
     Response response;
     response.status = opened->status();
-    for (const auto &field : opened->state->parser.get()) {
-        response.headers.fields.push_back(
-            {std::string(field.name_string()), std::string(field.value())});
-    }
+    response.headers = opened->headers();
     while (true) {
         const auto bytes = co_await opened->read(options.deadline);
         if (!bytes)
@@ -336,13 +386,19 @@
         state.handle->abort = nullptr;
     if (error) {
         CallError failed = errorOf(error, *state.connection, true, state.handle);
-        state.connection.reset();
+        state.closeConnection();
         co_return tl::unexpected(std::move(failed));
     }
     if (count == 0) {
-        if (state.parser.get().keep_alive())
+        if (state.parser.get().keep_alive() && !state.parser.need_eof()) {
+            const auto idleTime = grantedIdleTime(this->header("Keep-Alive"));
+            if (idleTime)
+                state.connection->idleUntil = std::chrono::steady_clock::now()
+                    + std::chrono::duration_cast<Common::Duration>(*idleTime * kUsedPartOfIdleTime);
             state.pool->give(state.address, std::move(state.connection));
-        state.connection.reset();
+            state.connection.reset();
+        }
+        state.closeConnection();
     }
     co_return std::string_view(state.bytes.data(), count);
 }
@@ -350,7 +406,20 @@
 void ResponseStream::close()
 {
     if (this->state)
-        this->state->connection.reset();
+        this->state->closeConnection();
+}
+
+bool ResponseStream::reusedConnection() const
+{
+    return this->state->reused;
+}
+
+Headers ResponseStream::headers() const
+{
+    Headers headers;
+    for (const auto &field : this->state->parser.get())
+        headers.fields.push_back({std::string(field.name_string()), std::string(field.value())});
+    return headers;
 }
 
 } // namespace Tanagerbay::Http
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -97,6 +97,9 @@
 
     unsigned status() const;
     std::string_view header(std::string_view name) const;
+    Headers headers() const;
+    // Whether the request went over a connection that had served another before.
+    bool reusedConnection() const;
     // Returns the next bytes of the body, or an empty text after its whole end. The view is valid
     // until the next read.
     Awaitable<CallResult<std::string_view>> read(Common::Time deadline);
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -41,6 +41,7 @@
     // Open connections by context; each set is used on its context's thread only.
     std::vector<std::set<Connection *>> open;
     std::atomic<bool> closing{false};
+    std::atomic<bool> closeAfterAnswers{false};
 };
 
 namespace {
@@ -68,10 +69,11 @@
 class Connection final : public Exchange, public std::enable_shared_from_this<Connection>
 {
 public:
-    Connection(tcp::socket socket, const ServerOptions &options, std::size_t contextIndex)
+    Connection(tcp::socket socket, const ServerOptions &options,
+               const std::atomic<bool> &closeAfterAnswers, std::size_t contextIndex)
         : stream(std::move(socket)),
           deadline(this->stream.get_executor(), [this] { this->cancelSocket(); }), options(options),
-          context(contextIndex)
+          closeAfterAnswers(closeAfterAnswers), context(contextIndex)
     {
         beast::error_code ignored;
         this->stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -87,6 +89,10 @@
     {
         return this->context;
     }
+    Common::Time receivedAt() const override
+    {
+        return this->requestReceivedAt;
+    }
     std::string callerIp() const override
     {
         return this->ip;
@@ -110,6 +116,7 @@
         for (const Header &field : response.headers.fields)
             addField(message, field);
         message.body() = std::move(response.body);
+        this->keepAlive = this->keepAlive && !this->closeAfterAnswers;
         message.keep_alive(this->keepAlive);
         message.prepare_payload();
         this->headWritten = true;
@@ -128,6 +135,7 @@
         http::response<http::empty_body> message{static_cast<http::status>(head.status), 11};
         for (const Header &field : head.headers.fields)
             addField(message, field);
+        this->keepAlive = this->keepAlive && !this->closeAfterAnswers;
         message.keep_alive(this->keepAlive);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer{message};
@@ -213,6 +221,8 @@
             co_await this->reject(414, "too_large", "the URL is too long");
             co_return false;
         }
+        if (!error && this->options.bodyTimeout.count() > 0)
+            this->deadline.moveTo(clockNow() + this->options.bodyTimeout);
         if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue"))
             co_await this->writeContinue(error);
         if (!error) {
@@ -224,6 +234,7 @@
             co_return false;
         }
         this->take(parser.release());
+        this->requestReceivedAt = clockNow();
         co_return true;
     }
 
@@ -331,7 +342,9 @@
     beast::tcp_stream stream;
     LazyDeadline deadline;
     const ServerOptions &options;
+    const std::atomic<bool> &closeAfterAnswers;
     std::size_t context;
+    Common::Time requestReceivedAt;
     beast::flat_buffer buffer;
     std::string ip;
     Request current;
@@ -351,7 +364,8 @@
 Awaitable<void> serveConnection(std::shared_ptr<State> state, tcp::socket socket,
                                 std::size_t contextIndex)
 {
-    auto connection = std::make_shared<Connection>(std::move(socket), state->options, contextIndex);
+    auto connection = std::make_shared<Connection>(std::move(socket), state->options,
+                                                   state->closeAfterAnswers, contextIndex);
     co_await connection->serve(state->handler, state->accepting);
     state->connections.fetch_sub(1);
 }
@@ -446,6 +460,21 @@
     });
 }
 
+void Server::closeAfterAnswers()
+{
+    this->state->closeAfterAnswers = true;
+}
+
+void Server::applyLimits(const ServerOptions &limits)
+{
+    ServerOptions &options = this->state->options;
+    options.maxBodyBytes = limits.maxBodyBytes;
+    options.maxHeaderBytes = limits.maxHeaderBytes;
+    options.requestTimeout = limits.requestTimeout;
+    options.bodyTimeout = limits.bodyTimeout;
+    options.idleTimeout = limits.idleTimeout;
+}
+
 void Server::closeAll()
 {
     this->stopAccepting();
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -25,6 +25,8 @@
     Common::Milliseconds idleTimeout{60000};
     // How long a caller may take to send one whole request.
     Common::Milliseconds requestTimeout{5000};
+    // How long the body may take besides; zero where `requestTimeout` holds for both.
+    Common::Milliseconds bodyTimeout{0};
     // How long one write to a caller may take.
     Common::Milliseconds writeTimeout{10000};
 };
@@ -38,6 +40,8 @@
     virtual const Request &request() const = 0;
     // Index of the context that serves the connection.
     virtual std::size_t contextIndex() const = 0;
+    // When the whole request had arrived.
+    virtual Common::Time receivedAt() const = 0;
     // Address of the caller, without the port.
     virtual std::string callerIp() const = 0;
     // Each of these returns false once the caller cannot be reached.
@@ -67,6 +71,11 @@
     std::string start();
     // Stops accepting; connections in progress go on and close after their answer.
     void stopAccepting();
+    // From now on each answer says that its connection closes, and it does. New connections are
+    // still accepted.
+    void closeAfterAnswers();
+    // Changes what callers may send and how long they may take, for requests from now on.
+    void applyLimits(const ServerOptions &limits);
     // Closes every connection, as if all callers had left.
     void closeAll();
     std::size_t openConnections() const;
--- a/Source/Core/Membership/Members.h
+++ b/Source/Core/Membership/Members.h
@@ -41,6 +41,8 @@
     MemberState state = MemberState::Live;
     std::uint64_t plansVersion = 0;
     std::uint64_t entitlementsVersion = 0;
+    // Version of the catalog, where the platform keeps one.
+    std::uint64_t catalogVersion = 0;
     std::uint32_t requestsInProgress = 0;
     // The slot that the instance holds, if any, and the version of its row.
     std::optional<std::size_t> slot;
--- a/Source/Core/Routing/Endpoint.h
+++ b/Source/Core/Routing/Endpoint.h
@@ -60,6 +60,8 @@
     Common::Address address;
     Common::FailureDomain failureDomain;
     EndpointState state = EndpointState::Live;
+    // Start of the endpoint's process, where it is known.
+    std::uint64_t incarnation = 0;
     LoadReport report;
     // Own calls in flight when the report arrived.
     std::uint32_t ownAtReport = 0;
--- a/Source/Core/Routing/Pool.cpp
+++ b/Source/Core/Routing/Pool.cpp
@@ -187,9 +187,14 @@
             continue;
         const Endpoint *known = find(pool, entry.id);
         Endpoint endpoint = known ? *known : Endpoint{};
-        // An endpoint that comes back at another address is a new one.
-        if (known && known->address != entry.address)
+        // An endpoint that comes back at another address or that started again is a new one.
+        const bool sameProcess
+            = known && known->address == entry.address && known->incarnation == entry.incarnation;
+        if (!sameProcess) {
             endpoint = Endpoint{};
+            endpoint.report.slots = entry.slots;
+        }
+        endpoint.incarnation = entry.incarnation;
         endpoint.id = entry.id;
         endpoint.address = entry.address;
         endpoint.failureDomain = entry.failureDomain;
--- a/Source/Core/Routing/Pool.h
+++ b/Source/Core/Routing/Pool.h
@@ -39,6 +39,11 @@
     Common::Address address;
     Common::FailureDomain failureDomain;
     EndpointState state = EndpointState::Live;
+    // Start of the endpoint's process: one that started again under its name is a new one. Zero
+    // where it is not known.
+    std::uint64_t incarnation = 0;
+    // Calls that the endpoint works on at once, where the list says so.
+    std::uint32_t slots = 1;
 };
 
 struct Pool
--- /dev/null
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -0,0 +1,475 @@
+#include "Staging/StageQueue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Tanagerbay::Staging {
+
+namespace {
+
+using Common::Duration;
+using Common::Time;
+
+// A call that takes this many times its expected duration, and a little more, is given to others.
+// Endpoints of one service differ in speed by up to about a third.
+constexpr double kOverdueFactor = 1.8;
+constexpr Common::Milliseconds kOverdueSlack{80};
+// A call that takes this many times its expected duration counts as lost.
+constexpr int kLostFactor = 8;
+// Endpoints slower than this are used only when much work waits.
+constexpr double kSlowEndpoint = 1.6;
+// Batches that wait for each usable endpoint before slow ones are used as well.
+constexpr std::size_t kBatchesBeforeSlow = 2;
+// An endpoint that said it has no room is asked again after this time; results are freed within
+// about a tenth of a second of their use.
+constexpr Common::Milliseconds kNoRoomPause{120};
+// Failures after which a piece is given up.
+constexpr std::uint32_t kMostTries = 4;
+// Results from this size on are made in the failure domain where they are used, if there is time.
+constexpr std::uint64_t kLargeResult = 256 << 10;
+
+bool isLate(const PieceRequest &request, Time now)
+{
+    return now > request.startBy;
+}
+
+std::uint64_t usedRoom(const StageQueue &queue, const StageEndpoint &endpoint)
+{
+    std::uint64_t bytes = 0;
+    for (const HeldResult &result : endpoint.held)
+        bytes += result.bytes;
+    for (const auto &[number, call] : queue.calls) {
+        if (call.endpoint == endpoint.endpoint.id)
+            bytes += call.reservedBytes;
+    }
+    return bytes;
+}
+
+void dropLapsedResults(StageEndpoint &endpoint, Time now)
+{
+    std::erase_if(endpoint.held, [now](const HeldResult &held) { return held.until <= now; });
+}
+
+bool isUsable(const StageEndpoint &endpoint, Time now)
+{
+    return endpoint.listed && !endpoint.overdue && Routing::isEligible(endpoint.endpoint, now);
+}
+
+bool isFree(const StageQueue &queue, const StageEndpoint &endpoint, Time now)
+{
+    return isUsable(endpoint, now) && endpoint.fullUntil <= now
+        && endpoint.callsInFlight < queue.batching.concurrentCalls;
+}
+
+bool isSlow(const StageEndpoint &endpoint, Time now)
+{
+    return Routing::slownessNow(endpoint.endpoint.health, now) > kSlowEndpoint;
+}
+
+void settle(StageQueue &queue, PieceTicket ticket)
+{
+    queue.pieces.erase(ticket);
+    std::erase(queue.waiting, ticket);
+}
+
+void requeue(StageQueue &queue, PieceTicket ticket)
+{
+    const auto found = queue.pieces.find(ticket);
+    if (found == queue.pieces.end() || found->second.queued)
+        return;
+    found->second.queued = true;
+    queue.waiting.push_back(ticket);
+}
+
+void settleExpired(StageQueue &queue, Time now, std::vector<SettledPiece> &settled)
+{
+    std::vector<PieceTicket> expired;
+    for (const PieceTicket ticket : queue.waiting) {
+        const OpenPiece &piece = queue.pieces.at(ticket);
+        if (piece.request.expiresAt <= now + queue.batching.callTime && piece.inCalls == 0)
+            expired.push_back(ticket);
+    }
+    for (const PieceTicket ticket : expired) {
+        settle(queue, ticket);
+        settled.push_back({ticket, PieceEnd::Expired, {}, {}});
+    }
+}
+
+// Pieces that can still be on time go first, among them the more urgent, then the ones with the
+// least slack.
+void sortWaiting(StageQueue &queue, Time now)
+{
+    const auto rank = [&queue, now](PieceTicket ticket) {
+        const PieceRequest &request = queue.pieces.at(ticket).request;
+        return std::tuple(isLate(request, now), request.priority, request.startBy, ticket);
+    };
+    std::sort(queue.waiting.begin(), queue.waiting.end(),
+              [&rank](PieceTicket a, PieceTicket b) { return rank(a) < rank(b); });
+}
+
+// When an endpoint of the failure domain could take a piece that has `ahead` others before it.
+std::optional<Time> domainFreeAt(const StageQueue &queue, const Common::FailureDomain &domain,
+                                 std::size_t ahead, Time now)
+{
+    std::optional<Time> first;
+    for (const auto &[id, endpoint] : queue.endpoints) {
+        if (endpoint.endpoint.failureDomain != domain || !isUsable(endpoint, now)
+            || isSlow(endpoint, now))
+            continue;
+        const Time free = std::max(now, endpoint.callsInFlight > 0 ? endpoint.expectedFree : now);
+        if (!first || free < *first)
+            first = free;
+    }
+    if (!first)
+        return std::nullopt;
+    const auto calls = static_cast<std::int64_t>(ahead / queue.batching.maxPieces);
+    return *first + expectedCallTime(queue.batching, queue.batching.maxPieces) * calls;
+}
+
+// Whether the piece should wait for an endpoint nearer to where its result is used.
+bool waitsForItsDomain(const StageQueue &queue, const PieceRequest &request,
+                       const StageEndpoint &endpoint, std::size_t ahead, Time now)
+{
+    if (request.resultBytes < kLargeResult || request.usedIn.empty()
+        || request.usedIn == endpoint.endpoint.failureDomain)
+        return false;
+    const auto free = domainFreeAt(queue, request.usedIn, ahead, now);
+    return free && *free <= request.startBy;
+}
+
+std::vector<PieceTicket> composeBatch(const StageQueue &queue, const StageEndpoint &endpoint,
+                                      Time now)
+{
+    const std::uint64_t used = usedRoom(queue, endpoint);
+    std::uint64_t room = queue.batching.roomBytes > used ? queue.batching.roomBytes - used : 0;
+    std::map<Common::FailureDomain, std::size_t> aheadByDomain;
+    std::vector<PieceTicket> batch;
+    for (const PieceTicket ticket : queue.waiting) {
+        if (batch.size() >= queue.batching.maxPieces)
+            break;
+        const PieceRequest &request = queue.pieces.at(ticket).request;
+        std::size_t &ahead = aheadByDomain[request.usedIn];
+        if (waitsForItsDomain(queue, request, endpoint, ahead++, now))
+            continue;
+        if (request.resultBytes > room)
+            continue;
+        room -= request.resultBytes;
+        batch.push_back(ticket);
+    }
+    return batch;
+}
+
+PlannedCall beginCall(StageQueue &queue, StageEndpoint &endpoint,
+                      const std::vector<PieceTicket> &batch, Time now)
+{
+    PlannedCall planned;
+    planned.number = ++queue.lastCall;
+    planned.endpoint = endpoint.endpoint;
+    OpenCall call;
+    call.endpoint = endpoint.endpoint.id;
+    call.sentAt = now;
+    call.expected = expectedCallTime(queue.batching, batch.size());
+    for (const PieceTicket ticket : batch) {
+        OpenPiece &piece = queue.pieces.at(ticket);
+        piece.queued = false;
+        ++piece.inCalls;
+        call.reservedBytes += piece.request.resultBytes;
+        planned.pieces.push_back({ticket, piece.request, piece.queuedAt});
+        std::erase(queue.waiting, ticket);
+    }
+    call.pieces = batch;
+    planned.deadline = now + call.expected * kLostFactor;
+    ++endpoint.callsInFlight;
+    endpoint.endpoint.ownInFlight = endpoint.callsInFlight;
+    endpoint.expectedFree = std::max(endpoint.expectedFree, now) + call.expected;
+    queue.calls.emplace(planned.number, std::move(call));
+    return planned;
+}
+
+// Ends the call's hold on its endpoint and pieces. Returns the call, or nothing where unknown.
+std::optional<OpenCall> takeCall(StageQueue &queue, CallNumber number)
+{
+    const auto found = queue.calls.find(number);
+    if (found == queue.calls.end())
+        return std::nullopt;
+    OpenCall call = std::move(found->second);
+    queue.calls.erase(found);
+    for (const PieceTicket ticket : call.pieces) {
+        const auto piece = queue.pieces.find(ticket);
+        if (piece != queue.pieces.end() && piece->second.inCalls > 0)
+            --piece->second.inCalls;
+    }
+    const auto endpoint = queue.endpoints.find(call.endpoint);
+    if (endpoint != queue.endpoints.end()) {
+        StageEndpoint &state = endpoint->second;
+        state.callsInFlight -= state.callsInFlight > 0 ? 1 : 0;
+        state.endpoint.ownInFlight = state.callsInFlight;
+        if (state.callsInFlight == 0)
+            state.overdue = false;
+    }
+    return call;
+}
+
+StageEndpoint *findEndpoint(StageQueue &queue, const Common::EndpointId &id)
+{
+    const auto found = queue.endpoints.find(id);
+    return found == queue.endpoints.end() ? nullptr : &found->second;
+}
+
+// Counts a failure of a piece. Returns whether it is given up.
+bool countFailure(StageQueue &queue, PieceTicket ticket)
+{
+    OpenPiece &piece = queue.pieces.at(ticket);
+    return ++piece.tries >= kMostTries && piece.inCalls == 0;
+}
+
+void takeResult(StageQueue &queue, StageEndpoint *endpoint, const OpenCall &call,
+                PieceTicket ticket, const PieceResult &result, Time now,
+                std::vector<SettledPiece> &settled)
+{
+    const auto found = queue.pieces.find(ticket);
+    if (found == queue.pieces.end()) {
+        if (result.answer == PieceAnswer::Made && endpoint)
+            endpoint->toFree.push_back(result.handle);
+        return;
+    }
+    switch (result.answer) {
+    case PieceAnswer::Made:
+        if (endpoint) {
+            endpoint->held.push_back({result.handle, found->second.request.resultBytes,
+                                      now + queue.batching.resultLifetime});
+        }
+        settle(queue, ticket);
+        settled.push_back({ticket, PieceEnd::Made, result.handle, call.endpoint});
+        return;
+    case PieceAnswer::Late:
+        settle(queue, ticket);
+        settled.push_back({ticket, PieceEnd::Expired, {}, {}});
+        return;
+    case PieceAnswer::InputGone:
+        settle(queue, ticket);
+        settled.push_back({ticket, PieceEnd::InputGone, {}, {}});
+        return;
+    case PieceAnswer::NoRoom:
+        if (endpoint)
+            endpoint->fullUntil = now + kNoRoomPause;
+        requeue(queue, ticket);
+        return;
+    case PieceAnswer::Error:
+        if (countFailure(queue, ticket)) {
+            settle(queue, ticket);
+            settled.push_back({ticket, PieceEnd::Failed, {}, {}});
+            return;
+        }
+        requeue(queue, ticket);
+        return;
+    }
+}
+
+} // namespace
+
+void applyEndpoints(StageQueue &queue, const std::vector<Routing::Endpoint> &listed, Time now)
+{
+    for (auto &[id, endpoint] : queue.endpoints)
+        endpoint.listed = false;
+    for (const Routing::Endpoint &entry : listed) {
+        StageEndpoint &endpoint = queue.endpoints[entry.id];
+        const bool sameProcess = endpoint.endpoint.address == entry.address
+            && endpoint.endpoint.incarnation == entry.incarnation;
+        if (!sameProcess)
+            endpoint = StageEndpoint{};
+        endpoint.endpoint.id = entry.id;
+        endpoint.endpoint.address = entry.address;
+        endpoint.endpoint.failureDomain = entry.failureDomain;
+        endpoint.endpoint.incarnation = entry.incarnation;
+        endpoint.endpoint.state = entry.state;
+        endpoint.listed = entry.state == Routing::EndpointState::Live;
+    }
+    for (auto &[id, endpoint] : queue.endpoints)
+        dropLapsedResults(endpoint, now);
+    std::erase_if(queue.endpoints, [](const auto &entry) {
+        return !entry.second.listed && entry.second.callsInFlight == 0 && entry.second.held.empty();
+    });
+}
+
+PieceTicket submit(StageQueue &queue, PieceRequest request, Time now)
+{
+    const PieceTicket ticket = ++queue.lastTicket;
+    queue.pieces.emplace(ticket, OpenPiece{std::move(request), now, 0, 0, true});
+    queue.waiting.push_back(ticket);
+    return ticket;
+}
+
+void withdraw(StageQueue &queue, PieceTicket ticket)
+{
+    settle(queue, ticket);
+}
+
+std::vector<PlannedCall> planCalls(StageQueue &queue, Time now, std::vector<SettledPiece> &settled)
+{
+    std::vector<PlannedCall> plans;
+    settleExpired(queue, now, settled);
+    if (queue.waiting.empty())
+        return plans;
+    std::vector<StageEndpoint *> free;
+    std::size_t quick = 0;
+    for (auto &[id, endpoint] : queue.endpoints) {
+        dropLapsedResults(endpoint, now);
+        quick += isUsable(endpoint, now) && !isSlow(endpoint, now) ? 1 : 0;
+        if (isFree(queue, endpoint, now))
+            free.push_back(&endpoint);
+    }
+    if (free.empty())
+        return plans;
+    sortWaiting(queue, now);
+    std::stable_sort(free.begin(), free.end(),
+                     [now](const StageEndpoint *a, const StageEndpoint *b) {
+                         return Routing::slownessNow(a->endpoint.health, now)
+                             < Routing::slownessNow(b->endpoint.health, now);
+                     });
+    const std::size_t muchWork = quick * queue.batching.maxPieces * kBatchesBeforeSlow;
+    for (StageEndpoint *endpoint : free) {
+        if (isSlow(*endpoint, now) && quick > 0 && queue.waiting.size() <= muchWork)
+            continue;
+        const std::vector<PieceTicket> batch = composeBatch(queue, *endpoint, now);
+        if (!batch.empty())
+            plans.push_back(beginCall(queue, *endpoint, batch, now));
+    }
+    return plans;
+}
+
+std::vector<SettledPiece> callAnswered(StageQueue &queue, CallNumber number,
+                                       const std::vector<PieceResult> &results, Time now)
+{
+    const auto found = queue.calls.find(number);
+    if (found == queue.calls.end())
+        return {};
+    if (found->second.pieces.size() != results.size())
+        return callFailed(queue, number, CallFault::Lost, now);
+    const auto call = takeCall(queue, number);
+    StageEndpoint *endpoint = findEndpoint(queue, call->endpoint);
+    if (endpoint) {
+        const double relative = Common::toSeconds(now - call->sentAt)
+            / std::max(Common::toSeconds(call->expected), 1e-3);
+        Routing::noteSuccess(endpoint->endpoint, relative, now);
+        endpoint->expectedFree = now;
+    }
+    std::vector<SettledPiece> settled;
+    for (std::size_t i = 0; i < results.size(); ++i)
+        takeResult(queue, endpoint, *call, call->pieces[i], results[i], now, settled);
+    return settled;
+}
+
+std::vector<SettledPiece> callFailed(StageQueue &queue, CallNumber number, CallFault fault,
+                                     Time now)
+{
+    std::vector<SettledPiece> settled;
+    const auto call = takeCall(queue, number);
+    if (!call)
+        return settled;
+    if (StageEndpoint *endpoint = findEndpoint(queue, call->endpoint)) {
+        Routing::noteFailure(endpoint->endpoint, fault == CallFault::Unreachable, now);
+        endpoint->expectedFree = now;
+        // Another caller fills its queue; it will be free after about one call.
+        if (fault == CallFault::Refused)
+            endpoint->fullUntil = now + queue.batching.callTime / 2;
+    }
+    for (const PieceTicket ticket : call->pieces) {
+        if (!queue.pieces.contains(ticket))
+            continue;
+        if (fault == CallFault::Lost && countFailure(queue, ticket)) {
+            settle(queue, ticket);
+            settled.push_back({ticket, PieceEnd::Failed, {}, {}});
+            continue;
+        }
+        requeue(queue, ticket);
+    }
+    return settled;
+}
+
+void requeueOverdue(StageQueue &queue, Time now)
+{
+    for (auto &[number, call] : queue.calls) {
+        const auto limit = std::chrono::duration_cast<Duration>(call.expected * kOverdueFactor);
+        if (call.overdue || now < call.sentAt + limit + kOverdueSlack)
+            continue;
+        call.overdue = true;
+        if (StageEndpoint *endpoint = findEndpoint(queue, call.endpoint))
+            endpoint->overdue = true;
+        for (const PieceTicket ticket : call.pieces)
+            requeue(queue, ticket);
+    }
+}
+
+void release(StageQueue &queue, const Common::EndpointId &maker, const std::string &handle)
+{
+    if (StageEndpoint *endpoint = findEndpoint(queue, maker))
+        endpoint->toFree.push_back(handle);
+}
+
+std::vector<FreeOrder> takeFreeOrders(StageQueue &queue)
+{
+    std::vector<FreeOrder> orders;
+    for (auto &[id, endpoint] : queue.endpoints) {
+        if (endpoint.toFree.empty())
+            continue;
+        std::erase_if(endpoint.held, [&endpoint](const HeldResult &held) {
+            return std::find(endpoint.toFree.begin(), endpoint.toFree.end(), held.handle)
+                != endpoint.toFree.end();
+        });
+        orders.push_back({endpoint.endpoint.address, std::move(endpoint.toFree)});
+        endpoint.toFree.clear();
+    }
+    return orders;
+}
+
+std::optional<Time> nextWake(const StageQueue &queue, Time now)
+{
+    std::optional<Time> wake;
+    const auto consider = [&wake, now](Time at) {
+        if (at > now && (!wake || at < *wake))
+            wake = at;
+    };
+    for (const auto &[number, call] : queue.calls) {
+        const auto limit = std::chrono::duration_cast<Duration>(call.expected * kOverdueFactor);
+        if (!call.overdue)
+            consider(call.sentAt + limit + kOverdueSlack);
+    }
+    if (queue.waiting.empty())
+        return wake;
+    for (const auto &[id, endpoint] : queue.endpoints) {
+        if (!endpoint.listed || endpoint.callsInFlight >= queue.batching.concurrentCalls)
+            continue;
+        consider(std::max(endpoint.fullUntil, endpoint.endpoint.health.ejectedUntil));
+        for (const HeldResult &held : endpoint.held)
+            consider(held.until);
+    }
+    for (const PieceTicket ticket : queue.waiting) {
+        const PieceRequest &request = queue.pieces.at(ticket).request;
+        consider(request.expiresAt - queue.batching.callTime);
+        consider(request.startBy);
+    }
+    return wake;
+}
+
+Duration predictedWait(const StageQueue &queue, std::size_t morePieces, Time now)
+{
+    std::int64_t usable = 0;
+    Duration busy{0};
+    for (const auto &[id, endpoint] : queue.endpoints) {
+        if (!isUsable(endpoint, now))
+            continue;
+        ++usable;
+        if (endpoint.callsInFlight > 0)
+            busy += std::max(endpoint.expectedFree - now, Duration{0});
+    }
+    if (usable == 0)
+        return queue.batching.callTime * kLostFactor;
+    const Duration fullCall = expectedCallTime(queue.batching, queue.batching.maxPieces);
+    const double batches = static_cast<double>(queue.waiting.size() + morePieces)
+        / static_cast<double>(queue.batching.maxPieces);
+    const auto work = std::chrono::duration_cast<Duration>(fullCall * batches);
+    return (busy + work) / usable + fullCall / 2;
+}
+
+} // namespace Tanagerbay::Staging
--- a/Source/Tanagerbay/CheckCommand.cpp
+++ b/Source/Tanagerbay/CheckCommand.cpp
@@ -54,8 +54,12 @@
         return ExitCode::Usage;
     }
     bool good = true;
-    if (given("settings"))
-        good = readEntrySettings(path("settings")).has_value() && good;
+    if (given("settings")) {
+        const bool read = isForPlatform(path("settings"))
+            ? readPlatformSettings(path("settings")).has_value()
+            : readEntrySettings(path("settings")).has_value();
+        good = read && good;
+    }
     if (given("standins"))
         good = readStandInSettings(path("standins")).has_value() && good;
     if (given("workload"))
--- a/Source/Tanagerbay/ServeCommand.cpp
+++ b/Source/Tanagerbay/ServeCommand.cpp
@@ -1,24 +1,64 @@
 #include "Node/Instance.h"
 #include "Node/Log.h"
 #include "Tanagerbay/Support.h"
+#include "platform/Adapter.h"
 
+#include <cstdlib>
 #include <iostream>
 
 namespace Tanagerbay::Commands {
 
+namespace {
+
+// Returns the path of the settings file, from the command line or from a variable that it names.
+std::optional<std::string> settingsPath(const cxxopts::ParseResult &result)
+{
+    if (result.count("settings") > 0)
+        return result["settings"].as<std::string>();
+    if (result.count("settings-variable") == 0)
+        return std::nullopt;
+    const std::string variable = result["settings-variable"].as<std::string>();
+    const char *path = std::getenv(variable.c_str());
+    if (path)
+        return std::string(path);
+    std::cerr << "the variable " << variable << " is not set\n";
+    return std::nullopt;
+}
+
+int serveOnPlatform(Entry::Settings settings, const std::string &path)
+{
+    Entry::EntryInstance instance(std::move(settings), PlatformAdapter::platform(),
+                                  [path] { return readPlatformSettings(path); });
+    const std::string problem = instance.run();
+    if (!problem.empty())
+        std::cerr << problem << "\n";
+    // Requests that the platform's deadline cuts off still have their coroutines; the process ends
+    // without taking them apart.
+    std::_Exit(problem.empty() ? ExitCode::Success : ExitCode::Failure);
+}
+
+} // namespace
+
 int serve(const Words &words)
 {
     cxxopts::Options options("tanagerbay serve",
                              "Runs an entry instance until SIGTERM or a drain.");
-    options.add_options()("settings", "Settings file", cxxopts::value<std::string>());
+    options.add_options()("settings", "Settings file", cxxopts::value<std::string>())(
+        "settings-variable", "Environment variable that holds the path of the settings file",
+        cxxopts::value<std::string>());
     cxxopts::ParseResult result;
     if (const auto code = parseWords(options, words, result))
         return *code;
-    if (result.count("settings") == 0) {
-        std::cerr << "--settings is needed\n" << options.help();
+    const auto path = settingsPath(result);
+    if (!path) {
+        std::cerr << "--settings or --settings-variable is needed\n" << options.help();
         return ExitCode::Usage;
     }
-    auto settings = readEntrySettings(result["settings"].as<std::string>());
+    if (isForPlatform(*path)) {
+        auto settings = readPlatformSettings(*path);
+        return settings ? serveOnPlatform(std::move(*settings), *path) : ExitCode::Failure;
+    }
+    auto settings = readEntrySettings(*path);
     if (!settings)
         return ExitCode::Failure;
     Node::configureLog(false);
--- a/Source/Tanagerbay/Support.cpp
+++ b/Source/Tanagerbay/Support.cpp
@@ -85,6 +85,23 @@
     });
 }
 
+std::optional<Entry::Settings> readPlatformSettings(const std::string &path)
+{
+    return readChecked(path, [](const boost::json::value &document, Common::JsonFaults &faults) {
+        return Entry::parseSettings(document, faults);
+    });
+}
+
+bool isForPlatform(const std::string &path)
+{
+    const auto text = readFile(path);
+    if (!text)
+        return false;
+    Common::JsonFaults ignored;
+    const auto document = Common::parseJson(*text, ignored);
+    return document && document->is_object() && document->get_object().contains("dialect");
+}
+
 std::optional<StandIns::Settings> readStandInSettings(const std::string &path)
 {
     return readChecked(path, [](const boost::json::value &document, Common::JsonFaults &faults) {
--- a/Source/Tanagerbay/Support.h
+++ b/Source/Tanagerbay/Support.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/JsonReader.h"
+#include "Entry/Settings.h"
 #include "Http/Client.h"
 #include "Load/Workload.h"
 #include "Node/Settings.h"
@@ -25,9 +26,13 @@
 
 // Reads and checks a file; prints every fault, with the file's name.
 std::optional<Node::Settings> readEntrySettings(const std::string &path);
+std::optional<Entry::Settings> readPlatformSettings(const std::string &path);
 std::optional<StandIns::Settings> readStandInSettings(const std::string &path);
 std::optional<Load::Workload> readWorkload(const std::string &path);
 
+// Whether the settings file is for an entry instance on a platform, by its member `dialect`.
+bool isForPlatform(const std::string &path);
+
 // Parses an address given on the command line; prints the fault.
 std::optional<Http::Address> readAddress(const std::string &text);
 
