Staging: Make pieces near the inputs that they fetch

Cause: each piece of a stage fetches all results of the stage before, so 10 pieces with 6 inputs of 60 KB move 3.6 MB a request; two thirds of it crossed failure domains. Change: a piece names the failure domain that most of its bytes come from or go to, and waits for an endpoint there while it stays in time.

--- a/Source/Core/Entry/StageClient.cpp
+++ b/Source/Core/Entry/StageClient.cpp
@@ -40,9 +40,10 @@
         object["inputs"] = json::array(piece.inputs->begin(), piece.inputs->end());
     else
         object["key"] = piece.key;
-    if (!piece.usedIn.empty())
-        object["usedIn"] = piece.usedIn.value;
     object["bytes"] = piece.resultBytes;
+    if (!piece.nearTo.empty())
+        object["nearTo"] = piece.nearTo.value;
+    object["transfer"] = piece.transferBytes;
     object["priority"] = piece.priority;
     object["startByMs"] = millisecondsFrom(now, piece.startBy);
     object["expiresMs"] = millisecondsFrom(now, piece.expiresAt);
@@ -67,8 +68,9 @@
         for (const json::value &input : *inputs)
             piece.inputs->push_back(input.is_string() ? std::string(input.get_string()) : "");
     }
-    piece.usedIn = Common::FailureDomain(textOf(object, "usedIn"));
     piece.resultBytes = numberOf(object, "bytes");
+    piece.nearTo = Common::FailureDomain(textOf(object, "nearTo"));
+    piece.transferBytes = numberOf(object, "transfer");
     piece.priority = static_cast<int>(signedOf(object, "priority"));
     piece.startBy = now + Common::Milliseconds(signedOf(object, "startByMs"));
     piece.expiresAt = now + Common::Milliseconds(signedOf(object, "expiresMs"));
--- a/Source/Core/Entry/StageRun.cpp
+++ b/Source/Core/Entry/StageRun.cpp
@@ -112,9 +112,8 @@
                 piece.inputs->push_back(result.handle);
         }
     }
-    if (this->isFinal(stage))
-        piece.usedIn = this->plan.usedIn;
     piece.resultBytes = entry.resultBytes;
+    this->placeNear(stage, piece);
     piece.priority = this->plan.priority;
     piece.startBy = this->plan.objectiveAt - this->timeAfterStartOf(stage);
     piece.expiresAt = this->plan.expiresAt;
@@ -145,6 +144,31 @@
           });
 }
 
+void StageRun::placeNear(std::size_t stage, Staging::PieceRequest &piece) const
+{
+    // Each piece fetches all inputs for itself.
+    std::map<Common::FailureDomain, std::uint64_t> inputBytes;
+    for (const std::size_t before : this->plan.route->stages[stage].after) {
+        const Catalog::Stage &entry = this->plan.route->stages[before];
+        const Routing::Pool &pool = this->state.poolOf(entry.service);
+        for (const Staging::SettledPiece &result : this->steps[before].results) {
+            const auto maker = pool.indexById.find(result.maker);
+            if (maker != pool.indexById.end())
+                inputBytes[pool.endpoints[maker->second].failureDomain] += entry.resultBytes;
+        }
+    }
+    for (const auto &[domain, bytes] : inputBytes) {
+        if (bytes > piece.transferBytes) {
+            piece.transferBytes = bytes;
+            piece.nearTo = domain;
+        }
+    }
+    if (this->isFinal(stage) && piece.resultBytes > piece.transferBytes) {
+        piece.transferBytes = piece.resultBytes;
+        piece.nearTo = this->plan.usedIn;
+    }
+}
+
 void StageRun::releaseUsedInputs(std::size_t stage)
 {
     for (const std::size_t before : this->plan.route->stages[stage].after) {
--- a/Source/Core/Entry/StageRun.h
+++ b/Source/Core/Entry/StageRun.h
@@ -57,6 +57,8 @@
     // Stages from this one to the end of its chain.
     std::size_t stepsFrom(std::size_t stage) const;
     void begin(std::size_t stage);
+    // Names where most of the piece's bytes come from or go to.
+    void placeNear(std::size_t stage, Staging::PieceRequest &piece) const;
     void releaseUsedInputs(std::size_t stage);
     void release(std::size_t stage);
     bool isFinal(std::size_t stage) const;
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -30,7 +30,9 @@
 // start of a later stage, about one call.
 constexpr Common::Milliseconds kGraceOfLaterStages{300};
 constexpr Common::Milliseconds kNoGrace{0};
-// Results from this size on are made in the failure domain where they are used, if there is time.
+// Pieces with transfers from this size on are made near them, if there is time.
+constexpr std::uint64_t kLargeTransfer = 256 << 10;
+// Groups with results from this size on have the endpoint's room kept for them.
 constexpr std::uint64_t kLargeResult = 256 << 10;
 
 // Work that was put into a request already is not left for one that only begins.
@@ -133,14 +135,14 @@
     return *first + expectedCallTime(queue.batching, queue.batching.maxPieces) * calls;
 }
 
-// Whether the piece should wait for an endpoint nearer to where its result is used.
+// Whether the piece should wait for an endpoint nearer to its inputs or to where it is used.
 bool waitsForItsDomain(const StageQueue &queue, const PieceRequest &request,
                        const StageEndpoint &endpoint, std::size_t ahead, Time now)
 {
-    if (request.resultBytes < kLargeResult || request.usedIn.empty()
-        || request.usedIn == endpoint.endpoint.failureDomain)
+    if (request.transferBytes < kLargeTransfer || request.nearTo.empty()
+        || request.nearTo == endpoint.endpoint.failureDomain)
         return false;
-    const auto free = domainFreeAt(queue, request.usedIn, ahead, now);
+    const auto free = domainFreeAt(queue, request.nearTo, ahead, now);
     return free && *free <= request.startBy;
 }
 
@@ -205,7 +207,7 @@
         if (left.pieces == 0)
             break;
         const PieceRequest &request = *group.request;
-        std::size_t &ahead = aheadByDomain[request.usedIn];
+        std::size_t &ahead = aheadByDomain[request.nearTo];
         const std::size_t before = std::exchange(ahead, ahead + group.tickets.size());
         if (waitsForItsDomain(queue, request, endpoint, before, now))
             continue;
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -23,9 +23,11 @@
     std::string key;
     // Results of the stages before; unset for a stage that follows no other.
     std::optional<std::vector<std::string>> inputs;
-    // Where the result will be used; empty where its size does not matter.
-    Common::FailureDomain usedIn;
     std::uint64_t resultBytes = 0;
+    // Where the inputs are or the result will be used, and what crosses failure domains if the
+    // piece is made elsewhere.
+    Common::FailureDomain nearTo;
+    std::uint64_t transferBytes = 0;
     // Zero is most urgent.
     int priority = 0;
     // The latest start with which the request can still meet its objective.
