Staging: Let requests that hold room go on, and begin again after a lost result

Cause: late requests waited for four seconds in the queue of the third stage while their results filled the makers of the second; calls there went out with 6 pieces of 10 while 250 waited. Change: only requests that hold no room are put behind those that can be on time; lost inputs make the stages begin again; results are freed after 20 ms instead of 50.

--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -32,6 +32,8 @@
 // Most urgent value given to engines; 5 is what a request without a value gets.
 constexpr int kUrgencyBase = 3;
 constexpr int kMostUrgency = 9;
+// Times that the stages of a request begin again after a result was lost.
+constexpr int kMostStageRepeats = 2;
 constexpr unsigned kFirstFailureStatus = 500;
 
 bool isSuccess(unsigned status)
@@ -165,8 +167,14 @@
     plan.endpointTime = this->engineTime();
     plan.objectiveAt = this->request.receivedAt + this->route->objective;
     plan.expiresAt = this->deadline - this->engineTime();
-    this->stageRun = std::make_unique<StageRun>(this->state, this->parts.stages, std::move(plan));
-    const auto fault = co_await this->stageRun->run();
+    this->stageRun = std::make_unique<StageRun>(this->state, this->parts.stages, plan);
+    auto fault = co_await this->stageRun->run();
+    // Results go with their maker or after their lifetime; the stages begin again while there is time.
+    for (int again = 0; fault == Staging::PieceEnd::InputGone && again < kMostStageRepeats; ++again) {
+        this->state.metrics.count("stages_repeated");
+        this->stageRun = std::make_unique<StageRun>(this->state, this->parts.stages, plan);
+        fault = co_await this->stageRun->run();
+    }
     this->stagedAt = clockNow();
     if (this->callerGone) {
         this->noteEnd("caller-gone", "in its stages");
--- a/Source/Core/Entry/StageClient.cpp
+++ b/Source/Core/Entry/StageClient.cpp
@@ -44,6 +44,8 @@
     if (!piece.nearTo.empty())
         object["nearTo"] = piece.nearTo.value;
     object["transfer"] = piece.transferBytes;
+    if (piece.inputsHoldRoom)
+        object["holdsRoom"] = true;
     object["priority"] = piece.priority;
     object["startByMs"] = millisecondsFrom(now, piece.startBy);
     object["expiresMs"] = millisecondsFrom(now, piece.expiresAt);
@@ -71,6 +73,7 @@
     piece.resultBytes = numberOf(object, "bytes");
     piece.nearTo = Common::FailureDomain(textOf(object, "nearTo"));
     piece.transferBytes = numberOf(object, "transfer");
+    piece.inputsHoldRoom = object.contains("holdsRoom");
     piece.priority = static_cast<int>(signedOf(object, "priority"));
     piece.startBy = now + Common::Milliseconds(signedOf(object, "startByMs"));
     piece.expiresAt = now + Common::Milliseconds(signedOf(object, "expiresMs"));
--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -1,5 +1,7 @@
 #include "Entry/StageOwner.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -9,9 +11,9 @@
 
 namespace {
 
-// Results that are not needed any more are gathered for this long before their endpoint is told,
-// a fraction of a call's 200 ms.
-constexpr Common::Milliseconds kFreeDelay{50};
+// Results that are not needed any more are gathered for this long before their endpoint is told; a
+// tenth of a call's 200 ms, since their room may be waited for.
+constexpr Common::Milliseconds kFreeDelay{20};
 constexpr Common::Milliseconds kFreeTimeout{500};
 // A few round trips between failure domains; a dark endpoint holds pieces up for this long.
 constexpr Common::Milliseconds kConnectTimeout{250};
@@ -193,6 +195,7 @@
     const Common::Time now = clockNow();
     std::vector<Staging::SettledPiece> settled;
     std::string_view outcome = "answered";
+    std::int64_t noRoom = 0;
     Queue &queue = this->queues[service];
     if (!answer) {
         const auto fault
@@ -205,6 +208,9 @@
             ? this->state.dialect.readStageResults(answer->body)
             : std::nullopt;
         if (results) {
+            noRoom = std::count_if(results->begin(), results->end(), [](const auto &result) {
+                return result.answer == Staging::PieceAnswer::NoRoom;
+            });
             settled = Staging::callAnswered(queue.queue, call.number, *results, now);
         } else {
             const bool refused = head.saysNotRun || head.otherEndpoint;
@@ -223,6 +229,7 @@
             .number("pieces", static_cast<std::int64_t>(call.pieces.size()))
             .number("waiting", static_cast<std::int64_t>(queue.queue.waiting.size()))
             .text("outcome", outcome)
+            .number("noRoom", noRoom)
             .milliseconds("tookMs", now - sentAt),
         now);
     this->settle(queue, settled);
--- a/Source/Core/Entry/StageRun.cpp
+++ b/Source/Core/Entry/StageRun.cpp
@@ -14,6 +14,8 @@
 // Results from this size on are made no earlier than they are needed, since they fill their maker's
 // room for as long as other stages of the request take.
 constexpr std::uint64_t kLargeResult = 256 << 10;
+// Inputs that take more than this part of their maker's room keep other requests waiting.
+constexpr double kNoticeableRoom = 0.02;
 
 } // namespace
 
@@ -147,16 +149,23 @@
 void StageRun::placeNear(std::size_t stage, Staging::PieceRequest &piece) const
 {
     // Each piece fetches all inputs for itself.
+    double heldShare = 0;
     std::map<Common::FailureDomain, std::uint64_t> inputBytes;
     for (const std::size_t before : this->plan.route->stages[stage].after) {
         const Catalog::Stage &entry = this->plan.route->stages[before];
         const Routing::Pool &pool = this->state.poolOf(entry.service);
+        const Catalog::Service *maker = Catalog::findService(*this->plan.catalog, entry.service);
+        if (maker && maker->batching && maker->batching->roomBytes > 0) {
+            heldShare += static_cast<double>(entry.resultBytes * this->steps[before].results.size())
+                         / static_cast<double>(maker->batching->roomBytes);
+        }
         for (const Staging::SettledPiece &result : this->steps[before].results) {
             const auto maker = pool.indexById.find(result.maker);
             if (maker != pool.indexById.end())
                 inputBytes[pool.endpoints[maker->second].failureDomain] += entry.resultBytes;
         }
     }
+    piece.inputsHoldRoom = heldShare > kNoticeableRoom;
     for (const auto &[domain, bytes] : inputBytes) {
         if (bytes > piece.transferBytes) {
             piece.transferBytes = bytes;
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -26,20 +26,16 @@
 constexpr Common::Milliseconds kNoRoomPause{120};
 // Failures after which a piece is given up.
 constexpr std::uint32_t kMostTries = 4;
-// Requests whose first stage was done in time go on before others for this long after the latest
-// start of a later stage, about one call.
-constexpr Common::Milliseconds kGraceOfLaterStages{300};
-constexpr Common::Milliseconds kNoGrace{0};
 // Pieces with transfers from this size on are made near them, if there is time.
 constexpr std::uint64_t kLargeTransfer = 256 << 10;
 // Groups with results from this size on have the endpoint's room kept for them.
 constexpr std::uint64_t kLargeResult = 256 << 10;
 
-// Work that was put into a request already is not left for one that only begins.
+// A request that holds room at the stage before goes on in any case: while it waits, it keeps others
+// out of that room.
 bool isLate(const PieceRequest &request, Time now)
 {
-    const Common::Milliseconds grace = request.stage > 0 ? kGraceOfLaterStages : kNoGrace;
-    return now > request.startBy + grace;
+    return !request.inputsHoldRoom && now > request.startBy;
 }
 
 std::uint64_t usedRoom(const StageQueue &queue, const StageEndpoint &endpoint)
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -28,6 +28,8 @@
     // piece is made elsewhere.
     Common::FailureDomain nearTo;
     std::uint64_t transferBytes = 0;
+    // Whether its inputs take up room that other requests wait for.
+    bool inputsHoldRoom = false;
     // Zero is most urgent.
     int priority = 0;
     // The latest start with which the request can still meet its objective.
