Staging: Limit results that wait for the stage after them

Cause: with more room per call, requests piled up before the next stage, held room there and were given up after their results had lapsed.

--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -268,8 +268,13 @@
             continue;
         const bool tooLargeForAny
             = group.tickets.size() > batching.maxPieces || group.resultBytes() > room;
+        const bool fills = fillsRoom(batching, request.resultBytes);
+        if (fills && mayBeUnfetched == 0)
+            continue;
         const bool fits = group.tickets.size() <= left.pieces && group.resultBytes() <= left.room;
         if (fits || tooLargeForAny) {
+            if (fills)
+                mayBeUnfetched -= std::min(mayBeUnfetched, group.resultBytes());
             takePieces(group, left, batch);
             continue;
         }
