--- /dev/null
+++ b/Source/UnitTests/Routing/HomeChoiceTest.cpp
@@ -0,0 +1,107 @@
+#include "Routing/HomeChoice.h"
+
+#include <map>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagerbay;
+using namespace Tanagerbay::Routing;
+
+namespace {
+
+struct HomeChoiceFixture
+{
+    Common::Time now = Common::Time(std::chrono::seconds(100));
+    Pool pool{1};
+
+    HomeChoiceFixture()
+    {
+        std::vector<EndpointEntry> entries;
+        for (int i = 0; i < 9; ++i) {
+            EndpointEntry entry;
+            entry.id = Common::EndpointId("e" + std::to_string(i));
+            entry.address = {"127.0.0.1", static_cast<std::uint16_t>(9000 + i)};
+            entries.push_back(entry);
+        }
+        applyEntries(this->pool, entries);
+    }
+
+    std::size_t home(const std::string &key, std::vector<Common::EndpointId> tried = {})
+    {
+        return chooseHome(this->pool, {key, std::move(tried)}, this->now).value();
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(HomeChoiceSuite, HomeChoiceFixture)
+
+BOOST_AUTO_TEST_CASE(chooseHome_samePart_staysAtOneEndpointWhenOthersLeave)
+{
+    const std::size_t before = this->home("part");
+    this->pool.endpoints[(before + 1) % 9].state = EndpointState::Leaving;
+    BOOST_TEST(this->home("part") == before);
+}
+
+BOOST_AUTO_TEST_CASE(chooseHome_manyParts_areSpreadOverAll)
+{
+    std::map<std::size_t, int> counts;
+    for (int i = 0; i < 900; ++i)
+        ++counts[this->home("part" + std::to_string(i))];
+    BOOST_TEST(counts.size() == 9u);
+    for (const auto &[index, count] : counts)
+        BOOST_TEST(count < 200);
+}
+
+// A hot part: more than its share of the work goes to the next endpoint in the order of the hash.
+BOOST_AUTO_TEST_CASE(chooseHome_hotPart_passesOnWhatIsTooMuchForOne)
+{
+    std::map<std::size_t, int> counts;
+    for (int i = 0; i < 90; ++i) {
+        const std::size_t index = this->home("hot");
+        beginCall(this->pool, index);
+        ++counts[index];
+    }
+    // Each has at most one and a half times the mean of ten, and three calls besides.
+    BOOST_TEST(counts.size() >= 5u);
+    for (const auto &[index, count] : counts)
+        BOOST_TEST(count <= 19);
+}
+
+BOOST_AUTO_TEST_CASE(chooseHome_homeFailsOften_isPassedOver)
+{
+    const std::size_t index = this->home("part");
+    for (int i = 0; i < 2; ++i)
+        noteFailure(this->pool.endpoints[index], false, this->now);
+    this->pool.endpoints[index].health.errorRate = 0.5;
+    BOOST_TEST(this->home("part") != index);
+}
+
+BOOST_AUTO_TEST_CASE(chooseHome_triedEndpoint_isNotChosenAgain)
+{
+    const std::size_t index = this->home("part");
+    BOOST_TEST(this->home("part", {this->pool.endpoints[index].id}) != index);
+}
+
+BOOST_AUTO_TEST_CASE(chooseHome_allLeaving_choosesNone)
+{
+    for (Endpoint &endpoint : this->pool.endpoints)
+        endpoint.state = EndpointState::Leaving;
+    BOOST_TEST(!chooseHome(this->pool, {"part", {}}, this->now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(applyEntries_endpointStartedAgain_isANewOne)
+{
+    EndpointEntry entry;
+    entry.id = Common::EndpointId("e0");
+    entry.address = this->pool.endpoints.front().address;
+    entry.incarnation = 7;
+    beginCall(this->pool, 0);
+    applyEntries(this->pool, {entry});
+    BOOST_TEST(this->pool.endpoints.front().ownInFlight == 0u);
+    beginCall(this->pool, 0);
+    applyEntries(this->pool, {entry});
+    BOOST_TEST(this->pool.endpoints.front().ownInFlight == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Serving/EventSequenceTest.cpp
@@ -0,0 +1,81 @@
+#include "Serving/EventSequence.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagerbay::Serving;
+
+namespace {
+
+std::string event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: text\n\n";
+}
+
+struct EventSequenceFixture
+{
+    EventSequence events;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EventSequenceSuite, EventSequenceFixture)
+
+BOOST_AUTO_TEST_CASE(feed_bytesInPieces_handsOutWholeEventsOnly)
+{
+    const std::string whole = event(1) + event(2);
+    for (const char byte : whole.substr(0, whole.size() - 1))
+        BOOST_TEST((this->events.feed({&byte, 1}) == SequenceFault::None));
+    BOOST_TEST(this->events.takeReady() == event(1));
+    BOOST_TEST(this->events.hasTornEvent());
+    BOOST_TEST((this->events.feed("\n") == SequenceFault::None));
+    BOOST_TEST(this->events.takeReady() == event(2));
+    BOOST_TEST(!this->events.hasTornEvent());
+}
+
+BOOST_AUTO_TEST_CASE(feed_gap_isAFault)
+{
+    BOOST_TEST((this->events.feed(event(1) + event(3)) == SequenceFault::BrokenOrder));
+    BOOST_TEST(this->events.takeReady() == event(1));
+}
+
+BOOST_AUTO_TEST_CASE(feed_eventTwice_isAFault)
+{
+    BOOST_TEST((this->events.feed(event(1) + event(1)) == SequenceFault::BrokenOrder));
+}
+
+BOOST_AUTO_TEST_CASE(feed_eventWithoutNumber_isAFault)
+{
+    BOOST_TEST((this->events.feed("data: text\n\n") == SequenceFault::BrokenOrder));
+}
+
+BOOST_AUTO_TEST_CASE(feed_secondEndpointGoesOn_joinsWithoutTheTornEvent)
+{
+    BOOST_TEST((this->events.feed(event(1) + "id: 2\nda") == SequenceFault::None));
+    this->events.dropTornEvent();
+    BOOST_TEST(this->events.lastEvent().value() == 1u);
+    BOOST_TEST((this->events.feed(event(2)) == SequenceFault::None));
+    BOOST_TEST(this->events.takeReady() == event(1) + event(2));
+}
+
+BOOST_AUTO_TEST_CASE(feed_secondEndpointRepeatsAnEvent_isAFault)
+{
+    BOOST_TEST((this->events.feed(event(1) + event(2)) == SequenceFault::None));
+    BOOST_TEST((this->events.feed(event(2)) == SequenceFault::BrokenOrder));
+}
+
+BOOST_AUTO_TEST_CASE(feed_callerHasEvents_goesOnAfterThem)
+{
+    EventSequence resumed(12);
+    BOOST_TEST((resumed.feed(event(13)) == SequenceFault::None));
+    EventSequence wrong(12);
+    BOOST_TEST((wrong.feed(event(1)) == SequenceFault::BrokenOrder));
+}
+
+BOOST_AUTO_TEST_CASE(feed_firstLineIsTheWeightVersion_findsTheNumberBehindIt)
+{
+    BOOST_TEST(
+        (this->events.feed("weight-versions: 2\nid: 1\ndata: x\n\n") == SequenceFault::None));
+    BOOST_TEST(this->events.lastEvent().value() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Staging/StageQueueTest.cpp
@@ -0,0 +1,356 @@
+// Each case names the pattern of load that it answers.
+#include "Staging/StageQueue.h"
+
+#include <algorithm>
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagerbay;
+using namespace Tanagerbay::Staging;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct StageQueueFixture
+{
+    Common::Time now = Common::Time(std::chrono::seconds(100));
+    StageQueue queue;
+    std::vector<SettledPiece> settled;
+    std::vector<Routing::Endpoint> listed;
+
+    StageQueueFixture()
+    {
+        this->queue.service = "encode";
+        this->queue.batching.maxPieces = 8;
+        this->queue.batching.callTime = milliseconds(200);
+        this->queue.batching.pieceTime = milliseconds(20);
+        this->queue.batching.roomBytes = 18'000'000;
+        this->queue.batching.resultLifetime = std::chrono::seconds(4);
+        for (int i = 0; i < 3; ++i) {
+            Routing::Endpoint endpoint;
+            endpoint.id = Common::EndpointId("s" + std::to_string(i));
+            endpoint.address = {"127.0.0.1", static_cast<std::uint16_t>(9100 + i)};
+            endpoint.failureDomain
+                = Common::FailureDomain(std::string(1, static_cast<char>('a' + i)));
+            this->listed.push_back(endpoint);
+        }
+        applyEndpoints(this->queue, this->listed, this->now);
+    }
+
+    PieceRequest piece(const std::string &request, std::uint64_t bytes = 8'000)
+    {
+        PieceRequest made;
+        made.requestId = request;
+        made.resultBytes = bytes;
+        made.startBy = this->now + milliseconds(400);
+        made.expiresAt = this->now + std::chrono::seconds(5);
+        return made;
+    }
+
+    std::vector<PieceTicket> submitGroup(PieceRequest request, int count)
+    {
+        std::vector<PieceTicket> tickets;
+        for (int i = 0; i < count; ++i) {
+            request.piece = static_cast<std::uint32_t>(i);
+            tickets.push_back(submit(this->queue, request, this->now));
+        }
+        return tickets;
+    }
+
+    std::vector<PlannedCall> plan()
+    {
+        return planCalls(this->queue, this->now, this->settled);
+    }
+
+    std::vector<SettledPiece> answer(const PlannedCall &call)
+    {
+        std::vector<PieceResult> results;
+        for (const QueuedPiece &piece : call.pieces)
+            results.push_back({PieceAnswer::Made, "h" + std::to_string(piece.ticket)});
+        return callAnswered(this->queue, call.number, results, this->now);
+    }
+
+    // Keeps all endpoints but one busy.
+    void leaveOne()
+    {
+        this->listed.resize(1);
+        applyEndpoints(this->queue, this->listed, this->now);
+    }
+
+    static std::set<std::string> requestsIn(const PlannedCall &call)
+    {
+        std::set<std::string> requests;
+        for (const QueuedPiece &piece : call.pieces)
+            requests.insert(piece.request.requestId);
+        return requests;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StageQueueSuite, StageQueueFixture)
+
+BOOST_AUTO_TEST_CASE(calmDay_onePieceWaits_isSentAtOnce)
+{
+    submit(this->queue, this->piece("r"), this->now);
+    const auto calls = this->plan();
+    BOOST_TEST(calls.size() == 1u);
+    BOOST_TEST(this->plan().empty());
+}
+
+BOOST_AUTO_TEST_CASE(burst_oneEndpointFree_fillsItsCallWithWholeRequests)
+{
+    this->leaveOne();
+    for (const char *request : {"r1", "r2", "r3"})
+        this->submitGroup(this->piece(request, 1'500'000), 3);
+    const auto calls = this->plan();
+    BOOST_TEST(calls.size() == 1u);
+    // Two requests of three pieces; a part of the third would hold room for nothing.
+    BOOST_TEST(calls.front().pieces.size() == 6u);
+}
+
+BOOST_AUTO_TEST_CASE(burst_smallResults_fillTheRestWithAPartOfARequest)
+{
+    this->leaveOne();
+    for (const char *request : {"r1", "r2", "r3"})
+        this->submitGroup(this->piece(request), 3);
+    BOOST_TEST(this->plan().front().pieces.size() == 8u);
+}
+
+BOOST_AUTO_TEST_CASE(burstOfOneKind_moreUrgentKindWaits_goesFirst)
+{
+    this->leaveOne();
+    PieceRequest patient = this->piece("patient");
+    patient.priority = 2;
+    this->submitGroup(patient, 8);
+    PieceRequest urgent = this->piece("urgent");
+    urgent.priority = 0;
+    this->submitGroup(urgent, 8);
+    BOOST_TEST(requestsIn(this->plan().front()) == std::set<std::string>{"urgent"});
+}
+
+BOOST_AUTO_TEST_CASE(overload_requestThatIsLate_waitsBehindThoseInTime)
+{
+    this->leaveOne();
+    PieceRequest late = this->piece("late");
+    late.startBy = this->now - milliseconds(1);
+    this->submitGroup(late, 8);
+    this->submitGroup(this->piece("in-time"), 8);
+    BOOST_TEST(requestsIn(this->plan().front()) == std::set<std::string>{"in-time"});
+}
+
+BOOST_AUTO_TEST_CASE(overload_lateRequestHoldsRoomBefore_goesOn)
+{
+    this->leaveOne();
+    PieceRequest late = this->piece("late");
+    late.startBy = this->now - milliseconds(1);
+    late.inputsHoldRoom = true;
+    this->submitGroup(late, 8);
+    this->submitGroup(this->piece("in-time"), 8);
+    BOOST_TEST(requestsIn(this->plan().front()) == std::set<std::string>{"late"});
+}
+
+BOOST_AUTO_TEST_CASE(overload_requestCannotEndInTime_isSettledAndNotSent)
+{
+    PieceRequest hopeless = this->piece("hopeless");
+    hopeless.expiresAt = this->now + milliseconds(100);
+    submit(this->queue, hopeless, this->now);
+    BOOST_TEST(this->plan().empty());
+    BOOST_TEST(this->settled.size() == 1u);
+    BOOST_TEST((this->settled.front().end == PieceEnd::Expired));
+}
+
+BOOST_AUTO_TEST_CASE(roomRunsOut_resultsAreHeld_nextCallTakesOnlyWhatFits)
+{
+    this->leaveOne();
+    this->submitGroup(this->piece("r1", 1'500'000), 8);
+    this->answer(this->plan().front());
+    this->submitGroup(this->piece("r2", 1'500'000), 4);
+    // 12 MB of 16.5 MB are taken; four more results would need 6 MB.
+    BOOST_TEST(this->plan().empty());
+}
+
+BOOST_AUTO_TEST_CASE(roomRunsOut_resultsWereFetched_makeRoomForTheNextCall)
+{
+    this->leaveOne();
+    this->submitGroup(this->piece("r1", 1'500'000), 8);
+    const auto made = this->answer(this->plan().front());
+    for (const SettledPiece &piece : made)
+        markSpare(this->queue, piece.maker, piece.handle, this->now);
+    this->submitGroup(this->piece("r2", 1'500'000), 4);
+    const auto calls = this->plan();
+    BOOST_TEST(calls.size() == 1u);
+    BOOST_TEST(calls.front().pieces.size() == 4u);
+    BOOST_TEST(!calls.front().freeFirst.empty());
+}
+
+BOOST_AUTO_TEST_CASE(roomRunsOut_resultsAreReleased_areFreedAtTheirMaker)
+{
+    this->leaveOne();
+    this->submitGroup(this->piece("r1", 1'500'000), 8);
+    const auto made = this->answer(this->plan().front());
+    for (const SettledPiece &piece : made)
+        release(this->queue, piece.maker, piece.handle);
+    const auto orders = takeFreeOrders(this->queue);
+    BOOST_TEST(orders.size() == 1u);
+    BOOST_TEST(orders.front().handles.size() == 8u);
+    this->submitGroup(this->piece("r2", 1'500'000), 8);
+    BOOST_TEST(this->plan().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(roomRunsOut_resultsLapse_roomIsThereAgain)
+{
+    this->leaveOne();
+    this->submitGroup(this->piece("r1", 1'500'000), 8);
+    this->answer(this->plan().front());
+    this->now += std::chrono::seconds(4);
+    this->submitGroup(this->piece("r2", 1'500'000), 8);
+    BOOST_TEST(this->plan().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(largeRequest_smallOnesKeepComing_hasRoomKeptForIt)
+{
+    this->leaveOne();
+    this->submitGroup(this->piece("held", 1'500'000), 4);
+    this->answer(this->plan().front());
+    PieceRequest large = this->piece("large", 1'500'000);
+    large.startBy = this->now + milliseconds(100);
+    this->submitGroup(large, 8);
+    this->submitGroup(this->piece("small", 1'500'000), 2);
+    BOOST_TEST(this->plan().empty());
+}
+
+BOOST_AUTO_TEST_CASE(largeResults_ownDomainIsBusyButInTime_waitForIt)
+{
+    PieceRequest request = this->piece("r", 1'500'000);
+    request.nearTo = Common::FailureDomain("a");
+    request.transferBytes = request.resultBytes;
+    this->submitGroup(request, 2);
+    auto calls = this->plan();
+    BOOST_TEST(calls.size() == 1u);
+    BOOST_TEST(calls.front().endpoint.failureDomain.value == "a");
+    request.requestId = "r2";
+    this->submitGroup(request, 2);
+    BOOST_TEST(this->plan().empty());
+    // Too late to wait for the own domain.
+    this->now += milliseconds(410);
+    calls = this->plan();
+    BOOST_REQUIRE(calls.size() == 1u);
+    BOOST_TEST(calls.front().endpoint.failureDomain.value != "a");
+}
+
+BOOST_AUTO_TEST_CASE(slowEndpoint_callIsOverdue_piecesGoToAnotherAndTheFirstResultCounts)
+{
+    const auto tickets = this->submitGroup(this->piece("r"), 2);
+    const auto first = this->plan();
+    this->now += milliseconds(800);
+    requeueOverdue(this->queue, this->now);
+    const auto second = this->plan();
+    BOOST_TEST(second.size() == 1u);
+    BOOST_TEST((second.front().endpoint.id != first.front().endpoint.id));
+    BOOST_TEST(this->answer(second.front()).size() == 2u);
+    BOOST_TEST(this->answer(first.front()).empty());
+    // The results that came second are freed.
+    BOOST_TEST(hasFreeOrders(this->queue));
+}
+
+BOOST_AUTO_TEST_CASE(slowEndpoint_littleWorkWaits_isLeftOut)
+{
+    this->submitGroup(this->piece("r"), 1);
+    const auto first = this->plan();
+    this->now += milliseconds(1500);
+    this->answer(first.front());
+    this->submitGroup(this->piece("r2"), 1);
+    const auto second = this->plan();
+    BOOST_TEST(second.size() == 1u);
+    BOOST_TEST((second.front().endpoint.id != first.front().endpoint.id));
+}
+
+BOOST_AUTO_TEST_CASE(endpointLost_callFails_piecesAreSentElsewhere)
+{
+    this->submitGroup(this->piece("r"), 3);
+    const auto first = this->plan();
+    BOOST_TEST(
+        callFailed(this->queue, first.front().number, CallFault::Unreachable, this->now).empty());
+    const auto second = this->plan();
+    BOOST_TEST(second.size() == 1u);
+    BOOST_TEST(second.front().pieces.size() == 3u);
+    BOOST_TEST((second.front().endpoint.id != first.front().endpoint.id));
+}
+
+BOOST_AUTO_TEST_CASE(endpointFailsAgainAndAgain_piecesAreGivenUp)
+{
+    this->submitGroup(this->piece("r"), 1);
+    std::vector<SettledPiece> ended;
+    for (int i = 0; i < 20 && ended.empty(); ++i) {
+        for (const PlannedCall &call : this->plan())
+            ended = callFailed(this->queue, call.number, CallFault::Lost, this->now);
+        this->now += milliseconds(100);
+    }
+    BOOST_TEST(ended.size() == 1u);
+    BOOST_TEST((ended.front().end == PieceEnd::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(endpointLeaves_noNewCallGoesToIt)
+{
+    for (Routing::Endpoint &endpoint : this->listed)
+        endpoint.state = Routing::EndpointState::Leaving;
+    this->listed.back().state = Routing::EndpointState::Live;
+    applyEndpoints(this->queue, this->listed, this->now);
+    this->submitGroup(this->piece("r1"), 8);
+    this->submitGroup(this->piece("r2"), 8);
+    const auto calls = this->plan();
+    BOOST_TEST(calls.size() == 1u);
+    BOOST_TEST((calls.front().endpoint.id == this->listed.back().id));
+}
+
+BOOST_AUTO_TEST_CASE(callerLeaves_piecesAreWithdrawn_resultsOfRunningCallsAreFreed)
+{
+    const auto tickets = this->submitGroup(this->piece("r"), 2);
+    const auto calls = this->plan();
+    for (const PieceTicket ticket : tickets)
+        withdraw(this->queue, ticket);
+    BOOST_TEST(this->answer(calls.front()).empty());
+    BOOST_TEST(takeFreeOrders(this->queue).front().handles.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(nextStageLags_resultsWaitLong_fewerAreMade)
+{
+    this->leaveOne();
+    for (int round = 0; round < 40; ++round) {
+        this->submitGroup(this->piece("r" + std::to_string(round), 1'500'000), 4);
+        const auto calls = this->plan();
+        BOOST_REQUIRE(calls.size() == 1u);
+        const auto made = this->answer(calls.front());
+        this->now += milliseconds(900);
+        for (const SettledPiece &piece : made) {
+            markSpare(this->queue, piece.maker, piece.handle, this->now);
+            release(this->queue, piece.maker, piece.handle);
+        }
+        takeFreeOrders(this->queue);
+    }
+    BOOST_TEST(this->queue.unfetchedShare < 0.5);
+    this->submitGroup(this->piece("a", 1'500'000), 4);
+    BOOST_TEST(this->plan().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(wrongNumberOfResults_countsAsLost)
+{
+    this->submitGroup(this->piece("r"), 2);
+    const auto calls = this->plan();
+    const std::vector<PieceResult> results{{PieceAnswer::Made, "h"}};
+    BOOST_TEST(callAnswered(this->queue, calls.front().number, results, this->now).empty());
+    BOOST_TEST(this->queue.waiting.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(onlyTheWholeAnswerOfItsOwnCallSettlesAPiece)
+{
+    this->submitGroup(this->piece("r"), 1);
+    const auto calls = this->plan();
+    BOOST_TEST(callAnswered(this->queue, calls.front().number + 1, {}, this->now).empty());
+    BOOST_TEST(this->answer(calls.front()).size() == 1u);
+    BOOST_TEST(this->answer(calls.front()).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
