Staging: Sort waiting pieces by keys and look for free endpoints first

Cause: the owner of a queue with 2,000 waiting pieces looked each of them up for every comparison and at every hand-in, and used 0.21 cores of its 0.5. Change: ranks are gathered once and sorted; without a free endpoint nothing is sorted.

--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -26,6 +26,8 @@
 constexpr Common::Milliseconds kNoRoomPause{120};
 // Failures after which a piece is given up.
 constexpr std::uint32_t kMostTries = 4;
+// With all endpoints busy, pieces that cannot be done in time are looked for this often.
+constexpr Common::Milliseconds kExpiryInterval{50};
 // Results are of about the size that the catalog names; this part of the room is filled by it.
 constexpr double kUsableRoom = 0.92;
 // Results from this part of the room on are what fills it.
@@ -155,12 +157,15 @@
 // least slack.
 void sortWaiting(StageQueue &queue, Time now)
 {
-    const auto rank = [&queue, now](PieceTicket ticket) {
+    std::vector<std::tuple<bool, int, Time, PieceTicket>> ranks;
+    ranks.reserve(queue.waiting.size());
+    for (const PieceTicket ticket : queue.waiting) {
         const PieceRequest &request = queue.pieces.at(ticket).request;
-        return std::tuple(isLate(request, now), request.priority, request.startBy, ticket);
-    };
-    std::sort(queue.waiting.begin(), queue.waiting.end(),
-              [&rank](PieceTicket a, PieceTicket b) { return rank(a) < rank(b); });
+        ranks.emplace_back(isLate(request, now), request.priority, request.startBy, ticket);
+    }
+    std::sort(ranks.begin(), ranks.end());
+    for (std::size_t i = 0; i < ranks.size(); ++i)
+        queue.waiting[i] = std::get<PieceTicket>(ranks[i]);
 }
 
 // When an endpoint of the failure domain could take a piece that has `ahead` others before it.
@@ -459,7 +464,6 @@
 std::vector<PlannedCall> planCalls(StageQueue &queue, Time now, std::vector<SettledPiece> &settled)
 {
     std::vector<PlannedCall> plans;
-    settleExpired(queue, now, settled);
     if (queue.waiting.empty())
         return plans;
     std::vector<StageEndpoint *> free;
@@ -470,6 +474,12 @@
         if (isFree(queue, endpoint, now))
             free.push_back(&endpoint);
     }
+    // Without a free endpoint, pieces that cannot be done in time are settled when the queue wakes.
+    const bool pastWake = queue.settledExpiredAt + kExpiryInterval <= now;
+    if (free.empty() && !pastWake)
+        return plans;
+    queue.settledExpiredAt = now;
+    settleExpired(queue, now, settled);
     if (free.empty())
         return plans;
     sortWaiting(queue, now);
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -9,8 +9,8 @@
 #include "Common/Address.h"
 #include "Routing/Endpoint.h"
 
-#include <deque>
 #include <map>
+#include <unordered_map>
 
 namespace Tanagerbay::Staging {
 
@@ -157,7 +157,7 @@
 {
     std::string service;
     Catalog::Batching batching;
-    std::map<PieceTicket, OpenPiece> pieces;
+    std::unordered_map<PieceTicket, OpenPiece> pieces;
     std::vector<PieceTicket> waiting;
     std::map<Common::EndpointId, StageEndpoint> endpoints;
     std::map<CallNumber, OpenCall> calls;
@@ -166,6 +166,8 @@
     // Part of the room that results may take while nobody has fetched them. It shrinks while the
     // stage that uses them lags, so that requests wait here, where the best ones are chosen.
     double unfetchedShare = 1;
+    // When pieces that cannot be done in time were last looked for.
+    Common::Time settledExpiredAt;
 };
 
 // Takes the endpoints that the list names now.
