Entry: Stage a cut stream again, never answer within a stream, and refuse long work late in a graceful end

Besides: stages of streams expire when their callers leave, refused callers come back spread over an objective, denials rest on a catalog of the last second, the configuration's feed waits 3.5 s.

--- a/Source/Core/Entry/CatalogKeeper.cpp
+++ b/Source/Core/Entry/CatalogKeeper.cpp
@@ -8,11 +8,12 @@
 namespace {
 
 // How long the store may keep a read waiting. A connection that fell silent is noticed a little
-// later, before the machine counts as in touch again.
-constexpr Common::Milliseconds kFeedWait{2000};
+// later; a machine is out of touch for three seconds after that, and heartbeats bring versions too.
+constexpr Common::Milliseconds kFeedWait{3500};
 constexpr Common::Milliseconds kRetryPause{150};
-// A refusal is given on a catalog that was current this long ago at most.
-constexpr Common::Milliseconds kConfirmSlack{50};
+// A refusal is given on a catalog that was current this long ago at most; half of the time that a
+// change may take to be in force.
+constexpr Common::Milliseconds kConfirmSlack{1000};
 constexpr Common::Milliseconds kConfirmPoll{10};
 // The store's own feed usually brings a change before a heartbeat does.
 constexpr Common::Milliseconds kAskPeerPause{250};
--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -193,7 +193,7 @@
     const Common::Time now = clockNow();
     boost::json::object dump;
     dump["instance"] = this->state.settings.instance.value;
-    dump["leaving"] = this->state.leaving;
+    dump["leaving"] = this->state.leaving.has_value();
     dump["catalogVersion"] = this->state.catalog ? this->state.catalog->version : 0;
     dump["requestsInProgress"] = this->state.requestsInProgress;
     dump["openPieces"] = this->stageOwner.openPieces();
@@ -258,7 +258,8 @@
 Http::Awaitable<void> EntryInstance::leave()
 {
     const Common::Time begun = clockNow();
-    this->state.leaving = true;
+    const Common::Time mustEnd = begun + this->state.settings.bounds.grace - kLeaveMargin;
+    this->state.leaving = Serving::Leaving{begun, mustEnd};
     this->state.logState(LogLine("leaving").number(
         "requestsInProgress", static_cast<std::int64_t>(this->state.requestsInProgress)));
     this->callerServer->closeAfterAnswers();
@@ -269,7 +270,6 @@
             co_await this->store->removeInstance(this->state.settings.instance);
         },
         asio::detached);
-    const Common::Time mustEnd = begun + this->state.settings.bounds.grace - kLeaveMargin;
     while (clockNow() < mustEnd) {
         const Common::Time now = clockNow();
         const bool quiet = now - std::max(begun, this->state.lastRequestAt) > kQuietBeforeEnd;
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -58,6 +58,7 @@
     NoSuchRoute,
     UnknownKey,
     NotReady,
+    Leaving,
     NoEndpoint,
     Overloaded,
     NotRunInTime,
@@ -71,11 +72,12 @@
 struct Tanagerbay::Common::EnumNames<Tanagerbay::Entry::RefusalReason>
 {
     using Reason = Entry::RefusalReason;
-    static constexpr NameTable<Reason, 9> table = {{
+    static constexpr NameTable<Reason, 10> table = {{
         {Reason::BadRequest, "bad-request"},
         {Reason::NoSuchRoute, "no-such-route"},
         {Reason::UnknownKey, "unknown-key"},
         {Reason::NotReady, "not-ready"},
+        {Reason::Leaving, "leaving"},
         {Reason::NoEndpoint, "no-endpoint"},
         {Reason::Overloaded, "overloaded"},
         {Reason::NotRunInTime, "not-run-in-time"},
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -37,6 +37,11 @@
 constexpr int kMostUrgency = 9;
 // Times that the stages of a request begin again after a result was lost.
 constexpr int kMostStageRepeats = 2;
+// Callers of a stream leave before its first event, or between two, after the longest of this time,
+// so many objectives and so many longest pauses.
+constexpr Common::Milliseconds kStreamPatience{2000};
+constexpr int kStreamPatienceObjectives = 4;
+constexpr int kStreamPatienceGaps = 8;
 constexpr unsigned kFirstFailureStatus = 500;
 
 bool isSuccess(unsigned status)
@@ -139,6 +144,11 @@
         wait = this->route->timeout;
     if (this->request.patience)
         wait = std::min(wait, *this->request.patience);
+    const Common::Time now = clockNow();
+    if (this->state.leaving && !Serving::mayTake(*this->state.leaving, wait, now)) {
+        co_await this->refuse({RefusalReason::Leaving, true, Common::Milliseconds(0)}, "");
+        co_return false;
+    }
     this->deadline = this->request.receivedAt + wait - kDeadlineMargin;
     this->priority = this->route->priority;
     if (this->workspace && this->workspace->priority)
@@ -151,25 +161,50 @@
     co_return true;
 }
 
-Http::Awaitable<bool> RequestFlow::runStages()
+Common::Time RequestFlow::callerLeavesAt() const
+{
+    Common::Duration patience = std::max<Common::Duration>(
+        kStreamPatience, this->route->objective * kStreamPatienceObjectives);
+    if (this->route->eventGapObjective)
+        patience = std::max<Common::Duration>(
+            patience, *this->route->eventGapObjective * kStreamPatienceGaps);
+    return std::min(this->deadline, this->request.receivedAt + patience);
+}
+
+StagePlan RequestFlow::stagePlan(const Routing::Endpoint &home) const
 {
-    const Common::Time now = clockNow();
-    const auto home = this->chooseEndpoint(now);
-    if (!home) {
-        co_await this->refuse({RefusalReason::NoEndpoint, true, kRetryAfter}, this->service);
-        co_return false;
-    }
     StagePlan plan;
     plan.requestId = this->request.id;
     plan.catalog = this->catalog.get();
     plan.route = this->route;
     plan.pieceCounts = this->request.pieceCounts;
     plan.pieceKey = this->request.pieceKey;
-    plan.usedIn = this->state.poolOf(this->service).endpoints[*home].failureDomain;
+    plan.usedIn = home.failureDomain;
     plan.priority = this->priority;
     plan.endpointTime = this->engineTime();
     plan.objectiveAt = this->request.receivedAt + this->route->objective;
-    plan.expiresAt = this->deadline - this->engineTime();
+    plan.expiresAt = this->callerLeavesAt() - this->engineTime();
+    // A stream that has begun goes on for as long as its caller stays.
+    if (this->firstEventAt)
+        plan.expiresAt = this->deadline - this->engineTime();
+    return plan;
+}
+
+Common::Duration RequestFlow::comeBackAfter()
+{
+    std::uniform_real_distribution<double> spread(0.5, 1.5);
+    const double seconds = Common::toSeconds(this->route->objective) * spread(this->state.random);
+    return std::chrono::duration_cast<Common::Duration>(std::chrono::duration<double>(seconds));
+}
+
+Http::Awaitable<bool> RequestFlow::runStages()
+{
+    const auto home = this->chooseEndpoint(clockNow());
+    if (!home) {
+        co_await this->refuse({RefusalReason::NoEndpoint, true, kRetryAfter}, this->service);
+        co_return false;
+    }
+    const StagePlan plan = this->stagePlan(this->state.poolOf(this->service).endpoints[*home]);
     this->stageRun = std::make_unique<StageRun>(this->state, this->parts.stages, plan);
     auto fault = co_await this->stageRun->run();
     // Results go with their maker or after their lifetime; the stages begin again while there is
@@ -186,10 +221,12 @@
         co_return false;
     }
     if (fault) {
-        co_await this->refuse({RefusalReason::NotRunInTime, true, kRetryAfter},
-                              Common::nameOf(*fault));
+        const bool ran = this->attempts.mayHaveRun;
+        Refusal refusal{RefusalReason::NotRunInTime, !ran, this->comeBackAfter()};
+        co_await this->refuse(refusal, Common::nameOf(*fault));
         co_return false;
     }
+    this->stageResultsReleased = false;
     this->stageResults = this->stageRun->finalResults();
     co_return true;
 }
@@ -231,7 +268,14 @@
             co_await this->refuse(refusal, this->service);
             co_return;
         }
-        const Routing::Endpoint endpoint = this->state.poolOf(this->service).endpoints[*chosen];
+        if (this->stageRun && this->stageResultsReleased && !co_await this->runStages())
+            co_return;
+        // The list may have changed in the meantime.
+        const Routing::Pool &pool = this->state.poolOf(this->service);
+        const auto stillChosen = this->chooseEndpoint(clockNow());
+        if (!stillChosen)
+            continue;
+        const Routing::Endpoint endpoint = pool.endpoints[*stillChosen];
         this->tried.push_back(endpoint.id);
         SendResult sent = co_await this->sendTo(endpoint);
         if (sent.answered)
@@ -445,6 +489,7 @@
         // The engine has read its inputs.
         if (this->stageRun)
             this->stageRun->releaseAll();
+        this->stageResultsReleased = true;
     }
     if (!this->exchange.started()) {
         Http::Response head;
@@ -525,7 +570,9 @@
 Http::Awaitable<void> RequestFlow::refuse(Refusal refusal, std::string_view detail)
 {
     this->noteEnd(Common::nameOf(refusal.reason), detail);
-    if (!this->callerGone)
+    // Within a stream that has begun, an answer would be bytes of the stream; its connection
+    // closes.
+    if (!this->callerGone && !this->exchange.started())
         co_await this->exchange.respond(
             this->state.dialect.writeRefusal(refusal, this->request.id));
 }
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -45,6 +45,11 @@
     Http::Awaitable<std::optional<Refusal>> checkRoute();
     std::optional<RefusalReason> findRouteAndWorkspace();
     Http::Awaitable<bool> runStages();
+    StagePlan stagePlan(const Routing::Endpoint &home) const;
+    // When the caller leaves, by what it said and by what callers of streams bear.
+    Common::Time callerLeavesAt() const;
+    // When a refused caller should come back, spread so that they don't come together.
+    Common::Duration comeBackAfter();
     Http::Awaitable<void> sendUntilAnswered();
     std::optional<std::size_t> chooseEndpoint(Common::Time now);
     bool takeExtraSend(Common::Time now);
@@ -84,6 +89,8 @@
     Serving::EventSequence events;
     std::unique_ptr<StageRun> stageRun;
     std::vector<std::string> stageResults;
+    // Whether the results were released; a further send needs new ones.
+    bool stageResultsReleased = false;
     Http::CallHandle call;
     bool callerGone = false;
     std::optional<Common::Time> firstEventAt;
--- a/Source/Core/Entry/State.h
+++ b/Source/Core/Entry/State.h
@@ -9,6 +9,7 @@
 #include "Http/Client.h"
 #include "Membership/Members.h"
 #include "Routing/Pool.h"
+#include "Serving/Leaving.h"
 
 #include <map>
 #include <random>
@@ -50,7 +51,8 @@
     std::map<std::string, Routing::Pool> pools;
     std::unordered_map<std::string, Serving::FleetBudget> budgets;
     Membership::Members members;
-    bool leaving = false;
+    // Set once the process was told to end.
+    std::optional<Serving::Leaving> leaving;
     std::size_t requestsInProgress = 0;
     Common::Time lastRequestAt;
 };
