--- a/Source/Core/Node/AllowanceKeeper.cpp
+++ b/Source/Core/Node/AllowanceKeeper.cpp
@@ -25,7 +25,7 @@
     return Limits::windowOf(std::chrono::system_clock::now(), allowance.window);
 }
 
-Platform::RowName rowName(std::string key)
+Storage::RowName rowName(std::string key)
 {
     return {kAllowancesTable, std::move(key)};
 }
@@ -56,7 +56,7 @@
 Http::Awaitable<std::optional<Limits::GrantRow>>
 AllowanceKeeper::readRow(Worker &worker, std::string rowKey, std::uint64_t &version)
 {
-    Platform::RowName name = rowName(std::move(rowKey));
+    Storage::RowName name = rowName(std::move(rowKey));
     const auto row = co_await worker.table.readOne(std::move(name));
     if (!row)
         co_return std::nullopt;
@@ -92,18 +92,18 @@
             answered = true;
             break;
         }
-        Platform::Transaction transaction;
+        Storage::Transaction transaction;
         transaction.checks.push_back({rowName(rowKey), version});
         transaction.puts.push_back(
             {rowName(rowKey), Limits::encodeGrantRow(plan->row), allowance.window + kRowRetention});
         const auto result = co_await scope.worker.table.commit(std::move(transaction));
-        if (result.state == Platform::CommitState::Conflict)
+        if (result.state == Storage::CommitState::Conflict)
             continue;
-        if (result.state == Platform::CommitState::NotDone)
+        if (result.state == Storage::CommitState::NotDone)
             break;
         std::optional<Limits::GrantRow> readBack;
         auto reply = Limits::GrantReply::Committed;
-        if (result.state == Platform::CommitState::Unknown) {
+        if (result.state == Storage::CommitState::Unknown) {
             reply = Limits::GrantReply::Lost;
             readBack = co_await this->readRow(scope.worker, rowKey, version);
         }
@@ -186,7 +186,7 @@
         const auto row = co_await this->readRow(worker, leftover.rowKey, version);
         if (!row || version == 0)
             continue;
-        Platform::Transaction transaction;
+        Storage::Transaction transaction;
         transaction.checks.push_back({rowName(leftover.rowKey), version});
         transaction.puts.push_back(
             {rowName(leftover.rowKey),
--- a/Source/Core/Node/EndpointsKeeper.cpp
+++ b/Source/Core/Node/EndpointsKeeper.cpp
@@ -92,17 +92,17 @@
     this->stopping = true;
 }
 
-void EndpointsKeeper::applyEndpoints(const std::vector<Platform::ListedInstance> &instances)
+void EndpointsKeeper::applyEndpoints(const std::vector<Storage::ListedInstance> &instances)
 {
     std::map<std::string, std::vector<Routing::EndpointEntry>> entries;
-    for (const Platform::ListedInstance &instance : instances) {
+    for (const Storage::ListedInstance &instance : instances) {
         if (instance.pool.empty())
             continue;
         Routing::EndpointEntry entry;
         entry.id = Common::EndpointId(instance.id.value);
         entry.address = instance.address;
         entry.failureDomain = instance.failureDomain;
-        entry.state = instance.state == Platform::InstanceState::Live
+        entry.state = instance.state == Storage::InstanceState::Live
             ? Routing::EndpointState::Live
             : Routing::EndpointState::Leaving;
         entries[instance.pool].push_back(std::move(entry));
@@ -117,15 +117,15 @@
     }
 }
 
-void EndpointsKeeper::applyEntries(const std::vector<Platform::ListedInstance> &instances)
+void EndpointsKeeper::applyEntries(const std::vector<Storage::ListedInstance> &instances)
 {
     std::vector<Membership::ListedMember> listed;
-    for (const Platform::ListedInstance &instance : instances) {
+    for (const Storage::ListedInstance &instance : instances) {
         if (!instance.pool.empty())
             continue;
         listed.push_back({instance.id, instance.address, instance.peerAddress,
                           instance.failureDomain,
-                          instance.state == Platform::InstanceState::Leaving});
+                          instance.state == Storage::InstanceState::Leaving});
     }
     this->shared.members.with([&](Membership::Members &members) {
         Membership::applyPlatformList(members, listed, clockNow());
--- a/Source/Core/Node/EndpointsKeeper.h
+++ b/Source/Core/Node/EndpointsKeeper.h
@@ -23,8 +23,8 @@
     Http::Awaitable<void> observeLoop(std::string pool, bool hasCache);
     Http::Awaitable<void> observe(std::string pool, Common::EndpointId id, Common::Address address,
                                   bool hasCache);
-    void applyEndpoints(const std::vector<Platform::ListedInstance> &instances);
-    void applyEntries(const std::vector<Platform::ListedInstance> &instances);
+    void applyEndpoints(const std::vector<Storage::ListedInstance> &instances);
+    void applyEntries(const std::vector<Storage::ListedInstance> &instances);
 
     Worker &worker;
     Shared &shared;
--- a/Source/Core/Node/ListsKeeper.cpp
+++ b/Source/Core/Node/ListsKeeper.cpp
@@ -18,12 +18,12 @@
 
 // The head row of a list holds only its edit id. It is written together with the body, so both
 // always have the same version, and polls need not read the body.
-Platform::RowName headRow(Lists::ListKind kind)
+Storage::RowName headRow(Lists::ListKind kind)
 {
     return {kListsTable, std::string(Common::nameOf(kind)) + ".head"};
 }
 
-Platform::RowName bodyRow(Lists::ListKind kind)
+Storage::RowName bodyRow(Lists::ListKind kind)
 {
     return {kListsTable, std::string(Common::nameOf(kind))};
 }
@@ -33,7 +33,7 @@
     return json::serialize(json::object{{"editId", editId}, {"body", body}});
 }
 
-std::optional<Lists::Document> decodeStored(const Platform::Row &row)
+std::optional<Lists::Document> decodeStored(const Storage::Row &row)
 {
     Common::JsonFaults faults;
     const auto document = Common::parseJson(row.body, faults);
@@ -78,7 +78,7 @@
 
 Http::Awaitable<bool> ListsKeeper::fetch(Lists::ListKind kind)
 {
-    Platform::RowName name = bodyRow(kind);
+    Storage::RowName name = bodyRow(kind);
     const auto row = co_await this->worker.table.readOne(std::move(name));
     if (!row)
         co_return false;
@@ -90,7 +90,7 @@
 
 Http::Awaitable<bool> ListsKeeper::poll()
 {
-    std::vector<Platform::RowName> heads;
+    std::vector<Storage::RowName> heads;
     for (const auto &[kind, name] : Common::EnumNames<Lists::ListKind>::table)
         heads.push_back(headRow(kind));
     const Common::Time askedAt = clockNow();
@@ -156,19 +156,19 @@
 {
     const Lists::SnapshotPtr lists = this->shared.lists.current();
     const Lists::ListKind other = otherKind(edit.kind);
-    Platform::Transaction transaction;
+    Storage::Transaction transaction;
     transaction.checks.push_back({headRow(edit.kind), edit.expectedVersion});
     transaction.checks.push_back({headRow(other), lists->document(other).version});
     transaction.puts.push_back({headRow(edit.kind), encodeStored(editId, "-")});
     transaction.puts.push_back({bodyRow(edit.kind), encodeStored(editId, edit.body)});
     const auto result = co_await this->worker.table.commit(std::move(transaction));
     switch (result.state) {
-    case Platform::CommitState::Committed:
+    case Storage::CommitState::Committed:
         co_return Lists::EditState::Committed;
-    case Platform::CommitState::Conflict:
-    case Platform::CommitState::NotDone:
+    case Storage::CommitState::Conflict:
+    case Storage::CommitState::NotDone:
         co_return Lists::EditState::NotWritten;
-    case Platform::CommitState::Unknown:
+    case Storage::CommitState::Unknown:
         break;
     }
     co_return co_await this->resolve(edit, editId);
@@ -180,7 +180,7 @@
     const Common::Time until = clockNow() + kResolveTime;
     Lists::EditState state = Lists::EditState::Unknown;
     while (state == Lists::EditState::Unknown && clockNow() < until && !this->worker.ending) {
-        Platform::RowName name = headRow(edit.kind);
+        Storage::RowName name = headRow(edit.kind);
         const auto row = co_await this->worker.table.readOne(std::move(name));
         const auto head = row && row->version > 0 ? decodeStored(*row) : std::nullopt;
         state = Lists::resolveEdit(Lists::WriteReply::Lost, head ? &*head : nullptr,
--- a/Source/Core/Node/OnceCall.cpp
+++ b/Source/Core/Node/OnceCall.cpp
@@ -44,7 +44,7 @@
     Common::Error giveUp();
     Common::Error releaseUnsent(const std::string &problem);
     Common::Result<Http::Response> replay() const;
-    Platform::RowName rowName() const
+    Storage::RowName rowName() const
     {
         return {kLedgerTable, this->key};
     }
@@ -78,7 +78,7 @@
 
 Http::Awaitable<Once::ClaimStep> OnceCall::writeClaim()
 {
-    Platform::Transaction transaction;
+    Storage::Transaction transaction;
     transaction.checks.push_back({this->rowName(), this->stored.version});
     transaction.puts.push_back({this->rowName(), Once::encodeRow(this->claimed),
                                 this->scope.shared.settings.once.retention});
@@ -86,17 +86,17 @@
     const auto result = co_await this->scope.worker.table.commit(std::move(transaction));
     const Common::Time now = clockNow();
     switch (result.state) {
-    case Platform::CommitState::Committed:
+    case Storage::CommitState::Committed:
         this->claimMayLand = true;
         this->stored = {result.versions.front(), this->claimed};
         co_return Once::afterClaimReply(Once::ClaimReply::Committed, this->attempt, now);
-    case Platform::CommitState::Conflict:
+    case Storage::CommitState::Conflict:
         co_return Once::afterClaimReply(Once::ClaimReply::Conflict, this->attempt, now);
-    case Platform::CommitState::NotDone:
+    case Storage::CommitState::NotDone:
         ++this->storeFailures;
         co_return Once::maySend(this->attempt, now) ? Once::ClaimStep::WriteClaim
                                                     : Once::ClaimStep::GiveUp;
-    case Platform::CommitState::Unknown:
+    case Storage::CommitState::Unknown:
         break;
     }
     ++this->storeFailures;
@@ -106,7 +106,7 @@
 
 Http::Awaitable<Once::ClaimStep> OnceCall::readBack()
 {
-    Platform::RowName name = this->rowName();
+    Storage::RowName name = this->rowName();
     const auto row = co_await this->scope.worker.table.readOne(std::move(name));
     const Common::Time now = clockNow();
     if (!row) {
--- a/Source/Core/Node/OutcomeWriter.cpp
+++ b/Source/Core/Node/OutcomeWriter.cpp
@@ -21,7 +21,7 @@
     return std::min(kFirstRetryDelay * (1 << doublings), kLongestRetryDelay);
 }
 
-Platform::RowName rowName(const std::string &key)
+Storage::RowName rowName(const std::string &key)
 {
     return {kLedgerTable, key};
 }
@@ -46,9 +46,9 @@
     asio::co_spawn(this->worker.context, this->writeLoop(), asio::detached);
 }
 
-Platform::Transaction OutcomeWriter::transactionFor(const std::vector<Entry> &batch) const
+Storage::Transaction OutcomeWriter::transactionFor(const std::vector<Entry> &batch) const
 {
-    Platform::Transaction transaction;
+    Storage::Transaction transaction;
     for (const Entry &entry : batch) {
         transaction.checks.push_back({rowName(entry.key), entry.claimedVersion});
         transaction.puts.push_back(
@@ -85,12 +85,11 @@
 // Returns false where the batch must be tried again.
 Http::Awaitable<bool> OutcomeWriter::writeBatch(const std::vector<Entry> &batch)
 {
-    Platform::Transaction transaction = this->transactionFor(batch);
-    const Platform::CommitResult result
-        = co_await this->worker.table.commit(std::move(transaction));
-    if (result.state == Platform::CommitState::Committed)
+    Storage::Transaction transaction = this->transactionFor(batch);
+    const Storage::CommitResult result = co_await this->worker.table.commit(std::move(transaction));
+    if (result.state == Storage::CommitState::Committed)
         co_return true;
-    if (result.state != Platform::CommitState::Conflict)
+    if (result.state != Storage::CommitState::Conflict)
         co_return false;
     // One row has moved on, most likely by an earlier write whose reply was lost.
     for (const Entry &entry : batch) {
@@ -102,7 +101,7 @@
 
 Http::Awaitable<bool> OutcomeWriter::writeOne(const Entry &entry)
 {
-    Platform::RowName name = rowName(entry.key);
+    Storage::RowName name = rowName(entry.key);
     const auto stored = co_await this->worker.table.readOne(std::move(name));
     if (!stored)
         co_return false;
@@ -111,11 +110,10 @@
         co_return true;
     std::vector<Entry> single;
     single.push_back(entry);
-    Platform::Transaction transaction = this->transactionFor(single);
-    const Platform::CommitResult result
-        = co_await this->worker.table.commit(std::move(transaction));
-    co_return result.state == Platform::CommitState::Committed
-        || result.state == Platform::CommitState::Conflict;
+    Storage::Transaction transaction = this->transactionFor(single);
+    const Storage::CommitResult result = co_await this->worker.table.commit(std::move(transaction));
+    co_return result.state == Storage::CommitState::Committed
+        || result.state == Storage::CommitState::Conflict;
 }
 
 void OutcomeWriter::voidAttempt(std::string key, Once::LedgerRow row)
@@ -130,7 +128,7 @@
 {
     const Common::Time giveUpAt = clockNow() + this->shared.settings.once.retention;
     for (std::uint32_t tries = 0; clockNow() < giveUpAt && !this->worker.ending; ++tries) {
-        Platform::RowName name = rowName(key);
+        Storage::RowName name = rowName(key);
         const auto stored = co_await this->worker.table.readOne(std::move(name));
         Once::StoredRow decoded;
         bool readable = stored.has_value();
@@ -145,12 +143,12 @@
             break;
         }
         if (step == Once::VoidStep::Write) {
-            Platform::Transaction transaction;
+            Storage::Transaction transaction;
             transaction.checks.push_back({rowName(key), decoded.version});
             transaction.puts.push_back(
                 {rowName(key), Once::encodeRow(row), this->shared.settings.once.retention});
             const auto result = co_await this->worker.table.commit(std::move(transaction));
-            if (result.state == Platform::CommitState::Committed) {
+            if (result.state == Storage::CommitState::Committed) {
                 this->shared.counters.add(Counter::OnceVoided);
                 break;
             }
--- a/Source/Core/Node/OutcomeWriter.h
+++ b/Source/Core/Node/OutcomeWriter.h
@@ -44,7 +44,7 @@
     Http::Awaitable<bool> writeBatch(const std::vector<Entry> &batch);
     Http::Awaitable<bool> writeOne(const Entry &entry);
     Http::Awaitable<void> voidLoop(std::string key, Once::LedgerRow row);
-    Platform::Transaction transactionFor(const std::vector<Entry> &batch) const;
+    Storage::Transaction transactionFor(const std::vector<Entry> &batch) const;
 
     Worker &worker;
     Shared &shared;
--- a/Source/Core/Node/SlotKeeper.cpp
+++ b/Source/Core/Node/SlotKeeper.cpp
@@ -15,7 +15,7 @@
 // Tries in a row while other instances claim slots at the same time.
 constexpr int kClaimTries = 8;
 
-Platform::RowName slotRow(std::size_t slot)
+Storage::RowName slotRow(std::size_t slot)
 {
     return {kSlotsTable, std::to_string(slot)};
 }
@@ -45,14 +45,14 @@
 
 Http::Awaitable<std::optional<std::vector<Limits::SlotRow>>> SlotKeeper::readRows()
 {
-    std::vector<Platform::RowName> names;
+    std::vector<Storage::RowName> names;
     for (std::size_t i = 0; i < this->shared.settings.limits.instances; ++i)
         names.push_back(slotRow(i));
     const auto stored = co_await this->worker.table.read(std::move(names));
     if (!stored)
         co_return std::nullopt;
     std::vector<Limits::SlotRow> rows;
-    for (const Platform::Row &row : *stored) {
+    for (const Storage::Row &row : *stored) {
         const auto decoded = Limits::decodeSlotRow(row.version, row.body);
         if (!decoded)
             co_return std::nullopt;
@@ -64,16 +64,16 @@
 Http::Awaitable<void> SlotKeeper::claim()
 {
     for (int tries = 0; tries < kClaimTries; ++tries) {
-        if (co_await this->tryClaim() != Platform::CommitState::Conflict)
+        if (co_await this->tryClaim() != Storage::CommitState::Conflict)
             break;
     }
 }
 
-Http::Awaitable<Platform::CommitState> SlotKeeper::tryClaim()
+Http::Awaitable<Storage::CommitState> SlotKeeper::tryClaim()
 {
     const auto rows = co_await this->readRows();
     if (!rows)
-        co_return Platform::CommitState::NotDone;
+        co_return Storage::CommitState::NotDone;
     const auto isLost = [this](const Common::InstanceId &id) {
         return this->shared.members.with([&](Membership::Members &members) {
             const auto found = members.byId.find(id);
@@ -83,17 +83,17 @@
     };
     const auto choice = Limits::chooseSlot(*rows, this->shared.settings.instance, isLost);
     if (!choice)
-        co_return Platform::CommitState::NotDone;
+        co_return Storage::CommitState::NotDone;
     Limits::SlotRow mine;
     mine.holder = this->shared.settings.instance;
     mine.incarnation = static_cast<std::uint64_t>(this->startedAt.time_since_epoch().count());
-    Platform::Transaction transaction;
+    Storage::Transaction transaction;
     transaction.checks.push_back({slotRow(choice->slot), choice->version});
     transaction.puts.push_back({slotRow(choice->slot), Limits::encodeSlotRow(mine)});
     const auto result = co_await this->worker.table.commit(std::move(transaction));
     // After a lost reply the row is read again in the next round, where it shows as this
     // instance's own and is taken over like that of an earlier process.
-    if (result.state != Platform::CommitState::Committed)
+    if (result.state != Storage::CommitState::Committed)
         co_return result.state;
     const Common::Time now = clockNow();
     Limits::HeldSlot held{choice->slot, result.versions.front(), now + choice->wait};
@@ -138,7 +138,7 @@
 Http::Awaitable<void> SlotKeeper::confirm()
 {
     const std::optional<Limits::HeldSlot> held = this->current();
-    Platform::RowName name = slotRow(held->slot);
+    Storage::RowName name = slotRow(held->slot);
     const auto row = co_await this->worker.table.readOne(std::move(name));
     // Without the store the slot stays: nobody can take it over then.
     if (row && row->version != held->version)
@@ -174,7 +174,7 @@
     row.released = true;
     // What was lent is still with the coordinators for a while; the next holder waits for that.
     row.lentFor = lentFor;
-    Platform::Transaction transaction;
+    Storage::Transaction transaction;
     transaction.checks.push_back({slotRow(held->slot), held->version});
     transaction.puts.push_back({slotRow(held->slot), Limits::encodeSlotRow(row)});
     co_await this->worker.table.commit(std::move(transaction));
--- a/Source/Core/Node/SlotKeeper.h
+++ b/Source/Core/Node/SlotKeeper.h
@@ -25,7 +25,7 @@
 
 private:
     Http::Awaitable<void> loop();
-    Http::Awaitable<Platform::CommitState> tryClaim();
+    Http::Awaitable<Storage::CommitState> tryClaim();
     Http::Awaitable<void> confirm();
     Http::Awaitable<std::optional<std::vector<Limits::SlotRow>>> readRows();
     void drop(const char *reason);
--- a/Source/Core/Node/Worker.h
+++ b/Source/Core/Node/Worker.h
@@ -3,9 +3,9 @@
 
 #include "Http/Client.h"
 #include "Node/Settings.h"
-#include "Platform/InstanceList.h"
-#include "Platform/ObjectStore.h"
-#include "Platform/TableService.h"
+#include "Storage/InstanceList.h"
+#include "Storage/ObjectStore.h"
+#include "Storage/TableService.h"
 
 #include <random>
 #include <set>
@@ -30,9 +30,9 @@
     boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
     Http::Client client;
-    Platform::TableService table;
-    Platform::ObjectStore objects;
-    Platform::InstanceList instanceList;
+    Storage::TableService table;
+    Storage::ObjectStore objects;
+    Storage::InstanceList instanceList;
     std::mt19937_64 random;
     bool ending = false;
     std::set<boost::asio::steady_timer *> sleeps;
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -226,7 +226,4 @@
 // When something is to be done without an event from outside, if ever.
 std::optional<Common::Time> nextWake(const StageQueue &queue, Common::Time now);
 
-// Time until a piece that is handed in now would be made, from the work that waits.
-Common::Duration predictedWait(const StageQueue &queue, std::size_t morePieces, Common::Time now);
-
 } // namespace Tanagerbay::Staging
--- a/Source/Core/Platform/InstanceList.cpp
+++ b/Source/Core/Storage/InstanceList.cpp
@@ -1,8 +1,8 @@
-#include "Platform/InstanceList.h"
+#include "Storage/InstanceList.h"
 
 #include "Common/JsonReader.h"
 
-namespace Tanagerbay::Platform {
+namespace Tanagerbay::Storage {
 
 namespace {
 
@@ -56,4 +56,4 @@
     co_return instances;
 }
 
-} // namespace Tanagerbay::Platform
+} // namespace Tanagerbay::Storage
--- a/Source/Core/Platform/InstanceList.h
+++ b/Source/Core/Storage/InstanceList.h
@@ -8,21 +8,21 @@
 
 #include <optional>
 
-namespace Tanagerbay::Platform {
+namespace Tanagerbay::Storage {
 
 enum class InstanceState { Live, Leaving };
 
-} // namespace Tanagerbay::Platform
+} // namespace Tanagerbay::Storage
 
 template <>
-struct Tanagerbay::Common::EnumNames<Tanagerbay::Platform::InstanceState>
+struct Tanagerbay::Common::EnumNames<Tanagerbay::Storage::InstanceState>
 {
-    using State = Platform::InstanceState;
+    using State = Storage::InstanceState;
     static constexpr NameTable<State, 2> table
         = {{{State::Live, "live"}, {State::Leaving, "leaving"}}};
 };
 
-namespace Tanagerbay::Platform {
+namespace Tanagerbay::Storage {
 
 struct ListedInstance
 {
@@ -50,4 +50,4 @@
     Common::Milliseconds callTimeout;
 };
 
-} // namespace Tanagerbay::Platform
+} // namespace Tanagerbay::Storage
--- a/Source/Core/Platform/ObjectStore.cpp
+++ b/Source/Core/Storage/ObjectStore.cpp
@@ -1,6 +1,6 @@
-#include "Platform/ObjectStore.h"
+#include "Storage/ObjectStore.h"
 
-namespace Tanagerbay::Platform {
+namespace Tanagerbay::Storage {
 
 ObjectStore::ObjectStore(Http::Client &client, Http::Address address,
                          Common::Milliseconds callTimeout)
@@ -37,4 +37,4 @@
     co_return reply && (reply->status == 200 || reply->status == 404);
 }
 
-} // namespace Tanagerbay::Platform
+} // namespace Tanagerbay::Storage
--- a/Source/Core/Platform/ObjectStore.h
+++ b/Source/Core/Storage/ObjectStore.h
@@ -6,7 +6,7 @@
 
 #include <optional>
 
-namespace Tanagerbay::Platform {
+namespace Tanagerbay::Storage {
 
 class ObjectStore
 {
@@ -28,4 +28,4 @@
     Common::Milliseconds callTimeout;
 };
 
-} // namespace Tanagerbay::Platform
+} // namespace Tanagerbay::Storage
--- a/Source/Core/Platform/TableService.cpp
+++ b/Source/Core/Storage/TableService.cpp
@@ -1,8 +1,8 @@
-#include "Platform/TableService.h"
+#include "Storage/TableService.h"
 
 #include <boost/json.hpp>
 
-namespace Tanagerbay::Platform {
+namespace Tanagerbay::Storage {
 
 namespace json = boost::json;
 
@@ -144,4 +144,4 @@
     co_return std::move(rows->front());
 }
 
-} // namespace Tanagerbay::Platform
+} // namespace Tanagerbay::Storage
--- a/Source/Core/Platform/TableService.h
+++ b/Source/Core/Storage/TableService.h
@@ -10,7 +10,7 @@
 
 #include <optional>
 
-namespace Tanagerbay::Platform {
+namespace Tanagerbay::Storage {
 
 struct RowName
 {
@@ -83,4 +83,4 @@
     Common::Counters &counters;
 };
 
-} // namespace Tanagerbay::Platform
+} // namespace Tanagerbay::Storage
