Http: Bound idle connections by the endpoints' limit over all instances

Cause: endpoints reset connections beyond a limit that all callers share. Change: an instance keeps 0.4 of the limit divided by the live instances, eight at most, and closes a connection after its reply beyond that.

--- a/Source/Core/Catalog/Catalog.cpp
+++ b/Source/Core/Catalog/Catalog.cpp
@@ -7,6 +7,15 @@
 
 namespace Tanagerbay::Catalog {
 
+namespace {
+
+// Part of an endpoint's connections that may be idle; it accepts fewer while its queue is long.
+constexpr double kIdlePart = 0.4;
+// More idle connections than this gain nothing at the rate of one instance.
+constexpr std::size_t kMostIdle = 8;
+
+} // namespace
+
 void indexRoutes(Catalog &catalog)
 {
     catalog.routesByHost.clear();
@@ -68,6 +77,13 @@
     return route.services.back().service;
 }
 
+std::size_t idleConnectionsAllowed(const Service &service, std::size_t instances)
+{
+    const double each = kIdlePart * service.maxConnections
+        / static_cast<double>(std::max<std::size_t>(instances, 1));
+    return std::min(static_cast<std::size_t>(each), kMostIdle);
+}
+
 Common::Duration expectedCallTime(const Batching &batching, std::size_t pieces)
 {
     return batching.callTime + batching.pieceTime * static_cast<std::int64_t>(pieces);
--- a/Source/Core/Catalog/Catalog.h
+++ b/Source/Core/Catalog/Catalog.h
@@ -157,6 +157,10 @@
 // Returns one of the route's services by weight. `draw` is uniform in [0, 1).
 const std::string &chooseService(const Route &route, double draw);
 
+// Returns how many idle connections to one endpoint each of so many instances may keep. Endpoints
+// reset what goes beyond their limit, which all callers share.
+std::size_t idleConnectionsAllowed(const Service &service, std::size_t instances);
+
 // Returns how long a call with so many pieces takes by the catalog's figures.
 Common::Duration expectedCallTime(const Batching &batching, std::size_t pieces);
 
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -52,6 +52,9 @@
     options.freshConnection = !this->attempts.repeatable;
     options.repeatable = false;
     options.handle = &this->call;
+    const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
+    if (entry && entry->maxConnections > 0)
+        options.mostIdle = Catalog::idleConnectionsAllowed(*entry, this->state.liveInstances(now));
     return options;
 }
 
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -73,7 +73,7 @@
     bool closed = false;
 
     ConnectionPtr take(const Address &address);
-    void give(const Address &address, ConnectionPtr connection);
+    void give(const Address &address, ConnectionPtr connection, std::size_t mostIdle);
 };
 
 struct ResponseStream::State
@@ -101,12 +101,12 @@
     std::shared_ptr<Client::Pool> pool;
     Address address;
     CallHandle *handle = nullptr;
+    std::size_t mostIdle = 0;
     bool reused = false;
 };
 
 namespace {
 
-constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr std::uint32_t kMaxReplyHeaderBytes = 32 << 10;
 // Part of the idle time that a peer grants in `Keep-Alive` in which its connection is used again.
 constexpr double kUsedPartOfIdleTime = 0.5;
@@ -215,7 +215,7 @@
     return nullptr;
 }
 
-void Client::Pool::give(const Address &address, ConnectionPtr connection)
+void Client::Pool::give(const Address &address, ConnectionPtr connection, std::size_t mostIdle)
 {
     // Bytes after the reply belong to no request, and a body that is still being written would mix
     // with the next one.
@@ -227,7 +227,7 @@
     connection->deadline.disarm();
     connection->idleSince = std::chrono::steady_clock::now();
     std::vector<ConnectionPtr> &connections = this->idle[address];
-    if (connections.size() < kMaxIdlePerAddress)
+    if (connections.size() < mostIdle)
         connections.push_back(std::move(connection));
 }
 
@@ -291,6 +291,7 @@
         state.pool = this->pool;
         state.address = address;
         state.handle = options.handle;
+        state.mostIdle = options.mostIdle;
         beast::tcp_stream &tcpStream = state.connection->stream;
         if (options.handle)
             options.handle->abort = [&tcpStream] { tcpStream.cancel(); };
@@ -395,7 +396,7 @@
             if (idleTime)
                 state.connection->idleUntil = std::chrono::steady_clock::now()
                     + std::chrono::duration_cast<Common::Duration>(*idleTime * kUsedPartOfIdleTime);
-            state.pool->give(state.address, std::move(state.connection));
+            state.pool->give(state.address, std::move(state.connection), state.mostIdle);
             state.connection.reset();
         }
         state.closeConnection();
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -74,6 +74,8 @@
     // Whether a call that fails on a reused connection before any reply may be sent again.
     bool repeatable = true;
     std::size_t maxBodyBytes = 64 << 20;
+    // The connection is closed after the reply where so many to the address are idle already.
+    std::size_t mostIdle = 64;
     CallHandle *handle = nullptr;
     // Runs right before the first byte is written. Returning false abandons the call unwritten.
     std::function<bool()> beforeFirstByte;
--- a/Source/UnitTests/Catalog/CatalogTest.cpp
+++ b/Source/UnitTests/Catalog/CatalogTest.cpp
@@ -66,6 +66,20 @@
     BOOST_TEST(chooseService(route, 0.9999) == "second");
 }
 
+// Found on mpra-tanagerbay-grown: 91 instances before endpoints that accept 120 connections.
+BOOST_AUTO_TEST_CASE(idleConnections_manyInstances_stayBelowTheEndpointsLimit)
+{
+    Service service;
+    for (const std::uint32_t limit : {49u, 120u, 290u, 700u}) {
+        service.maxConnections = limit;
+        for (const std::size_t instances : {1u, 7u, 91u, 400u})
+            BOOST_TEST(idleConnectionsAllowed(service, instances) * instances <= limit / 2);
+    }
+    service.maxConnections = 120;
+    BOOST_TEST(idleConnectionsAllowed(service, 91) == 0u);
+    BOOST_TEST(idleConnectionsAllowed(service, 7) > 0u);
+}
+
 BOOST_AUTO_TEST_CASE(isRepeatable_eachKind_followsFromKindAndResume)
 {
     Route route;
