--- a/Source/UnitTests/Catalog/CatalogTest.cpp
+++ b/Source/UnitTests/Catalog/CatalogTest.cpp
@@ -11,7 +11,7 @@
 
 struct CatalogFixture
 {
-    Catalog::Catalog catalog;
+    Tanagerbay::Catalog::Catalog catalog;
 
     CatalogFixture()
     {
