Staging: Serve what can be on time first, plan more time for each stage, and add an experiment command

A late request whose inputs hold room counted as in time, so the queue of the last stage served the oldest first and made all behind them late as well; and a stage was planned with 0.8 of a full call, while calls under load are full and take messages and fetching besides. Found on the way: a large result that may be made beside the last stage of a chain began only after it; and calls that an endpoint refused since another owner filled its queue counted against its health. Change: what can be on time goes first in any case, and of the late ones the newest; 1.3 of a full call is planned a stage; the order of stages moves to Staging/StageChain; refused calls leave an endpoint's health alone. `tanagerbay experiment` plays requests through the real queues in simulated time, against first come first served, queues of each instance and no giving up, with a table and a plot. The case overload_lateRequestHoldsRoomBefore_goesOn asked for the old order and is replaced by cases of the new one, which hold the share on time under lasting overload against what the bottleneck can do.

--- a/Source/Core/Entry/StageMessages.cpp
+++ b/Source/Core/Entry/StageMessages.cpp
@@ -32,8 +32,6 @@
     if (!piece.nearTo.empty())
         object["nearTo"] = piece.nearTo.value;
     object["transfer"] = piece.transferBytes;
-    if (piece.inputsHoldRoom)
-        object["holdsRoom"] = true;
     object["priority"] = piece.priority;
     object["startByMs"] = millisecondsFrom(now, piece.startBy);
     object["expiresMs"] = millisecondsFrom(now, piece.expiresAt);
@@ -54,7 +52,6 @@
     piece.resultBytes = numberOf(object, "bytes");
     piece.nearTo = Common::FailureDomain(textOf(object, "nearTo"));
     piece.transferBytes = numberOf(object, "transfer");
-    piece.inputsHoldRoom = object.contains("holdsRoom");
     piece.priority = static_cast<int>(signedOf(object, "priority"));
     piece.startBy = now + Common::Milliseconds(signedOf(object, "startByMs"));
     piece.expiresAt = now + Common::Milliseconds(signedOf(object, "expiresMs"));
--- a/Source/Core/Entry/StageRun.h
+++ b/Source/Core/Entry/StageRun.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Entry/StageClient.h"
+#include "Staging/StageChain.h"
 
 namespace Tanagerbay::Entry {
 
@@ -46,34 +47,25 @@
 private:
     struct Step
     {
-        bool begun = false;
-        bool done = false;
         bool released = false;
         WorkNumber work = 0;
         std::vector<Staging::SettledPiece> results;
     };
 
     void beginReady();
-    // Whether the stage's large results would only wait for those of longer chains of stages.
-    bool waitsForOthers(std::size_t stage) const;
-    // Stages from this one to the end of its chain.
-    std::size_t stepsFrom(std::size_t stage) const;
+    std::vector<std::size_t> findReady() const;
     void begin(std::size_t stage);
     // Names where most of the piece's bytes come from or go to.
     void placeNear(std::size_t stage, Staging::PieceRequest &piece) const;
     void releaseUsedInputs(std::size_t stage);
-    // Whether a stage that is not done uses the results, not counting `user`.
-    bool isNeededBesides(std::size_t stage, std::size_t user) const;
     void markInputsSpare(std::size_t stage);
     void release(std::size_t stage);
-    bool isFinal(std::size_t stage) const;
-    // Time from the start of the stage's call to the request's first event.
-    Common::Duration timeAfterStartOf(std::size_t stage) const;
 
     State &state;
     StageClient &client;
     StagePlan plan;
     std::vector<Step> steps;
+    std::vector<Staging::ChainStep> chain;
     std::size_t open = 0;
     std::optional<Staging::PieceEnd> fault;
     boost::asio::steady_timer changed;
--- a/Source/Core/Staging/CallPlan.cpp
+++ b/Source/Core/Staging/CallPlan.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+using Common::Duration;
 using Common::Time;
 
 // A call that takes this many times its expected duration counts as lost.
@@ -38,6 +39,8 @@
 
 void settleExpired(StageQueue &queue, Time now, std::vector<SettledPiece> &settled)
 {
+    if (!queue.givesUpExpired)
+        return;
     std::vector<PieceTicket> expired;
     for (const PieceTicket ticket : queue.waiting) {
         const OpenPiece &piece = queue.pieces.at(ticket);
@@ -50,15 +53,23 @@
     }
 }
 
-// Pieces that can still be on time go first, among them the more urgent, then the ones with the
-// least slack.
+// Pieces that can still be on time go first, and among them the more urgent, then those with the
+// least slack. Under overload the others take only what is left: a queue that served them in turn
+// would make every request late.
 void sortWaiting(StageQueue &queue, Time now)
 {
-    std::vector<std::tuple<bool, int, Time, PieceTicket>> ranks;
+    if (queue.order == QueueOrder::FirstCome) {
+        std::sort(queue.waiting.begin(), queue.waiting.end());
+        return;
+    }
+    std::vector<std::tuple<bool, int, Duration, PieceTicket>> ranks;
     ranks.reserve(queue.waiting.size());
     for (const PieceTicket ticket : queue.waiting) {
         const PieceRequest &request = queue.pieces.at(ticket).request;
-        ranks.emplace_back(isLate(request, now), request.priority, request.startBy, ticket);
+        const bool late = isLate(request, now);
+        // Among those that are late, the newest are the most likely to find their callers there.
+        const Duration sinceEpoch = request.startBy.time_since_epoch();
+        ranks.emplace_back(late, request.priority, late ? -sinceEpoch : sinceEpoch, ticket);
     }
     std::sort(ranks.begin(), ranks.end());
     for (std::size_t i = 0; i < ranks.size(); ++i)
--- a/Source/Core/Staging/QueueParts.h
+++ b/Source/Core/Staging/QueueParts.h
@@ -5,8 +5,7 @@
 
 namespace Tanagerbay::Staging {
 
-// Whether the piece can no longer be on time. A request that holds room at the stage before goes on
-// in any case: while it waits, it keeps others out of that room.
+// Whether the piece can no longer be on time.
 bool isLate(const PieceRequest &request, Common::Time now);
 
 // Whether the endpoint may get calls at all.
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -115,7 +115,7 @@
 
 bool isLate(const PieceRequest &request, Time now)
 {
-    return !request.inputsHoldRoom && now > request.startBy;
+    return now > request.startBy;
 }
 
 bool isUsable(const StageEndpoint &endpoint, Time now)
@@ -196,11 +196,12 @@
     if (!call)
         return settled;
     if (StageEndpoint *endpoint = findEndpoint(queue, call->endpoint)) {
-        Routing::noteFailure(endpoint->endpoint, fault == CallFault::Unreachable, now);
         endpoint->expectedFree = now;
-        // Another caller fills its queue; it will be free after about one call.
+        // Another caller fills the queue of a sound endpoint; it will be free after about one call.
         if (fault == CallFault::Refused)
             endpoint->fullUntil = now + queue.batching.callTime / 2;
+        else
+            Routing::noteFailure(endpoint->endpoint, fault == CallFault::Unreachable, now);
     }
     for (const PieceTicket ticket : call->pieces) {
         if (!queue.pieces.contains(ticket))
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -28,8 +28,6 @@
     // piece is made elsewhere.
     Common::FailureDomain nearTo;
     std::uint64_t transferBytes = 0;
-    // Whether its inputs take up room that other requests wait for.
-    bool inputsHoldRoom = false;
     // Zero is most urgent.
     int priority = 0;
     // The latest start with which the request can still meet its objective.
@@ -153,9 +151,20 @@
     bool overdue = false;
 };
 
+// In which order waiting pieces go.
+enum class QueueOrder {
+    // What can still be on time before what cannot.
+    OnTimeFirst,
+    // As the pieces came; kept to compare with.
+    FirstCome,
+};
+
 struct StageQueue
 {
     std::string service;
+    QueueOrder order = QueueOrder::OnTimeFirst;
+    // Whether pieces that cannot end before their caller leaves are given up; off to compare with.
+    bool givesUpExpired = true;
     Catalog::Batching batching;
     std::unordered_map<PieceTicket, OpenPiece> pieces;
     std::vector<PieceTicket> waiting;
--- /dev/null
+++ b/Source/Experiment/Scenario.cpp
@@ -0,0 +1,166 @@
+#include "Experiment/Scenario.h"
+
+namespace Tanagerbay::Experiment {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr double kMostSeconds = 3600;
+constexpr double kMostRate = 1e6;
+constexpr std::int64_t kMostMs = 3'600'000;
+constexpr std::int64_t kMostCount = 100'000;
+constexpr std::int64_t kMostBytes = std::int64_t(1) << 40;
+
+Common::Milliseconds milliseconds(Common::ObjectReader &reader, std::string_view key)
+{
+    return Common::Milliseconds(reader.integer(key, 0, kMostMs));
+}
+
+Common::Duration fractionalMilliseconds(Common::ObjectReader &reader, std::string_view key)
+{
+    const std::chrono::duration<double, std::milli> value(reader.number(key, 0, 1e6));
+    return std::chrono::duration_cast<Common::Duration>(value);
+}
+
+std::uint32_t count(Common::ObjectReader &reader, std::string_view key,
+                    std::optional<std::int64_t> fallback = std::nullopt)
+{
+    return static_cast<std::uint32_t>(reader.integer(key, 0, kMostCount, fallback));
+}
+
+StageServiceModel readService(const json::value &value, const std::string &path,
+                              std::uint32_t domains, Common::JsonFaults &faults)
+{
+    Common::ObjectReader reader(value, path, faults);
+    StageServiceModel service;
+    service.name = reader.text("name");
+    service.batching.concurrentCalls = 1;
+    service.batching.maxPieces = count(reader, "maxPieces");
+    service.batching.callTime = fractionalMilliseconds(reader, "callMs");
+    service.batching.pieceTime = fractionalMilliseconds(reader, "pieceMs");
+    service.batching.roomBytes
+        = static_cast<std::uint64_t>(reader.integer("roomBytes", 1, kMostBytes));
+    service.batching.resultLifetime = milliseconds(reader, "resultLifetimeMs");
+    service.waitingCalls = count(reader, "waitingCalls", 2);
+    service.linkBytesPerSecond = reader.number("linkBytesPerSecond", 1, 1e12);
+    for (const json::value &number : reader.array("endpoints", true))
+        service.endpoints.push_back(
+            number.is_int64() ? static_cast<std::uint32_t>(number.get_int64()) : 0);
+    if (service.endpoints.size() != domains)
+        reader.fault("endpoints", "must have one number for each failure domain");
+    reader.finish();
+    return service;
+}
+
+StageModel readStage(const json::value &value, const std::string &path, std::size_t index,
+                     Common::JsonFaults &faults)
+{
+    Common::ObjectReader reader(value, path, faults);
+    StageModel model;
+    model.stage.service = reader.text("service");
+    model.stage.resultBytes
+        = static_cast<std::uint64_t>(reader.integer("resultBytes", 0, kMostBytes));
+    for (const json::value &before : reader.array("after", false)) {
+        const auto number = before.is_int64() ? before.get_int64() : -1;
+        if (number < 0 || static_cast<std::size_t>(number) >= index)
+            reader.fault("after", "must name stages before this one");
+        else
+            model.stage.after.push_back(static_cast<std::size_t>(number));
+    }
+    model.meanPieces = reader.number("meanPieces", 0.1, 1e4, 1);
+    model.pieceSpread = reader.number("pieceSpread", 0, 5, 0);
+    model.mostPieces = count(reader, "mostPieces", 1);
+    model.share = reader.number("share", 0, 1, 1);
+    model.workFactor = reader.number("workFactor", 0, 100, 1);
+    reader.finish();
+    return model;
+}
+
+KindModel readKind(const json::value &value, const std::string &path, Common::JsonFaults &faults)
+{
+    Common::ObjectReader reader(value, path, faults);
+    KindModel kind;
+    kind.name = reader.text("name");
+    kind.perSecond = reader.number("perSecond", 0, kMostRate);
+    kind.objective = milliseconds(reader, "objectiveMs");
+    kind.patience = milliseconds(reader, "patienceMs");
+    kind.priority = static_cast<int>(reader.integer("priority", 0, 1000));
+    kind.worth = reader.number("worth", 0, 1e6);
+    kind.lateWorth = reader.number("lateWorth", 0, 1e6);
+    kind.endpointTime = milliseconds(reader, "endpointMs");
+    const json::array &stages = reader.array("stages", true);
+    for (std::size_t i = 0; i < stages.size(); ++i)
+        kind.stages.push_back(readStage(stages[i], reader.pathOf("stages", i), i, faults));
+    reader.finish();
+    return kind;
+}
+
+Burst readBurst(const json::value &value, const std::string &path,
+                const std::vector<KindModel> &kinds, Common::JsonFaults &faults)
+{
+    Common::ObjectReader reader(value, path, faults);
+    Burst burst;
+    const std::string kind = reader.text("kind", "");
+    for (std::size_t i = 0; i < kinds.size(); ++i) {
+        if (kinds[i].name == kind)
+            burst.kind = i;
+    }
+    if (!kind.empty() && !burst.kind)
+        reader.fault("kind", "is not one of the kinds");
+    burst.fromSecond = reader.number("fromSecond", 0, kMostSeconds);
+    burst.toSecond = reader.number("toSecond", 0, kMostSeconds);
+    burst.factor = reader.number("factor", 0, 1000);
+    reader.finish();
+    return burst;
+}
+
+EndpointTrouble readTrouble(const json::value &value, const std::string &path,
+                            Common::JsonFaults &faults)
+{
+    Common::ObjectReader reader(value, path, faults);
+    EndpointTrouble trouble;
+    trouble.service = reader.text("service");
+    trouble.endpoints = count(reader, "endpoints");
+    trouble.fromSecond = reader.number("fromSecond", 0, kMostSeconds);
+    trouble.toSecond = reader.number("toSecond", 0, kMostSeconds);
+    trouble.slowness = reader.number("slowness", 0, 1000);
+    reader.finish();
+    return trouble;
+}
+
+} // namespace
+
+Scenario readScenario(const json::value &document, Common::JsonFaults &faults)
+{
+    Common::ObjectReader reader(document, "", faults);
+    Scenario scenario;
+    scenario.seconds = reader.number("seconds", 1, kMostSeconds);
+    scenario.domains = count(reader, "failureDomains");
+    scenario.instances = count(reader, "instances");
+    scenario.messageDelay = fractionalMilliseconds(reader, "messageDelayMs");
+    const json::array &services = reader.array("services", true);
+    for (std::size_t i = 0; i < services.size(); ++i) {
+        scenario.services.push_back(
+            readService(services[i], reader.pathOf("services", i), scenario.domains, faults));
+    }
+    const json::array &kinds = reader.array("kinds", true);
+    for (std::size_t i = 0; i < kinds.size(); ++i)
+        scenario.kinds.push_back(readKind(kinds[i], reader.pathOf("kinds", i), faults));
+    const json::array &bursts = reader.array("bursts", false);
+    for (std::size_t i = 0; i < bursts.size(); ++i) {
+        scenario.bursts.push_back(
+            readBurst(bursts[i], reader.pathOf("bursts", i), scenario.kinds, faults));
+    }
+    const json::array &troubles = reader.array("troubles", false);
+    for (std::size_t i = 0; i < troubles.size(); ++i)
+        scenario.troubles.push_back(readTrouble(troubles[i], reader.pathOf("troubles", i), faults));
+    reader.finish();
+    if (scenario.domains == 0)
+        faults.push_back({"failureDomains", "must be above zero"});
+    if (scenario.instances == 0)
+        faults.push_back({"instances", "must be above zero"});
+    return scenario;
+}
+
+} // namespace Tanagerbay::Experiment
--- a/Source/Tanagerbay/Commands.h
+++ b/Source/Tanagerbay/Commands.h
@@ -22,5 +22,6 @@
 int load(const Words &words);
 int standIn(const Words &words);
 int demo(const Words &words);
+int experiment(const Words &words);
 
 } // namespace Tanagerbay::Commands
--- a/Source/Tanagerbay/Main.cpp
+++ b/Source/Tanagerbay/Main.cpp
@@ -17,7 +17,7 @@
     int (*run)(const Commands::Words &words);
 };
 
-constexpr std::array<Subcommand, 7> kSubcommands = {{
+constexpr std::array<Subcommand, 8> kSubcommands = {{
     {"serve", "Run an entry instance", &Commands::serve},
     {"check", "Check settings and lists without starting anything", &Commands::check},
     {"lists", "Read or change the lists of plans and entitlements", &Commands::lists},
@@ -25,13 +25,15 @@
     {"load", "Send requests and report attainment and cost", &Commands::load},
     {"standin", "Run stand-ins of the platform, the engines and the services", &Commands::standIn},
     {"demo", "Run an entry and stand-ins in one process and send a few requests", &Commands::demo},
+    {"experiment", "Play requests through the stage queues in simulated time and compare policies",
+     &Commands::experiment},
 }};
 
 void printHelp(std::ostream &out)
 {
     out << "tanagerbay SUBCOMMAND [OPTIONS]\n\n";
     for (const Subcommand &subcommand : kSubcommands) {
-        out << "  " << subcommand.name << std::string(10 - subcommand.name.size(), ' ')
+        out << "  " << subcommand.name << std::string(12 - subcommand.name.size(), ' ')
             << subcommand.summary << "\n";
     }
     out << "\nEach subcommand explains itself with --help. Exit codes: 0 success, 1 failure, 2 "
--- /dev/null
+++ b/Source/UnitTests/Staging/StageChainTest.cpp
@@ -0,0 +1,87 @@
+// The order of a request's stages and the time that each leaves.
+#include "Staging/StageChain.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagerbay;
+using namespace Tanagerbay::Staging;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A large result beside a chain of three small ones.
+struct StageChainFixture
+{
+    Catalog::Catalog catalog;
+    std::vector<Catalog::Stage> stages{{"render", {}, 1'500'000},
+                                       {"render", {}, 8'000},
+                                       {"content", {1}, 60'000},
+                                       {"accounts", {2}, 6'000}};
+    std::vector<ChainStep> steps{4};
+
+    StageChainFixture()
+    {
+        for (const char *name : {"render", "content", "accounts"}) {
+            Catalog::Service service;
+            service.name = name;
+            service.batching = Catalog::Batching{1, 10, milliseconds(200), milliseconds(10), 1, {}};
+            this->catalog.services[name] = service;
+        }
+    }
+
+    std::vector<std::size_t> ready() const
+    {
+        return readyStages(this->stages, this->steps);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StageChainSuite, StageChainFixture)
+
+BOOST_AUTO_TEST_CASE(longChainBesideALargeResult_theChainGoesFirst)
+{
+    BOOST_TEST(this->ready() == std::vector<std::size_t>{1});
+}
+
+// Otherwise the request would have one more call after the chain's end.
+BOOST_AUTO_TEST_CASE(chainIsInItsLastStage_theLargeResultIsMadeBesideIt)
+{
+    this->steps[1] = this->steps[2] = {true, true};
+    this->steps[3] = {true, false};
+    BOOST_TEST(this->ready() == std::vector<std::size_t>{0});
+}
+
+BOOST_AUTO_TEST_CASE(stageWithInputs_waitsForThem)
+{
+    this->steps[1] = {true, false};
+    BOOST_TEST(this->ready().empty());
+    this->steps[1].done = true;
+    BOOST_TEST(this->ready() == std::vector<std::size_t>{2});
+}
+
+BOOST_AUTO_TEST_CASE(results_areNeededUntilTheirUsersAreDone)
+{
+    BOOST_TEST(isNeededBesides(this->stages, this->steps, 1, 3));
+    BOOST_TEST(!isNeededBesides(this->stages, this->steps, 1, 2));
+    this->steps[2].done = true;
+    BOOST_TEST(!isNeededBesides(this->stages, this->steps, 1, 3));
+}
+
+BOOST_AUTO_TEST_CASE(finalStages_areThoseThatNoOtherFollows)
+{
+    BOOST_TEST(isFinal(this->stages, 0));
+    BOOST_TEST(!isFinal(this->stages, 2));
+    BOOST_TEST(isFinal(this->stages, 3));
+}
+
+// A full call takes 300 ms; each stage is planned with time for waiting and messages besides.
+BOOST_AUTO_TEST_CASE(timeLeft_countsEachStageOfTheChainAndTheEndpoint)
+{
+    const auto last = timeAfterStartOf(this->catalog, this->stages, 3, milliseconds(100));
+    const auto first = timeAfterStartOf(this->catalog, this->stages, 1, milliseconds(100));
+    BOOST_TEST((last >= milliseconds(400)));
+    BOOST_TEST((first - milliseconds(100) == (last - milliseconds(100)) * 3));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Staging/StageQueueTest.cpp
+++ b/Source/UnitTests/Staging/StageQueueTest.cpp
@@ -140,15 +140,38 @@
     BOOST_TEST(requestsIn(this->plan().front()) == std::set<std::string>{"in-time"});
 }
 
-BOOST_AUTO_TEST_CASE(overload_lateRequestHoldsRoomBefore_goesOn)
+// A queue that serves late requests in turn makes those behind them late as well.
+BOOST_AUTO_TEST_CASE(lastingOverload_lateRequestWithInputs_waitsBehindThoseInTime)
 {
     this->leaveOne();
     PieceRequest late = this->piece("late");
+    late.inputs = std::vector<std::string>{"w/1"};
     late.startBy = this->now - milliseconds(1);
-    late.inputsHoldRoom = true;
     this->submitGroup(late, 8);
     this->submitGroup(this->piece("in-time"), 8);
-    BOOST_TEST(requestsIn(this->plan().front()) == std::set<std::string>{"late"});
+    BOOST_TEST(requestsIn(this->plan().front()) == std::set<std::string>{"in-time"});
+}
+
+BOOST_AUTO_TEST_CASE(lastingOverload_onlyLateRequestsWait_theNewestGoesFirst)
+{
+    this->leaveOne();
+    for (const int age : {300, 100, 200}) {
+        PieceRequest late = this->piece("late-" + std::to_string(age));
+        late.startBy = this->now - milliseconds(age);
+        this->submitGroup(late, 8);
+    }
+    BOOST_TEST(requestsIn(this->plan().front()) == std::set<std::string>{"late-100"});
+}
+
+BOOST_AUTO_TEST_CASE(orderOfArrival_isKeptToCompareWith)
+{
+    this->leaveOne();
+    this->queue.order = QueueOrder::FirstCome;
+    PieceRequest late = this->piece("first");
+    late.startBy = this->now - milliseconds(1);
+    this->submitGroup(late, 8);
+    this->submitGroup(this->piece("second"), 8);
+    BOOST_TEST(requestsIn(this->plan().front()) == std::set<std::string>{"first"});
 }
 
 BOOST_AUTO_TEST_CASE(overload_requestCannotEndInTime_isSettledAndNotSent)
@@ -279,6 +302,22 @@
     BOOST_TEST((second.front().endpoint.id != first.front().endpoint.id));
 }
 
+// Two owners at once fill the endpoints' queues; that says nothing about the endpoints' health.
+BOOST_AUTO_TEST_CASE(anotherOwnerFillsTheEndpoint_callsAreRefused_itIsUsedAgainSoon)
+{
+    this->leaveOne();
+    this->submitGroup(this->piece("r"), 1);
+    for (int i = 0; i < 8; ++i) {
+        const auto calls = this->plan();
+        BOOST_REQUIRE(calls.size() == 1u);
+        BOOST_TEST(
+            callFailed(this->queue, calls.front().number, CallFault::Refused, this->now).empty());
+        BOOST_TEST(this->plan().empty());
+        this->now += this->queue.batching.callTime / 2;
+    }
+    BOOST_TEST(this->plan().size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(endpointFailsAgainAndAgain_piecesAreGivenUp)
 {
     this->submitGroup(this->piece("r"), 1);
