--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -69,6 +69,7 @@
         if (this->stageRun)
             this->stageRun->cancel();
     });
+    this->callerGone = this->exchange.callerGone();
     if (!co_await this->admit())
         co_return;
     if (!this->route->stages.empty() && !co_await this->runStages())
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -188,6 +188,8 @@
         while (co_await this->readRequest()) {
             this->answered = false;
             this->headWritten = false;
+            // The request may have lain in the socket for longer than its caller waited.
+            this->gone = this->peerClosed();
             this->watchCaller();
             co_await handler(*this);
             this->goneAction = nullptr;
