Staging, Entry: Hand waiting pieces over when the owner of a queue changes

After a start of all instances each took itself for the owner until it had heard of others. Change: an owner that leaves, or has seen another owner for a second, moves the pieces that only wait to it and tells who handed them in; a piece moves twice at most. The row of an instance in the store names its strength, so that instances that were not heard of yet can be chosen. Staging/QueueOwner holds both decisions. Work may lie with several owners, each of which is watched.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -264,6 +264,7 @@
         "requestsInProgress", static_cast<std::int64_t>(this->state.requestsInProgress)));
     this->callerServer->closeAfterAnswers();
     this->gossip.announce();
+    this->stageClient.handOver();
     asio::co_spawn(
         this->state.context,
         [this]() -> Http::Awaitable<void> {
@@ -284,7 +285,8 @@
 Http::Awaitable<void> EntryInstance::listInstances()
 {
     // A temporary aggregate in the awaited expression would be destroyed twice (GCC bug 98401).
-    const ListedInstance self{this->state.settings.instance, this->state.settings.peers};
+    const ListedInstance self{this->state.settings.instance, this->state.settings.peers,
+                              this->gossip.strength()};
     bool written = false;
     while (!this->state.leaving) {
         if (!written)
--- a/Source/Core/Entry/Gossip.cpp
+++ b/Source/Core/Entry/Gossip.cpp
@@ -147,6 +147,7 @@
         return;
     entry->second.report.id = instance.id;
     entry->second.report.peerAddress = instance.peerAddress;
+    entry->second.report.strength = instance.strength;
     entry->second.firstSeenAt = clockNow();
 }
 
@@ -166,11 +167,17 @@
         = this->state.leaving ? Membership::MemberState::Leaving : Membership::MemberState::Live;
     report.catalogVersion = this->state.catalog ? this->state.catalog->version : 0;
     report.requestsInProgress = static_cast<std::uint32_t>(this->state.requestsInProgress);
-    report.strength
-        = std::min(settings.cores * kStrengthPerCore, settings.linkMbps * kStrengthPerMbps);
+    report.strength = this->strength();
     return report;
 }
 
+double Gossip::strength() const
+{
+    const Settings &settings = this->state.settings;
+    return std::round(
+        std::min(settings.cores * kStrengthPerCore, settings.linkMbps * kStrengthPerMbps));
+}
+
 void Gossip::send()
 {
     const Common::Time now = clockNow();
--- a/Source/Core/Entry/Gossip.h
+++ b/Source/Core/Entry/Gossip.h
@@ -19,6 +19,8 @@
     std::string start();
     // Sends heartbeats at once, after a change that others should hear of.
     void announce();
+    // How much of the duties this instance can bear, against others.
+    double strength() const;
     // Runs for each report of another instance that is newer than what was known.
     void onReport(std::function<void(const Membership::MemberReport &)> action);
     // Adds an instance that the store lists.
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -215,6 +215,8 @@
 {
     Common::InstanceId id;
     Common::Address peerAddress;
+    // How much of the duties it can bear, against others; zero where it does not say.
+    double strength = 0;
 };
 
 template <typename T>
--- a/Source/Core/Entry/StageClient.cpp
+++ b/Source/Core/Entry/StageClient.cpp
@@ -2,7 +2,7 @@
 
 #include "Entry/StageMessages.h"
 
-#include "Common/Hash.h"
+#include <algorithm>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,11 +23,17 @@
 constexpr Common::Milliseconds kOwnerTimeout{600};
 // An owner that was lost is left out for this long, the time that heartbeats need to settle it.
 constexpr Common::Milliseconds kAvoidOwner{2000};
-// Queues lie on instances of at least this part of the greatest strength.
-constexpr double kStrongEnough = 0.8;
+// Queues with pieces are checked for another owner this often; a stage call takes 200 ms.
+constexpr Common::Milliseconds kHandOverInterval{250};
 // Without pieces handed in, the watch sleeps.
 constexpr Common::Milliseconds kIdleWatch{60'000};
 
+// The name of work that another instance handed in.
+std::string foreignName(const json::object &message)
+{
+    return textOf(message, "from") + "/" + std::to_string(numberOf(message, "work"));
+}
+
 } // namespace
 
 StageClient::StageClient(State &state, PeerMesh &mesh, StageOwner &owner)
@@ -44,6 +50,9 @@
     this->mesh.on("settled", [this](const PeerLinkPtr &, const json::object &message) {
         this->onSettled(message);
     });
+    this->mesh.on("moved", [this](const PeerLinkPtr &, const json::object &message) {
+        this->onMoved(message);
+    });
     this->mesh.on("withdraw", [this](const PeerLinkPtr &, const json::object &message) {
         this->onWithdraw(message);
     });
@@ -57,6 +66,7 @@
         this->onResults(message, true);
     });
     boost::asio::co_spawn(this->state.context, this->watchOwners(), boost::asio::detached);
+    boost::asio::co_spawn(this->state.context, this->watchQueues(), boost::asio::detached);
 }
 
 bool StageClient::mayOwn(const Membership::Member &member, Common::Time now) const
@@ -64,26 +74,25 @@
     const auto avoidedUntil = this->avoided.find(member.report.id);
     if (avoidedUntil != this->avoided.end() && now < avoidedUntil->second)
         return false;
-    // An instance without a catalog cannot know the service.
-    return member.heardAt && !Membership::isSuspect(this->state.members, member, now)
-        && member.report.state == Membership::MemberState::Live && member.report.catalogVersion > 0;
+    if (Membership::isSuspect(this->state.members, member, now)
+        || member.report.state != Membership::MemberState::Live)
+        return false;
+    // After a start of all instances the list names them before their heartbeats come. An instance
+    // without a catalog cannot know the service.
+    return member.heardAt ? member.report.catalogVersion > 0 : member.report.strength > 0;
 }
 
-Common::InstanceId StageClient::ownerOf(const std::string &service, Common::Time now) const
+StageClient::Owner StageClient::ownerOf(const std::string &service, Common::Time now) const
 {
-    double strongest = 0;
+    std::vector<Staging::OwnerCandidate> candidates;
     for (const auto &[id, member] : this->state.members.byId) {
         if (this->mayOwn(member, now))
-            strongest = std::max(strongest, member.report.strength);
-    }
-    std::vector<std::string> candidates;
-    for (const auto &[id, member] : this->state.members.byId) {
-        if (this->mayOwn(member, now) && member.report.strength >= strongest * kStrongEnough)
-            candidates.push_back(id.value);
+            candidates.push_back({id, member.report.strength});
     }
-    if (candidates.empty())
-        return this->state.settings.instance;
-    return Common::InstanceId(candidates[Common::rendezvousChoice(service, candidates)]);
+    const Common::InstanceId owner = Staging::chooseOwner(service, candidates);
+    if (owner.empty())
+        return {this->state.settings.instance, this->state.settings.peers};
+    return {owner, this->state.members.byId.at(owner).report.peerAddress};
 }
 
 WorkNumber StageClient::submit(StageWork work, StageAction action)
@@ -100,26 +109,38 @@
 
 void StageClient::handIn(WorkNumber number, Work &work)
 {
-    const Common::Time now = clockNow();
-    const Common::InstanceId owner = this->ownerOf(work.work.service, now);
-    work.handedToId = owner;
-    work.handedAt = now;
-    work.handedTo.reset();
-    if (owner == this->state.settings.instance) {
-        this->handInHere(number, work);
+    std::vector<std::size_t> indexes;
+    for (std::size_t i = 0; i < work.results.size(); ++i) {
+        if (!work.results[i])
+            indexes.push_back(i);
+    }
+    work.handedTo.clear();
+    this->handInTo(this->ownerOf(work.work.service, clockNow()), number, work, indexes);
+}
+
+void StageClient::handInTo(const Owner &owner, WorkNumber number, Work &work,
+                           const std::vector<std::size_t> &indexes)
+{
+    if (owner.id == this->state.settings.instance) {
+        this->handInHere(number, work, indexes);
         return;
     }
-    work.handedTo = this->state.members.byId.at(owner).report.peerAddress;
-    this->handInAt(number, work, *work.handedTo);
+    const Common::Time now = clockNow();
+    work.handedTo.push_back({owner, now});
+    json::object message = stageToJson(work.work.pieces[indexes.front()], now);
+    message["type"] = "submit";
+    message["from"] = this->state.settings.instance.value;
+    message["work"] = number;
+    message["service"] = work.work.service;
+    message["pieces"] = json::array(indexes.begin(), indexes.end());
+    this->mesh.send(owner.address, message);
     this->watch->cancel();
 }
 
-void StageClient::handInHere(WorkNumber number, Work &work)
+void StageClient::handInHere(WorkNumber number, Work &work, const std::vector<std::size_t> &indexes)
 {
     const std::string service = work.work.service;
-    for (std::size_t i = 0; i < work.work.pieces.size(); ++i) {
-        if (work.results[i])
-            continue;
+    for (const std::size_t i : indexes) {
         PieceListener listener;
         listener.settled = [this, number, i](const Staging::SettledPiece &piece) {
             this->takePiece(number, i, piece);
@@ -127,7 +148,7 @@
         listener.fetched = [this, number, i] { this->takeFetched(number, i); };
         const auto ticket = this->owner.submit(service, work.work.pieces[i], std::move(listener));
         if (ticket) {
-            work.ownTickets.push_back(*ticket);
+            work.ownTickets[*ticket] = i;
             continue;
         }
         // The catalog has no such stage service; the route that names it is about to change.
@@ -138,28 +159,11 @@
     this->owner.pump(service);
 }
 
-void StageClient::handInAt(WorkNumber number, Work &work, const Common::Address &owner)
-{
-    const Common::Time now = clockNow();
-    json::array pieces;
-    for (std::size_t i = 0; i < work.work.pieces.size(); ++i) {
-        if (!work.results[i])
-            pieces.emplace_back(i);
-    }
-    json::object message = stageToJson(work.work.pieces.front(), now);
-    message["type"] = "submit";
-    message["from"] = this->state.settings.instance.value;
-    message["work"] = number;
-    message["service"] = work.work.service;
-    message["pieces"] = std::move(pieces);
-    this->mesh.send(owner, message);
-}
-
 void StageClient::onSubmit(const PeerLinkPtr &link, const json::object &message)
 {
     const std::string service = textOf(message, "service");
     const std::uint64_t work = numberOf(message, "work");
-    const std::string name = textOf(message, "from") + "/" + std::to_string(work);
+    const std::string name = foreignName(message);
     const json::array *pieces = arrayOf(message, "pieces");
     if (!pieces)
         return;
@@ -188,11 +192,17 @@
         const auto refuse = listener.settled;
         const auto ticket = this->owner.submit(service, piece, std::move(listener));
         if (ticket) {
-            this->foreign[name][index] = {service, *ticket};
+            ForeignWork &known = this->foreign[name];
+            known.link = link;
+            known.number = work;
+            known.service = service;
+            known.tickets[index] = *ticket;
             continue;
         }
         refuse({0, Staging::PieceEnd::Failed, {}, {}});
     }
+    if (this->state.leaving)
+        this->handOver(service);
     this->owner.pump(service);
 }
 
@@ -201,8 +211,8 @@
     const auto known = this->foreign.find(name);
     if (known == this->foreign.end())
         return;
-    known->second.erase(index);
-    if (known->second.empty())
+    known->second.tickets.erase(index);
+    if (known->second.tickets.empty())
         this->foreign.erase(known);
 }
 
@@ -284,10 +294,10 @@
     if (found == this->open.end())
         return;
     Work &work = found->second;
-    for (const Staging::PieceTicket ticket : work.ownTickets)
+    for (const auto &[ticket, index] : work.ownTickets)
         this->owner.withdraw(work.work.service, ticket);
-    if (work.handedTo) {
-        this->mesh.send(*work.handedTo,
+    for (const HandIn &handIn : work.handedTo) {
+        this->mesh.send(handIn.owner.address,
                         {{"type", "withdraw"},
                          {"from", this->state.settings.instance.value},
                          {"work", number}});
@@ -303,16 +313,111 @@
 
 void StageClient::onWithdraw(const json::object &message)
 {
-    const std::string name
-        = textOf(message, "from") + "/" + std::to_string(numberOf(message, "work"));
-    const auto found = this->foreign.find(name);
+    const auto found = this->foreign.find(foreignName(message));
     if (found == this->foreign.end())
         return;
-    for (const auto &[index, piece] : found->second)
-        this->owner.withdraw(piece.first, piece.second);
+    for (const auto &[index, ticket] : found->second.tickets)
+        this->owner.withdraw(found->second.service, ticket);
     this->foreign.erase(found);
 }
 
+void StageClient::handOver()
+{
+    for (const std::string &service : this->owner.servicesWithPieces())
+        this->handOver(service);
+}
+
+void StageClient::handOver(const std::string &service)
+{
+    const Common::Time now = clockNow();
+    const Owner owner = this->ownerOf(service, now);
+    const bool leaving = this->state.leaving.has_value();
+    if (Staging::shouldHandOver(this->ownerWatches[service], owner.id,
+                                this->state.settings.instance, leaving, now))
+        this->movePieces(service, owner);
+}
+
+void StageClient::movePieces(const std::string &service, const Owner &owner)
+{
+    const std::vector<Staging::PieceTicket> tickets = this->owner.takeWaiting(service);
+    if (tickets.empty())
+        return;
+    this->state.logState(LogLine("stage-queue-moved")
+                             .text("service", service)
+                             .text("to", owner.id.value)
+                             .number("pieces", static_cast<std::int64_t>(tickets.size())));
+    const std::set<Staging::PieceTicket> taken(tickets.begin(), tickets.end());
+    std::vector<std::string> emptied;
+    for (auto &[name, work] : this->foreign) {
+        json::array indexes;
+        std::erase_if(work.tickets, [&taken, &indexes](const auto &entry) {
+            const bool moves = taken.contains(entry.second);
+            if (moves)
+                indexes.emplace_back(entry.first);
+            return moves;
+        });
+        if (indexes.empty())
+            continue;
+        json::object message{{"type", "moved"}, {"work", work.number}};
+        message["pieces"] = std::move(indexes);
+        message["from"] = this->state.settings.instance.value;
+        message["leaving"] = this->state.leaving.has_value();
+        message["owner"] = owner.id.value;
+        message["address"] = Common::formatAddress(owner.address);
+        this->mesh.reply(work.link, message);
+        if (work.tickets.empty())
+            emptied.push_back(name);
+    }
+    for (const std::string &name : emptied)
+        this->foreign.erase(name);
+    for (auto &[number, work] : this->open) {
+        std::vector<std::size_t> indexes;
+        std::erase_if(work.ownTickets, [&taken, &indexes](const auto &entry) {
+            const bool moves = taken.contains(entry.first);
+            if (moves)
+                indexes.push_back(entry.second);
+            return moves;
+        });
+        if (!indexes.empty())
+            this->handInTo(owner, number, work, indexes);
+    }
+}
+
+void StageClient::onMoved(const json::object &message)
+{
+    const auto found = this->open.find(numberOf(message, "work"));
+    const json::array *pieces = arrayOf(message, "pieces");
+    Owner owner;
+    owner.id = Common::InstanceId(textOf(message, "owner"));
+    if (found == this->open.end() || !pieces
+        || !Common::parseAddress(textOf(message, "address"), owner.address))
+        return;
+    const json::value *leaving = message.if_contains("leaving");
+    if (leaving && leaving->is_bool() && leaving->get_bool())
+        this->avoided[Common::InstanceId(textOf(message, "from"))] = clockNow() + kAvoidOwner;
+    Work &work = found->second;
+    std::vector<std::size_t> indexes;
+    for (const json::value &value : *pieces) {
+        const auto index = value.is_int64() && value.get_int64() >= 0
+            ? static_cast<std::size_t>(value.get_int64())
+            : work.results.size();
+        if (index >= work.results.size() || work.results[index])
+            continue;
+        ++work.work.pieces[index].moves;
+        indexes.push_back(index);
+    }
+    if (!indexes.empty())
+        this->handInTo(owner, found->first, work, indexes);
+}
+
+Http::Awaitable<void> StageClient::watchQueues()
+{
+    while (true) {
+        co_await this->state.sleepFor(kHandOverInterval);
+        this->handOver();
+    }
+}
+
 void StageClient::release(const std::string &service,
                           const std::vector<Staging::SettledPiece> &results)
 {
@@ -337,11 +442,11 @@
     message["type"] = type;
     message["service"] = service;
     message["results"] = std::move(named);
-    const Common::InstanceId owner = this->ownerOf(service, clockNow());
-    if (owner == this->state.settings.instance)
+    const Owner owner = this->ownerOf(service, clockNow());
+    if (owner.id == this->state.settings.instance)
         this->onResults(message, type == "spare");
     else
-        this->mesh.send(this->state.members.byId.at(owner).report.peerAddress, message);
+        this->mesh.send(owner.address, message);
 }
 
 void StageClient::onResults(const json::object &message, bool spareOnly)
@@ -371,7 +476,9 @@
     this->mesh.drop(address);
     std::vector<WorkNumber> numbers;
     for (const auto &[number, work] : this->open) {
-        if (work.handedTo && work.handedToId == id)
+        const bool has = std::any_of(work.handedTo.begin(), work.handedTo.end(),
+                                     [&id](const HandIn &handIn) { return handIn.owner.id == id; });
+        if (has)
             numbers.push_back(number);
     }
     this->state.logState(LogLine("stage-owner-lost")
@@ -386,12 +493,12 @@
     while (true) {
         std::map<Common::InstanceId, std::pair<Common::Address, Common::Time>> owners;
         for (const auto &[number, work] : this->open) {
-            if (!work.handedTo)
-                continue;
-            const auto [entry, added]
-                = owners.emplace(work.handedToId, std::pair(*work.handedTo, work.handedAt));
-            if (!added)
-                entry->second.second = std::min(entry->second.second, work.handedAt);
+            for (const HandIn &handIn : work.handedTo) {
+                const auto [entry, added]
+                    = owners.emplace(handIn.owner.id, std::pair(handIn.owner.address, handIn.at));
+                if (!added)
+                    entry->second.second = std::min(entry->second.second, handIn.at);
+            }
         }
         const Common::Time now = clockNow();
         for (const auto &[id, owner] : owners) {
--- a/Source/Core/Entry/StageClient.h
+++ b/Source/Core/Entry/StageClient.h
@@ -4,6 +4,7 @@
 
 #include "Entry/PeerMesh.h"
 #include "Entry/StageOwner.h"
+#include "Staging/QueueOwner.h"
 
 #include <set>
 
@@ -41,8 +42,23 @@
     void release(const std::string &service, const std::vector<Staging::SettledPiece> &results);
     // Notes that the results may go where their room is needed.
     void markSpare(const std::string &service, const std::vector<Staging::SettledPiece> &results);
+    // Moves pieces that wait in queues here to the queues' owners, where those are others.
+    void handOver();
 
 private:
+    struct Owner
+    {
+        Common::InstanceId id;
+        Common::Address address;
+    };
+
+    // An instance that pieces were handed to.
+    struct HandIn
+    {
+        Owner owner;
+        Common::Time at;
+    };
+
     struct Work
     {
         StageWork work;
@@ -51,18 +67,32 @@
         std::size_t open = 0;
         // Which pieces have fetched their inputs.
         std::set<std::size_t> fetched;
-        // The instance that the pieces were handed to; unset for this one.
-        std::optional<Common::Address> handedTo;
-        Common::InstanceId handedToId;
-        Common::Time handedAt;
-        std::vector<Staging::PieceTicket> ownTickets;
+        // Other instances that have pieces of it.
+        std::vector<HandIn> handedTo;
+        // Pieces in a queue here, by their tickets.
+        std::map<Staging::PieceTicket, std::size_t> ownTickets;
+    };
+
+    // Work that another instance handed in.
+    struct ForeignWork
+    {
+        PeerLinkPtr link;
+        WorkNumber number = 0;
+        std::string service;
+        // By the pieces' indexes.
+        std::map<std::uint64_t, Staging::PieceTicket> tickets;
     };
 
     bool mayOwn(const Membership::Member &member, Common::Time now) const;
-    Common::InstanceId ownerOf(const std::string &service, Common::Time now) const;
+    Owner ownerOf(const std::string &service, Common::Time now) const;
+    // Hands in all pieces that are not made yet.
     void handIn(WorkNumber number, Work &work);
-    void handInHere(WorkNumber number, Work &work);
-    void handInAt(WorkNumber number, Work &work, const Common::Address &owner);
+    void handInTo(const Owner &owner, WorkNumber number, Work &work,
+                  const std::vector<std::size_t> &indexes);
+    void handInHere(WorkNumber number, Work &work, const std::vector<std::size_t> &indexes);
+    void handOver(const std::string &service);
+    void movePieces(const std::string &service, const Owner &owner);
+    void onMoved(const boost::json::object &message);
     void takePiece(WorkNumber number, std::size_t index, const Staging::SettledPiece &piece);
     void finish(WorkNumber number, std::optional<Staging::PieceEnd> fault);
     void onSubmit(const PeerLinkPtr &link, const boost::json::object &message);
@@ -77,6 +107,7 @@
     // Takes results that are not needed any more, or that are spare only.
     void onResults(const boost::json::object &message, bool spareOnly);
     Http::Awaitable<void> watchOwners();
+    Http::Awaitable<void> watchQueues();
     void suspect(const Common::InstanceId &id, const Common::Address &address);
 
     State &state;
@@ -86,10 +117,9 @@
     WorkNumber lastNumber = 0;
     // Instances that did not answer, and until when they are left out as owners.
     std::map<Common::InstanceId, Common::Time> avoided;
-    // Services and tickets of pieces that other instances handed in, by their name for the work
-    // and the piece's index.
-    std::map<std::string, std::map<std::uint64_t, std::pair<std::string, Staging::PieceTicket>>>
-        foreign;
+    // By the name of the instance and its number for the work.
+    std::map<std::string, ForeignWork> foreign;
+    std::map<std::string, Staging::OwnerWatch> ownerWatches;
     std::unique_ptr<boost::asio::steady_timer> watch;
 };
 
--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -126,6 +126,27 @@
     queue->listeners.erase(ticket);
 }
 
+std::vector<Staging::PieceTicket> StageOwner::takeWaiting(const std::string &service)
+{
+    Queue *queue = this->find(service);
+    if (!queue)
+        return {};
+    const std::vector<Staging::PieceTicket> taken = Staging::takeWaiting(queue->queue);
+    for (const Staging::PieceTicket ticket : taken)
+        queue->listeners.erase(ticket);
+    return taken;
+}
+
+std::vector<std::string> StageOwner::servicesWithPieces() const
+{
+    std::vector<std::string> services;
+    for (const auto &[service, queue] : this->queues) {
+        if (!queue.queue.pieces.empty())
+            services.push_back(service);
+    }
+    return services;
+}
+
 void StageOwner::release(const std::string &service, const Common::EndpointId &maker,
                          const std::string &handle)
 {
--- a/Source/Core/Entry/StageOwner.h
+++ b/Source/Core/Entry/StageOwner.h
@@ -31,6 +31,10 @@
     // Sends what can be sent. Call it after the last piece of a group was handed in.
     void pump(const std::string &service);
     void withdraw(const std::string &service, Staging::PieceTicket ticket);
+    // Takes the pieces that only wait out of the queue, so that another instance queues them.
+    std::vector<Staging::PieceTicket> takeWaiting(const std::string &service);
+    // Services with pieces in their queues here.
+    std::vector<std::string> servicesWithPieces() const;
     void release(const std::string &service, const Common::EndpointId &maker,
                  const std::string &handle);
     // Notes that the result was most likely fetched and may go where its room is needed.
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -22,6 +22,9 @@
 constexpr Common::Milliseconds kNoRoomPause{120};
 // Failures after which a piece is given up.
 constexpr std::uint32_t kMostTries = 4;
+// Two instances that take each other for the owner must not pass a piece on for ever.
+constexpr std::uint32_t kMostMoves = 2;
+
 void requeue(StageQueue &queue, PieceTicket ticket)
 {
     const auto found = queue.pieces.find(ticket);
@@ -166,6 +169,19 @@
     settle(queue, ticket);
 }
 
+std::vector<PieceTicket> takeWaiting(StageQueue &queue)
+{
+    std::vector<PieceTicket> taken;
+    for (const PieceTicket ticket : queue.waiting) {
+        const OpenPiece &piece = queue.pieces.at(ticket);
+        if (piece.inCalls == 0 && piece.request.moves < kMostMoves)
+            taken.push_back(ticket);
+    }
+    for (const PieceTicket ticket : taken)
+        settle(queue, ticket);
+    return taken;
+}
+
 std::vector<SettledPiece> callAnswered(StageQueue &queue, CallNumber number,
                                        const std::vector<PieceResult> &results, Time now)
 {
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -34,6 +34,8 @@
     Common::Time startBy;
     // After this the result is of no use.
     Common::Time expiresAt;
+    // How often it went from one owner's queue to another's.
+    std::uint32_t moves = 0;
 };
 
 // A handed-in piece, until it is settled.
@@ -188,6 +190,10 @@
 // Drops a piece that nobody waits for. A call that holds it goes on.
 void withdraw(StageQueue &queue, PieceTicket ticket);
 
+// Takes out the pieces that only wait, so that another owner's queue takes them. Pieces that were
+// moved often stay.
+std::vector<PieceTicket> takeWaiting(StageQueue &queue);
+
 // Composes calls for endpoints that are free. Pieces that cannot be done in time go to `settled`.
 std::vector<PlannedCall> planCalls(StageQueue &queue, Common::Time now,
                                    std::vector<SettledPiece> &settled);
--- /dev/null
+++ b/Source/UnitTests/Staging/QueueOwnerTest.cpp
@@ -0,0 +1,86 @@
+// Who owns the queue of a stage service, and when it goes from one instance to another.
+#include "Staging/QueueOwner.h"
+
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagerbay;
+using namespace Tanagerbay::Staging;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct QueueOwnerFixture
+{
+    Common::Time now = Common::Time(std::chrono::seconds(100));
+    Common::InstanceId self{"n1"};
+    Common::InstanceId other{"n2"};
+    OwnerWatch watch;
+
+    bool handsOver(const Common::InstanceId &owner, bool leaving = false)
+    {
+        return shouldHandOver(this->watch, owner, this->self, leaving, this->now);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(QueueOwnerSuite, QueueOwnerFixture)
+
+BOOST_AUTO_TEST_CASE(noCandidate_namesNobody)
+{
+    BOOST_TEST(chooseOwner("encode", {}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(weakInstances_ownNoQueue)
+{
+    std::vector<OwnerCandidate> candidates;
+    for (int i = 0; i < 20; ++i)
+        candidates.push_back({Common::InstanceId("weak" + std::to_string(i)), 50});
+    candidates.push_back({Common::InstanceId("strong1"), 500});
+    candidates.push_back({Common::InstanceId("strong2"), 450});
+    for (const char *service : {"a", "b", "c", "d", "e"})
+        BOOST_TEST(chooseOwner(service, candidates).value.starts_with("strong"));
+}
+
+BOOST_AUTO_TEST_CASE(services_areSpreadOverEqualInstances)
+{
+    std::vector<OwnerCandidate> candidates;
+    for (int i = 0; i < 4; ++i)
+        candidates.push_back({Common::InstanceId("n" + std::to_string(i)), 100});
+    std::set<std::string> owners;
+    for (int i = 0; i < 40; ++i)
+        owners.insert(chooseOwner("service" + std::to_string(i), candidates).value);
+    BOOST_TEST(owners.size() == 4u);
+}
+
+BOOST_AUTO_TEST_CASE(ownQueue_isKept)
+{
+    BOOST_TEST(!this->handsOver(this->self));
+    BOOST_TEST(!this->handsOver(this->self, true));
+}
+
+BOOST_AUTO_TEST_CASE(leavingInstance_handsOverAtOnce)
+{
+    BOOST_TEST(this->handsOver(this->other, true));
+}
+
+BOOST_AUTO_TEST_CASE(anotherOwner_isSeenForAWhile_getsTheQueue)
+{
+    BOOST_TEST(!this->handsOver(this->other));
+    this->now += milliseconds(900);
+    BOOST_TEST(!this->handsOver(this->other));
+    this->now += milliseconds(100);
+    BOOST_TEST(this->handsOver(this->other));
+}
+
+BOOST_AUTO_TEST_CASE(ownersChangeToAndFro_nothingIsMoved)
+{
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST(!this->handsOver(i % 2 == 0 ? this->other : this->self));
+        this->now += milliseconds(600);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Staging/StageQueueTest.cpp
+++ b/Source/UnitTests/Staging/StageQueueTest.cpp
@@ -290,6 +290,30 @@
     BOOST_TEST((second.front().endpoint.id != first.front().endpoint.id));
 }
 
+BOOST_AUTO_TEST_CASE(ownerChanges_onlyWaitingPiecesAreTakenOut)
+{
+    this->leaveOne();
+    this->submitGroup(this->piece("sent"), 8);
+    const auto calls = this->plan();
+    BOOST_REQUIRE(calls.size() == 1u);
+    const auto waiting = this->submitGroup(this->piece("waits"), 3);
+    BOOST_TEST(takeWaiting(this->queue) == waiting);
+    BOOST_TEST(this->answer(calls.front()).size() == 8u);
+    BOOST_TEST(this->queue.pieces.empty());
+}
+
+// Two instances that take each other for the owner would pass it on for ever.
+BOOST_AUTO_TEST_CASE(ownersDisagree_aPieceThatWasMovedOften_stays)
+{
+    this->leaveOne();
+    this->submitGroup(this->piece("sent"), 8);
+    this->plan();
+    PieceRequest moved = this->piece("moved");
+    moved.moves = 2;
+    this->submitGroup(moved, 1);
+    BOOST_TEST(takeWaiting(this->queue).empty());
+}
+
 BOOST_AUTO_TEST_CASE(endpointLost_callFails_piecesAreSentElsewhere)
 {
     this->submitGroup(this->piece("r"), 3);
