Entry: Wait for the list of instances before stage work is handed in after a start

Cause: after a start of all instances, requests came before the store's list had been read, so each instance took itself for the owner of the first stage's queue; the endpoints refused its calls for a second, until it handed the queue over.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -289,13 +289,15 @@
                               this->gossip.strength()};
     bool written = false;
     while (!this->state.leaving) {
-        if (!written)
-            written = co_await this->store->writeInstance(self);
+        // Stage work waits until the others are known.
         const auto listed = co_await this->store->readInstances();
         if (listed) {
             for (const ListedInstance &instance : *listed)
                 this->gossip.addListed(instance);
+            this->state.instancesWereListed = true;
         }
+        if (!written)
+            written = co_await this->store->writeInstance(self);
         co_await this->state.sleepFor(written && listed ? kListInterval : kListRetry);
     }
 }
--- a/Source/Core/Entry/StageClient.cpp
+++ b/Source/Core/Entry/StageClient.cpp
@@ -25,6 +25,8 @@
 constexpr Common::Milliseconds kAvoidOwner{2000};
 // Queues with pieces are checked for another owner this often; a stage call takes 200 ms.
 constexpr Common::Milliseconds kHandOverInterval{250};
+// After a start the list of instances is there within some 10 ms.
+constexpr Common::Milliseconds kLearnPoll{10};
 // Without pieces handed in, the watch sleeps.
 constexpr Common::Milliseconds kIdleWatch{60'000};
 
@@ -103,10 +105,33 @@
     entry.action = std::move(action);
     entry.results.resize(entry.work.pieces.size());
     entry.open = entry.work.pieces.size();
-    this->handIn(number, entry);
+    if (this->mayChooseOwner()) {
+        this->handIn(number, entry);
+    } else {
+        boost::asio::co_spawn(this->state.context, this->handInLater(number),
+                              boost::asio::detached);
+    }
     return number;
 }
 
+bool StageClient::mayChooseOwner() const
+{
+    Staging::OthersKnown known;
+    known.listWasRead = this->state.instancesWereListed;
+    known.anyoneWasHeard = Membership::heardAnyoneSince(this->state.members, this->state.startedAt);
+    known.sinceStart = clockNow() - this->state.startedAt;
+    return Staging::mayChooseOwner(known);
+}
+
+Http::Awaitable<void> StageClient::handInLater(WorkNumber number)
+{
+    while (!this->mayChooseOwner())
+        co_await this->state.sleepFor(kLearnPoll);
+    const auto found = this->open.find(number);
+    if (found != this->open.end())
+        this->handIn(number, found->second);
+}
+
 void StageClient::handIn(WorkNumber number, Work &work)
 {
     std::vector<std::size_t> indexes;
--- a/Source/Core/Entry/StageClient.h
+++ b/Source/Core/Entry/StageClient.h
@@ -85,6 +85,8 @@
 
     bool mayOwn(const Membership::Member &member, Common::Time now) const;
     Owner ownerOf(const std::string &service, Common::Time now) const;
+    bool mayChooseOwner() const;
+    Http::Awaitable<void> handInLater(WorkNumber number);
     // Hands in all pieces that are not made yet.
     void handIn(WorkNumber number, Work &work);
     void handInTo(const Owner &owner, WorkNumber number, Work &work,
--- a/Source/Core/Entry/State.h
+++ b/Source/Core/Entry/State.h
@@ -51,6 +51,8 @@
     std::map<std::string, Routing::Pool> pools;
     std::unordered_map<std::string, Serving::FleetBudget> budgets;
     Membership::Members members;
+    // Whether the store's list of instances was read since the start.
+    bool instancesWereListed = false;
     // Set once the process was told to end.
     std::optional<Serving::Leaving> leaving;
     std::size_t requestsInProgress = 0;
--- a/Source/Core/Staging/QueueOwner.cpp
+++ b/Source/Core/Staging/QueueOwner.cpp
@@ -13,6 +13,8 @@
 // Heartbeats of an instance that comes reach the others within about this time. Until then some
 // would hand pieces that were moved back.
 constexpr Common::Milliseconds kSettledAfter{1000};
+// Time for the first heartbeats of others, which come every 500 ms, where the list cannot be read.
+constexpr Common::Milliseconds kLongestLearning{750};
 
 } // namespace
 
@@ -32,6 +34,11 @@
     return Common::InstanceId(strong[Common::rendezvousChoice(service, strong)]);
 }
 
+bool mayChooseOwner(const OthersKnown &known)
+{
+    return known.listWasRead || known.anyoneWasHeard || known.sinceStart >= kLongestLearning;
+}
+
 bool shouldHandOver(OwnerWatch &watch, const Common::InstanceId &owner,
                     const Common::InstanceId &self, bool leaving, Common::Time now)
 {
--- a/Source/Core/Staging/QueueOwner.h
+++ b/Source/Core/Staging/QueueOwner.h
@@ -21,6 +21,18 @@
 Common::InstanceId chooseOwner(const std::string &service,
                                const std::vector<OwnerCandidate> &candidates);
 
+// What an instance has learnt of the others since its start.
+struct OthersKnown
+{
+    bool listWasRead = false;
+    bool anyoneWasHeard = false;
+    Common::Duration sinceStart{0};
+};
+
+// Whether an instance knows enough of the others to choose an owner. One that has just started
+// would take itself for the owner of every queue.
+bool mayChooseOwner(const OthersKnown &known);
+
 // What an instance with a queue remembers of who should own it.
 struct OwnerWatch
 {
--- a/Source/UnitTests/Staging/QueueOwnerTest.cpp
+++ b/Source/UnitTests/Staging/QueueOwnerTest.cpp
@@ -55,6 +55,19 @@
     BOOST_TEST(owners.size() == 4u);
 }
 
+// All instances start at once and would take themselves for the owner of every queue.
+BOOST_AUTO_TEST_CASE(startOfAll_othersAreNotKnownYet_noOwnerIsChosen)
+{
+    BOOST_TEST(!mayChooseOwner({false, false, milliseconds(100)}));
+    BOOST_TEST(mayChooseOwner({true, false, milliseconds(100)}));
+    BOOST_TEST(mayChooseOwner({false, true, milliseconds(100)}));
+}
+
+BOOST_AUTO_TEST_CASE(startOfAll_neitherStoreNorOthersAnswer_workGoesOnAfterAWhile)
+{
+    BOOST_TEST(mayChooseOwner({false, false, std::chrono::seconds(1)}));
+}
+
 BOOST_AUTO_TEST_CASE(ownQueue_isKept)
 {
     BOOST_TEST(!this->handsOver(this->self));
