--- a/Source/Core/Entry/StageClient.h
+++ b/Source/Core/Entry/StageClient.h
@@ -83,6 +83,8 @@
         std::map<std::uint64_t, Staging::PieceTicket> tickets;
     };
 
+    // Leaves the instance out as an owner for a while.
+    void avoid(const Common::InstanceId &id, Common::Time now);
     bool mayOwn(const Membership::Member &member, Common::Time now) const;
     Owner ownerOf(const std::string &service, Common::Time now) const;
     bool mayChooseOwner() const;
--- /dev/null
+++ b/Source/Core/Entry/StageHandOver.cpp
@@ -0,0 +1,156 @@
+// Who owns the queue of a stage service as this instance sees it, and moving pieces between owners.
+#include "Entry/StageClient.h"
+
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Tanagerbay::Entry {
+
+namespace json = boost::json;
+
+namespace {
+
+// An owner that was lost is left out for this long, the time that heartbeats need to settle it.
+constexpr Common::Milliseconds kAvoidOwner{2000};
+// Queues with pieces are checked for another owner this often; a stage call takes 200 ms.
+constexpr Common::Milliseconds kHandOverInterval{250};
+
+} // namespace
+
+void StageClient::avoid(const Common::InstanceId &id, Common::Time now)
+{
+    this->avoided[id] = now + kAvoidOwner;
+}
+
+bool StageClient::mayOwn(const Membership::Member &member, Common::Time now) const
+{
+    const auto avoidedUntil = this->avoided.find(member.report.id);
+    if (avoidedUntil != this->avoided.end() && now < avoidedUntil->second)
+        return false;
+    if (Membership::isSuspect(this->state.members, member, now)
+        || member.report.state != Membership::MemberState::Live)
+        return false;
+    // After a start of all instances the list names them before their heartbeats come. An instance
+    // without a catalog cannot know the service.
+    return member.heardAt ? member.report.catalogVersion > 0 : member.report.strength > 0;
+}
+
+StageClient::Owner StageClient::ownerOf(const std::string &service, Common::Time now) const
+{
+    std::vector<Staging::OwnerCandidate> candidates;
+    for (const auto &[id, member] : this->state.members.byId) {
+        if (this->mayOwn(member, now))
+            candidates.push_back({id, member.report.strength});
+    }
+    const Common::InstanceId owner = Staging::chooseOwner(service, candidates);
+    if (owner.empty())
+        return {this->state.settings.instance, this->state.settings.peers};
+    return {owner, this->state.members.byId.at(owner).report.peerAddress};
+}
+
+bool StageClient::mayChooseOwner() const
+{
+    Staging::OthersKnown known;
+    known.listWasRead = this->state.instancesWereListed;
+    known.anyoneWasHeard = Membership::heardAnyoneSince(this->state.members, this->state.startedAt);
+    known.sinceStart = clockNow() - this->state.startedAt;
+    return Staging::mayChooseOwner(known);
+}
+
+void StageClient::handOver()
+{
+    for (const std::string &service : this->owner.servicesWithPieces())
+        this->handOver(service);
+}
+
+void StageClient::handOver(const std::string &service)
+{
+    const Common::Time now = clockNow();
+    const Owner owner = this->ownerOf(service, now);
+    const bool leaving = this->state.leaving.has_value();
+    if (Staging::shouldHandOver(this->ownerWatches[service], owner.id,
+                                this->state.settings.instance, leaving, now))
+        this->movePieces(service, owner);
+}
+
+void StageClient::movePieces(const std::string &service, const Owner &owner)
+{
+    const std::vector<Staging::PieceTicket> tickets = this->owner.takeWaiting(service);
+    if (tickets.empty())
+        return;
+    this->state.logState(LogLine("stage-queue-moved")
+                             .text("service", service)
+                             .text("to", owner.id.value)
+                             .number("pieces", static_cast<std::int64_t>(tickets.size())));
+    const std::set<Staging::PieceTicket> taken(tickets.begin(), tickets.end());
+    std::vector<std::string> emptied;
+    for (auto &[name, work] : this->foreign) {
+        json::array indexes;
+        std::erase_if(work.tickets, [&taken, &indexes](const auto &entry) {
+            const bool moves = taken.contains(entry.second);
+            if (moves)
+                indexes.emplace_back(entry.first);
+            return moves;
+        });
+        if (indexes.empty())
+            continue;
+        json::object message{{"type", "moved"}, {"work", work.number}};
+        message["pieces"] = std::move(indexes);
+        message["from"] = this->state.settings.instance.value;
+        message["leaving"] = this->state.leaving.has_value();
+        message["owner"] = owner.id.value;
+        message["address"] = Common::formatAddress(owner.address);
+        this->mesh.reply(work.link, message);
+        if (work.tickets.empty())
+            emptied.push_back(name);
+    }
+    for (const std::string &name : emptied)
+        this->foreign.erase(name);
+    for (auto &[number, work] : this->open) {
+        std::vector<std::size_t> indexes;
+        std::erase_if(work.ownTickets, [&taken, &indexes](const auto &entry) {
+            const bool moves = taken.contains(entry.first);
+            if (moves)
+                indexes.push_back(entry.second);
+            return moves;
+        });
+        if (!indexes.empty())
+            this->handInTo(owner, number, work, indexes);
+    }
+}
+
+void StageClient::onMoved(const json::object &message)
+{
+    const auto found = this->open.find(numberOf(message, "work"));
+    const json::array *pieces = arrayOf(message, "pieces");
+    Owner owner;
+    owner.id = Common::InstanceId(textOf(message, "owner"));
+    if (found == this->open.end() || !pieces
+        || !Common::parseAddress(textOf(message, "address"), owner.address))
+        return;
+    const json::value *leaving = message.if_contains("leaving");
+    if (leaving && leaving->is_bool() && leaving->get_bool())
+        this->avoid(Common::InstanceId(textOf(message, "from")), clockNow());
+    Work &work = found->second;
+    std::vector<std::size_t> indexes;
+    for (const json::value &value : *pieces) {
+        const auto index = value.is_int64() && value.get_int64() >= 0
+            ? static_cast<std::size_t>(value.get_int64())
+            : work.results.size();
+        if (index >= work.results.size() || work.results[index])
+            continue;
+        ++work.work.pieces[index].moves;
+        indexes.push_back(index);
+    }
+    if (!indexes.empty())
+        this->handInTo(owner, found->first, work, indexes);
+}
+
+Http::Awaitable<void> StageClient::watchQueues()
+{
+    while (true) {
+        co_await this->state.sleepFor(kHandOverInterval);
+        this->handOver();
+    }
+}
+
+} // namespace Tanagerbay::Entry
--- a/Source/Experiment/Comparison.cpp
+++ b/Source/Experiment/Comparison.cpp
@@ -36,23 +36,10 @@
     return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
 }
 
-double worthOf(const Scenario &scenario, const Outcome &outcome)
-{
-    double asked = 0;
-    double earned = 0;
-    for (std::size_t i = 0; i < outcome.kinds.size(); ++i) {
-        const KindModel &kind = scenario.kinds[i];
-        asked += kind.worth * static_cast<double>(outcome.kinds[i].asked);
-        earned += kind.worth * static_cast<double>(outcome.kinds[i].onTime)
-            + kind.lateWorth * static_cast<double>(outcome.kinds[i].late);
-    }
-    return asked > 0 ? earned / asked : 0;
-}
-
 ComparisonRow playSeeds(const Scenario &scenario, Policy policy, double load,
                         const std::vector<std::uint64_t> &seeds)
 {
-    ComparisonRow row{policy, load, {}, 1, 0};
+    ComparisonRow row{policy, load, {}, 0, 1, 0};
     for (const std::uint64_t seed : seeds) {
         const Outcome outcome = StageWorld(scenario, policy, load, seed).run();
         add(row.total, outcome);
@@ -60,7 +47,7 @@
         row.leastWorth = std::min(row.leastWorth, worth);
         row.mostWorth = std::max(row.mostWorth, worth);
     }
-    row.total.worth = worthOf(scenario, row.total);
+    row.worth = worthOf(scenario, row.total);
     return row;
 }
 
@@ -85,7 +72,7 @@
     for (const ComparisonRow &row : rows) {
         text << std::left << std::setw(13) << Common::nameOf(row.policy) << std::right
              << std::setprecision(2) << std::setw(6) << row.load << std::setprecision(3) << "  "
-             << row.total.worth << " (" << row.leastWorth << ", " << row.mostWorth << ")"
+             << row.worth << " (" << row.leastWorth << ", " << row.mostWorth << ")"
              << std::setprecision(1) << std::setw(18) << shareOf(row.total.pieces, row.total.calls)
              << std::setw(15) << row.total.refusedCalls << std::setw(9) << row.total.noRoom
              << std::setw(13) << row.total.inputsGone << "\n"
@@ -134,7 +121,7 @@
         svg << "<polyline fill=\"none\" stroke-width=\"2\" stroke=\"" << colour << "\" points=\"";
         for (const ComparisonRow &row : rows) {
             if (row.policy == policies[i])
-                svg << x(row.load) << "," << y(row.total.worth) << " ";
+                svg << x(row.load) << "," << y(row.worth) << " ";
         }
         svg << "\"/>\n<text fill=\"" << colour << "\" x=\"" << kWidth - kMargin - 100 << "\" y=\""
             << kMargin + 16 * static_cast<double>(i) << "\">" << Common::nameOf(policies[i])
--- a/Source/Experiment/Comparison.h
+++ b/Source/Experiment/Comparison.h
@@ -19,6 +19,7 @@
     Policy policy = Policy::Shared;
     double load = 1;
     Outcome total;
+    double worth = 0;
     double leastWorth = 0;
     double mostWorth = 0;
 };
--- a/Source/Experiment/StageWorld.h
+++ b/Source/Experiment/StageWorld.h
@@ -22,8 +22,6 @@
 struct Outcome
 {
     std::vector<KindOutcome> kinds;
-    // Worth earned over worth asked for.
-    double worth = 0;
     std::uint64_t calls = 0;
     std::uint64_t pieces = 0;
     std::uint64_t refusedCalls = 0;
@@ -31,6 +29,9 @@
     std::uint64_t inputsGone = 0;
 };
 
+// Worth earned over worth asked for.
+double worthOf(const Scenario &scenario, const Outcome &outcome);
+
 class StageWorld
 {
 public:
@@ -117,7 +118,6 @@
     Policy policy;
     std::mt19937_64 random;
     Common::Time now{std::chrono::hours(1)};
-    Common::Time begin0{std::chrono::hours(1)};
     std::uint64_t sequence = 0;
     std::priority_queue<Event> events;
     Catalog::Catalog catalog;
--- a/Source/UnitTests/Experiment/StageWorldTest.cpp
+++ b/Source/UnitTests/Experiment/StageWorldTest.cpp
@@ -64,6 +64,11 @@
         return StageWorld(this->scenario, policy, load, 1).run();
     }
 
+    double worth(double load, Policy policy = Policy::Shared) const
+    {
+        return worthOf(this->scenario, this->play(load, policy));
+    }
+
     static double onTime(const Outcome &outcome)
     {
         return static_cast<double>(outcome.kinds[0].onTime)
@@ -122,12 +127,12 @@
 BOOST_AUTO_TEST_CASE(oneQueueAService_comparedWithOneAnInstance_isBetterAtEveryLoad)
 {
     for (const double load : {0.5, 1.0, 2.0})
-        BOOST_TEST(this->play(load).worth >= this->play(load, Policy::PerInstance).worth);
+        BOOST_TEST(this->worth(load) >= this->worth(load, Policy::PerInstance));
 }
 
 BOOST_AUTO_TEST_CASE(onTimeFirst_comparedWithFirstCome_isBetterUnderOverload)
 {
-    BOOST_TEST(this->play(1.5).worth > this->play(1.5, Policy::FirstCome).worth);
+    BOOST_TEST(this->worth(1.5) > this->worth(1.5, Policy::FirstCome));
 }
 
 BOOST_AUTO_TEST_CASE(sameSeed_givesTheSameFigures)
