Experiment: Refuse scenarios with unknown services, negative numbers of endpoints and empty calls

Cause: trying the command as a new user: a stage that names no service was played on the first one, a negative number of endpoints kept the command busy for ever (ended after 20 s), and calls of no pieces gave a table without meaning. Change: each of the three is a fault with the path of its key; the case of wrong scenario files asks for them.

--- a/Source/Experiment/Scenario.cpp
+++ b/Source/Experiment/Scenario.cpp
@@ -1,5 +1,7 @@
 #include "Experiment/Scenario.h"
 
+#include <algorithm>
+
 namespace Tanagerbay::Experiment {
 
 namespace json = boost::json;
@@ -44,9 +46,15 @@
     service.batching.resultLifetime = milliseconds(reader, "resultLifetimeMs");
     service.waitingCalls = count(reader, "waitingCalls", 2);
     service.linkBytesPerSecond = reader.number("linkBytesPerSecond", 1, 1e12);
-    for (const json::value &number : reader.array("endpoints", true))
-        service.endpoints.push_back(
-            number.is_int64() ? static_cast<std::uint32_t>(number.get_int64()) : 0);
+    for (const json::value &number : reader.array("endpoints", true)) {
+        const std::int64_t endpoints = number.is_int64() ? number.get_int64() : -1;
+        if (endpoints < 0 || endpoints > kMostCount)
+            reader.fault("endpoints", "must be whole numbers from 0 to 100000");
+        else
+            service.endpoints.push_back(static_cast<std::uint32_t>(endpoints));
+    }
+    if (service.batching.maxPieces == 0)
+        reader.fault("maxPieces", "must be above zero");
     if (service.endpoints.size() != domains)
         reader.fault("endpoints", "must have one number for each failure domain");
     reader.finish();
@@ -115,6 +123,26 @@
     return burst;
 }
 
+// Every stage and trouble has to name one of the services.
+void checkServices(const Scenario &scenario, Common::JsonFaults &faults)
+{
+    const auto check = [&](const std::string &name, const std::string &path) {
+        const bool known = std::any_of(
+            scenario.services.begin(), scenario.services.end(),
+            [&name](const StageServiceModel &service) { return service.name == name; });
+        if (!known)
+            faults.push_back({path, "is not one of the services"});
+    };
+    for (std::size_t i = 0; i < scenario.kinds.size(); ++i) {
+        for (std::size_t j = 0; j < scenario.kinds[i].stages.size(); ++j) {
+            check(scenario.kinds[i].stages[j].stage.service,
+                  "kinds[" + std::to_string(i) + "].stages[" + std::to_string(j) + "].service");
+        }
+    }
+    for (std::size_t i = 0; i < scenario.troubles.size(); ++i)
+        check(scenario.troubles[i].service, "troubles[" + std::to_string(i) + "].service");
+}
+
 EndpointTrouble readTrouble(const json::value &value, const std::string &path,
                             Common::JsonFaults &faults)
 {
@@ -156,6 +184,7 @@
     for (std::size_t i = 0; i < troubles.size(); ++i)
         scenario.troubles.push_back(readTrouble(troubles[i], reader.pathOf("troubles", i), faults));
     reader.finish();
+    checkServices(scenario, faults);
     if (scenario.domains == 0)
         faults.push_back({"failureDomains", "must be above zero"});
     if (scenario.instances == 0)
--- a/Source/UnitTests/Experiment/StageWorldTest.cpp
+++ b/Source/UnitTests/Experiment/StageWorldTest.cpp
@@ -156,10 +156,17 @@
     BOOST_TEST(read.kinds.size() == 3u);
     document->as_object()["bursts"].as_array()[0].as_object()["kind"] = "nothing";
     document->as_object()["kinds"].as_array()[1].as_object().erase("worth");
+    auto &service = document->as_object()["services"].as_array()[0].as_object();
+    service["name"] = "other";
+    service["maxPieces"] = 0;
+    service["endpoints"].as_array()[0] = -1;
     readScenario(*document, faults);
     const std::string told = Common::describeFaults(faults);
     BOOST_TEST(told.find("bursts[0].kind") != std::string::npos);
     BOOST_TEST(told.find("kinds[1].worth") != std::string::npos);
+    BOOST_TEST(told.find("kinds[0].stages[0].service") != std::string::npos);
+    BOOST_TEST(told.find("services[0].maxPieces") != std::string::npos);
+    BOOST_TEST(told.find("services[0].endpoints") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(table_namesEveryPolicyAndKind)
