Membership: Be heard again after a restart with a clock that stepped back

Cause: incarnations follow the time of day. `PeerService` ignored what others say of its own process, so an instance that started again after its clock had stepped back was taken for its old self until the others forgot it; `Gossip` had its own remedy. Change: one rule, `incarnationAfter`, for both; the product's own heartbeats carry the incarnation that the other end heard. Measured: a new case of the members refuses the report under the lower incarnation and takes it under the raised one. It tests the rule; no process was run with a stepped clock, since setting one needs rights that the tests do not have.

--- a/Source/Core/Entry/Gossip.cpp
+++ b/Source/Core/Entry/Gossip.cpp
@@ -1,5 +1,6 @@
 #include "Entry/Gossip.h"
 
+#include "Common/Clock.h"
 #include "Entry/PeerMesh.h"
 
 #include <algorithm>
@@ -103,16 +104,10 @@
     return report;
 }
 
-std::uint64_t unixMilliseconds()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
-}
-
 } // namespace
 
-Gossip::Gossip(State &state) : state(state), socket(state.context), incarnation(unixMilliseconds())
+Gossip::Gossip(State &state)
+    : state(state), socket(state.context), incarnation(Common::unixMilliseconds())
 {
 }
 
@@ -259,9 +254,7 @@
 void Gossip::takeReport(const Membership::MemberReport &report)
 {
     if (report.id == this->state.settings.instance) {
-        // The time of day can go back between two starts; the newer process has to win.
-        if (report.incarnation > this->incarnation)
-            this->incarnation = report.incarnation + 1;
+        this->incarnation = Membership::incarnationAfter(this->incarnation, report.incarnation);
         return;
     }
     const Common::Time now = clockNow();
--- a/Source/Core/Membership/Members.cpp
+++ b/Source/Core/Membership/Members.cpp
@@ -68,6 +68,11 @@
     return true;
 }
 
+std::uint64_t incarnationAfter(std::uint64_t own, std::uint64_t heard)
+{
+    return heard > own ? heard + 1 : own;
+}
+
 void applyPlatformList(Members &members, const std::vector<ListedMember> &listed, Common::Time now)
 {
     members.platformListRead = true;
--- a/Source/Core/Membership/Members.h
+++ b/Source/Core/Membership/Members.h
@@ -82,6 +82,11 @@
 // Takes a heartbeat. Returns false where it is older than what is known.
 bool noteReport(Members &members, const MemberReport &report, Common::Time now);
 
+// Returns the incarnation under which an instance goes on that has heard a report of itself.
+// Incarnations follow the time of day, which may have stepped back between two starts; under the
+// lower one, the others would take all news of the new process for old.
+std::uint64_t incarnationAfter(std::uint64_t own, std::uint64_t heard);
+
 // Takes a new reading of the platform's list.
 void applyPlatformList(Members &members, const std::vector<ListedMember> &listed, Common::Time now);
 
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -1,5 +1,6 @@
 #include "Node/PeerService.h"
 
+#include "Common/Clock.h"
 #include "Peer/Generated/Peer.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -58,7 +59,7 @@
 
 std::uint64_t startTimeMicros()
 {
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto sinceEpoch = Common::timeOfDay().time_since_epoch();
     return static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
@@ -165,8 +166,10 @@
 // in a buffer while this process was paused prove nothing newer.
 void PeerService::noteHeard(std::uint64_t incarnation, std::uint64_t heardSequence)
 {
-    if (incarnation != this->incarnation)
+    if (incarnation != this->incarnation) {
+        this->incarnation = Membership::incarnationAfter(this->incarnation, incarnation);
         return;
+    }
     const SentHeartbeat &sent = this->sentAt[heardSequence % kRememberedSequences];
     if (sent.sequence == heardSequence)
         this->shared.noteConfirmed(sent.at);
--- a/Source/UnitTests/Membership/MembersTest.cpp
+++ b/Source/UnitTests/Membership/MembersTest.cpp
@@ -62,6 +62,22 @@
     BOOST_TEST(noteReport(this->members, restarted, this->now));
 }
 
+BOOST_AUTO_TEST_CASE(restart_clockHasSteppedBack_isHeardOnceItKnowsItsOldReport)
+{
+    constexpr std::uint64_t kBeforeStep = 1'000;
+    constexpr std::uint64_t kAfterStep = 400;
+    MemberReport old = report(1, 9);
+    old.incarnation = kBeforeStep;
+    noteReport(this->members, old, this->now);
+    MemberReport restarted = report(1, 1);
+    restarted.incarnation = kAfterStep;
+    BOOST_TEST(!noteReport(this->members, restarted, this->now));
+    // The others pass on what they last heard of it.
+    restarted.incarnation = incarnationAfter(kAfterStep, kBeforeStep);
+    BOOST_TEST(noteReport(this->members, restarted, this->now));
+    BOOST_TEST(incarnationAfter(kBeforeStep, kAfterStep) == kBeforeStep);
+}
+
 BOOST_AUTO_TEST_CASE(entries_askersDomain_comesFirst)
 {
     const auto entries = entriesFor(this->members, Common::FailureDomain("b"), this->now);
