--- a/Source/UnitTests/Node/InstanceFixture.cpp
+++ b/Source/UnitTests/Node/InstanceFixture.cpp
@@ -2,11 +2,10 @@
 
 #include "Common/Hash.h"
 #include "Node/Log.h"
+#include "TestSupport/FreePort.h"
 
 #include <thread>
 
-#include <unistd.h>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,27 +25,6 @@
 constexpr const char *kToken = "token";
 constexpr const char *kKey = "key-w1";
 
-// Returns a free port below the range that the system gives out on its own. No two calls in this
-// process return the same one, and runs of the tests side by side begin at different ones: a port
-// is free for a moment between this check and its use.
-std::uint16_t freePort()
-{
-    constexpr int kFirstPort = 10'000;
-    constexpr int kPortsOfARun = 1'000;
-    constexpr int kRuns = 22;
-    static auto next = static_cast<std::uint16_t>(kFirstPort + ::getpid() % kRuns * kPortsOfARun);
-    asio::io_context context;
-    while (true) {
-        tcp::acceptor acceptor(context);
-        const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), next++);
-        boost::system::error_code error;
-        acceptor.open(endpoint.protocol());
-        acceptor.bind(endpoint, error);
-        if (!error)
-            return endpoint.port();
-    }
-}
-
 json::object poolOf(const std::string &name, const json::array &endpoints)
 {
     return {{"name", name}, {"endpoints", endpoints}};
@@ -81,7 +59,7 @@
 
 std::string InstanceFixture::nextAddress()
 {
-    return "127.0.0.1:" + std::to_string(freePort());
+    return "127.0.0.1:" + std::to_string(TestSupport::freePort());
 }
 
 json::value InstanceFixture::standInSettings()
