Staging: Give up pieces whose request cannot end in time any more; compare with a random order

Cause: a piece expired when its own call could not end before its caller left. The stages after it were not counted, so calls went to pieces of requests that could not be finished, and their callers heard so late. Change: the time of the stages that follow, each a call of one piece without waiting, is taken off.

--- a/Source/Core/Entry/StageRun.cpp
+++ b/Source/Core/Entry/StageRun.cpp
@@ -87,7 +87,8 @@
     piece.startBy = this->plan.objectiveAt
         - Staging::timeAfterStartOf(*this->plan.catalog, this->plan.route->stages, stage,
                                     this->plan.endpointTime);
-    piece.expiresAt = this->plan.expiresAt;
+    piece.expiresAt = this->plan.expiresAt
+        - Staging::leastTimeAfterEndOf(*this->plan.catalog, this->plan.route->stages, stage);
     StageWork work{entry.service, {}, {}};
     for (std::uint32_t i = 0; i < this->plan.pieceCounts[stage]; ++i) {
         piece.piece = i;
--- a/Source/Core/Staging/CallPlan.cpp
+++ b/Source/Core/Staging/CallPlan.cpp
@@ -3,6 +3,7 @@
 #include "Staging/Room.h"
 
 #include <algorithm>
+#include <random>
 #include <tuple>
 #include <utility>
 
@@ -62,6 +63,13 @@
         std::sort(queue.waiting.begin(), queue.waiting.end());
         return;
     }
+    if (queue.order == QueueOrder::Random) {
+        std::sort(queue.waiting.begin(), queue.waiting.end(), [](PieceTicket a, PieceTicket b) {
+            return std::minstd_rand(static_cast<std::uint32_t>(a))()
+                < std::minstd_rand(static_cast<std::uint32_t>(b))();
+        });
+        return;
+    }
     std::vector<std::tuple<bool, int, Duration, PieceTicket>> ranks;
     ranks.reserve(queue.waiting.size());
     for (const PieceTicket ticket : queue.waiting) {
--- a/Source/Core/Staging/StageChain.cpp
+++ b/Source/Core/Staging/StageChain.cpp
@@ -13,6 +13,7 @@
 // Results from this size on are made no earlier than they are needed, since they fill their maker's
 // room for as long as other stages of the request take.
 constexpr std::uint64_t kLargeResult = 256 << 10;
+
 // Stages from this one to the end of its chain.
 std::size_t stepsFrom(const std::vector<Catalog::Stage> &stages, std::size_t stage)
 {
@@ -94,4 +95,20 @@
     return later + std::chrono::duration_cast<Common::Duration>(full * kPlannedCall);
 }
 
+Common::Duration leastTimeAfterEndOf(const Catalog::Catalog &catalog,
+                                     const std::vector<Catalog::Stage> &stages, std::size_t stage)
+{
+    Common::Duration least{0};
+    for (std::size_t i = stage + 1; i < stages.size(); ++i) {
+        if (!takesResultsOf(stages[i], stage))
+            continue;
+        Common::Duration own{0};
+        const Catalog::Service *service = Catalog::findService(catalog, stages[i].service);
+        if (service && service->batching)
+            own = Catalog::expectedCallTime(*service->batching, 1);
+        least = std::max(least, own + leastTimeAfterEndOf(catalog, stages, i));
+    }
+    return least;
+}
+
 } // namespace Tanagerbay::Staging
--- a/Source/Core/Staging/StageChain.h
+++ b/Source/Core/Staging/StageChain.h
@@ -35,4 +35,9 @@
                                   const std::vector<Catalog::Stage> &stages, std::size_t stage,
                                   Common::Duration endpointTime);
 
+// Shortest time that the stages after this one take, from its end to the end of the last of them:
+// calls of one piece that never wait.
+Common::Duration leastTimeAfterEndOf(const Catalog::Catalog &catalog,
+                                     const std::vector<Catalog::Stage> &stages, std::size_t stage);
+
 } // namespace Tanagerbay::Staging
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -159,6 +159,8 @@
     OnTimeFirst,
     // As the pieces came; kept to compare with.
     FirstCome,
+    // In an order drawn from the tickets; kept to compare with.
+    Random,
 };
 
 struct StageQueue
--- a/Source/Experiment/Scenario.h
+++ b/Source/Experiment/Scenario.h
@@ -89,6 +89,8 @@
     PerInstance,
     // One queue a service; pieces go in the order in which they came.
     FirstCome,
+    // One queue a service; pieces go in a random order.
+    Random,
     // As `Shared`, but nothing is given up before its caller leaves.
     NoAdmission,
 };
@@ -99,10 +101,11 @@
 struct Tanagerbay::Common::EnumNames<Tanagerbay::Experiment::Policy>
 {
     using Policy = Experiment::Policy;
-    static constexpr NameTable<Policy, 4> table = {{
+    static constexpr NameTable<Policy, 5> table = {{
         {Policy::Shared, "shared"},
         {Policy::PerInstance, "per-instance"},
         {Policy::FirstCome, "first-come"},
+        {Policy::Random, "random"},
         {Policy::NoAdmission, "no-admission"},
     }};
 };
--- a/Source/Experiment/StageWorld.cpp
+++ b/Source/Experiment/StageWorld.cpp
@@ -67,6 +67,8 @@
             queue.queue.batching = model.batching;
             if (policy == Policy::FirstCome)
                 queue.queue.order = Staging::QueueOrder::FirstCome;
+            if (policy == Policy::Random)
+                queue.queue.order = Staging::QueueOrder::Random;
             queue.queue.givesUpExpired = policy != Policy::NoAdmission;
             Staging::applyEndpoints(queue.queue, listed, this->now);
             this->owners.emplace_back();
@@ -205,7 +207,8 @@
     piece.priority = kind.priority;
     piece.startBy = request.arrivedAt + kind.objective
         - Staging::timeAfterStartOf(this->catalog, stages, stage, kind.endpointTime);
-    piece.expiresAt = request.arrivedAt + kind.patience - kind.endpointTime;
+    piece.expiresAt = request.arrivedAt + kind.patience - kind.endpointTime
+        - Staging::leastTimeAfterEndOf(this->catalog, stages, stage);
     if (Staging::isFinal(stages, stage)) {
         piece.nearTo = request.home;
         piece.transferBytes = piece.resultBytes;
--- a/Source/Tanagerbay/ExperimentCommand.cpp
+++ b/Source/Tanagerbay/ExperimentCommand.cpp
@@ -59,9 +59,9 @@
         "loads, and prints what their callers get. The same seeds give the same figures.");
     options.add_options()("scenario", "Scenario file, such as Examples/experiments/lessons.json",
                           cxxopts::value<std::string>())(
-        "policies", "shared, per-instance, first-come, no-admission",
+        "policies", "shared, per-instance, first-come, random, no-admission",
         cxxopts::value<std::vector<std::string>>()->default_value(
-            "shared,per-instance,first-come,no-admission"))(
+            "shared,per-instance,first-come,random,no-admission"))(
         "loads", "Factors of the scenario's rates",
         cxxopts::value<std::vector<double>>()->default_value("0.5,1,1.5"))(
         "seeds", "How many seeds, from 1 on", cxxopts::value<std::uint64_t>()->default_value("3"))(
--- a/Source/UnitTests/Experiment/StageWorldTest.cpp
+++ b/Source/UnitTests/Experiment/StageWorldTest.cpp
@@ -130,6 +130,11 @@
         BOOST_TEST(this->worth(load) >= this->worth(load, Policy::PerInstance));
 }
 
+BOOST_AUTO_TEST_CASE(onTimeFirst_comparedWithARandomOrder_isBetterUnderOverload)
+{
+    BOOST_TEST(this->worth(1.5) > this->worth(1.5, Policy::Random));
+}
+
 BOOST_AUTO_TEST_CASE(onTimeFirst_comparedWithFirstCome_isBetterUnderOverload)
 {
     BOOST_TEST(this->worth(1.5) > this->worth(1.5, Policy::FirstCome));
--- a/Source/UnitTests/Staging/StageChainTest.cpp
+++ b/Source/UnitTests/Staging/StageChainTest.cpp
@@ -76,6 +76,15 @@
 }
 
 // A full call takes 300 ms; each stage is planned with time for waiting and messages besides.
+// A piece whose request cannot end in time any more is not worth a call: two calls of one piece
+// follow it, 210 ms each.
+BOOST_AUTO_TEST_CASE(leastTime_countsTheStagesThatFollow_withoutWaiting)
+{
+    BOOST_TEST((leastTimeAfterEndOf(this->catalog, this->stages, 1) == milliseconds(420)));
+    BOOST_TEST((leastTimeAfterEndOf(this->catalog, this->stages, 3) == milliseconds(0)));
+    BOOST_TEST((leastTimeAfterEndOf(this->catalog, this->stages, 0) == milliseconds(0)));
+}
+
 BOOST_AUTO_TEST_CASE(timeLeft_countsEachStageOfTheChainAndTheEndpoint)
 {
     const auto last = timeAfterStartOf(this->catalog, this->stages, 3, milliseconds(100));
