--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -231,6 +231,18 @@
     return taken;
 }
 
+std::string_view RequestFlow::reasonAgainstAnother(SendOutcome outcome, Common::Time now)
+{
+    if (!Serving::mayTryAnother(this->attempts, outcome, now))
+        return "attempts";
+    if (!this->chooseEndpoint(now))
+        return "no-endpoint";
+    // A connection that could not be made brought nothing to the service.
+    if (outcome != SendOutcome::NotSent && !this->takeExtraSend(now))
+        return "budget";
+    return {};
+}
+
 Http::Awaitable<void> RequestFlow::sendUntilAnswered()
 {
     this->state.budgets[this->service].noteFirst(clockNow());
@@ -272,11 +284,8 @@
         }
         now = clockNow();
         Serving::noteOutcome(this->attempts, sent.outcome);
-        bool another = Serving::mayTryAnother(this->attempts, sent.outcome, now)
-            && this->chooseEndpoint(now).has_value();
-        // A connection that could not be made brought nothing to the service.
-        if (another && sent.outcome != SendOutcome::NotSent)
-            another = this->takeExtraSend(now);
+        const std::string_view against = this->reasonAgainstAnother(sent.outcome, now);
+        const bool another = against.empty();
         const NextStep step = Serving::nextStep(this->attempts, sent.outcome, another);
         this->state.log.write(LogLine("send-ended")
                                   .text("request", this->request.id)
@@ -284,7 +293,10 @@
                                   .text("outcome", Common::nameOf(sent.outcome))
                                   .text("detail", sent.detail)
                                   .number("reached", this->attempts.reached)
+                                  .number("mostAttempts", this->attempts.maxAttempts)
+                                  .flag("repeatable", this->attempts.repeatable)
                                   .flag("another", another)
+                                  .text("against", against)
                                   .milliseconds("leftMs", this->timeLeft(now)),
                               now);
         if (step == NextStep::TryAnother) {
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -52,6 +52,9 @@
     Common::Duration comeBackAfter();
     Http::Awaitable<void> sendUntilAnswered();
     std::optional<std::size_t> chooseEndpoint(Common::Time now);
+    // Why a request may not go to another endpoint after a send; empty where it may. Takes an extra
+    // send of the service's budget where it needs one.
+    std::string_view reasonAgainstAnother(Serving::SendOutcome outcome, Common::Time now);
     bool takeExtraSend(Common::Time now);
     Http::Awaitable<SendResult> sendTo(const Routing::Endpoint &endpoint);
     Http::CallOptions callOptions(Common::Time now);
