Staging: Take back the refusal of late pieces behind a long backlog

Change: pieces wait again until their own call cannot end in time. What fits is that a refused caller comes back as a new request, is taken for one that can be on time, and goes before others that can. Conclusion: reverted. To refuse early, the queue has to know who comes back; the protocol does not tell.

--- a/Source/Core/Staging/CallPlan.cpp
+++ b/Source/Core/Staging/CallPlan.cpp
@@ -38,6 +38,22 @@
     return Routing::slownessNow(endpoint.endpoint.health, now) > kSlowEndpoint;
 }
 
+void settleExpired(StageQueue &queue, Time now, std::vector<SettledPiece> &settled)
+{
+    if (!queue.givesUpExpired)
+        return;
+    std::vector<PieceTicket> expired;
+    for (const PieceTicket ticket : queue.waiting) {
+        const OpenPiece &piece = queue.pieces.at(ticket);
+        if (piece.request.expiresAt <= now + queue.batching.callTime && piece.inCalls == 0)
+            expired.push_back(ticket);
+    }
+    for (const PieceTicket ticket : expired) {
+        settle(queue, ticket);
+        settled.push_back({ticket, PieceEnd::Expired, {}, {}});
+    }
+}
+
 // Pieces that can still be on time go first, and among them the more urgent, then those with the
 // least slack. Under overload the others take only what is left: a queue that served them in turn
 // would make every request late.
@@ -68,39 +84,6 @@
         queue.waiting[i] = std::get<PieceTicket>(ranks[i]);
 }
 
-// Pieces that the usable endpoints can take in the time of one call.
-std::size_t piecesARound(const StageQueue &queue, Time now)
-{
-    std::size_t usable = 0;
-    for (const auto &[id, endpoint] : queue.endpoints)
-        usable += isUsable(endpoint, now) ? 1 : 0;
-    return usable * queue.batching.maxPieces * queue.batching.concurrentCalls;
-}
-
-// Gives up pieces that would end after their callers leave even if nothing else came: those before
-// them in the queue fill that many rounds of calls.
-void settleExpired(StageQueue &queue, Time now, std::vector<SettledPiece> &settled)
-{
-    if (!queue.givesUpExpired)
-        return;
-    const std::size_t perRound = piecesARound(queue, now);
-    std::vector<PieceTicket> expired;
-    std::size_t ahead = 0;
-    for (const PieceTicket ticket : queue.waiting) {
-        const OpenPiece &piece = queue.pieces.at(ticket);
-        const auto rounds = static_cast<std::int64_t>(perRound > 0 ? ahead / perRound : 0);
-        const Time end = now + queue.batching.callTime * (rounds + 1);
-        if (piece.request.expiresAt <= end && piece.inCalls == 0)
-            expired.push_back(ticket);
-        else
-            ++ahead;
-    }
-    for (const PieceTicket ticket : expired) {
-        settle(queue, ticket);
-        settled.push_back({ticket, PieceEnd::Expired, {}, {}});
-    }
-}
-
 // When an endpoint of the failure domain could take a piece that has `ahead` others before it.
 std::optional<Time> domainFreeAt(const StageQueue &queue, const Common::FailureDomain &domain,
                                  std::size_t ahead, Time now)
@@ -295,10 +278,10 @@
     if (free.empty() && !pastWake)
         return plans;
     queue.settledExpiredAt = now;
-    sortWaiting(queue, now);
     settleExpired(queue, now, settled);
     if (free.empty())
         return plans;
+    sortWaiting(queue, now);
     std::stable_sort(free.begin(), free.end(),
                      [now](const StageEndpoint *a, const StageEndpoint *b) {
                          return Routing::slownessNow(a->endpoint.health, now)
