Entry: Log the requests that the exit of an instance cuts off

An instance that reaches the end of its shutdown with requests in progress only logged their number.

Open requests are kept in an intrusive list now. For each that is left at the exit, a request-ended line with the outcome "cut" names its phase: admission, stages, sent or responding.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -150,6 +150,8 @@
     asio::co_spawn(this->state.context, this->listInstances(), asio::detached);
     asio::co_spawn(this->state.context, this->housekeeping(), asio::detached);
     this->state.context.run();
+    for (RequestFlow &request : this->openRequests)
+        request.recordCutByExit();
     this->state.logState(LogLine("stopped").number(
         "requestsInProgress", static_cast<std::int64_t>(this->state.requestsInProgress)));
     return "";
@@ -176,6 +178,7 @@
     if (request) {
         request->receivedAt = exchange.receivedAt();
         RequestFlow flow(this->parts, exchange, std::move(*request));
+        this->openRequests.push_back(flow);
         co_await flow.run();
     } else {
         this->state.log.write(LogLine("request-invalid").text("fault", request.error()),
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -52,6 +52,7 @@
     CatalogSync catalogs;
     EndpointDiscovery endpoints;
     RequestDependencies parts;
+    OpenRequests openRequests;
     std::unique_ptr<Http::Server> callerServer;
     std::unique_ptr<Http::Server> directoryServer;
     std::unique_ptr<Http::Server> readinessServer;
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -65,6 +65,17 @@
     return this->deadline - now;
 }
 
+Serving::RequestPhase RequestFlow::phase() const
+{
+    return this->exchange.started() ? Serving::RequestPhase::Responding : this->lastPhase;
+}
+
+void RequestFlow::recordCutByExit()
+{
+    this->recordEnd("cut",
+                    "the process exits, phase " + std::string(Common::nameOf(this->phase())));
+}
+
 Http::Awaitable<void> RequestFlow::run()
 {
     this->exchange.onCallerGone([this] {
@@ -200,6 +211,7 @@
     }
     const StagePlan plan
         = this->makeStagePlan(this->state.poolOf(this->service).endpoints[*chosen]);
+    this->lastPhase = Serving::RequestPhase::Stages;
     this->stageRun = std::make_unique<StageRun>(this->state, this->dependencies.stages, plan);
     auto fault = co_await this->stageRun->run();
     // Results are lost with the endpoint that made them or expire after their lifetime. The stages
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -7,6 +7,9 @@
 #include "Http/Server.h"
 #include "Serving/Attempt.h"
 #include "Serving/EventSequence.h"
+#include "Serving/GracefulShutdown.h"
+
+#include <boost/intrusive/list.hpp>
 
 namespace Tanagerbay::Entry {
 
@@ -19,7 +22,11 @@
     StageClient &stages;
 };
 
-class RequestFlow
+// Removes itself from the list of open requests when it is destroyed.
+using OpenRequestHook
+    = boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+class RequestFlow : public OpenRequestHook
 {
 public:
     RequestFlow(const RequestDependencies &dependencies, Http::Exchange &exchange,
@@ -27,6 +34,9 @@
 
     // Serves the request until it is answered, refused or abandoned by its caller.
     Http::Awaitable<void> run();
+    Serving::RequestPhase phase() const;
+    // Records that the exit of the process ends this request without a complete response.
+    void recordCutByExit();
 
 private:
     // Result of one send to an endpoint.
@@ -103,6 +113,12 @@
     std::optional<Common::Time> firstEventAt;
     std::optional<Common::Time> stagedAt;
     std::string lastEndpoint;
+    // `Responding` follows from the exchange and is never stored here.
+    Serving::RequestPhase lastPhase = Serving::RequestPhase::Admission;
 };
 
+// Requests that the instance has read and not ended yet.
+using OpenRequests
+    = boost::intrusive::list<RequestFlow, boost::intrusive::constant_time_size<false>>;
+
 } // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -90,6 +90,7 @@
         entry && entry->engine)
         call.urgency = std::min(kMinUrgencyValue + this->priority, kMaxUrgencyValue);
     this->lastEndpoint = endpoint.id.value;
+    this->lastPhase = Serving::RequestPhase::Sent;
 
     SendResult result;
     // Ends with this function, so `stageRun` is valid when the action runs.
