Entry, Serving: Answer every open request before an instance exits

Cause: the end of a shutdown was no event in the life of a request. At the drain deadline the event loop was stopped, whatever was in progress.

Change: Serving/GracefulShutdown decides, without I/O, when a request must end and when the process may exit. 250 ms before the exit each request without a response gets its final answer: 503 with Retry-After 0 if it has certainly not run, otherwise 502. A request that has not been sent yet is refused as soon as it could not be completed any more, so that its caller has time for another instance. A response that has begun goes on until the exit, and its truncation can be told from its framing. The process exits early once all of them are answered.

Why it works: the open requests are all in one list, from the read of the request to its end; each is either answered by this list, or writes its response.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -19,15 +19,6 @@
 // leaving instance before it exits. Each caller asks the directory once per this period.
 constexpr Common::Milliseconds kDirectoryTtl{2000};
 constexpr std::size_t kMaxDirectoryEntries = 64;
-// A leaving instance exits this part of the grace period before the platform would kill it. A slow
-// machine notices the signal late, and needs time to end.
-constexpr double kGraceMarginShare = 0.125;
-// A leaving instance keeps serving at least this long for callers that still have its address
-// cached. Some of them cache it for three times the permitted time.
-constexpr Common::Milliseconds kMinDrainDuration{6000};
-// Draining ends only after this long without a request. Callers that keep their connections open
-// send their next request within this period.
-constexpr Common::Milliseconds kDrainIdlePeriod{1000};
 constexpr Common::Milliseconds kDrainPollInterval{50};
 // Log lines are buffered for at most this long.
 constexpr Common::Milliseconds kHousekeepingInterval{250};
@@ -297,11 +288,8 @@
 
 Http::Awaitable<void> EntryInstance::leave()
 {
-    const Common::Time startedAt = clockNow();
-    const auto gracePeriod = this->state.settings.bounds.gracePeriod;
-    const Common::Time drainDeadline = startedAt + gracePeriod
-        - std::chrono::duration_cast<Common::Duration>(gracePeriod * kGraceMarginShare);
-    this->state.leaving = Serving::GracefulShutdown{startedAt, drainDeadline};
+    this->state.leaving
+        = Serving::beginShutdown(this->state.settings.bounds.gracePeriod, clockNow());
     this->state.logState(LogLine("leaving").number(
         "requestsInProgress", static_cast<std::int64_t>(this->state.requestsInProgress)));
     this->callerServer->closeAfterAnswers();
@@ -313,19 +301,27 @@
             co_await this->store->removeInstance(this->state.settings.instance);
         },
         asio::detached);
-    while (clockNow() < drainDeadline) {
-        const Common::Time now = clockNow();
-        const bool isQuiet
-            = now - std::max(startedAt, this->state.lastRequestAt) > kDrainIdlePeriod;
-        const bool isIdle
-            = this->state.requestsInProgress == 0 && this->stageOwner.openPieces() == 0;
-        if (isQuiet && isIdle && now - startedAt > kMinDrainDuration)
-            break;
+    while (!Serving::mayExit(*this->state.leaving, this->activity(), clockNow())) {
+        this->endRequestsForShutdown(clockNow());
         co_await this->state.sleepFor(kDrainPollInterval);
     }
     this->state.context.stop();
 }
 
+Serving::ShutdownActivity EntryInstance::activity() const
+{
+    return {this->state.lastRequestAt, this->state.requestsInProgress,
+            this->stageOwner.openPieces()};
+}
+
+void EntryInstance::endRequestsForShutdown(Common::Time now)
+{
+    for (RequestFlow &request : this->openRequests) {
+        if (request.mustEnd(*this->state.leaving, now))
+            request.endForShutdown();
+    }
+}
+
 Http::Awaitable<void> EntryInstance::listInstances()
 {
     // A temporary aggregate in the awaited expression would be destroyed twice (GCC bug 98401).
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -35,6 +35,9 @@
     Http::Awaitable<void> handleOperations(Http::Exchange &exchange);
     Http::Awaitable<void> watchSignals();
     Http::Awaitable<void> leave();
+    Serving::ShutdownActivity activity() const;
+    // Ends the requests that could not be answered any more before the process exits.
+    void endRequestsForShutdown(Common::Time now);
     Http::Awaitable<void> listInstances();
     Http::Awaitable<void> housekeeping();
     void applyCatalog();
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -16,6 +16,8 @@
 constexpr Common::Milliseconds kDefaultRequestTimeout{60'000};
 // Prefill rate of an engine, close to the values in the deployment specifications.
 constexpr double kPromptTokensPerMs = 38;
+// Time of one engine step, which makes one token of each stream, under load.
+constexpr Common::Milliseconds kEngineStepDuration{6};
 // Time to an engine's first event in addition to the prefill: fetching inputs, queueing, engine
 // steps.
 constexpr Common::Milliseconds kEngineOverhead{100};
@@ -60,20 +62,19 @@
     return kEngineOverhead + Common::Milliseconds(static_cast<std::int64_t>(milliseconds));
 }
 
-Common::Duration RequestFlow::timeLeft(Common::Time now) const
-{
-    return this->deadline - now;
-}
-
-Serving::RequestPhase RequestFlow::phase() const
+Common::Duration RequestFlow::estimatedResponseTime() const
 {
-    return this->exchange.started() ? Serving::RequestPhase::Responding : this->lastPhase;
+    const Catalog::Service *entry
+        = this->catalog ? Catalog::findService(*this->catalog, this->service) : nullptr;
+    if (!entry || !entry->engine)
+        return Common::Duration(0);
+    const auto steps = static_cast<std::int64_t>(this->request.prompt.maxTokensOut);
+    return this->estimatedEngineTime() + kEngineStepDuration * steps;
 }
 
-void RequestFlow::recordCutByExit()
+Common::Duration RequestFlow::timeLeft(Common::Time now) const
 {
-    this->recordEnd("cut",
-                    "the process exits, phase " + std::string(Common::nameOf(this->phase())));
+    return this->deadline - now;
 }
 
 Http::Awaitable<void> RequestFlow::run()
@@ -139,8 +140,9 @@
     if (this->request.callerTimeout)
         timeout = std::min(timeout, *this->request.callerTimeout);
     const Common::Time now = clockNow();
-    if (this->state.leaving && !Serving::mayAccept(*this->state.leaving, timeout, now)) {
-        co_await this->refuse({RefusalReason::Leaving, true, Common::Milliseconds(0)}, "");
+    if (this->endedByShutdown
+        || (this->state.leaving && !Serving::mayAccept(*this->state.leaving, timeout, now))) {
+        co_await this->refuse(this->refusalForShutdown(), "");
         co_return false;
     }
     this->deadline = this->request.receivedAt + timeout - kDeadlineMargin;
@@ -216,7 +218,8 @@
     auto fault = co_await this->stageRun->run();
     // Results are lost with the endpoint that made them or expire after their lifetime. The stages
     // are then restarted while there is time.
-    for (int repeats = 0; fault == Staging::PieceOutcome::InputGone && repeats < kMaxStageRepeats;
+    for (int repeats = 0; fault == Staging::PieceOutcome::InputGone && repeats < kMaxStageRepeats
+         && !this->endedByShutdown;
          ++repeats) {
         this->state.metrics.count("stages_repeated");
         this->stageRun = std::make_unique<StageRun>(this->state, this->dependencies.stages, plan);
@@ -227,6 +230,11 @@
         this->recordEnd("caller-gone", "while its stages ran");
         co_return false;
     }
+    // A cancelled run has no fault, but not all results either.
+    if (this->endedByShutdown) {
+        co_await this->refuse(this->refusalForShutdown(), "while its stages ran");
+        co_return false;
+    }
     if (fault) {
         const bool mayHaveRun = this->attempts.mayHaveRun;
         Refusal refusal{RefusalReason::NotRunInTime, !mayHaveRun, this->retryAfterWithJitter()};
@@ -261,6 +269,8 @@
 
 std::string_view RequestFlow::retryDenialReason(SendOutcome outcome, Common::Time now)
 {
+    if (this->endedByShutdown)
+        return "shutdown";
     if (!Serving::mayTryAnother(this->attempts, outcome, now))
         return "attempts";
     if (!this->chooseEndpoint(now))
@@ -303,7 +313,7 @@
             this->recordEnd("caller-gone", sent.detail);
             co_return;
         }
-        if (sent.inputsGone && !hasRepeatedStages) {
+        if (sent.inputsGone && !hasRepeatedStages && !this->endedByShutdown) {
             hasRepeatedStages = true;
             this->triedEndpoints.pop_back();
             if (!co_await this->runStages())
@@ -350,6 +360,10 @@
         this->recordEnd("endpoint-failed", "status " + std::to_string(status));
         co_return;
     }
+    if (this->endedByShutdown) {
+        co_await this->refuse(this->refusalForShutdown(), last.detail);
+        co_return;
+    }
     if (step == NextStep::Refuse) {
         const auto reason
             = this->attempts.reached > 0 ? RefusalReason::Overloaded : RefusalReason::NoEndpoint;
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -35,6 +35,11 @@
     // Serves the request until it is answered, refused or abandoned by its caller.
     Http::Awaitable<void> run();
     Serving::RequestPhase phase() const;
+    // Returns whether the instance's shutdown ends this request.
+    bool mustEnd(const Serving::GracefulShutdown &shutdown, Common::Time now) const;
+    // Makes `run` answer the caller at once, without another send. The response must not have
+    // begun.
+    void endForShutdown();
     // Records that the exit of the process ends this request without a complete response.
     void recordCutByExit();
 
@@ -88,6 +93,10 @@
     bool isStream() const;
     std::string_view affinityKey() const;
     Common::Duration estimatedEngineTime() const;
+    // Time from sending the request to the end of its response, at the usual pace.
+    Common::Duration estimatedResponseTime() const;
+    // Returns the final answer of a request that the shutdown ends before it is sent again.
+    Refusal refusalForShutdown() const;
     Common::Duration timeLeft(Common::Time now) const;
 
     RequestDependencies dependencies;
@@ -110,6 +119,7 @@
     bool stageResultsReleased = false;
     Http::CallHandle call;
     bool callerGone = false;
+    bool endedByShutdown = false;
     std::optional<Common::Time> firstEventAt;
     std::optional<Common::Time> stagedAt;
     std::string lastEndpoint;
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -141,7 +141,7 @@
         report.pace = report.duration / static_cast<std::int64_t>(this->events.eventCount());
     else if (!this->isStream())
         report.pace = report.duration;
-    if (this->callerGone)
+    if (this->callerGone || (this->endedByShutdown && !result.isAnswered))
         report.end = Routing::CallEnd::Cancelled;
     Routing::endCall(this->state.poolOf(this->service), report, now);
     co_return result;
--- /dev/null
+++ b/Source/Core/Entry/RequestShutdown.cpp
@@ -0,0 +1,38 @@
+// How a request ends when its instance shuts down.
+#include "Entry/RequestFlow.h"
+
+namespace Tanagerbay::Entry {
+
+Serving::RequestPhase RequestFlow::phase() const
+{
+    return this->exchange.started() ? Serving::RequestPhase::Responding : this->lastPhase;
+}
+
+bool RequestFlow::mustEnd(const Serving::GracefulShutdown &shutdown, Common::Time now) const
+{
+    return !this->endedByShutdown
+        && Serving::mustEnd(shutdown, this->phase(), this->estimatedResponseTime(), now);
+}
+
+void RequestFlow::endForShutdown()
+{
+    this->endedByShutdown = true;
+    this->call.cancel();
+    if (this->stageRun)
+        this->stageRun->cancel();
+}
+
+Refusal RequestFlow::refusalForShutdown() const
+{
+    if (this->attempts.mayHaveRun)
+        return {RefusalReason::OutcomeUnknown, false, std::nullopt};
+    return {RefusalReason::Leaving, true, Common::Milliseconds(0)};
+}
+
+void RequestFlow::recordCutByExit()
+{
+    this->recordEnd("cut",
+                    "the process exits, phase " + std::string(Common::nameOf(this->phase())));
+}
+
+} // namespace Tanagerbay::Entry
--- a/Source/Core/Serving/GracefulShutdown.cpp
+++ b/Source/Core/Serving/GracefulShutdown.cpp
@@ -1,18 +1,69 @@
 #include "Serving/GracefulShutdown.h"
 
+#include <algorithm>
+
 namespace Tanagerbay::Serving {
 
 namespace {
 
+// The process exits this part of the grace period before the platform would kill it. A slow machine
+// notices the signal late, and needs time to end.
+constexpr double kGraceMarginShare = 0.125;
+// Time for the final answers of all open requests to be written.
+constexpr Common::Milliseconds kAnswerPeriod{250};
 // Callers refresh the directory within 2 s. A request accepted within the first 3 s of the shutdown
 // and cut off by the exit of the process does not count as a failure of the instance.
 constexpr Common::Milliseconds kAcceptAllPeriod{2500};
+// An instance serves at least this long for callers that still have its address cached. Some of
+// them cache it for three times the permitted time.
+constexpr Common::Milliseconds kMinDrainDuration{6000};
+// An idle instance exits only after this long without a request. Callers that keep their
+// connections open send their next request within this period.
+constexpr Common::Milliseconds kDrainIdlePeriod{1000};
 
 } // namespace
 
+GracefulShutdown beginShutdown(Common::Duration gracePeriod, Common::Time now)
+{
+    const auto margin
+        = std::chrono::duration_cast<Common::Duration>(gracePeriod * kGraceMarginShare);
+    const Common::Time exitsAt = now + gracePeriod - margin;
+    return {now, exitsAt - kAnswerPeriod, exitsAt};
+}
+
 bool mayAccept(const GracefulShutdown &shutdown, Common::Duration maxDuration, Common::Time now)
 {
-    return now - shutdown.startedAt < kAcceptAllPeriod || now + maxDuration <= shutdown.exitsAt;
+    if (now >= shutdown.answersDueAt)
+        return false;
+    return now - shutdown.startedAt < kAcceptAllPeriod
+        || now + maxDuration <= shutdown.answersDueAt;
+}
+
+bool mustEnd(const GracefulShutdown &shutdown, RequestPhase phase, Common::Duration timeToAnswer,
+             Common::Time now)
+{
+    switch (phase) {
+    case RequestPhase::Admission:
+    case RequestPhase::Stages:
+        return now + timeToAnswer >= shutdown.answersDueAt;
+    case RequestPhase::Sent:
+        return now >= shutdown.answersDueAt;
+    case RequestPhase::Responding:
+        return false;
+    }
+    return false;
+}
+
+bool mayExit(const GracefulShutdown &shutdown, const ShutdownActivity &activity, Common::Time now)
+{
+    if (now >= shutdown.exitsAt)
+        return true;
+    if (activity.requestsInProgress > 0 || activity.openPieces > 0)
+        return false;
+    if (now >= shutdown.answersDueAt)
+        return true;
+    const Common::Time quietSince = std::max(shutdown.startedAt, activity.lastRequestAt);
+    return now - quietSince > kDrainIdlePeriod && now - shutdown.startedAt > kMinDrainDuration;
 }
 
 } // namespace Tanagerbay::Serving
--- a/Source/Core/Serving/GracefulShutdown.h
+++ b/Source/Core/Serving/GracefulShutdown.h
@@ -1,9 +1,12 @@
-// Decides which requests an instance still accepts during its graceful shutdown.
+// Decides which requests an instance accepts and ends during its graceful shutdown, and when the
+// process exits.
 #pragma once
 
 #include "Common/EnumNames.h"
 #include "Common/Time.h"
 
+#include <cstddef>
+
 namespace Tanagerbay::Serving {
 
 // How far an instance has come with a request.
@@ -37,13 +40,37 @@
 struct GracefulShutdown
 {
     Common::Time startedAt;
+    // When requests whose response has not begun get their final answer.
+    Common::Time answersDueAt;
     // When the process exits, even with requests in progress.
     Common::Time exitsAt;
 };
 
+// What an instance still does during its shutdown.
+struct ShutdownActivity
+{
+    Common::Time lastRequestAt;
+    std::size_t requestsInProgress = 0;
+    // Pieces of any instance's requests in the queues of this one.
+    std::size_t openPieces = 0;
+};
+
+// Returns the shutdown of an instance that the platform kills after `gracePeriod`.
+GracefulShutdown beginShutdown(Common::Duration gracePeriod, Common::Time now);
+
 // Returns whether a request that takes up to `maxDuration` is accepted. Shortly after the start of
 // the shutdown every request is, since callers do not have the address of another instance yet;
-// later only requests that finish before the process exits.
+// later only requests that are answered before the process exits.
 bool mayAccept(const GracefulShutdown &shutdown, Common::Duration maxDuration, Common::Time now);
 
+// Returns whether the shutdown ends a request, so that its caller gets an answer before the process
+// exits. `timeToAnswer` is the time from sending the request to the end of its response. A request
+// that has not been sent ends as soon as it could not be completed any more: another instance can
+// still serve it.
+bool mustEnd(const GracefulShutdown &shutdown, RequestPhase phase, Common::Duration timeToAnswer,
+             Common::Time now);
+
+// Returns whether the process may exit.
+bool mayExit(const GracefulShutdown &shutdown, const ShutdownActivity &activity, Common::Time now);
+
 } // namespace Tanagerbay::Serving
--- a/Source/UnitTests/Serving/GracefulShutdownTest.cpp
+++ b/Source/UnitTests/Serving/GracefulShutdownTest.cpp
@@ -11,7 +11,8 @@
 struct GracefulShutdownFixture
 {
     Common::Time now = Common::Time(std::chrono::seconds(100));
-    GracefulShutdown shutdown{this->now, this->now + milliseconds(7600)};
+    GracefulShutdown shutdown{this->now, this->now + milliseconds(7600),
+                              this->now + milliseconds(7850)};
 };
 
 } // namespace
@@ -36,4 +37,73 @@
     BOOST_TEST(!mayAccept(this->shutdown, milliseconds(800), this->now + milliseconds(7000)));
 }
 
+BOOST_AUTO_TEST_CASE(mayAccept_answersAreDue_acceptsNone)
+{
+    const GracefulShutdown brief = beginShutdown(milliseconds(2000), this->now);
+    BOOST_TEST(!mayAccept(brief, milliseconds(1), brief.answersDueAt));
+}
+
+BOOST_AUTO_TEST_CASE(beginShutdown_gracePeriod_answersAreDueBeforeTheExitAndTheExitBeforeItsEnd)
+{
+    const GracefulShutdown begun = beginShutdown(milliseconds(8000), this->now);
+    BOOST_TEST((begun.startedAt < begun.answersDueAt));
+    BOOST_TEST((begun.answersDueAt < begun.exitsAt));
+    BOOST_TEST((begun.exitsAt < this->now + milliseconds(8000)));
+}
+
+// Guards against a request that waits for its stages until the process exits, and gets no answer.
+BOOST_AUTO_TEST_CASE(mustEnd_requestCouldNotBeCompletedAnyMore_endsBeforeItIsSent)
+{
+    const Common::Duration timeToAnswer = milliseconds(2000);
+    const Common::Time lastSend = this->shutdown.answersDueAt - timeToAnswer;
+    for (const RequestPhase phase : {RequestPhase::Admission, RequestPhase::Stages}) {
+        BOOST_TEST(!mustEnd(this->shutdown, phase, timeToAnswer, lastSend - milliseconds(1)));
+        BOOST_TEST(mustEnd(this->shutdown, phase, timeToAnswer, lastSend));
+    }
+}
+
+// Guards against an endpoint's answer that is given up although it may still arrive in time.
+BOOST_AUTO_TEST_CASE(mustEnd_requestIsAtItsEndpoint_endsWhenAnswersAreDue)
+{
+    const Common::Time due = this->shutdown.answersDueAt;
+    BOOST_TEST(
+        !mustEnd(this->shutdown, RequestPhase::Sent, milliseconds(2000), due - milliseconds(1)));
+    BOOST_TEST(mustEnd(this->shutdown, RequestPhase::Sent, milliseconds(2000), due));
+}
+
+BOOST_AUTO_TEST_CASE(mustEnd_responseHasBegun_isLeftToFinish)
+{
+    BOOST_TEST(!mustEnd(this->shutdown, RequestPhase::Responding, milliseconds(2000),
+                        this->shutdown.exitsAt));
+}
+
+// Guards against an exit while a final answer is being written.
+BOOST_AUTO_TEST_CASE(mayExit_requestsInProgress_waitsUntilTheExitIsDue)
+{
+    const ShutdownActivity busy{this->now, 1, 0};
+    BOOST_TEST(!mayExit(this->shutdown, busy, this->shutdown.exitsAt - milliseconds(1)));
+    BOOST_TEST(mayExit(this->shutdown, busy, this->shutdown.exitsAt));
+}
+
+BOOST_AUTO_TEST_CASE(mayExit_piecesOfOtherInstancesAreOpen_waits)
+{
+    const ShutdownActivity owner{this->now, 0, 3};
+    BOOST_TEST(!mayExit(this->shutdown, owner, this->shutdown.answersDueAt));
+}
+
+BOOST_AUTO_TEST_CASE(mayExit_allAnswersGiven_exitsWithoutWaitingFurther)
+{
+    const ShutdownActivity idle{this->shutdown.answersDueAt, 0, 0};
+    BOOST_TEST(mayExit(this->shutdown, idle, this->shutdown.answersDueAt));
+}
+
+BOOST_AUTO_TEST_CASE(mayExit_callersMayStillHaveTheAddress_waits)
+{
+    const ShutdownActivity idle{this->now, 0, 0};
+    BOOST_TEST(!mayExit(this->shutdown, idle, this->now + milliseconds(5900)));
+    BOOST_TEST(mayExit(this->shutdown, idle, this->now + milliseconds(6100)));
+    const ShutdownActivity recent{this->now + milliseconds(5500), 0, 0};
+    BOOST_TEST(!mayExit(this->shutdown, recent, this->now + milliseconds(6100)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
