Http: Let the cancellation of a call end each of its waits

What callers and endpoints saw: a call that was cancelled while it connected (its caller had left, or its instance shut down) was still written to the endpoint afterwards, and then nothing could end it before its deadline; a call cancelled between two reads read on.

Cause: Client::open looked at the handle before the connection only, and no abort action was set while connecting; ResponseStream::read did not look at the handle at all.

Change: connecting can be aborted, and the handle is read after it, before the first byte is written; a read of a cancelled call fails at once.

Evidence: HttpClient/, three cases. On the code before, none of the calls ended within the 10 s that the test waits ("critical check error has failed", three times); they pass now, and the listener has received no byte of the cancelled call.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -171,30 +171,31 @@
 
 using ActiveConnections = std::shared_ptr<std::set<ClientConnection *>>;
 
-Awaitable<CallResult<ConnectionPtr>> connect(const asio::any_io_executor &executor,
-                                             const ActiveConnections &active,
-                                             const Address &address, const CallOptions &options)
+// Returns the reason why no connection could be made, or nullopt.
+Awaitable<std::optional<CallError>> connect(ConnectionPtr connection, const Address &address,
+                                            const CallOptions &options)
 {
-    auto connection = std::make_shared<ClientConnection>(executor);
-    connection->markActive(active);
     beast::error_code error;
     const auto ip = asio::ip::make_address(address.ip, error);
     if (error)
-        co_return tl::unexpected(CallError{CallFailure::ConnectFailed, false, error.message()});
+        co_return CallError{CallFailure::ConnectFailed, false, error.message()};
     const Common::Time connectDeadline = Common::clockNow() + options.connectTimeout;
     connection->stream.expires_at(std::min(options.deadline, connectDeadline));
     co_await connection->stream.async_connect(tcp::endpoint(ip, address.port),
                                               asio::redirect_error(asio::use_awaitable, error));
+    // The connection may have been made just before the call was cancelled.
+    if (options.handle && options.handle->isCancelled())
+        error = asio::error::operation_aborted;
     if (error) {
         CallError failed = errorOf(error, *connection, false, options.handle);
         if (failed.failure != CallFailure::Cancelled)
             failed.failure = CallFailure::ConnectFailed;
-        co_return tl::unexpected(failed);
+        co_return failed;
     }
     connection->stream.expires_never();
     beast::error_code ignored;
     connection->stream.socket().set_option(tcp::no_delay(true), ignored);
-    co_return connection;
+    co_return std::nullopt;
 }
 
 } // namespace
@@ -276,11 +277,17 @@
             co_return tl::unexpected(CallError{CallFailure::Cancelled, false, "cancelled"});
         ConnectionPtr connection = fresh ? nullptr : this->pool->acquire(address);
         if (!connection) {
-            auto connected
-                = co_await connect(this->pool->executor, this->pool->active, address, options);
-            if (!connected)
-                co_return tl::unexpected(connected.error());
-            connection = std::move(*connected);
+            connection = std::make_shared<ClientConnection>(this->pool->executor);
+            connection->markActive(this->pool->active);
+            if (options.handle)
+                options.handle->abort = [connection] { connection->stream.cancel(); };
+            auto failed = co_await connect(connection, address, options);
+            if (options.handle)
+                options.handle->abort = nullptr;
+            if (failed)
+                co_return tl::unexpected(std::move(*failed));
+            if (this->pool->closed)
+                co_return tl::unexpected(CallError{CallFailure::Cancelled, false, "cancelled"});
         }
         if (options.beforeFirstByte && !options.beforeFirstByte())
             co_return tl::unexpected(CallError{CallFailure::Cancelled, false, "abandoned"});
@@ -380,6 +387,11 @@
     // A read may consume nothing but chunk framing, so it is repeated until body bytes or the end
     // of the body arrive.
     while (!error && count == 0 && !state.parser.is_done()) {
+        // A cancellation before this read found no operation to abort.
+        if (state.handle && state.handle->isCancelled()) {
+            error = asio::error::operation_aborted;
+            break;
+        }
         body.data = state.bytes.data();
         body.size = state.bytes.size();
         body.more = true;
--- /dev/null
+++ b/Source/UnitTests/Http/ClientTest.cpp
@@ -0,0 +1,125 @@
+#include "Http/Client.h"
+#include "Common/Clock.h"
+
+#include <array>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagerbay;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+// A call that is not aborted lasts this long.
+constexpr Common::Milliseconds kCallTimeout{60'000};
+// A test whose call has not ended by then fails.
+constexpr Common::Milliseconds kMaxWait{10'000};
+
+struct ClientFixture
+{
+    // Starts a call and runs until it has ended. Returns its error.
+    std::optional<Http::CallError> runCall()
+    {
+        std::optional<Http::CallError> error;
+        asio::co_spawn(
+            this->context,
+            [&]() -> Http::Awaitable<void> {
+                Http::CallOptions options;
+                options.deadline = Common::clockNow() + kCallTimeout;
+                options.connectTimeout = kCallTimeout;
+                options.handle = &this->handle;
+                Http::Request request{"POST", "/x", {}, "body"};
+                const Common::Address address{"127.0.0.1", this->listener.local_endpoint().port()};
+                auto opened = co_await this->client.open(address, std::move(request), options);
+                if (opened) {
+                    if (this->cancelsAfterHead)
+                        this->handle.cancel();
+                    auto body = co_await opened->read(options.deadline);
+                    error = body ? std::nullopt : std::optional(body.error());
+                } else {
+                    error = opened.error();
+                }
+            },
+            asio::detached);
+        // Runs after the call has started to connect, and before the connection's completion.
+        if (this->cancelsAtOnce)
+            asio::post(this->context, [this] { this->handle.cancel(); });
+        this->context.run_for(kMaxWait);
+        return error;
+    }
+
+    // Returns the number of bytes that the client has sent over its only connection.
+    std::size_t receivedBytes()
+    {
+        tcp::socket socket = this->listener.accept();
+        std::array<char, 64> bytes;
+        boost::system::error_code ended;
+        return socket.read_some(asio::buffer(bytes), ended);
+    }
+
+    asio::io_context context{1};
+    tcp::acceptor listener{this->context, {asio::ip::address_v4::loopback(), 0}};
+    Http::Client client{this->context.get_executor()};
+    Http::CallHandle handle;
+    bool cancelsAtOnce = true;
+    bool cancelsAfterHead = false;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(HttpClient, ClientFixture)
+
+// Guards against a request that reaches an endpoint after its call was cancelled, although its
+// caller may have been told that it has not run.
+BOOST_AUTO_TEST_CASE(open_cancelledWhileConnecting_writesNothing)
+{
+    const auto error = this->runCall();
+    BOOST_REQUIRE(error);
+    BOOST_TEST((error->failure == Http::CallFailure::Cancelled));
+    BOOST_TEST(!error->written);
+    BOOST_TEST(this->receivedBytes() == 0u);
+}
+
+// Guards against a cancelled call that waits for an endpoint which does not accept connections.
+BOOST_AUTO_TEST_CASE(open_cancelledWhileConnectHangs_endsAtOnce)
+{
+    // A full queue of connections: the kernel answers no further attempt.
+    this->listener.listen(0);
+    std::vector<tcp::socket> waiting;
+    for (int i = 0; i < 2; ++i) {
+        waiting.emplace_back(this->context);
+        waiting.back().async_connect(this->listener.local_endpoint(), [](const auto &) {});
+    }
+    this->context.run_for(Common::Milliseconds(20));
+    this->context.restart();
+    const auto error = this->runCall();
+    BOOST_REQUIRE(error);
+    BOOST_TEST((error->failure == Http::CallFailure::Cancelled));
+    BOOST_TEST(!error->written);
+}
+
+// Guards against a call that goes on reading when it was cancelled between two reads.
+BOOST_AUTO_TEST_CASE(read_cancelledBeforeIt_endsAtOnce)
+{
+    this->cancelsAtOnce = false;
+    tcp::socket peer(this->context);
+    this->listener.async_accept(peer, [&](const auto &) {
+        asio::write(peer,
+                    asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")));
+    });
+    this->cancelsAfterHead = true;
+    const auto error = this->runCall();
+    BOOST_REQUIRE(error);
+    BOOST_TEST((error->failure == Http::CallFailure::Cancelled));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
