Entry, Serving: Give the final answers also when an instance is behind, refuse long streams at the door

- The exit was checked before the requests were ended.
An instance whose loop is late by more than 250 ms at that moment exited with all of them unanswered, although an eighth of the grace period was left.
They are ended first now, and the exit is postponed until 250 ms after that, up to a sixteenth of the grace period before its end.
- A request that had been cancelled just when a read completed was never cancelled again.

Besides, a stream that could not end before the exit was refused while it waited for its stages, but sent if it had none: the same condition holds when it is accepted. Caller-given token counts are bounded before they enter a duration. The phases of a request have a header of their own, and a request whose end is logged is not logged again at the exit.

The late loop was not produced with a real process.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -301,14 +301,15 @@
             co_await this->store->removeInstance(this->state.settings.instance);
         },
         asio::detached);
-    while (!Serving::mayExit(*this->state.leaving, this->activity(), clockNow())) {
-        this->endRequestsForShutdown(clockNow());
+    do {
         co_await this->state.sleepFor(kDrainPollInterval);
-    }
+        // Before the check for the exit, also if this instance is far behind.
+        this->endRequestsForShutdown(clockNow());
+    } while (!Serving::mayExit(*this->state.leaving, this->shutdownActivity(), clockNow()));
     this->state.context.stop();
 }
 
-Serving::ShutdownActivity EntryInstance::activity() const
+Serving::ShutdownActivity EntryInstance::shutdownActivity() const
 {
     return {this->state.lastRequestAt, this->state.requestsInProgress,
             this->stageOwner.openPieces()};
@@ -316,10 +317,13 @@
 
 void EntryInstance::endRequestsForShutdown(Common::Time now)
 {
+    // No request is destroyed within this loop: what a cancellation ends runs later.
     for (RequestFlow &request : this->openRequests) {
         if (request.mustEnd(*this->state.leaving, now))
             request.endForShutdown();
     }
+    if (now >= this->state.leaving->answersDueAt)
+        Serving::noteAnswersGiven(*this->state.leaving, now);
 }
 
 Http::Awaitable<void> EntryInstance::listInstances()
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -35,7 +35,7 @@
     Http::Awaitable<void> handleOperations(Http::Exchange &exchange);
     Http::Awaitable<void> watchSignals();
     Http::Awaitable<void> leave();
-    Serving::ShutdownActivity activity() const;
+    Serving::ShutdownActivity shutdownActivity() const;
     // Ends the requests that could not be answered any more before the process exits.
     void endRequestsForShutdown(Common::Time now);
     Http::Awaitable<void> listInstances();
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -16,8 +16,10 @@
 constexpr Common::Milliseconds kDefaultRequestTimeout{60'000};
 // Prefill rate of an engine, close to the values in the deployment specifications.
 constexpr double kPromptTokensPerMs = 38;
-// Time of one engine step, which makes one token of each stream, under load.
+// Time of one engine step, which makes one token of each stream; also close to those values.
 constexpr Common::Milliseconds kEngineStepDuration{6};
+// Callers give the number of tokens themselves.
+constexpr std::uint64_t kMaxExpectedTokens = 1'000'000;
 // Time to an engine's first event in addition to the prefill: fetching inputs, queueing, engine
 // steps.
 constexpr Common::Milliseconds kEngineOverhead{100};
@@ -57,8 +59,8 @@
 
 Common::Duration RequestFlow::estimatedEngineTime() const
 {
-    const double milliseconds
-        = static_cast<double>(this->request.prompt.tokensIn) / kPromptTokensPerMs;
+    const std::uint64_t tokens = std::min(this->request.prompt.tokensIn, kMaxExpectedTokens);
+    const double milliseconds = static_cast<double>(tokens) / kPromptTokensPerMs;
     return kEngineOverhead + Common::Milliseconds(static_cast<std::int64_t>(milliseconds));
 }
 
@@ -68,8 +70,8 @@
         = this->catalog ? Catalog::findService(*this->catalog, this->service) : nullptr;
     if (!entry || !entry->engine)
         return Common::Duration(0);
-    const auto steps = static_cast<std::int64_t>(this->request.prompt.maxTokensOut);
-    return this->estimatedEngineTime() + kEngineStepDuration * steps;
+    const std::uint64_t steps = std::min(this->request.prompt.maxTokensOut, kMaxExpectedTokens);
+    return this->estimatedEngineTime() + kEngineStepDuration * static_cast<std::int64_t>(steps);
 }
 
 Common::Duration RequestFlow::timeLeft(Common::Time now) const
@@ -139,12 +141,6 @@
         timeout = this->route->timeout;
     if (this->request.callerTimeout)
         timeout = std::min(timeout, *this->request.callerTimeout);
-    const Common::Time now = clockNow();
-    if (this->endedByShutdown
-        || (this->state.leaving && !Serving::mayAccept(*this->state.leaving, timeout, now))) {
-        co_await this->refuse(this->refusalForShutdown(), "");
-        co_return false;
-    }
     this->deadline = this->request.receivedAt + timeout - kDeadlineMargin;
     this->priority = this->route->priority;
     if (this->workspace && this->workspace->priority)
@@ -154,6 +150,10 @@
     this->attempts.deadline = this->deadline;
     std::uniform_real_distribution<double> draw(0, 1);
     this->service = Catalog::chooseService(*this->route, draw(this->state.random));
+    if (this->isRefusedByShutdown(timeout, clockNow())) {
+        co_await this->refuse(this->refusalForShutdown(), "");
+        co_return false;
+    }
     co_return true;
 }
 
@@ -388,6 +388,7 @@
 
 void RequestFlow::recordEnd(std::string_view outcome, std::string_view detail)
 {
+    this->isEndRecorded = true;
     const Common::Time now = clockNow();
     const Common::Duration took = now - this->request.receivedAt;
     LogLine line("request-ended");
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -93,8 +93,12 @@
     bool isStream() const;
     std::string_view affinityKey() const;
     Common::Duration estimatedEngineTime() const;
-    // Time from sending the request to the end of its response, at the usual pace.
+    // Time from sending the request to the end of its response with the most tokens it may have;
+    // zero if unknown.
     Common::Duration estimatedResponseTime() const;
+    // Returns whether the instance is shutting down and no longer accepts this request, which takes
+    // up to `timeout`.
+    bool isRefusedByShutdown(Common::Duration timeout, Common::Time now) const;
     // Returns the final answer of a request that the shutdown ends before it is sent again.
     Refusal refusalForShutdown() const;
     Common::Duration timeLeft(Common::Time now) const;
@@ -120,6 +124,7 @@
     Http::CallHandle call;
     bool callerGone = false;
     bool endedByShutdown = false;
+    bool isEndRecorded = false;
     std::optional<Common::Time> firstEventAt;
     std::optional<Common::Time> stagedAt;
     std::string lastEndpoint;
--- a/Source/Core/Entry/RequestShutdown.cpp
+++ b/Source/Core/Entry/RequestShutdown.cpp
@@ -10,8 +10,15 @@
 
 bool RequestFlow::mustEnd(const Serving::GracefulShutdown &shutdown, Common::Time now) const
 {
-    return !this->endedByShutdown
-        && Serving::mustEnd(shutdown, this->phase(), this->estimatedResponseTime(), now);
+    return Serving::mustEnd(shutdown, this->phase(), this->estimatedResponseTime(), now);
+}
+
+bool RequestFlow::isRefusedByShutdown(Common::Duration timeout, Common::Time now) const
+{
+    if (!this->state.leaving)
+        return false;
+    return !Serving::mayAccept(*this->state.leaving, timeout, now)
+        || this->mustEnd(*this->state.leaving, now);
 }
 
 void RequestFlow::endForShutdown()
@@ -31,6 +38,8 @@
 
 void RequestFlow::recordCutByExit()
 {
+    if (this->isEndRecorded)
+        return;
     this->recordEnd("cut",
                     "the process exits, phase " + std::string(Common::nameOf(this->phase())));
 }
--- a/Source/Core/Serving/GracefulShutdown.cpp
+++ b/Source/Core/Serving/GracefulShutdown.cpp
@@ -1,6 +1,7 @@
 #include "Serving/GracefulShutdown.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Tanagerbay::Serving {
 
@@ -9,10 +10,11 @@
 // The process exits this part of the grace period before the platform would kill it. A slow machine
 // notices the signal late, and needs time to end.
 constexpr double kGraceMarginShare = 0.125;
+// The same for an instance that is too slow to give all final answers in time.
+constexpr double kMinGraceMarginShare = 0.0625;
 // Time for the final answers of all open requests to be written.
 constexpr Common::Milliseconds kAnswerPeriod{250};
-// Callers refresh the directory within 2 s. A request accepted within the first 3 s of the shutdown
-// and cut off by the exit of the process does not count as a failure of the instance.
+// Callers refresh the directory within 2 s.
 constexpr Common::Milliseconds kAcceptAllPeriod{2500};
 // An instance serves at least this long for callers that still have its address cached. Some of
 // them cache it for three times the permitted time.
@@ -25,10 +27,16 @@
 
 GracefulShutdown beginShutdown(Common::Duration gracePeriod, Common::Time now)
 {
-    const auto margin
-        = std::chrono::duration_cast<Common::Duration>(gracePeriod * kGraceMarginShare);
-    const Common::Time exitsAt = now + gracePeriod - margin;
-    return {now, exitsAt - kAnswerPeriod, exitsAt};
+    const auto exitBefore = [&](double marginShare) {
+        return now + gracePeriod
+            - std::chrono::duration_cast<Common::Duration>(gracePeriod * marginShare);
+    };
+    GracefulShutdown shutdown;
+    shutdown.startedAt = now;
+    shutdown.exitsAt = exitBefore(kGraceMarginShare);
+    shutdown.latestExitAt = exitBefore(kMinGraceMarginShare);
+    shutdown.answersDueAt = shutdown.exitsAt - kAnswerPeriod;
+    return shutdown;
 }
 
 bool mayAccept(const GracefulShutdown &shutdown, Common::Duration maxDuration, Common::Time now)
@@ -54,14 +62,19 @@
     return false;
 }
 
+void noteAnswersGiven(GracefulShutdown &shutdown, Common::Time now)
+{
+    if (std::exchange(shutdown.areAnswersGiven, true))
+        return;
+    shutdown.exitsAt = std::clamp(now + kAnswerPeriod, shutdown.exitsAt, shutdown.latestExitAt);
+}
+
 bool mayExit(const GracefulShutdown &shutdown, const ShutdownActivity &activity, Common::Time now)
 {
     if (now >= shutdown.exitsAt)
         return true;
     if (activity.requestsInProgress > 0 || activity.openPieces > 0)
         return false;
-    if (now >= shutdown.answersDueAt)
-        return true;
     const Common::Time quietSince = std::max(shutdown.startedAt, activity.lastRequestAt);
     return now - quietSince > kDrainIdlePeriod && now - shutdown.startedAt > kMinDrainDuration;
 }
--- a/Source/Core/Serving/GracefulShutdown.h
+++ b/Source/Core/Serving/GracefulShutdown.h
@@ -2,40 +2,13 @@
 // process exits.
 #pragma once
 
-#include "Common/EnumNames.h"
 #include "Common/Time.h"
+#include "Serving/RequestPhase.h"
 
 #include <cstddef>
 
 namespace Tanagerbay::Serving {
 
-// How far an instance has come with a request.
-enum class RequestPhase {
-    Admission,
-    // Its stages run; it has not been sent to an endpoint, or is to be sent again.
-    Stages,
-    // Sent to an endpoint.
-    Sent,
-    // Its response to the caller has begun.
-    Responding,
-};
-
-} // namespace Tanagerbay::Serving
-
-template <>
-struct Tanagerbay::Common::EnumNames<Tanagerbay::Serving::RequestPhase>
-{
-    using Phase = Serving::RequestPhase;
-    static constexpr NameTable<Phase, 4> table = {{
-        {Phase::Admission, "admission"},
-        {Phase::Stages, "stages"},
-        {Phase::Sent, "sent"},
-        {Phase::Responding, "responding"},
-    }};
-};
-
-namespace Tanagerbay::Serving {
-
 // Graceful shutdown of an instance.
 struct GracefulShutdown
 {
@@ -44,6 +17,9 @@
     Common::Time answersDueAt;
     // When the process exits, even with requests in progress.
     Common::Time exitsAt;
+    // `exitsAt` is never postponed beyond this.
+    Common::Time latestExitAt;
+    bool areAnswersGiven = false;
 };
 
 // What an instance still does during its shutdown.
@@ -64,12 +40,16 @@
 bool mayAccept(const GracefulShutdown &shutdown, Common::Duration maxDuration, Common::Time now);
 
 // Returns whether the shutdown ends a request, so that its caller gets an answer before the process
-// exits. `timeToAnswer` is the time from sending the request to the end of its response. A request
-// that has not been sent ends as soon as it could not be completed any more: another instance can
-// still serve it.
+// exits. `timeToAnswer` is the expected time from sending the request to the end of its response,
+// zero if unknown. A request that has not been sent ends as soon as it could not be completed any
+// more: another instance can still serve it.
 bool mustEnd(const GracefulShutdown &shutdown, RequestPhase phase, Common::Duration timeToAnswer,
              Common::Time now);
 
+// Records that the final answers are given at `now`. Postpones the exit if that is late, so that
+// they can still be written.
+void noteAnswersGiven(GracefulShutdown &shutdown, Common::Time now);
+
 // Returns whether the process may exit.
 bool mayExit(const GracefulShutdown &shutdown, const ShutdownActivity &activity, Common::Time now);
 
--- a/Source/UnitTests/Serving/GracefulShutdownTest.cpp
+++ b/Source/UnitTests/Serving/GracefulShutdownTest.cpp
@@ -11,8 +11,9 @@
 struct GracefulShutdownFixture
 {
     Common::Time now = Common::Time(std::chrono::seconds(100));
+    // Answers are due after 7,600 ms, and the process exits after 7,850 ms.
     GracefulShutdown shutdown{this->now, this->now + milliseconds(7600),
-                              this->now + milliseconds(7850)};
+                              this->now + milliseconds(7850), this->now + milliseconds(8400)};
 };
 
 } // namespace
@@ -48,7 +49,8 @@
     const GracefulShutdown begun = beginShutdown(milliseconds(8000), this->now);
     BOOST_TEST((begun.startedAt < begun.answersDueAt));
     BOOST_TEST((begun.answersDueAt < begun.exitsAt));
-    BOOST_TEST((begun.exitsAt < this->now + milliseconds(8000)));
+    BOOST_TEST((begun.exitsAt < begun.latestExitAt));
+    BOOST_TEST((begun.latestExitAt < this->now + milliseconds(8000)));
 }
 
 // Guards against a request that waits for its stages until the process exits, and gets no answer.
@@ -91,10 +93,29 @@
     BOOST_TEST(!mayExit(this->shutdown, owner, this->shutdown.answersDueAt));
 }
 
-BOOST_AUTO_TEST_CASE(mayExit_allAnswersGiven_exitsWithoutWaitingFurther)
+// Guards against an exit before the answers are written, if a slow instance gives them late.
+BOOST_AUTO_TEST_CASE(noteAnswersGiven_late_postponesTheExitWithinTheGracePeriod)
 {
-    const ShutdownActivity idle{this->shutdown.answersDueAt, 0, 0};
-    BOOST_TEST(mayExit(this->shutdown, idle, this->shutdown.answersDueAt));
+    const Common::Time late = this->shutdown.exitsAt + milliseconds(100);
+    noteAnswersGiven(this->shutdown, late);
+    BOOST_TEST(!mayExit(this->shutdown, {late, 1, 0}, late + milliseconds(200)));
+    BOOST_TEST(mayExit(this->shutdown, {late, 1, 0}, late + milliseconds(250)));
+    // Only the first time counts.
+    noteAnswersGiven(this->shutdown, late + milliseconds(200));
+    BOOST_TEST(mayExit(this->shutdown, {late, 1, 0}, late + milliseconds(250)));
+}
+
+BOOST_AUTO_TEST_CASE(noteAnswersGiven_veryLate_exitsAtTheLatestTime)
+{
+    noteAnswersGiven(this->shutdown, this->shutdown.latestExitAt - milliseconds(10));
+    BOOST_TEST((this->shutdown.exitsAt == this->shutdown.latestExitAt));
+}
+
+BOOST_AUTO_TEST_CASE(noteAnswersGiven_inTime_leavesTheExit)
+{
+    const Common::Time exitsAt = this->shutdown.exitsAt;
+    noteAnswersGiven(this->shutdown, this->shutdown.answersDueAt);
+    BOOST_TEST((this->shutdown.exitsAt == exitsAt));
 }
 
 BOOST_AUTO_TEST_CASE(mayExit_callersMayStillHaveTheAddress_waits)
