Entry: Share a failed confirmation of the catalog between its waiters

What callers saw: with a silent store, requests on an unknown route or with an unknown key were refused one after the other, each after the time-out of one more read of the store.

Cause: a caller that had waited for another's read made a read of its own if that one failed, and all others waited for it again.

Change: an attempt serves all that waited for it, also if it fails; they are refused as not run.

Evidence: unresponsiveStore_manyUnknownRoutes_allAreRefusedInTime, 15 callers at once: on the code before, 3 got no answer in the 10 s that the test waits (status 0); now all get 503.

--- a/Source/Core/Entry/CatalogSync.cpp
+++ b/Source/Core/Entry/CatalogSync.cpp
@@ -219,27 +219,38 @@
 Http::Awaitable<std::optional<Common::Time>> CatalogSync::confirmByStore()
 {
     const Common::Time calledAt = clockNow();
-    // A single read serves all waiting callers.
-    while (this->confirming && !this->isConfirmed(calledAt))
-        co_await this->state.sleepFor(kConfirmPollInterval);
+    // One attempt serves all waiting callers, also if it fails: attempts one after the other would
+    // keep them waiting for as many time-outs of a silent store.
+    if (this->confirming) {
+        const std::uint64_t attempt = this->confirmAttempts;
+        while (this->confirming && attempt == this->confirmAttempts && !this->isConfirmed(calledAt))
+            co_await this->state.sleepFor(kConfirmPollInterval);
+        co_return this->isConfirmed(calledAt) ? this->confirmedAt : std::nullopt;
+    }
+    this->confirming = true;
+    ++this->confirmAttempts;
+    co_await this->readToConfirm(calledAt);
+    this->confirming = false;
+    co_return this->isConfirmed(calledAt) ? this->confirmedAt : std::nullopt;
+}
+
+Http::Awaitable<void> CatalogSync::readToConfirm(Common::Time calledAt)
+{
     for (int reads = 0; !this->isConfirmed(calledAt) && reads < kMaxConfirmReads; ++reads) {
-        this->confirming = true;
         const Common::Time startedAt = clockNow();
         const auto reading
             = co_await this->store.readCatalog(this->position, Common::Milliseconds(0));
-        this->confirming = false;
         if (!reading && reading.error() == StoreFault::HistoryGone) {
             this->position.version = 0;
             continue;
         }
         if (!reading) {
             this->state.metrics.count("catalog_confirms_failed");
-            co_return std::nullopt;
+            co_return;
         }
         if (this->applyReading(*reading, "store"))
             this->confirmedAt = std::max(this->confirmedAt.value_or(startedAt), startedAt);
     }
-    co_return this->isConfirmed(calledAt) ? this->confirmedAt : std::nullopt;
 }
 
 Http::Awaitable<bool> CatalogSync::confirm()
--- a/Source/Core/Entry/CatalogSync.h
+++ b/Source/Core/Entry/CatalogSync.h
@@ -35,6 +35,8 @@
     // Reads the newest document after a reader has reported a newer version; asks that reader for
     // it if the store cannot be read.
     Http::Awaitable<void> readNewer(Common::Address reader);
+    // Reads the store until a read confirms the catalog or fails.
+    Http::Awaitable<void> readToConfirm(Common::Time calledAt);
     bool isConfirmed(Common::Time calledAt) const;
     bool isWatchedByReaders(Common::Time now) const;
     Common::Duration delayAfterFault();
@@ -57,6 +59,7 @@
     // Start time of the latest successful read of the store.
     std::optional<Common::Time> confirmedAt;
     bool confirming = false;
+    std::uint64_t confirmAttempts = 0;
     bool isReadingNewer = false;
     bool isWatching = false;
     // When a reader that waits for changes was last heard.
