Entry: Refuse a request that needs the store shortly before the exit

What callers saw: a request on an unknown route (or with an unknown key) that reached a leaving instance shortly before its exit waited for a confirmation of the catalog, and its connection closed without an answer. Such a wait cannot be cancelled.

Change: within the longest duration of a confirmation before the answers are due, the request is refused as not run; another instance can confirm the catalog.

--- a/Source/Core/Entry/CatalogSync.h
+++ b/Source/Core/Entry/CatalogSync.h
@@ -13,6 +13,10 @@
 class CatalogSync
 {
 public:
+    // Longest duration of `confirm`: the wait for a reader, and two reads of the store that time
+    // out.
+    static constexpr Common::Milliseconds kMaxConfirmDuration{2000};
+
     CatalogSync(State &state, PeerMesh &mesh, Gossip &gossip, Store &store, StoreRelay &relay);
 
     void start();
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -117,6 +117,8 @@
         co_return std::nullopt;
     if (*reason == RefusalReason::NotReady)
         co_return Refusal{*reason, true, kDefaultRetryAfter};
+    if (this->cannotConfirmBeforeExit(clockNow()))
+        co_return this->refusalForShutdown();
     // The local catalog may be stale: the operator may just have added the route or the key.
     if (!co_await this->dependencies.catalogs.confirm())
         co_return Refusal{RefusalReason::NotReady, true, kDefaultRetryAfter};
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -99,6 +99,9 @@
     // Returns whether the instance is shutting down and no longer accepts this request, which takes
     // up to `timeout`.
     bool isRefusedByShutdown(Common::Duration timeout, Common::Time now) const;
+    // Returns whether the instance may exit before the catalog is confirmed. A confirmation cannot
+    // be cancelled.
+    bool cannotConfirmBeforeExit(Common::Time now) const;
     // Returns the final answer of a request that the shutdown ends before it is sent again.
     Refusal refusalForShutdown() const;
     Common::Duration timeLeft(Common::Time now) const;
--- a/Source/Core/Entry/RequestShutdown.cpp
+++ b/Source/Core/Entry/RequestShutdown.cpp
@@ -21,6 +21,12 @@
         || this->mustEnd(*this->state.leaving, now);
 }
 
+bool RequestFlow::cannotConfirmBeforeExit(Common::Time now) const
+{
+    return this->state.leaving
+        && now + CatalogSync::kMaxConfirmDuration >= this->state.leaving->answersDueAt;
+}
+
 void RequestFlow::endForShutdown()
 {
     this->endedByShutdown = true;
