Entry: Do not cut a stream for its worker's silence if nobody can resume it

What callers saw: a stream that had begun was cut after 1.2 s without an event, although its worker was alive and would have gone on: the short time-out assumed another send, which the retry budget or the lack of another endpoint then denied.

Cause: the choice of the time-out looked at the number of attempts only. On a fleet of 85 instances the share of the slack is about half a send, so that an instance often has no extra send.

Change: once a stream has begun, the short time-out applies only while an eligible endpoint that has not been tried and an extra send are left; otherwise the request's deadline. Before the first event nothing changes.

All cases of PlatformStreams and of the retry budget pass.

What remains: the budget may be spent by others during the pause; then the stream is still cut.

--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -77,7 +77,9 @@
     bool takeFromRetryBudget(Common::Time now);
     Http::Awaitable<SendResult> sendTo(const Routing::Endpoint &endpoint);
     Http::CallOptions callOptions(Common::Time now);
-    Common::Time sendDeadline(Common::Time now) const;
+    Common::Time sendDeadline(Common::Time now);
+    // Returns whether another endpoint and the retry budget would permit another send now.
+    bool couldResumeElsewhere(Common::Time now);
     void applyResponseHead(const Routing::Endpoint &endpoint, const EndpointResponseHead &answer);
     Http::Awaitable<SendResult> readNotRunResponse(Http::ResponseStream &stream, unsigned status,
                                                    bool isForThisRequest);
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -3,6 +3,8 @@
 
 #include "Common/DelayedAction.h"
 
+#include <algorithm>
+
 namespace Tanagerbay::Entry {
 
 using Serving::SendOutcome;
@@ -31,12 +33,30 @@
 
 } // namespace
 
-Common::Time RequestFlow::sendDeadline(Common::Time now) const
+bool RequestFlow::couldResumeElsewhere(Common::Time now)
+{
+    const auto isOther = [&](const Routing::Endpoint &endpoint) {
+        return Routing::isEligible(endpoint, now)
+            && std::find(this->triedEndpoints.begin(), this->triedEndpoints.end(), endpoint.id)
+            == this->triedEndpoints.end();
+    };
+    const std::vector<Routing::Endpoint> &endpoints = this->state.poolOf(this->service).endpoints;
+    // Runs for each event of a stream. All known instances are an upper bound of the live ones.
+    const std::size_t instances = this->state.members.byId.size() + 1;
+    return this->state.budgets[this->service].hasExtraSend(this->state.settings.bounds.extraSends,
+                                                           instances, now)
+        && std::any_of(endpoints.begin(), endpoints.end(), isOther);
+}
+
+Common::Time RequestFlow::sendDeadline(Common::Time now)
 {
     const bool canRetry
         = this->attempts.repeatable && this->attempts.reached + 1 < this->attempts.maxAttempts;
     if (!canRetry)
         return this->deadline;
+    // A stream that has begun would be cut if nobody could go on with it.
+    if (this->exchange.started() && !this->couldResumeElsewhere(now))
+        return this->deadline;
     const Common::Duration inactivityTimeout = this->isStream()
         ? std::max<Common::Duration>(kMinStreamInactivityTimeout,
                                      this->estimatedEngineTime() * kInactivityObjectives)
--- a/Source/Core/Serving/FleetBudget.cpp
+++ b/Source/Core/Serving/FleetBudget.cpp
@@ -30,8 +30,8 @@
     ++this->slotAt(now).firstSends;
 }
 
-bool FleetBudget::takeExtraSend(const FleetBudgetLimits &limits, std::size_t instances,
-                                Common::Time now)
+bool FleetBudget::hasExtraSend(const FleetBudgetLimits &limits, std::size_t instances,
+                               Common::Time now)
 {
     // Extra sends count for one slot longer than the window, so that the limit holds in every
     // window, wherever it begins within a slot.
@@ -47,7 +47,13 @@
     const double instanceCount = static_cast<double>(std::max<std::size_t>(instances, 1));
     const double allowed
         = limits.ratio * firstSends + kUsableSlackShare * limits.slack / instanceCount;
-    if (extraSends + 1 > allowed)
+    return extraSends + 1 <= allowed;
+}
+
+bool FleetBudget::takeExtraSend(const FleetBudgetLimits &limits, std::size_t instances,
+                                Common::Time now)
+{
+    if (!this->hasExtraSend(limits, instances, now))
         return false;
     ++this->slotAt(now).extraSends;
     return true;
--- a/Source/Core/Serving/FleetBudget.h
+++ b/Source/Core/Serving/FleetBudget.h
@@ -25,8 +25,10 @@
 public:
     // Records the first send of a request.
     void noteFirstSend(Common::Time now);
+    // Returns whether this instance's share of the budget has room for an extra send. `instances`
+    // is the number of live instances, which share the slack equally.
+    bool hasExtraSend(const FleetBudgetLimits &limits, std::size_t instances, Common::Time now);
     // Takes one extra send from the budget. Returns false where this instance's share is exhausted.
-    // `instances` is the number of live instances, which share the slack equally.
     bool takeExtraSend(const FleetBudgetLimits &limits, std::size_t instances, Common::Time now);
 
 private:
