Node: Answer requests when the drain time-out passes

Their callers could not tell whether they had run.

Cause: a timed-out drain went straight on to Instance::stop(), whose closeAll() marks the callers as gone and closes the connections; a request whose caller is gone is not answered.

Change: when the time-out has passed, the drain ends the requests whose response has not begun. They send nothing more, their calls are cancelled, and they take their usual way out: 503 `draining` with `ran: no` if no byte was written to an endpoint, otherwise 502 with `ran: maybe`. An attempt of a stage that has not ended counts as written. Once-only calls void an unsent claim or record the unknown outcome. The drain waits for the answers and the outcomes, at most 1 s and three store calls, and goes on. Streams that have begun are cut as before, and the exit code is the same.

--- a/Source/Core/Node/AdmissionGate.cpp
+++ b/Source/Core/Node/AdmissionGate.cpp
@@ -105,6 +105,8 @@
 Http::Awaitable<Common::Result<AdmissionGate::Ticket>>
 AdmissionGate::enter(RequestScope &scope, Common::Duration expected)
 {
+    if (scope.mustEnd)
+        co_return tl::unexpected(drainTimeoutError(scope));
     auto request = std::make_shared<QueuedRequest>(scope.worker.context.get_executor());
     if (!this->shared.settings.admission.enabled)
         co_return Ticket();
@@ -143,6 +145,8 @@
     }
     if (request->state.load() == QueuedRequest::State::Admitted)
         co_return Ticket(this, request);
+    if (scope.mustEnd)
+        co_return tl::unexpected(drainTimeoutError(scope));
     this->shared.counters.add(Counter::AdmissionShed);
     co_return tl::unexpected(overloadedError(expected));
 }
--- a/Source/Core/Node/AllowanceLimiter.cpp
+++ b/Source/Core/Node/AllowanceLimiter.cpp
@@ -156,6 +156,8 @@
             this->shared.counters.add(Counter::AllowanceRefusals);
             co_return tl::unexpected(this->refusal(step, allowance));
         }
+        if (scope.mustEnd)
+            co_return tl::unexpected(drainTimeoutError(scope));
         if (clockNow() >= scope.deadline || scope.callerGone || scope.worker.ending) {
             co_return tl::unexpected(
                 this->refusal(Limits::SpendStep::RefuseUnreachable, allowance));
--- a/Source/Core/Node/CallerApi.cpp
+++ b/Source/Core/Node/CallerApi.cpp
@@ -253,7 +253,9 @@
                 if (scope.cancelCalls)
                     scope.cancelCalls();
             });
+            scope->worker.requests.insert(&*scope);
             const RequestOutcome outcome = co_await this->runWithinLimits(*scope, route);
+            scope->worker.requests.erase(&*scope);
             exchange.onCallerGone(nullptr);
             this->recordOutcome(*scope, outcome);
             co_return;
--- a/Source/Core/Node/Generation.cpp
+++ b/Source/Core/Node/Generation.cpp
@@ -19,7 +19,7 @@
 // Maximum number of engines that one generation may use, including the first.
 constexpr std::uint32_t kMaxEngines = 6;
 
-enum class SegmentEnd { Complete, Broken, TooSlow, CallerGone, DeadlineExceeded };
+enum class SegmentEnd { Complete, Broken, TooSlow, CallerGone, DeadlineExceeded, DrainTimedOut };
 
 // The part of a generation that one engine produces.
 struct Segment
@@ -133,6 +133,10 @@
             segment.end = SegmentEnd::CallerGone;
             co_return segment;
         }
+        if (this->scope.mustEnd) {
+            segment.end = SegmentEnd::DrainTimedOut;
+            co_return segment;
+        }
         if (!bytes) {
             segment.problem = std::string(Common::nameOf(bytes.error().failure));
             segment.end
@@ -218,6 +222,7 @@
     Http::CallOptions options;
     options.deadline = this->nextReadDeadline(now);
     options.handle = &handle;
+    options.beforeFirstByte = [this] { return !this->scope.mustEnd; };
     options.acceptHead = attemptTagCheck(this->scope.shared, tag);
     this->scope.shared.counters.add(Counter::StageAttempts);
     auto reply
@@ -231,6 +236,8 @@
             segment.end = SegmentEnd::DeadlineExceeded;
         if (this->scope.callerGone)
             segment.end = SegmentEnd::CallerGone;
+        if (this->scope.mustEnd)
+            segment.end = SegmentEnd::DrainTimedOut;
     } else if (reply->status() != 200) {
         segment.problem = "the engine returned status " + std::to_string(reply->status());
         segment.report.end = Routing::CallEnd::Failed;
@@ -255,7 +262,7 @@
         report.end = Routing::CallEnd::Succeeded;
     else if (segment.end == SegmentEnd::TooSlow)
         report.end = Routing::CallEnd::TooSlow;
-    else if (segment.end == SegmentEnd::CallerGone
+    else if (segment.end == SegmentEnd::CallerGone || segment.end == SegmentEnd::DrainTimedOut
              || (segment.end == SegmentEnd::DeadlineExceeded && tokens > 0))
         report.end = Routing::CallEnd::Cancelled;
     if (tokens > 1)
@@ -292,6 +299,8 @@
 
 Http::Awaitable<Common::Result<GenerationResult>> Relay::runToEnd()
 {
+    if (this->scope.mustEnd)
+        co_return tl::unexpected(drainTimeoutError(this->scope));
     {
         const std::lock_guard<std::mutex> guard(this->shard.lock);
         Routing::noteFirstAttempt(this->shard.pool.budget);
@@ -319,6 +328,8 @@
         case SegmentEnd::DeadlineExceeded:
             co_return tl::unexpected(runError(this->scope, ErrorCode::DeadlineExceeded,
                                               "the generation exceeded the request's deadline"));
+        case SegmentEnd::DrainTimedOut:
+            co_return tl::unexpected(drainTimeoutError(this->scope));
         case SegmentEnd::Broken:
         case SegmentEnd::TooSlow:
             // Another engine may generate other tokens, so it can only continue the stream if all
--- a/Source/Core/Node/Instance.cpp
+++ b/Source/Core/Node/Instance.cpp
@@ -1,8 +1,11 @@
 #include "Node/Instance.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <easylogging++.h>
 
 namespace Tanagerbay::Node {
@@ -14,6 +17,10 @@
 constexpr Common::Milliseconds kMaxIdleConnectionAge{30'000};
 constexpr Common::Milliseconds kIdleCheckInterval{5'000};
 constexpr Common::Milliseconds kDrainPollInterval{20};
+// Time for the final answers after the drain time-out. Calls to the store cannot be cancelled; a
+// request makes at most this many of them before it notices that it must end.
+constexpr Common::Milliseconds kFinalAnswerTimeout{1'000};
+constexpr int kMaxStoreCallsToAwait = 3;
 // Interval at which the admission queues are rechecked for changes that raise no event on this
 // instance.
 constexpr Common::Milliseconds kPumpInterval{25};
@@ -180,6 +187,8 @@
         co_await this->workers.front()->sleepFor(kDrainPollInterval);
     }
     this->hasDrainTimedOut = !this->isIdle();
+    if (this->hasDrainTimedOut)
+        co_await this->answerRequests();
     co_await this->allowances->returnUnspentUnits(*this->workers.front());
     const Common::Milliseconds remainingLoanTime = this->shares->remainingLoanTime(clockNow());
     co_await this->slots->release(remainingLoanTime);
@@ -195,6 +204,40 @@
     this->isDrained = true;
 }
 
+Http::Awaitable<void> Instance::answerRequests()
+{
+    const Common::Time until = clockNow() + kFinalAnswerTimeout
+        + kMaxStoreCallsToAwait * this->shared.settings.platform.callTimeout;
+    for (const auto &worker : this->workers) {
+        auto ended = this->endRequests(*worker);
+        co_await asio::co_spawn(worker->context, std::move(ended), asio::use_awaitable);
+    }
+    for (const auto &worker : this->workers) {
+        auto answered = this->awaitAnswers(*worker, until);
+        co_await asio::co_spawn(worker->context, std::move(answered), asio::use_awaitable);
+    }
+}
+
+Http::Awaitable<void> Instance::endRequests(Worker &worker)
+{
+    for (RequestScope *scope : worker.requests)
+        endAtDrainTimeout(*scope);
+    co_return;
+}
+
+// Waits for the outcomes of at-most-once calls as well, since an unwritten one keeps its key
+// claimed.
+Http::Awaitable<void> Instance::awaitAnswers(Worker &worker, Common::Time until)
+{
+    const auto isComplete = [this, &worker] {
+        return this->outcomes[worker.index]->pending() == 0
+            && std::none_of(worker.requests.begin(), worker.requests.end(),
+                            [](const RequestScope *scope) { return scope->mustEnd; });
+    };
+    while (!isComplete() && clockNow() < until && !worker.ending)
+        co_await worker.sleepFor(kDrainPollInterval);
+}
+
 bool Instance::waitUntilDrained()
 {
     while (!this->isDrained)
--- a/Source/Core/Node/Instance.h
+++ b/Source/Core/Node/Instance.h
@@ -34,6 +34,10 @@
     std::string startServers();
     Http::Awaitable<void> startUp();
     Http::Awaitable<void> runDrain();
+    // Gives the requests in progress their final answers, once the drain time-out has passed.
+    Http::Awaitable<void> answerRequests();
+    Http::Awaitable<void> endRequests(Worker &worker);
+    Http::Awaitable<void> awaitAnswers(Worker &worker, Common::Time until);
     Http::Awaitable<void> pumpLoop();
     Http::Awaitable<void> closeIdleLoop(Worker &worker);
     bool isIdle() const;
--- a/Source/Core/Node/OnceCall.cpp
+++ b/Source/Core/Node/OnceCall.cpp
@@ -130,7 +130,7 @@
 {
     Once::ClaimStep step = Once::ClaimStep::WriteClaim;
     while (step == Once::ClaimStep::WriteClaim || step == Once::ClaimStep::ReadBack) {
-        if (this->storeFailures >= kMaxStoreFailures)
+        if (this->scope.mustEnd || this->storeFailures >= kMaxStoreFailures)
             co_return Once::ClaimStep::GiveUp;
         if (step == Once::ClaimStep::WriteClaim)
             step = co_await this->writeClaim();
@@ -145,6 +145,8 @@
     this->scope.shared.counters.add(Counter::OnceUnresolved);
     if (this->claimMayBeCommitted)
         this->outcomeWriter.voidAttempt(this->key, this->claimRow);
+    if (this->scope.mustEnd)
+        return drainTimeoutError(this->scope);
     return {ErrorCode::StoreUnavailable,
             "the ledger of at-most-once calls is unavailable; the call was not sent", Ran::No,
             kStoreRetryAfter};
@@ -153,6 +155,8 @@
 Common::Error OnceCall::voidUnsent(const std::string &problem)
 {
     this->outcomeWriter.voidAttempt(this->key, this->claimRow);
+    if (this->scope.mustEnd)
+        return drainTimeoutError(this->scope);
     return {ErrorCode::EndpointFailed, "the call was not sent: " + problem, Ran::No,
             kEndpointRetryAfter};
 }
@@ -189,10 +193,20 @@
     options.deadline = this->scope.deadline;
     options.freshConnection = true;
     options.repeatable = false;
-    options.beforeFirstByte = [this] { return Once::maySend(this->attempt, clockNow()); };
+    options.beforeFirstByte
+        = [this] { return !this->scope.mustEnd && Once::maySend(this->attempt, clockNow()); };
     options.acceptHead = attemptTagCheck(this->scope.shared, tag);
-    co_return co_await this->scope.worker.client.call(endpoint.address, std::move(call),
-                                                      std::move(options));
+    // If only the caller has gone, the call continues, so that its outcome can be recorded.
+    Http::CallHandle handle;
+    options.handle = &handle;
+    this->scope.cancelCalls = [this, &handle] {
+        if (this->scope.mustEnd)
+            handle.cancel();
+    };
+    auto reply = co_await this->scope.worker.client.call(endpoint.address, std::move(call),
+                                                         std::move(options));
+    this->scope.cancelCalls = nullptr;
+    co_return reply;
 }
 
 void OnceCall::reportCall(const ChosenEndpoint &endpoint,
@@ -265,6 +279,8 @@
     choice.failureDomain = this->scope.shared.settings.failureDomain;
     std::string problem = "pool " + this->request.pool + " has no endpoint";
     for (std::uint32_t tries = 0; tries < kMaxEndpoints; ++tries) {
+        if (this->scope.mustEnd)
+            break;
         if (!Once::maySend(this->attempt, clockNow())) {
             problem = "no endpoint was reached before the send deadline";
             break;
--- a/Source/Core/Node/RequestScope.cpp
+++ b/Source/Core/Node/RequestScope.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr Common::Milliseconds kDrainingRetryAfter{100};
+
 std::uint32_t numberOf(const json::object &object, std::string_view key)
 {
     const json::value *member = object.if_contains({key.data(), key.size()});
@@ -54,6 +56,25 @@
     return error;
 }
 
+void endAtDrainTimeout(RequestScope &scope)
+{
+    if (scope.exchange.started())
+        return;
+    scope.mustEnd = true;
+    if (scope.cancelCalls)
+        scope.cancelCalls();
+}
+
+Common::Error drainTimeoutError(const RequestScope &scope)
+{
+    if (scope.anyBytesSent) {
+        return runError(scope, Common::ErrorCode::EndpointFailed,
+                        "this instance's drain time-out passed before the endpoint had replied");
+    }
+    return {Common::ErrorCode::Draining, "this instance is draining; use another entry instance",
+            Common::Ran::No, kDrainingRetryAfter};
+}
+
 std::string errorBody(const Common::Error &error)
 {
     json::object entry{
--- a/Source/Core/Node/RequestScope.h
+++ b/Source/Core/Node/RequestScope.h
@@ -27,6 +27,9 @@
     bool callerGone = false;
     // Cancels the calls in progress for the request; null if there are none.
     std::function<void()> cancelCalls;
+    // True once the drain time-out has passed. Nothing more is sent for the request, so that it is
+    // answered before its connection closes.
+    bool mustEnd = false;
     // True if any byte of a call for this request may have reached an endpoint.
     bool anyBytesSent = false;
 };
@@ -41,6 +44,11 @@
 // `anyBytesSent`.
 Common::Error runError(const RequestScope &scope, Common::ErrorCode code, std::string message);
 
+// Ends a request because the drain time-out has passed, unless its response has begun.
+void endAtDrainTimeout(RequestScope &scope);
+// Returns the error for a request that `endAtDrainTimeout` has ended.
+Common::Error drainTimeoutError(const RequestScope &scope);
+
 // Returns the body of an error response.
 std::string errorBody(const Common::Error &error);
 Http::Response errorResponse(const Common::Error &error);
--- a/Source/Core/Node/StageCall.cpp
+++ b/Source/Core/Node/StageCall.cpp
@@ -238,6 +238,8 @@
 Http::Awaitable<Common::Result<Http::Response>> callStage(RequestScope &scope, Pipeline::Run &run,
                                                           StageCall call)
 {
+    if (scope.mustEnd)
+        co_return tl::unexpected(drainTimeoutError(scope));
     PoolShard &shard = scope.shared.poolNamed(call.pool);
     const auto attemptSet = std::make_shared<AttemptSet>(scope.worker.context.get_executor());
     scope.cancelCalls = [attemptSet] {
@@ -268,6 +270,12 @@
                 = tl::unexpected(runError(scope, ErrorCode::CallerGone, "the caller disconnected"));
             break;
         }
+        if (scope.mustEnd) {
+            // An attempt that has not ended may have written bytes.
+            scope.anyBytesSent = scope.anyBytesSent || attemptSet->openAttempts() > 0;
+            outcome = tl::unexpected(drainTimeoutError(scope));
+            break;
+        }
         if (now >= call.deadline) {
             scope.anyBytesSent = true;
             outcome
--- a/Source/Core/Node/Worker.h
+++ b/Source/Core/Node/Worker.h
@@ -17,6 +17,8 @@
 
 namespace Tanagerbay::Node {
 
+struct RequestScope;
+
 struct Worker
 {
     Worker(std::size_t index, const Settings &settings, Common::Counters &counters);
@@ -37,6 +39,8 @@
     std::mt19937_64 random;
     bool ending = false;
     std::set<boost::asio::steady_timer *> sleepTimers;
+    // Requests that are handled on this worker's thread.
+    std::set<RequestScope *> requests;
 };
 
 using Common::clockNow;
--- a/Source/UnitTests/Node/InstanceFixture.cpp
+++ b/Source/UnitTests/Node/InstanceFixture.cpp
@@ -32,12 +32,12 @@
 
 } // namespace
 
-InstanceFixture::InstanceFixture()
+InstanceFixture::InstanceFixture(const json::object &changes)
 {
     Node::configureLog(true);
     Common::JsonFaults faults;
     StandIns::Settings standIns = StandIns::parseSettings(this->standInSettings(), faults);
-    Node::Settings settings = Node::parseSettings(this->entrySettings(), faults);
+    Node::Settings settings = Node::parseSettings(this->entrySettings(changes), faults);
     BOOST_REQUIRE_MESSAGE(faults.empty(), Common::describeFaults(faults));
     this->callerAddress = settings.caller.address;
     this->operatorAddress = settings.operatorPort.address;
@@ -100,7 +100,7 @@
     };
 }
 
-json::value InstanceFixture::entrySettings()
+json::value InstanceFixture::entrySettings(const json::object &changes)
 {
     const auto stage = [](const char *kind, const char *pool) {
         return json::object{{"kind", kind}, {"pool", pool}};
@@ -115,7 +115,7 @@
     json::array pools;
     for (const char *name : {"encoders", "retrievers", "rerankers", "tutors", "roster", "schedule"})
         pools.push_back(json::object{{"name", name}});
-    return json::object{
+    json::object settings{
         {"instance", json::object{{"id", "i1"}, {"failureDomain", "a"}}},
         {"caller",
          json::object{{"address", this->addresses["caller"]},
@@ -142,6 +142,16 @@
              json::object{{"name", "roster"}, {"pool", "roster"}, {"idempotent", false}},
              json::object{{"name", "schedule"}, {"pool", "schedule"}, {"idempotent", true}}}},
     };
+    for (const auto &[name, value] : changes) {
+        if (!value.is_object()) {
+            settings[name] = value;
+            continue;
+        }
+        json::object &section = settings.emplace(name, json::object()).first->value().as_object();
+        for (const auto &[member, changed] : value.as_object())
+            section[member] = changed;
+    }
+    return settings;
 }
 
 void InstanceFixture::putLists()
--- a/Source/UnitTests/Node/InstanceFixture.h
+++ b/Source/UnitTests/Node/InstanceFixture.h
@@ -19,7 +19,8 @@
 class InstanceFixture
 {
 public:
-    InstanceFixture();
+    // `changes` replaces members of the instance's settings, section by section.
+    explicit InstanceFixture(const boost::json::object &changes = {});
     ~InstanceFixture();
 
 protected:
@@ -54,7 +55,7 @@
 
 private:
     boost::json::value standInSettings();
-    boost::json::value entrySettings();
+    boost::json::value entrySettings(const boost::json::object &changes);
     void putLists();
     std::string nextAddress();
 
