Node: Notice an attempt that ends before it is awaited

Seen: Instance::stop() with requests waiting for their admission took 5 s, until it was forced, and the destruction of the instance then crashed. The same happened to a drain that had timed out.

Cause: during the stop, requests that are admitted last start an attempt while the client refuses calls. co_spawn (Boost 1.81) dispatches, so the attempt ends within startAttempt() and cancels the timer before callStage() waits on it. Nothing wakes the request before its deadline (20 s). The forced stop leaves its coroutine to the destructor of the context, where the admission ticket uses the gate, which is destroyed before the workers.

Evidence: stop_requestsWaitForAdmission_endsWithinTheStopTimeout failed in 3 of 3 runs before: "check ... < 4000 has failed", 5025 ms, then "memory access violation ... fixture dtor".

Change: callStage() waits only while no attempt has an unevaluated result.

Measured: the test passes in 4 of 4 runs, 310 ms with its fixture.

--- a/Source/Core/Node/StageCall.cpp
+++ b/Source/Core/Node/StageCall.cpp
@@ -2,6 +2,8 @@
 
 #include "Pipeline/Wire.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -52,6 +54,13 @@
             open += attempt->isEvaluated ? 0 : 1;
         return open;
     }
+    // Whether an attempt has ended that is not evaluated yet.
+    bool hasResult() const
+    {
+        return std::any_of(
+            this->attempts.begin(), this->attempts.end(),
+            [](const AttemptPtr &attempt) { return attempt->result && !attempt->isEvaluated; });
+    }
     void cancelAll()
     {
         for (const AttemptPtr &attempt : this->attempts) {
@@ -255,10 +264,14 @@
     bool inProgress = startAttempt(scope, run, call, attemptSet, false);
     Common::Time hedgeAt = hedgeTime(scope, shard, clockNow());
     while (inProgress) {
-        attemptSet->wakeTimer.expires_at(std::min(hedgeAt, call.deadline));
-        boost::system::error_code ignored;
-        co_await attemptSet->wakeTimer.async_wait(
-            asio::redirect_error(asio::use_awaitable, ignored));
+        // An attempt that is refused before it is sent ends at once, before the timer can be
+        // cancelled.
+        if (!attemptSet->hasResult()) {
+            attemptSet->wakeTimer.expires_at(std::min(hedgeAt, call.deadline));
+            boost::system::error_code ignored;
+            co_await attemptSet->wakeTimer.async_wait(
+                asio::redirect_error(asio::use_awaitable, ignored));
+        }
         Evaluation evaluation = evaluateEnded(scope, run, *attemptSet);
         const Common::Time now = clockNow();
         if (evaluation.reply) {
--- a/Source/UnitTests/Node/DrainTest.cpp
+++ b/Source/UnitTests/Node/DrainTest.cpp
@@ -191,4 +191,21 @@
     BOOST_TEST(!received.ends_with("\r\n0\r\n\r\n"));
 }
 
+// Guards against requests that outlast `stop` until it is forced, whose destruction then crashes.
+BOOST_AUTO_TEST_CASE(stop_requestsWaitForAdmission_endsWithinTheStopTimeout)
+{
+    this->setFault("encoders", "pause");
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 60; ++i) {
+        callers.emplace_back(
+            [this] { this->pipeline("ask", R"({"input":{"text":"q"},"maxTokens":20})"); });
+    }
+    this->waitForRequests(callers.size());
+    const Common::Time startedAt = Common::clockNow();
+    this->instance->stop();
+    BOOST_TEST(Common::toMilliseconds(Common::clockNow() - startedAt) < 4000);
+    for (std::thread &caller : callers)
+        caller.join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
