Http: Report a request as written if an earlier connection carried it

Seen: none by callers yet; found while the answers of a timed-out drain were checked. A pipeline or an idempotent service whose endpoint dies with the request in hand could be answered `ran: no`.

Cause: a request over a reused connection that is lost is sent again over a fresh one. If that connection cannot be opened, or the call has been cancelled meanwhile, the error said that nothing was written, although the first connection had carried the whole request. Only calls with `repeatable` were affected: stages, generations and reads of the table service.

Evidence: call_reusedConnectionIsLostAndReconnectFails_isReportedAsWritten failed before: "check last.error().written has failed".

Change: Client::open() remembers that an earlier connection has carried the request.

Measured: the test passes.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -271,19 +271,23 @@
 {
     const auto message = std::make_shared<const BeastRequest>(toBeast(address, std::move(request)));
     bool fresh = options.freshConnection;
+    // Whether an earlier connection has carried the request.
+    bool written = false;
     while (true) {
         if (this->pool->closed || (options.handle && options.handle->isCancelled()))
-            co_return tl::unexpected(CallError{CallFailure::Cancelled, false, "cancelled"});
+            co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "cancelled"});
         ConnectionPtr connection = fresh ? nullptr : this->pool->acquire(address);
         if (!connection) {
             auto connected
                 = co_await connect(this->pool->executor, this->pool->active, address, options);
-            if (!connected)
+            if (!connected) {
+                connected.error().written = written;
                 co_return tl::unexpected(connected.error());
+            }
             connection = std::move(*connected);
         }
         if (options.beforeFirstByte && !options.beforeFirstByte())
-            co_return tl::unexpected(CallError{CallFailure::Cancelled, false, "abandoned"});
+            co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "abandoned"});
 
         ResponseStream stream;
         stream.state = std::make_unique<ResponseStream::State>();
@@ -325,6 +329,7 @@
         if (!stale || !options.repeatable)
             co_return tl::unexpected(std::move(failed));
         fresh = true;
+        written = true;
     }
 }
 
