Node: Answer edits that are in progress when the instance drains

Seen: an operator's PUT of a list that waited for other instances got no response if the instance drained meanwhile, although the edit was committed. That needs no time-out of the drain.

Cause: the drain counted the requests of callers only. With none in progress it completed, and the operator port was closed on the edit. An edit that began after the last check met the same end.

Evidence: drain_editInProgress_isAnswered and drainTimeout_editInProgress_isAnsweredAsCommitted failed before: "check ... status == 202u has failed [0 != 202]".

When the drain is complete or has timed out, edits stop waiting and say what is known, and new ones are rejected as not written. The drain then waits for the remaining answers, at most as long as for those of callers.

--- a/Source/Core/Node/CallerApi.cpp
+++ b/Source/Core/Node/CallerApi.cpp
@@ -33,25 +33,6 @@
            });
 }
 
-// Counts a request as in progress during the guard's lifetime.
-class InProgressGuard
-{
-public:
-    explicit InProgressGuard(std::atomic<std::uint32_t> &count) : count(count)
-    {
-        this->count.fetch_add(1);
-    }
-    ~InProgressGuard()
-    {
-        this->count.fetch_sub(1);
-    }
-    InProgressGuard(const InProgressGuard &) = delete;
-    InProgressGuard &operator=(const InProgressGuard &) = delete;
-
-private:
-    std::atomic<std::uint32_t> &count;
-};
-
 } // namespace
 
 CallerApi::CallerApi(const CallerApiDependencies &dependencies)
--- a/Source/Core/Node/Instance.cpp
+++ b/Source/Core/Node/Instance.cpp
@@ -157,7 +157,8 @@
 
 bool Instance::isIdle() const
 {
-    if (this->shared.requestsInProgress.load() > 0)
+    if (this->shared.requestsInProgress.load() > 0
+        || this->shared.operatorRequestsInProgress.load() > 0)
         return false;
     for (const auto &writer : this->outcomes) {
         if (writer->pending() > 0)
@@ -187,27 +188,33 @@
         co_await this->workers.front()->sleepFor(kDrainPollInterval);
     }
     this->hasDrainTimedOut = !this->isIdle();
+    // From here on, edits in progress are answered with what is known and new ones are refused.
+    this->lists->stop();
     if (this->hasDrainTimedOut)
         co_await this->answerRequests();
     co_await this->allowances->returnUnspentUnits(*this->workers.front());
     const Common::Milliseconds remainingLoanTime = this->shares->remainingLoanTime(clockNow());
     co_await this->slots->release(remainingLoanTime);
     this->callerServer->stopAccepting();
-    this->lists->stop();
     this->endpoints->stop();
     this->shares->stop();
     this->slots->stop();
     this->peers->stop();
+    co_await this->awaitOperatorAnswers();
     LOG(INFO) << "instance " << settings.instance.value
               << (this->hasDrainTimedOut ? " reached the drain time-out with work in progress"
                                          : " drained");
     this->isDrained = true;
 }
 
+Common::Milliseconds Instance::finalAnswerTimeout() const
+{
+    return kFinalAnswerTimeout + kMaxStoreCallsToAwait * this->shared.settings.platform.callTimeout;
+}
+
 Http::Awaitable<void> Instance::answerRequests()
 {
-    const Common::Time until = clockNow() + kFinalAnswerTimeout
-        + kMaxStoreCallsToAwait * this->shared.settings.platform.callTimeout;
+    const Common::Time until = clockNow() + this->finalAnswerTimeout();
     for (const auto &worker : this->workers) {
         auto ended = this->endRequests(*worker);
         co_await asio::co_spawn(worker->context, std::move(ended), asio::use_awaitable);
@@ -238,6 +245,15 @@
         co_await worker.sleepFor(kDrainPollInterval);
 }
 
+Http::Awaitable<void> Instance::awaitOperatorAnswers()
+{
+    Worker &worker = *this->workers.front();
+    const Common::Time until = clockNow() + this->finalAnswerTimeout();
+    while (this->shared.operatorRequestsInProgress.load() > 0 && clockNow() < until
+           && !worker.ending)
+        co_await worker.sleepFor(kDrainPollInterval);
+}
+
 bool Instance::waitUntilDrained()
 {
     while (!this->isDrained)
--- a/Source/Core/Node/Instance.h
+++ b/Source/Core/Node/Instance.h
@@ -38,6 +38,8 @@
     Http::Awaitable<void> answerRequests();
     Http::Awaitable<void> endRequests(Worker &worker);
     Http::Awaitable<void> awaitAnswers(Worker &worker, Common::Time until);
+    Http::Awaitable<void> awaitOperatorAnswers();
+    Common::Milliseconds finalAnswerTimeout() const;
     Http::Awaitable<void> pumpLoop();
     Http::Awaitable<void> closeIdleLoop(Worker &worker);
     bool isIdle() const;
--- a/Source/Core/Node/ListSync.cpp
+++ b/Source/Core/Node/ListSync.cpp
@@ -180,7 +180,8 @@
 {
     const Common::Time deadline = clockNow() + kResolveTimeout;
     Lists::EditState state = Lists::EditState::Unknown;
-    while (state == Lists::EditState::Unknown && clockNow() < deadline && !this->worker.ending) {
+    while (state == Lists::EditState::Unknown && clockNow() < deadline && !this->stopping
+           && !this->worker.ending) {
         Storage::RowName name = headRow(edit.kind);
         const auto row = co_await this->worker.table.readOne(std::move(name));
         const auto head = row && row->version > 0 ? decodeStored(*row) : std::nullopt;
@@ -202,7 +203,8 @@
         outcome.missing = this->missing(wanted);
         if (outcome.missing.empty())
             outcome.kind = EditOutcome::Kind::InForce;
-        if (outcome.missing.empty() || clockNow() >= deadline || this->worker.ending)
+        const bool isEnding = this->stopping || this->worker.ending;
+        if (outcome.missing.empty() || clockNow() >= deadline || isEnding)
             break;
         co_await this->worker.sleepFor(kInForcePollInterval);
     }
@@ -212,6 +214,10 @@
 {
     EditOutcome outcome;
     outcome.kind = EditOutcome::Kind::Rejected;
+    if (this->stopping) {
+        outcome.lines.push_back("this instance is draining; nothing was written");
+        co_return outcome;
+    }
     if (!co_await this->poll()) {
         outcome.lines.push_back("the table service is unreachable; nothing was written");
         co_return outcome;
--- a/Source/Core/Node/OperatorApi.cpp
+++ b/Source/Core/Node/OperatorApi.cpp
@@ -113,6 +113,7 @@
 
 Http::Awaitable<void> OperatorApi::handle(Http::Exchange &exchange)
 {
+    const InProgressGuard guard(this->shared.operatorRequestsInProgress);
     const Http::Request &request = exchange.request();
     const std::string_view path = Http::splitTarget(request.target).path;
     Http::Response response;
--- a/Source/Core/Node/SharedState.h
+++ b/Source/Core/Node/SharedState.h
@@ -82,6 +82,25 @@
 
 namespace Tanagerbay::Node {
 
+// Counts a request as in progress during the guard's lifetime.
+class InProgressGuard
+{
+public:
+    explicit InProgressGuard(std::atomic<std::uint32_t> &count) : count(count)
+    {
+        this->count.fetch_add(1);
+    }
+    ~InProgressGuard()
+    {
+        this->count.fetch_sub(1);
+    }
+    InProgressGuard(const InProgressGuard &) = delete;
+    InProgressGuard &operator=(const InProgressGuard &) = delete;
+
+private:
+    std::atomic<std::uint32_t> &count;
+};
+
 struct SharedState
 {
     explicit SharedState(Settings settings);
@@ -97,6 +116,7 @@
     // Pools by name. The set of pools is fixed by the settings.
     std::map<std::string, std::unique_ptr<PoolShard>, std::less<>> pools;
     std::atomic<std::uint32_t> requestsInProgress{0};
+    std::atomic<std::uint32_t> operatorRequestsInProgress{0};
     // Number of instances listed to callers, this one included.
     std::atomic<std::size_t> liveInstances{1};
 
--- a/Source/UnitTests/Node/DrainTest.cpp
+++ b/Source/UnitTests/Node/DrainTest.cpp
@@ -56,6 +56,49 @@
     }
 };
 
+// An instance whose edits wait for another listed instance, which does not exist.
+struct EditFixture : InstanceFixture
+{
+    explicit EditFixture(const boost::json::object &changes = {}) : InstanceFixture(changes)
+    {
+        const std::string other
+            = R"({"id":"i2","address":"127.0.0.1:1","peerAddress":"127.0.0.1:1","failureDomain":"a"})";
+        const Reply listed = this->call(this->control, {"POST", "/v1/instances", {}, other});
+        BOOST_REQUIRE_EQUAL(listed.status, 200u);
+        const auto isMissing = [this] {
+            return this->operatorCall("GET", "/v1/lists/plans/status", "", "").body.find("i2")
+                != std::string::npos;
+        };
+        while (!isMissing())
+            std::this_thread::sleep_for(Common::Milliseconds(10));
+    }
+
+    Reply replyToEditDuringDrain()
+    {
+        Reply reply;
+        std::thread caller([&] {
+            reply = this->operatorCall("PUT",
+                                       "/v1/lists/entitlements?acceptWarnings=true&waitMs=2500",
+                                       R"({"entitlements":[]})", "\"1\"");
+        });
+        std::this_thread::sleep_for(kArrivalTime);
+        this->instance->drain();
+        this->isDrainComplete = this->instance->waitUntilDrained();
+        this->instance->stop();
+        caller.join();
+        return reply;
+    }
+
+    bool isDrainComplete = false;
+};
+
+struct ShortDrainEditFixture : EditFixture
+{
+    ShortDrainEditFixture() : EditFixture(kShortDrain)
+    {
+    }
+};
+
 struct Answer
 {
     unsigned status = 0;
@@ -87,6 +130,28 @@
 
 } // namespace
 
+BOOST_FIXTURE_TEST_SUITE(DrainsWithEdits, EditFixture)
+
+// Guards against closing the connection of an operator whose committed edit waits for an instance.
+BOOST_AUTO_TEST_CASE(drain_editInProgress_isAnswered)
+{
+    BOOST_TEST(this->replyToEditDuringDrain().status == 202u);
+    BOOST_TEST(this->isDrainComplete);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(DrainTimeoutsWithEdits, ShortDrainEditFixture)
+
+// Guards against closing the connection of an operator whose edit outlasts the drain time-out.
+BOOST_AUTO_TEST_CASE(drainTimeout_editInProgress_isAnsweredAsCommitted)
+{
+    BOOST_TEST(this->replyToEditDuringDrain().status == 202u);
+    BOOST_TEST(!this->isDrainComplete);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(DrainTimeouts, ShortDrainFixture)
 
 // Guards against closing the connection of a request whose stage has not replied, unanswered.
