--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -272,9 +272,11 @@
 {
     const auto message = std::make_shared<const BeastRequest>(toBeast(address, std::move(request)));
     bool fresh = options.freshConnection;
+    // Whether an earlier connection has carried the request.
+    bool written = false;
     while (true) {
         if (this->pool->closed || (options.handle && options.handle->isCancelled()))
-            co_return tl::unexpected(CallError{CallFailure::Cancelled, false, "cancelled"});
+            co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "cancelled"});
         ConnectionPtr connection = fresh ? nullptr : this->pool->acquire(address);
         if (!connection) {
             connection = std::make_shared<ClientConnection>(this->pool->executor);
@@ -284,13 +286,15 @@
             auto failed = co_await connect(connection, address, options);
             if (options.handle)
                 options.handle->abort = nullptr;
-            if (failed)
+            if (failed) {
+                failed->written = written;
                 co_return tl::unexpected(std::move(*failed));
+            }
             if (this->pool->closed)
-                co_return tl::unexpected(CallError{CallFailure::Cancelled, false, "cancelled"});
+                co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "cancelled"});
         }
         if (options.beforeFirstByte && !options.beforeFirstByte())
-            co_return tl::unexpected(CallError{CallFailure::Cancelled, false, "abandoned"});
+            co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "abandoned"});
 
         ResponseStream stream;
         stream.state = std::make_unique<ResponseStream::State>();
@@ -332,6 +336,7 @@
         if (!stale || !options.repeatable)
             co_return tl::unexpected(std::move(failed));
         fresh = true;
+        written = true;
     }
 }
 
--- a/Source/Core/Node/StageCall.cpp
+++ b/Source/Core/Node/StageCall.cpp
@@ -2,6 +2,8 @@
 
 #include "Pipeline/Wire.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -52,6 +54,13 @@
             open += attempt->isEvaluated ? 0 : 1;
         return open;
     }
+    // Whether an attempt has ended that is not evaluated yet.
+    bool hasResult() const
+    {
+        return std::any_of(
+            this->attempts.begin(), this->attempts.end(),
+            [](const AttemptPtr &attempt) { return attempt->result && !attempt->isEvaluated; });
+    }
     void cancelAll()
     {
         for (const AttemptPtr &attempt : this->attempts) {
@@ -238,6 +247,8 @@
 Http::Awaitable<Common::Result<Http::Response>> callStage(RequestScope &scope, Pipeline::Run &run,
                                                           StageCall call)
 {
+    if (scope.mustEnd)
+        co_return tl::unexpected(drainTimeoutError(scope));
     PoolShard &shard = scope.shared.poolNamed(call.pool);
     const auto attemptSet = std::make_shared<AttemptSet>(scope.worker.context.get_executor());
     scope.cancelCalls = [attemptSet] {
@@ -253,10 +264,14 @@
     bool inProgress = startAttempt(scope, run, call, attemptSet, false);
     Common::Time hedgeAt = hedgeTime(scope, shard, clockNow());
     while (inProgress) {
-        attemptSet->wakeTimer.expires_at(std::min(hedgeAt, call.deadline));
-        boost::system::error_code ignored;
-        co_await attemptSet->wakeTimer.async_wait(
-            asio::redirect_error(asio::use_awaitable, ignored));
+        // An attempt that is refused before it is sent ends at once, before the timer can be
+        // cancelled.
+        if (!attemptSet->hasResult()) {
+            attemptSet->wakeTimer.expires_at(std::min(hedgeAt, call.deadline));
+            boost::system::error_code ignored;
+            co_await attemptSet->wakeTimer.async_wait(
+                asio::redirect_error(asio::use_awaitable, ignored));
+        }
         Evaluation evaluation = evaluateEnded(scope, run, *attemptSet);
         const Common::Time now = clockNow();
         if (evaluation.reply) {
@@ -268,6 +283,12 @@
                 = tl::unexpected(runError(scope, ErrorCode::CallerGone, "the caller disconnected"));
             break;
         }
+        if (scope.mustEnd) {
+            // An attempt that has not ended may have written bytes.
+            scope.anyBytesSent = scope.anyBytesSent || attemptSet->openAttempts() > 0;
+            outcome = tl::unexpected(drainTimeoutError(scope));
+            break;
+        }
         if (now >= call.deadline) {
             scope.anyBytesSent = true;
             outcome
--- a/Source/UnitTests/Http/ClientTest.cpp
+++ b/Source/UnitTests/Http/ClientTest.cpp
@@ -1,5 +1,6 @@
 #include "Http/Client.h"
 #include "Common/Clock.h"
+#include "Http/Server.h"
 
 #include <array>
 #include <optional>
@@ -21,6 +22,8 @@
 
 // A call that is not aborted lasts this long.
 constexpr Common::Milliseconds kCallTimeout{60'000};
+// A call that the server answers, or whose connection it closes.
+constexpr Common::Milliseconds kServedCallTimeout{5'000};
 // A test whose call has not ended by then fails.
 constexpr Common::Milliseconds kMaxWait{10'000};
 
@@ -122,4 +125,41 @@
     BOOST_TEST((error->failure == Http::CallFailure::Cancelled));
 }
 
+// Guards against a report that nothing was written when an earlier connection carried the request.
+BOOST_AUTO_TEST_CASE(call_reusedConnectionIsLostAndReconnectFails_isReportedAsWritten)
+{
+    Http::ServerOptions serverOptions;
+    serverOptions.address = {"127.0.0.1", 0};
+    std::unique_ptr<Http::Server> server;
+    int requests = 0;
+    const auto handle = [&](Http::Exchange &exchange) -> Http::Awaitable<void> {
+        if (++requests == 1) {
+            Http::Response response;
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        // The second request has been received; its connection closes without a response.
+        server->stopAccepting();
+    };
+    server = std::make_unique<Http::Server>(std::vector<asio::io_context *>{&this->context},
+                                            serverOptions, handle);
+    BOOST_REQUIRE_EQUAL(server->start(), "");
+    const Common::Address address{"127.0.0.1", server->port()};
+    Http::CallResult<Http::Response> last = tl::unexpected(Http::CallError{});
+    const auto run = [&]() -> Http::Awaitable<void> {
+        for (int call = 0; call < 2; ++call) {
+            Http::CallOptions options;
+            options.deadline = Common::clockNow() + kServedCallTimeout;
+            Http::Request request{"POST", "/x", {}, "body"};
+            last = co_await this->client.call(address, std::move(request), std::move(options));
+        }
+    };
+    asio::co_spawn(this->context, run(), asio::detached);
+    this->context.run();
+    BOOST_TEST(requests == 2);
+    BOOST_REQUIRE(!last);
+    BOOST_TEST(Common::nameOf(last.error().failure) == "connect failed");
+    BOOST_TEST(last.error().written);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
