Node, Tests: Check that a stop needs no force without a clock

Instance::stop() now returns whether it had to stop a thread by force, which is what the fault showed (a forced stop after 5 s), and the test checks that.

--- a/Source/Core/Node/Instance.cpp
+++ b/Source/Core/Node/Instance.cpp
@@ -261,10 +261,11 @@
     return !this->hasDrainTimedOut;
 }
 
-void Instance::stop()
+bool Instance::stop()
 {
     if (this->threads.empty())
-        return;
+        return true;
+    bool isForced = false;
     this->callerServer->closeAll();
     this->operatorServer->closeAll();
     // Repeated, so that work that started after one round is ended by the next.
@@ -273,6 +274,7 @@
         for (const auto &worker : this->workers)
             asio::post(worker->context, [&worker] { worker->endWork(); });
         if (clockNow() >= forcedStopAt) {
+            isForced = true;
             for (const auto &worker : this->workers)
                 worker->context.stop();
         }
@@ -282,6 +284,7 @@
         thread.join();
     this->threads.clear();
     this->peers->closeLink();
+    return !isForced;
 }
 
 } // namespace Tanagerbay::Node
--- a/Source/UnitTests/Node/DrainTest.cpp
+++ b/Source/UnitTests/Node/DrainTest.cpp
@@ -257,7 +257,7 @@
 }
 
 // Guards against requests that outlast `stop` until it is forced, whose destruction then crashes.
-BOOST_AUTO_TEST_CASE(stop_requestsWaitForAdmission_endsWithinTheStopTimeout)
+BOOST_AUTO_TEST_CASE(stop_requestsWaitForAdmission_endsWithoutForce)
 {
     this->setFault("encoders", "pause");
     std::vector<std::thread> callers;
@@ -266,9 +266,7 @@
             [this] { this->pipeline("ask", R"({"input":{"text":"q"},"maxTokens":20})"); });
     }
     this->waitForRequests(callers.size());
-    const Common::Time startedAt = Common::clockNow();
-    this->instance->stop();
-    BOOST_TEST(Common::toMilliseconds(Common::clockNow() - startedAt) < 4000);
+    BOOST_TEST(this->instance->stop());
     for (std::thread &caller : callers)
         caller.join();
 }
