--- a/Source/Core/Node/Instance.h
+++ b/Source/Core/Node/Instance.h
@@ -23,8 +23,8 @@
     // Waits until the graceful shutdown is complete. Returns false if it timed out with work in
     // progress.
     bool waitUntilDrained();
-    // Stops at once, without waiting for work in progress. Returns false if a request did not end by
-    // itself and its thread was stopped by force.
+    // Stops at once, without waiting for work in progress. Returns false if a request did not end
+    // by itself and its thread was stopped by force.
     bool stop();
     Phase phase() const
     {
