Entry: Move only the pieces of the service that is handed over

What callers would see: when an owner of two queues hands one over, requests whose pieces are in the other queue may wait longer, since these pieces are sent to an instance that need not own their queue, and are computed again.

Cause: each queue numbers its tickets from one, but `movePieces` compared only the tickets, over the work of all services. Work of another service with the same numbers was reported as moved, or moved if it was the owner's own, while its pieces stayed in their queue.

Evidence: the owner of two queues gets SIGTERM while a call with tickets 1 to 8 of one service is open and tickets 7 to 12 of the other wait.

Why the fix works: a ticket is unique within its service, and `movePieces` now looks only at work of the service whose pieces it took from the queue.

--- a/Source/Core/Entry/StageHandOver.cpp
+++ b/Source/Core/Entry/StageHandOver.cpp
@@ -89,6 +89,9 @@
     const std::set<Staging::PieceTicket> taken(tickets.begin(), tickets.end());
     std::vector<std::string> emptyKeys;
     for (auto &[key, work] : this->remoteWork) {
+        // Each queue numbers its tickets itself.
+        if (work.service != service)
+            continue;
         json::array indexes;
         std::erase_if(work.tickets, [&taken, &indexes](const auto &entry) {
             const bool moves = taken.contains(entry.second);
@@ -111,6 +114,8 @@
     for (const std::string &key : emptyKeys)
         this->remoteWork.erase(key);
     for (auto &[workId, work] : this->openWork) {
+        if (work.stage.service != service)
+            continue;
         std::vector<std::size_t> indexes;
         std::erase_if(work.localTickets, [&taken, &indexes](const auto &entry) {
             const bool moves = taken.contains(entry.first);
