Entry: Start the IDs of stage work at a random number

What callers would see: requests sent to an instance soon after it was killed and restarted get stage results of other requests, with status 200 (MIXED).

Cause: an owner keeps work of other instances under the submitter's name and its ID for the work, and keeps it until its pieces are settled, also when the submitter's process is gone. A restarted process had the same name and counted its IDs from one again. The owner took its pieces for those that were still open, did not queue them, and reported the old results to it.

Evidence: an instance that does not own the queue submits three requests of eight pieces, is killed and restarted, and gets three requests of one piece.

Why the fix works: IDs of two processes match only if their random starts of 62 bits are closer than the number of works submitted. The messages stay as they are: the IDs remain below 2^63, which `numberOf` and `onReports` accept in instances before this change too. Instances of both versions have not been run together.

An owner still computes open pieces of a process that is gone, until they are settled or expire.

--- a/Source/Core/Entry/StageClient.cpp
+++ b/Source/Core/Entry/StageClient.cpp
@@ -18,10 +18,18 @@
 
 // After a start, the list of instances arrives within some 10 ms.
 constexpr Common::Milliseconds kMembershipPollInterval{10};
+
+// Returns a number of 62 bits: peers read IDs as signed integers of 64 bits, so no ID counted from
+// here may reach 2^63.
+WorkId randomFirstId(std::mt19937_64 &random)
+{
+    return random() >> 2;
+}
+
 } // namespace
 
 StageClient::StageClient(State &state, PeerMesh &mesh, StageOwner &owner)
-    : state(state), mesh(mesh), owner(owner),
+    : state(state), mesh(mesh), owner(owner), lastWorkId(randomFirstId(state.random)),
       watchTimer(std::make_unique<boost::asio::steady_timer>(state.context))
 {
 }
--- a/Source/Core/Entry/StageClient.h
+++ b/Source/Core/Entry/StageClient.h
@@ -137,7 +137,9 @@
     PeerMesh &mesh;
     StageOwner &owner;
     std::map<WorkId, Work> openWork;
-    WorkId lastWorkId = 0;
+    // Starts at a random number: an owner keeps open work of an instance's previous process, and
+    // the IDs of the new one must not match it.
+    WorkId lastWorkId;
     // Instances that did not respond or are leaving, and until when they are excluded as owners.
     std::map<Common::InstanceId, Common::Time> excludedOwners;
     // Keyed by the ID of the submitting instance and its ID for the work.
