Entry: Log prompt parts of failed sends and resends after lost inputs

Cause: no log line named the prompt parts of a request, told whether an event had arrived before a send failed, or recorded a resend after lost stage results, so that the hypotheses of the incident could not be told apart.

Change: `send-ended` carries `begun` and `promptParts` (eight names of 16 characters at most, without the last part, which belongs to the request); `inputs-gone` is a new line.

--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -34,6 +34,9 @@
 constexpr Common::Milliseconds kMinAbandonTimeout{2000};
 constexpr int kAbandonTimeoutObjectives = 4;
 constexpr int kAbandonTimeoutGaps = 8;
+// Callers choose the number and the names of prompt parts, so that a log line bounds both.
+constexpr std::size_t kMaxLoggedParts = 8;
+constexpr std::size_t kMaxLoggedPartLength = 16;
 } // namespace
 
 RequestFlow::RequestFlow(const RequestDependencies &dependencies, Http::Exchange &exchange,
@@ -57,6 +60,15 @@
     return parts.size() == 1 ? parts.front().id : parts[parts.size() - 2].id;
 }
 
+std::string RequestFlow::sharedPartNames() const
+{
+    std::string names;
+    const std::vector<PromptPart> &parts = this->request.prompt.parts;
+    for (std::size_t i = 0; i + 1 < parts.size() && i < kMaxLoggedParts; ++i)
+        names += (names.empty() ? "" : ",") + parts[i].id.substr(0, kMaxLoggedPartLength);
+    return names;
+}
+
 Common::Duration RequestFlow::estimatedEngineTime() const
 {
     const std::uint64_t tokens = std::min(this->request.prompt.tokensIn, kMaxExpectedTokens);
@@ -318,6 +330,11 @@
         if (sent.inputsGone && !hasRepeatedStages && !this->endedByShutdown) {
             hasRepeatedStages = true;
             this->triedEndpoints.pop_back();
+            this->state.log.write(LogLine("inputs-gone")
+                                      .text("request", this->request.id)
+                                      .text("endpoint", endpoint.id.value)
+                                      .text("detail", sent.detail),
+                                  clockNow());
             if (!co_await this->runStages())
                 co_return;
             continue;
@@ -336,6 +353,8 @@
                                   .number("mostAttempts", this->attempts.maxAttempts)
                                   .flag("repeatable", this->attempts.repeatable)
                                   .flag("another", canRetry)
+                                  .flag("begun", this->events.eventCount() > 0)
+                                  .text("promptParts", this->sharedPartNames())
                                   .text("against", denialReason)
                                   .milliseconds("leftMs", this->timeLeft(now)),
                               now);
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -94,6 +94,8 @@
     void recordEnd(std::string_view outcome, std::string_view detail);
     bool isStream() const;
     std::string_view affinityKey() const;
+    // Returns the names of the prompt parts that other requests may share, separated by commas.
+    std::string sharedPartNames() const;
     Common::Duration estimatedEngineTime() const;
     // Time from sending the request to the end of its response with the most tokens it may have;
     // zero if unknown.
