Quarantine: Keep requests that crash their engine from the other engines

What callers saw: one part of a prompt crashed each engine that began to answer it.

Cause: every layer that protects one request spreads the fault. A request whose engine ends goes on to the next engine, its caller repeats it, and the next request with the same part starts from nothing, at any instance.

Change: crashes are evidence. The crash of a process (a lost connection, and then a refused one) accuses the shared prompt parts of the requests in flight whose answers had not begun; an answer that begins acquits all parts of its request. Instances attach both to their probes. The narrowest property that explains three crashes and that no answer has acquitted is quarantined: such requests are refused as not run, before their stages, and those at an engine are cancelled. After a minute one request, at one instance, is let through; each further crash doubles that time. Without prompt parts the content of the request takes their place. `Quarantine` decides without a network; `Entry/CrashWatch` finds the cause of a lost connection and exchanges the evidence.

Why it works: a deadly part is in every accused set and in no answer. What many requests share is answered elsewhere within the second, also by another instance; a part that only happened to be in the crashed requests is held back only together with the deadly one, until an answer or the next crash tells them apart.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -42,13 +42,14 @@
 EntryInstance::EntryInstance(Settings settings, const Platform &platform, Reload reload)
     : state(std::move(settings), platform.dialect), store(platform.makeStore(this->state)),
       reload(std::move(reload)), gossip(this->state), mesh(this->state),
-      relay(this->state, this->mesh), stageOwner(this->state),
-      stageClient(this->state, this->mesh, this->stageOwner),
+      relay(this->state, this->mesh), crashWatch(this->state, this->gossip),
+      stageOwner(this->state), stageClient(this->state, this->mesh, this->stageOwner),
       catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay),
       endpoints(this->state, this->stageOwner, *this->store, this->relay), parts{this->state,
                                                                                  this->catalogs,
                                                                                  this->endpoints,
-                                                                                 this->stageClient}
+                                                                                 this->stageClient,
+                                                                                 this->crashWatch}
 {
 }
 
@@ -108,11 +109,12 @@
                              .text("callers", Common::formatAddress(this->state.settings.callers))
                              .text("store", Common::formatAddress(this->state.settings.store)));
     this->mesh.on("members?", [this](const PeerLinkPtr &link, const boost::json::object &) {
-        this->mesh.reply(link, {{"type", "members"}, {"reports", this->gossip.allReports()}});
+        boost::json::object answer = this->gossip.allReports();
+        answer["type"] = "members";
+        this->mesh.reply(link, answer);
     });
     this->mesh.on("members", [this](const PeerLinkPtr &, const boost::json::object &message) {
-        if (const boost::json::array *reports = arrayOf(message, "reports"))
-            this->gossip.applyAll(*reports);
+        this->gossip.applyAll(message);
     });
     this->gossip.onAskAll([this](const Common::Address &peer) {
         this->mesh.send(peer, {{"type", "members?"}});
@@ -133,6 +135,8 @@
         [this](const Routing::Endpoint &endpoint, const EndpointResponseHead &answer) {
             this->endpoints.noteResponse(endpoint, answer);
         });
+    this->crashWatch.onChange([this] { this->endQuarantinedRequests(); });
+    this->crashWatch.start();
     this->catalogs.onChange([this] { this->applyCatalog(); });
     this->catalogs.start();
     this->endpoints.start();
@@ -237,6 +241,7 @@
                            {"catalogVersion", member.report.catalogVersion}});
     }
     dump["instances"] = std::move(members);
+    dump["quarantined"] = this->crashWatch.dump();
     boost::json::array endpoints;
     for (const auto &[service, pool] : this->state.pools) {
         for (const Routing::Endpoint &endpoint : pool.endpoints) {
@@ -326,6 +331,14 @@
         Serving::noteAnswersGiven(*this->state.leaving, now);
 }
 
+void EntryInstance::endQuarantinedRequests()
+{
+    for (RequestFlow &request : this->openRequests) {
+        if (request.isQuarantined())
+            request.endForQuarantine();
+    }
+}
+
 Http::Awaitable<void> EntryInstance::listInstances()
 {
     // A temporary aggregate in the awaited expression would be destroyed twice (GCC bug 98401).
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -38,6 +38,8 @@
     Serving::ShutdownActivity shutdownActivity() const;
     // Ends the requests that could not be answered any more before the process exits.
     void endRequestsForShutdown(Common::Time now);
+    // Ends the requests that must not be sent any more, or must not go on at their endpoint.
+    void endQuarantinedRequests();
     Http::Awaitable<void> listInstances();
     Http::Awaitable<void> housekeeping();
     void applyCatalog();
@@ -50,6 +52,7 @@
     Gossip gossip;
     PeerMesh mesh;
     StoreRelay relay;
+    CrashWatch crashWatch;
     StageOwner stageOwner;
     StageClient stageClient;
     CatalogSync catalogs;
--- a/Source/Core/Entry/Gossip.cpp
+++ b/Source/Core/Entry/Gossip.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t kAnnounceTargets = 6;
 // A datagram with so much news stays below the usual packet size of 1,500 bytes.
 constexpr std::size_t kNewsPerMessage = 10;
+constexpr std::size_t kNewsBesideAttachment = 2;
 constexpr std::size_t kMaxLeavingEndpoints = 8;
 // All that another instance knows is asked for at most so often: regularly while many instances
 // have failed, and sooner after a failed one has returned, which may be the end of a cut.
@@ -182,6 +183,18 @@
     this->leavingHandler = std::move(action);
 }
 
+void Gossip::onDatagram(std::function<bool(json::object &, std::uint32_t)> attach,
+                        std::function<void(const json::object &)> read)
+{
+    this->attachHandler = std::move(attach);
+    this->attachmentHandler = std::move(read);
+}
+
+void Gossip::onAllReports(std::function<void(json::object &)> attach)
+{
+    this->attachAllHandler = std::move(attach);
+}
+
 void Gossip::addListed(const ListedInstance &instance)
 {
     const auto [entry, added] = this->state.members.byId.try_emplace(instance.id);
@@ -243,6 +256,12 @@
 
 std::string Gossip::datagramFor(const Membership::ProbeMessage &message)
 {
+    const std::uint32_t repeats = Membership::newsRepeats(this->state.members.byId.size());
+    json::object datagram;
+    // What is attached has been announced to that many instances at once before it spreads by
+    // probes.
+    const bool hasAttachment = this->attachHandler
+        && this->attachHandler(datagram, repeats + static_cast<std::uint32_t>(kAnnounceTargets));
     json::array probe{Common::nameOf(message.kind), message.number};
     if (message.subject.isSet())
         probe.emplace_back(Common::formatAddress(message.subject));
@@ -251,11 +270,10 @@
     // So that the receiver can refute it.
     if (const auto suspicion = Membership::suspicionOf(this->state.members, message.to))
         reports.push_back(toJson(*suspicion));
-    const std::uint32_t repeats = Membership::newsRepeats(this->state.members.byId.size());
+    const std::size_t newsCount = hasAttachment ? kNewsBesideAttachment : kNewsPerMessage;
     for (const Membership::MemberNews &news :
-         Membership::takeNews(this->detector.news, kNewsPerMessage, repeats))
+         Membership::takeNews(this->detector.news, newsCount, repeats))
         reports.push_back(toJson(news));
-    json::object datagram;
     datagram["probe"] = std::move(probe);
     datagram["reports"] = std::move(reports);
     json::array leavingEndpoints;
@@ -317,23 +335,31 @@
     this->askAllHandler(peer);
 }
 
-json::array Gossip::allReports()
+json::object Gossip::allReports()
 {
     this->noteOwnState();
     json::array reports;
     for (const Membership::MemberNews &news : Membership::allNews(this->state.members))
         reports.push_back(toJson(news));
-    return reports;
+    json::object message;
+    message["reports"] = std::move(reports);
+    if (this->attachAllHandler)
+        this->attachAllHandler(message);
+    return message;
 }
 
-void Gossip::applyAll(const json::array &reports)
+void Gossip::applyAll(const json::object &message)
 {
     std::vector<Membership::MemberNews> all;
-    for (const json::value &value : reports) {
-        if (const auto news = fromJson(value))
-            all.push_back(*news);
+    if (const json::array *reports = arrayOf(message, "reports")) {
+        for (const json::value &value : *reports) {
+            if (const auto news = fromJson(value))
+                all.push_back(*news);
+        }
     }
     Membership::applyAllNews(this->detector, this->state.members, all, clockNow());
+    if (this->attachmentHandler)
+        this->attachmentHandler(message);
 }
 
 Http::Awaitable<void> Gossip::sendLoop()
@@ -390,6 +416,8 @@
     }
     if (const json::array *leaving = arrayOf(message.get_object(), "leavingEndpoints"))
         this->handleLeaving(*leaving);
+    if (this->attachmentHandler)
+        this->attachmentHandler(message.get_object());
     // Instances of an earlier version send reports only.
     if (const auto probe = probeFromJson(message.get_object().if_contains("probe")))
         this->send(Membership::onProbeMessage(this->detector, *probe, sender, clockNow()));
--- a/Source/Core/Entry/Gossip.h
+++ b/Source/Core/Entry/Gossip.h
@@ -26,9 +26,9 @@
     void check(const Common::InstanceId &instance);
     // Sets the handler that asks another instance for all that it knows.
     void onAskAll(std::function<void(const Common::Address &)> action);
-    // All that this instance knows of the others, as a list of reports, and the reverse.
-    boost::json::array allReports();
-    void applyAll(const boost::json::array &reports);
+    // All that this instance knows of the others and has from them, and the reverse.
+    boost::json::object allReports();
+    void applyAll(const boost::json::object &message);
     // Relative capacity of this instance, by which duties are distributed over the instances.
     double strength() const;
     // Sets the handler that is called for each report of another instance that is newer than the
@@ -38,6 +38,12 @@
     void publishLeaving(const LeavingEndpoint &leaving);
     // Sets the handler that is called for each leaving endpoint that another instance names.
     void onLeavingEndpoint(std::function<void(const LeavingEndpoint &)> action);
+    // Sets the handlers that attach to each datagram and read what others attached. `attach` gets
+    // the number of datagrams to which each item is attached, and returns whether it added any.
+    void onDatagram(std::function<bool(boost::json::object &, std::uint32_t)> attach,
+                    std::function<void(const boost::json::object &)> read);
+    // Sets the handler that attaches to an answer with all that this instance knows.
+    void onAllReports(std::function<void(boost::json::object &)> attach);
     // Adds an instance listed in the store, unless it is known already.
     void addListed(const ListedInstance &instance);
 
@@ -61,6 +67,9 @@
     std::function<void(const Membership::MemberReport &)> reportHandler;
     std::function<void(const LeavingEndpoint &)> leavingHandler;
     std::function<void(const Common::Address &)> askAllHandler;
+    std::function<bool(boost::json::object &, std::uint32_t)> attachHandler;
+    std::function<void(const boost::json::object &)> attachmentHandler;
+    std::function<void(boost::json::object &)> attachAllHandler;
     Membership::News<Common::EndpointId, LeavingEndpoint> leavingNews;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 1;
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -65,6 +65,8 @@
     NotRunInTime,
     DeadlinePassed,
     OutcomeUnknown,
+    // The request has a property that crashes endpoints.
+    Quarantined,
 };
 
 } // namespace Tanagerbay::Entry
@@ -73,7 +75,7 @@
 struct Tanagerbay::Common::EnumNames<Tanagerbay::Entry::RefusalReason>
 {
     using Reason = Entry::RefusalReason;
-    static constexpr NameTable<Reason, 10> table = {{
+    static constexpr NameTable<Reason, 11> table = {{
         {Reason::BadRequest, "bad-request"},
         {Reason::NoSuchRoute, "no-such-route"},
         {Reason::UnknownKey, "unknown-key"},
@@ -84,6 +86,7 @@
         {Reason::NotRunInTime, "not-run-in-time"},
         {Reason::DeadlinePassed, "deadline-passed"},
         {Reason::OutcomeUnknown, "outcome-unknown"},
+        {Reason::Quarantined, "quarantined"},
     }};
 };
 
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -1,5 +1,6 @@
 #include "Entry/RequestFlow.h"
 
+#include "Entry/RequestTraits.h"
 #include "Routing/AffinityChoice.h"
 #include "Serving/RetryAfter.h"
 
@@ -168,6 +169,11 @@
         co_await this->refuse(this->refusalForShutdown(), "");
         co_return false;
     }
+    this->traits = traitsOf(this->request);
+    if (this->isHeldBackByQuarantine()) {
+        co_await this->refuse(this->refusalForQuarantine(), "");
+        co_return false;
+    }
     co_return true;
 }
 
@@ -232,8 +238,8 @@
     auto fault = co_await this->stageRun->run();
     // Results are lost with the endpoint that made them or expire after their lifetime. The stages
     // are then restarted while there is time.
-    for (int repeats = 0; fault == Staging::PieceOutcome::InputGone && repeats < kMaxStageRepeats
-         && !this->endedByShutdown;
+    for (int repeats = 0;
+         fault == Staging::PieceOutcome::InputGone && repeats < kMaxStageRepeats && !this->earlyEnd;
          ++repeats) {
         this->state.metrics.count("stages_repeated");
         this->stageRun = std::make_unique<StageRun>(this->state, this->dependencies.stages, plan);
@@ -245,8 +251,8 @@
         co_return false;
     }
     // A cancelled run has no fault, but not all results either.
-    if (this->endedByShutdown) {
-        co_await this->refuse(this->refusalForShutdown(), "while its stages ran");
+    if (this->earlyEnd) {
+        co_await this->refuse(this->refusalForEarlyEnd(), "while its stages ran");
         co_return false;
     }
     if (fault) {
@@ -283,8 +289,8 @@
 
 std::string_view RequestFlow::retryDenialReason(SendOutcome outcome, Common::Time now)
 {
-    if (this->endedByShutdown)
-        return "shutdown";
+    if (this->earlyEnd)
+        return this->earlyEnd == EarlyEnd::Shutdown ? "shutdown" : "quarantine";
     if (!Serving::mayTryAnother(this->attempts, outcome, now))
         return "attempts";
     if (!this->chooseEndpoint(now))
@@ -313,6 +319,10 @@
         }
         if (this->stageRun && this->stageResultsReleased && !co_await this->runStages())
             co_return;
+        if (this->isHeldBackByQuarantine()) {
+            co_await this->refuse(this->refusalForQuarantine(), "before a send");
+            co_return;
+        }
         // The endpoints may have changed while the stages ran.
         const Routing::Pool &pool = this->state.poolOf(this->service);
         const auto currentChoice = this->chooseEndpoint(clockNow());
@@ -327,7 +337,7 @@
             this->recordEnd("caller-gone", sent.detail);
             co_return;
         }
-        if (sent.inputsGone && !hasRepeatedStages && !this->endedByShutdown) {
+        if (sent.inputsGone && !hasRepeatedStages && !this->earlyEnd) {
             hasRepeatedStages = true;
             this->triedEndpoints.pop_back();
             this->state.log.write(LogLine("inputs-gone")
@@ -381,8 +391,8 @@
         this->recordEnd("endpoint-failed", "status " + std::to_string(status));
         co_return;
     }
-    if (this->endedByShutdown) {
-        co_await this->refuse(this->refusalForShutdown(), last.detail);
+    if (this->earlyEnd) {
+        co_await this->refuse(this->refusalForEarlyEnd(), last.detail);
         co_return;
     }
     if (step == NextStep::Refuse) {
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Entry/CatalogSync.h"
+#include "Entry/CrashWatch.h"
 #include "Entry/EndpointDiscovery.h"
 #include "Entry/StageRun.h"
 #include "Http/Server.h"
@@ -20,6 +21,7 @@
     CatalogSync &catalogs;
     EndpointDiscovery &endpoints;
     StageClient &stages;
+    CrashWatch &crashWatch;
 };
 
 // Removes itself from the list of open requests when it is destroyed.
@@ -40,10 +42,18 @@
     // Makes `run` answer the caller at once, without another send. The response must not have
     // begun.
     void endForShutdown();
+    // Returns whether the request must not be sent to an endpoint any more, and its answer has not
+    // begun at the endpoint where it is.
+    bool isQuarantined() const;
+    // Makes `run` answer the caller at once, without another send.
+    void endForQuarantine();
     // Records that the exit of the process ends this request without a complete response.
     void recordCutByExit();
 
 private:
+    // Why a request in progress gets its final answer at once.
+    enum class EarlyEnd { Shutdown, Quarantine };
+
     // Result of one send to an endpoint.
     struct SendResult
     {
@@ -52,6 +62,8 @@
         bool isAnswered = false;
         // The endpoint's error response, relayed if the request is not retried.
         std::optional<Http::Response> failure;
+        // The connection ended before the answer was complete.
+        bool connectionLost = false;
         // The endpoint reported that a stage result is no longer available.
         bool inputsGone = false;
         std::string detail;
@@ -81,14 +93,16 @@
     // Returns whether another endpoint and the retry budget would permit another send now.
     bool couldResumeElsewhere(Common::Time now);
     void applyResponseHead(const Routing::Endpoint &endpoint, const EndpointResponseHead &answer);
+    // Reports an endpoint that may have crashed before it began its answer.
+    void noteConnectionLost(const Routing::Endpoint &endpoint);
     Http::Awaitable<SendResult> readNotRunResponse(Http::ResponseStream &stream, unsigned status,
                                                    bool isForThisRequest);
     Http::Awaitable<SendResult> relayBufferedResponse(Http::ResponseStream &stream,
                                                       const EndpointResponseHead &answer);
     Http::Awaitable<SendResult> relayEventStream(Http::ResponseStream &stream);
     Http::Awaitable<bool> relayReadyEvents(const Http::Headers &headers, unsigned status);
-    // Reads the complete body. Returns nothing if the body is truncated or the deadline passes.
-    Http::Awaitable<std::optional<std::string>> readBody(Http::ResponseStream &stream);
+    // Reads the complete body.
+    Http::Awaitable<Http::CallResult<std::string>> readBody(Http::ResponseStream &stream);
     Http::Awaitable<void> refuse(Refusal refusal, std::string_view detail);
     Http::Awaitable<void> endUnanswered(Serving::NextStep step, SendResult last);
     void recordEnd(std::string_view outcome, std::string_view detail);
@@ -108,6 +122,16 @@
     bool cannotConfirmBeforeExit(Common::Time now) const;
     // Returns the final answer of a request that the shutdown ends before it is sent again.
     Refusal refusalForShutdown() const;
+    Refusal refusalForQuarantine() const;
+    // The same for a request that was ended while it was in progress.
+    Refusal refusalForEarlyEnd() const;
+    // Returns whether the request must not be sent now, because it would crash its endpoint. May
+    // make it the one request that is sent nevertheless.
+    bool isHeldBackByQuarantine();
+    // Cancels whatever the request waits for.
+    void endEarly(EarlyEnd reason);
+    // Whether the answer of the endpoint where the request is has begun.
+    bool hasAnswerBegun() const;
     Common::Duration timeLeft(Common::Time now) const;
 
     RequestDependencies dependencies;
@@ -130,7 +154,12 @@
     bool stageResultsReleased = false;
     Http::CallHandle call;
     bool callerGone = false;
-    bool endedByShutdown = false;
+    std::optional<EarlyEnd> earlyEnd;
+    std::vector<Quarantine::Trait> traits;
+    // Whether the request is sent to find out whether it still crashes its endpoint.
+    bool isTrial = false;
+    // Number of events that earlier endpoints have delivered.
+    std::uint64_t eventsBeforeSend = 0;
     bool isEndRecorded = false;
     std::optional<Common::Time> firstEventAt;
     std::optional<Common::Time> stagedAt;
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -111,6 +111,7 @@
         call.urgency = std::min(kMinUrgencyValue + this->priority, kMaxUrgencyValue);
     this->lastEndpoint = endpoint.id.value;
     this->lastPhase = Serving::RequestPhase::Sent;
+    this->eventsBeforeSend = this->events.eventCount();
 
     SendResult result;
     // Ends with this function, so `stageRun` is valid when the action runs.
@@ -125,6 +126,7 @@
     if (!opened) {
         const Http::CallError &error = opened.error();
         result.outcome = error.written ? SendOutcome::Unknown : SendOutcome::NotSent;
+        result.connectionLost = error.written && error.failure == Http::CallFailure::ConnectionLost;
         result.detail = std::string(Common::nameOf(error.failure)) + ": " + error.message;
         report.end = error.failure == Http::CallFailure::ConnectFailed
             ? Routing::CallEnd::Unreachable
@@ -155,25 +157,38 @@
         const bool hasSucceeded = result.isAnswered && isSuccess(status);
         report.end = hasSucceeded ? Routing::CallEnd::Succeeded : Routing::CallEnd::Failed;
     }
+    if (result.connectionLost && !this->callerGone && !this->earlyEnd)
+        this->noteConnectionLost(endpoint);
     const Common::Time now = clockNow();
     report.duration = now - startedAt;
     if (this->isStream() && this->events.eventCount() > 0)
         report.pace = report.duration / static_cast<std::int64_t>(this->events.eventCount());
     else if (!this->isStream())
         report.pace = report.duration;
-    if (this->callerGone || (this->endedByShutdown && !result.isAnswered))
+    if (this->callerGone || (this->earlyEnd && !result.isAnswered))
         report.end = Routing::CallEnd::Cancelled;
     Routing::endCall(this->state.poolOf(this->service), report, now);
     co_return result;
 }
 
-Http::Awaitable<std::optional<std::string>> RequestFlow::readBody(Http::ResponseStream &stream)
+void RequestFlow::noteConnectionLost(const Routing::Endpoint &endpoint)
+{
+    const Routing::Pool &pool = this->state.poolOf(this->service);
+    const auto found = pool.indexById.find(endpoint.id);
+    // An endpoint that leaves exits by itself.
+    const bool isExpectedToRun
+        = found != pool.indexById.end() && !Routing::isLeaving(pool.endpoints[found->second]);
+    if (isExpectedToRun && !this->hasAnswerBegun())
+        this->dependencies.crashWatch.noteLost(endpoint, this->request, this->traits);
+}
+
+Http::Awaitable<Http::CallResult<std::string>> RequestFlow::readBody(Http::ResponseStream &stream)
 {
     std::string body;
     while (true) {
         const auto bytes = co_await stream.read(this->deadline);
         if (!bytes)
-            co_return std::nullopt;
+            co_return tl::unexpected(bytes.error());
         if (bytes->empty())
             co_return body;
         body.append(*bytes);
@@ -203,9 +218,11 @@
     response.headers = this->state.dialect.relayedHeaders(stream.headers());
     auto body = co_await this->readBody(stream);
     if (!body) {
+        result.connectionLost = body.error().failure == Http::CallFailure::ConnectionLost;
         result.detail = "the response body is incomplete";
         co_return result;
     }
+    this->dependencies.crashWatch.noteAnswerBegun(this->traits);
     response.body = std::move(*body);
     if (answer.status >= kFirstServerErrorStatus) {
         result.outcome = SendOutcome::EndpointFailed;
@@ -247,13 +264,16 @@
     SendResult result;
     const Http::Headers headers = stream.headers();
     const unsigned status = stream.status();
+    bool wasAnswerBegun = false;
     while (true) {
         const auto bytes = co_await stream.read(this->sendDeadline(clockNow()));
         if (!bytes) {
+            result.connectionLost = bytes.error().failure == Http::CallFailure::ConnectionLost;
             result.detail = "stream interrupted: " + bytes.error().message;
             break;
         }
         if (bytes->empty() && this->events.hasPartialEvent()) {
+            result.connectionLost = true;
             result.detail = "stream ended within an event";
             break;
         }
@@ -273,6 +293,10 @@
             result.detail = "stream events out of order";
             break;
         }
+        if (!wasAnswerBegun && this->hasAnswerBegun()) {
+            wasAnswerBegun = true;
+            this->dependencies.crashWatch.noteAnswerBegun(this->traits);
+        }
         if (!co_await this->relayReadyEvents(headers, status)) {
             this->callerGone = true;
             break;
--- a/Source/Core/Entry/RequestShutdown.cpp
+++ b/Source/Core/Entry/RequestShutdown.cpp
@@ -1,8 +1,16 @@
-// How a request ends when its instance shuts down.
+// How a request in progress ends early: when its instance shuts down, or when it is quarantined.
 #include "Entry/RequestFlow.h"
 
 namespace Tanagerbay::Entry {
 
+namespace {
+
+// Retry delay of a quarantined request once its trial is due, which may take place at another
+// instance.
+constexpr Common::Milliseconds kMinQuarantineRetryAfter{5000};
+
+} // namespace
+
 Serving::RequestPhase RequestFlow::phase() const
 {
     return this->exchange.started() ? Serving::RequestPhase::Responding : this->lastPhase;
@@ -29,12 +37,63 @@
 
 void RequestFlow::endForShutdown()
 {
-    this->endedByShutdown = true;
+    this->endEarly(EarlyEnd::Shutdown);
+}
+
+void RequestFlow::endForQuarantine()
+{
+    this->endEarly(EarlyEnd::Quarantine);
+}
+
+void RequestFlow::endEarly(EarlyEnd reason)
+{
+    this->earlyEnd = reason;
     this->call.cancel();
     if (this->stageRun)
         this->stageRun->cancel();
 }
 
+bool RequestFlow::hasAnswerBegun() const
+{
+    return this->events.eventCount() > this->eventsBeforeSend;
+}
+
+bool RequestFlow::isQuarantined() const
+{
+    return !this->isTrial && !this->hasAnswerBegun() && !this->isEndRecorded
+        && this->dependencies.crashWatch.find(this->traits);
+}
+
+bool RequestFlow::isHeldBackByQuarantine()
+{
+    const Quarantine::Suspicion *suspicion = this->dependencies.crashWatch.find(this->traits);
+    if (!suspicion || this->isTrial)
+        return false;
+    this->isTrial = this->dependencies.crashWatch.beginTrial(*suspicion);
+    // Its retries would crash further endpoints.
+    if (this->isTrial)
+        this->attempts.maxAttempts = this->attempts.reached + 1;
+    return !this->isTrial;
+}
+
+Refusal RequestFlow::refusalForQuarantine() const
+{
+    if (this->attempts.mayHaveRun)
+        return {RefusalReason::Quarantined, false, std::nullopt};
+    // A repetition before the next trial would be refused again.
+    Common::Duration untilTrial{0};
+    if (const auto *suspicion = this->dependencies.crashWatch.find(this->traits))
+        untilTrial = Quarantine::trialAt(*suspicion) - clockNow();
+    return {RefusalReason::Quarantined, true,
+            std::max<Common::Duration>(untilTrial, kMinQuarantineRetryAfter)};
+}
+
+Refusal RequestFlow::refusalForEarlyEnd() const
+{
+    return this->earlyEnd == EarlyEnd::Quarantine ? this->refusalForQuarantine()
+                                                  : this->refusalForShutdown();
+}
+
 Refusal RequestFlow::refusalForShutdown() const
 {
     if (this->attempts.mayHaveRun)
