Entry: Bound responses of endpoints that send bytes without end

What callers saw: no answer at all before the deadline, and other requests of the same instance waited, while one endpoint sent an event without end; a body without end took 64 MB of an instance's 260 MB for each request.

Cause: an event was kept whatever its length, and searched for its end from its beginning with each read, so that the time grew with the square of the bytes. Other bodies were bounded by the client's default of 64 MB each, with no bound over all requests; streams were bounded by it as well, so that a long sound stream would have been cut.

A stream has no bound of its own: it is relayed as it arrives. The same two faults in the own interface's event parser are gone too.

EventSequenceSuite/feed_eventWithoutEnd_isTooLong and Events/parser_eventWithoutEnd_isTooLong need no network.

--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -4,6 +4,7 @@
 #include "Common/DelayedAction.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Tanagerbay::Entry {
 
@@ -25,6 +26,37 @@
 constexpr int kMinUrgencyValue = 3;
 constexpr int kMaxUrgencyValue = 9;
 constexpr unsigned kFirstServerErrorStatus = 500;
+// Responses other than streams are kept in memory until they are complete. A faulty endpoint may
+// send bytes without end, also to many requests at once.
+constexpr std::size_t kMaxResponseBytes = 8 << 20;
+constexpr std::size_t kMaxHeldResponseBytes = 32 << 20;
+
+// Counts the bytes of a response that is being read.
+class HeldBytes
+{
+public:
+    explicit HeldBytes(std::size_t &total) : total(total)
+    {
+    }
+    ~HeldBytes()
+    {
+        this->total -= this->own;
+    }
+    HeldBytes(const HeldBytes &) = delete;
+    HeldBytes &operator=(const HeldBytes &) = delete;
+
+    // Returns false if that exceeds the limit on all responses.
+    bool add(std::size_t bytes, std::size_t limit)
+    {
+        this->own += bytes;
+        this->total += bytes;
+        return this->total <= limit;
+    }
+
+private:
+    std::size_t &total;
+    std::size_t own = 0;
+};
 
 bool isSuccess(unsigned status)
 {
@@ -73,6 +105,8 @@
     // repeatable cannot be sent again.
     options.freshConnection = !this->attempts.repeatable;
     options.repeatable = false;
+    // The body is bounded as it is read, a stream by its events.
+    options.maxBodyBytes = std::numeric_limits<std::size_t>::max();
     options.handle = &this->call;
     const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
     if (entry && entry->maxConnections > 0)
@@ -185,12 +219,19 @@
 Http::Awaitable<Http::CallResult<std::string>> RequestFlow::readBody(Http::ResponseStream &stream)
 {
     std::string body;
+    HeldBytes held(this->state.heldResponseBytes);
     while (true) {
         const auto bytes = co_await stream.read(this->deadline);
         if (!bytes)
             co_return tl::unexpected(bytes.error());
         if (bytes->empty())
             co_return body;
+        if (body.size() + bytes->size() > kMaxResponseBytes
+            || !held.add(bytes->size(), kMaxHeldResponseBytes)) {
+            stream.close();
+            co_return tl::unexpected(
+                Http::CallError{Http::CallFailure::BadReply, true, "the response is too large"});
+        }
         body.append(*bytes);
     }
 }
@@ -219,7 +260,7 @@
     auto body = co_await this->readBody(stream);
     if (!body) {
         result.connectionLost = body.error().failure == Http::CallFailure::ConnectionLost;
-        result.detail = "the response body is incomplete";
+        result.detail = "the response body is incomplete: " + body.error().message;
         co_return result;
     }
     this->dependencies.crashWatch.noteAnswerBegun(this->traits);
@@ -289,8 +330,11 @@
             this->recordEnd(this->callerGone ? "caller-gone" : "answered", "stream");
             co_return result;
         }
-        if (this->events.feed(*bytes) != Serving::SequenceFault::None) {
-            result.detail = "stream events out of order";
+        const Serving::SequenceFault fault = this->events.feed(*bytes);
+        if (fault != Serving::SequenceFault::None) {
+            result.detail = fault == Serving::SequenceFault::EventTooLong
+                ? "stream event without end"
+                : "stream events out of order";
             break;
         }
         if (!wasAnswerBegun && this->hasAnswerBegun()) {
--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -21,6 +21,8 @@
 constexpr Common::Milliseconds kConnectTimeout{250};
 // Queue timers are set at least this far ahead.
 constexpr Common::Milliseconds kMinWakeDelay{5};
+// The results of a call are some 100 bytes for each piece.
+constexpr std::size_t kMaxResultsBytes = 1 << 20;
 
 std::int64_t countAnswers(const std::vector<Staging::PieceResult> &results,
                           Staging::PieceAnswer answer)
@@ -187,6 +189,7 @@
     Http::CallOptions options;
     options.deadline = clockNow() + kFreeTimeout;
     options.connectTimeout = kConnectTimeout;
+    options.maxBodyBytes = kMaxResultsBytes;
     const auto answer = co_await this->state.client.call(
         order.address, this->state.dialect.writeFreeOrder(order.handles), options);
     // A failure is only counted: the endpoint drops the results itself after their lifetime.
@@ -295,6 +298,7 @@
     options.deadline = call.deadline;
     options.connectTimeout = kConnectTimeout;
     options.repeatable = false;
+    options.maxBodyBytes = kMaxResultsBytes;
     Http::Request request = this->state.dialect.writeStageCall(call, sentAt);
     const auto answer
         = co_await this->state.client.call(call.endpoint.address, std::move(request), options);
--- a/Source/Core/Entry/State.h
+++ b/Source/Core/Entry/State.h
@@ -53,6 +53,8 @@
     // Set once the process has received a termination signal.
     std::optional<Serving::GracefulShutdown> leaving;
     std::size_t requestsInProgress = 0;
+    // Bytes of responses that are kept until they are complete.
+    std::size_t heldResponseBytes = 0;
     Common::Time lastRequestAt;
 };
 
--- a/Source/Core/Http/EventStream.cpp
+++ b/Source/Core/Http/EventStream.cpp
@@ -1,5 +1,9 @@
 #include "Http/EventStream.h"
 
+#include "Common/EventLimits.h"
+
+#include <algorithm>
+
 namespace Tanagerbay::Http {
 
 namespace {
@@ -57,6 +61,7 @@
 {
     if (this->offset > 0) {
         this->buffer.erase(0, this->offset);
+        this->searched -= std::min(this->searched, this->offset);
         this->offset = 0;
     }
     this->buffer.append(bytes);
@@ -64,9 +69,12 @@
 
 bool EventParser::next(Event &event)
 {
-    const std::size_t end = this->buffer.find(kEventEnd, this->offset);
-    if (end == std::string::npos)
+    const std::size_t end = this->buffer.find(kEventEnd, std::max(this->offset, this->searched));
+    if (end == std::string::npos) {
+        // The first byte of the end may have arrived.
+        this->searched = this->buffer.size() - std::min<std::size_t>(this->buffer.size(), 1);
         return false;
+    }
     std::string_view block(this->buffer.data() + this->offset, end - this->offset);
     event.id.clear();
     event.type.clear();
@@ -82,6 +90,11 @@
     return true;
 }
 
+bool EventParser::isEventTooLong() const
+{
+    return this->buffer.size() - this->offset > Common::kMaxEventBytes;
+}
+
 bool EventParser::hasPartialEvent() const
 {
     return this->offset < this->buffer.size();
--- a/Source/Core/Http/EventStream.h
+++ b/Source/Core/Http/EventStream.h
@@ -22,6 +22,9 @@
 {
 public:
     void feed(std::string_view bytes);
+    // Whether the buffer holds more bytes without the end of an event than an event may have. Asked
+    // after `next` has returned false.
+    bool isEventTooLong() const;
     bool next(Event &event);
     // Whether the buffer holds bytes of an incomplete event.
     bool hasPartialEvent() const;
@@ -29,6 +32,8 @@
 private:
     std::string buffer;
     std::size_t offset = 0;
+    // Offset before which no event ends.
+    std::size_t searched = 0;
 };
 
 } // namespace Tanagerbay::Http
--- a/Source/Core/Node/EngineStreamReader.cpp
+++ b/Source/Core/Node/EngineStreamReader.cpp
@@ -25,6 +25,10 @@
         if (!this->processEvent(event, outgoing))
             return false;
     }
+    if (this->parser.isEventTooLong()) {
+        this->problemText = "the engine sent an event without end";
+        return false;
+    }
     return !this->done;
 }
 
--- a/Source/Core/Serving/EventSequence.cpp
+++ b/Source/Core/Serving/EventSequence.cpp
@@ -1,5 +1,7 @@
 #include "Serving/EventSequence.h"
 
+#include "Common/EventLimits.h"
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -64,19 +66,24 @@
 
 SequenceFault EventSequence::feed(std::string_view bytes)
 {
+    // The line breaks that end an event may have arrived in part.
+    constexpr std::size_t kMaxEndBytes = 3;
     this->partial.append(bytes);
     std::size_t begin = 0;
-    while (const std::size_t end = completeEventEnd(this->partial, begin)) {
+    while (const std::size_t end
+           = completeEventEnd(this->partial, std::max(begin, this->searched))) {
         const std::string_view event = std::string_view(this->partial).substr(begin, end - begin);
         if (!this->acceptEvent(event)) {
-            this->partial.clear();
+            this->discardPartialEvent();
             return SequenceFault::OutOfSequence;
         }
         this->ready.append(event);
         begin = end;
     }
     this->partial.erase(0, begin);
-    return SequenceFault::None;
+    this->searched = this->partial.size() - std::min(this->partial.size(), kMaxEndBytes);
+    return this->partial.size() > Common::kMaxEventBytes ? SequenceFault::EventTooLong
+                                                         : SequenceFault::None;
 }
 
 std::string EventSequence::takeReady()
@@ -92,6 +99,7 @@
 void EventSequence::discardPartialEvent()
 {
     this->partial.clear();
+    this->searched = 0;
 }
 
 std::optional<std::uint64_t> EventSequence::lastEvent() const
--- a/Source/Core/Serving/EventSequence.h
+++ b/Source/Core/Serving/EventSequence.h
@@ -13,6 +13,8 @@
     None,
     // An event is missing, duplicated or has no number.
     OutOfSequence,
+    // An event exceeds `Common::kMaxEventBytes`.
+    EventTooLong,
 };
 
 class EventSequence
@@ -36,6 +38,8 @@
 
     std::string ready;
     std::string partial;
+    // Offset in `partial` before which no event ends.
+    std::size_t searched = 0;
     std::optional<std::uint64_t> last;
     std::uint64_t count = 0;
 };
--- a/Source/UnitTests/Http/EventStreamTest.cpp
+++ b/Source/UnitTests/Http/EventStreamTest.cpp
@@ -1,4 +1,5 @@
 #include "Http/EventStream.h"
+#include "Common/EventLimits.h"
 #include "Http/Types.h"
 
 #include <boost/test/unit_test.hpp>
@@ -63,4 +64,18 @@
     BOOST_TEST(parseAddress("127.0.0.1:80", address));
 }
 
+// Guards against an event without end that an engine of the own interface sends.
+BOOST_AUTO_TEST_CASE(parser_eventWithoutEnd_isTooLong)
+{
+    const std::string line = "data: " + std::string(4000, 'a') + "\n";
+    std::size_t fed = 0;
+    while (!this->parser.isEventTooLong() && fed < 4 * Tanagerbay::Common::kMaxEventBytes) {
+        this->parser.feed(line);
+        fed += line.size();
+        BOOST_TEST(!this->parser.next(this->event));
+    }
+    BOOST_TEST(this->parser.isEventTooLong());
+    BOOST_TEST(fed <= Tanagerbay::Common::kMaxEventBytes + line.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Serving/EventSequenceTest.cpp
+++ b/Source/UnitTests/Serving/EventSequenceTest.cpp
@@ -1,5 +1,7 @@
 #include "Serving/EventSequence.h"
 
+#include "Common/EventLimits.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace Tanagerbay::Serving;
@@ -32,6 +34,31 @@
     BOOST_TEST(!this->events.hasPartialEvent());
 }
 
+// Guards against an event without end that is kept and searched again with each read.
+BOOST_AUTO_TEST_CASE(feed_eventWithoutEnd_isTooLong)
+{
+    const std::string line = "data: " + std::string(4000, 'a') + "\n";
+    std::size_t fed = 0;
+    auto fault = SequenceFault::None;
+    while (fault == SequenceFault::None && fed < 4 * Tanagerbay::Common::kMaxEventBytes) {
+        fault = this->events.feed(line);
+        fed += line.size();
+    }
+    BOOST_TEST((fault == SequenceFault::EventTooLong));
+    BOOST_TEST(fed <= Tanagerbay::Common::kMaxEventBytes + line.size());
+}
+
+BOOST_AUTO_TEST_CASE(feed_endOfAnEventInPieces_isFound)
+{
+    const std::string whole = "id: 1\r\ndata: text\r\n\r\n";
+    for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+        EventSequence sequence;
+        BOOST_TEST((sequence.feed(whole.substr(0, cut)) == SequenceFault::None));
+        BOOST_TEST((sequence.feed(whole.substr(cut)) == SequenceFault::None));
+        BOOST_TEST(sequence.takeReady() == whole);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(feed_gap_isOutOfSequence)
 {
     BOOST_TEST((this->events.feed(event(1) + event(3)) == SequenceFault::OutOfSequence));
