Entry: Do not take a stream without length and events for complete

What callers saw: an engine that crashes as it begins an answer without a length could be relayed as a complete, empty stream with status 200, and the request was not sent to another engine.

Cause: only the end of the connection ends such a response, so that nothing distinguishes an engine that has nothing to say from one that has crashed. A stream with no event counted as complete in both forms.

Change: without a length, a stream is complete only if this engine has sent an event; otherwise its connection counts as lost, also as evidence of a crash. A chunked stream without events stays complete.

Evidence: PlatformStreams/unframedStream_endsWithoutAnEvent_isSentToAnotherWorker failed before (200 with an empty body). Streams that end with their connection after an event, within one, or by a reset were right before and have tests now.

--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -318,6 +318,13 @@
             result.detail = "stream ended within an event";
             break;
         }
+        // The end of the connection alone does not tell an endpoint that has nothing to say from
+        // one that crashed as it began.
+        if (bytes->empty() && stream.endsWithConnection() && !this->hasAnswerBegun()) {
+            result.connectionLost = true;
+            result.detail = "stream ended with its connection, without an event";
+            break;
+        }
         if (bytes->empty()) {
             result.isAnswered = true;
             if (!this->exchange.started()) {
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -440,6 +440,11 @@
     return this->state->reused;
 }
 
+bool ResponseStream::endsWithConnection() const
+{
+    return this->state->parser.need_eof();
+}
+
 Headers ResponseStream::headers() const
 {
     Headers headers;
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -108,6 +108,8 @@
     Headers headers() const;
     // Whether the request was sent over a connection that had served an earlier request.
     bool reusedConnection() const;
+    // Whether the body has no length, so that only the end of its connection ends it.
+    bool endsWithConnection() const;
     // Returns the next bytes of the body, or an empty view once the complete body has been read.
     // The view is valid until the next read.
     Awaitable<CallResult<std::string_view>> read(Common::Time deadline);
