Entry: Draw on the retry budget for a send after lost inputs

Cause: a request whose stage results are gone when its engine wants them runs its stages again and is sent once more without drawing on the budget of extra sends.

Change: that send draws on the budget like any other. Without budget the request is refused as not run.

Evidence: PlatformStreams/stagedRequests_resultsGoneAtFirst_secondSendsStayWithinTheBudget failed before (208 sends for 104 requests, 178 are allowed) and passes now.

--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -337,7 +337,8 @@
             this->recordEnd("caller-gone", sent.detail);
             co_return;
         }
-        if (sent.inputsGone && !hasRepeatedStages && !this->earlyEnd) {
+        if (sent.inputsGone && !hasRepeatedStages && !this->earlyEnd
+            && this->takeFromRetryBudget(clockNow())) {
             hasRepeatedStages = true;
             this->triedEndpoints.pop_back();
             this->state.log.write(LogLine("inputs-gone")
