Entry: Measure the progress of a stream by its events

What callers saw: a resumable stream whose worker had stalled stayed with it until the deadline if the worker sent a byte now and then, although another worker could have gone on with it.

Cause: the inactivity time-out began anew with each read, whatever was read.

Change: it begins with the send and with each complete event, after the caller has taken that event, so that a slow caller does not use up its worker's time.

Evidence: PlatformStreams/resumableStream_workerStallsWithSingleBytes_resumesAtAnotherWorker failed before (the stream was cut at the deadline) and passes now.

--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -89,7 +89,9 @@
     bool takeFromRetryBudget(Common::Time now);
     Http::Awaitable<SendResult> sendTo(const Routing::Endpoint &endpoint);
     Http::CallOptions callOptions(Common::Time now);
-    Common::Time sendDeadline(Common::Time now);
+    // Returns until when the endpoint may make no progress. `progressAt` is when the request was
+    // sent or its last event arrived.
+    Common::Time sendDeadline(Common::Time progressAt, Common::Time now);
     // Returns whether another endpoint and the retry budget would permit another send now.
     bool couldResumeElsewhere(Common::Time now);
     void applyResponseHead(const Routing::Endpoint &endpoint, const EndpointResponseHead &answer);
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -16,8 +16,8 @@
 // margin.
 constexpr Common::Milliseconds kInputFetchDuration{60};
 constexpr Common::Milliseconds kConnectTimeout{250};
-// Without data for this long, a repeatable request is sent to another endpoint. The time-out is a
-// multiple of the route's objective, or for streams of the expected engine time. Streams have a
+// Without progress for this long, a repeatable request is sent to another endpoint. The time-out is
+// a multiple of the route's objective, or for streams of the expected engine time. Streams have a
 // minimum well below the 2 s after which their callers give up.
 constexpr int kInactivityObjectives = 2;
 constexpr Common::Milliseconds kMinStreamInactivityTimeout{1200};
@@ -80,7 +80,7 @@
         && std::any_of(endpoints.begin(), endpoints.end(), isOther);
 }
 
-Common::Time RequestFlow::sendDeadline(Common::Time now)
+Common::Time RequestFlow::sendDeadline(Common::Time progressAt, Common::Time now)
 {
     const bool canRetry
         = this->attempts.repeatable && this->attempts.reached + 1 < this->attempts.maxAttempts;
@@ -93,13 +93,13 @@
         ? std::max<Common::Duration>(kMinStreamInactivityTimeout,
                                      this->estimatedEngineTime() * kInactivityObjectives)
         : Common::Duration(this->route->objective * kInactivityObjectives);
-    return std::min(this->deadline, now + inactivityTimeout);
+    return std::min(this->deadline, progressAt + inactivityTimeout);
 }
 
 Http::CallOptions RequestFlow::callOptions(Common::Time now)
 {
     Http::CallOptions options;
-    options.deadline = this->sendDeadline(now);
+    options.deadline = this->sendDeadline(now, now);
     options.connectTimeout = kConnectTimeout;
     // A reused connection may be closed while a request is written, and a request that is not
     // repeatable cannot be sent again.
@@ -306,8 +306,10 @@
     const Http::Headers headers = stream.headers();
     const unsigned status = stream.status();
     bool wasAnswerBegun = false;
+    Common::Time progressAt = clockNow();
     while (true) {
-        const auto bytes = co_await stream.read(this->sendDeadline(clockNow()));
+        // Bytes of an event that does not end are no progress.
+        const auto bytes = co_await stream.read(this->sendDeadline(progressAt, clockNow()));
         if (!bytes) {
             result.connectionLost = bytes.error().failure == Http::CallFailure::ConnectionLost;
             result.detail = "stream interrupted: " + bytes.error().message;
@@ -337,6 +339,7 @@
             this->recordEnd(this->callerGone ? "caller-gone" : "answered", "stream");
             co_return result;
         }
+        const std::uint64_t eventsBefore = this->events.eventCount();
         const Serving::SequenceFault fault = this->events.feed(*bytes);
         if (fault != Serving::SequenceFault::None) {
             result.detail = fault == Serving::SequenceFault::EventTooLong
@@ -352,6 +355,9 @@
             this->callerGone = true;
             break;
         }
+        // The caller may have taken its time to read the events.
+        if (this->events.eventCount() > eventsBefore)
+            progressAt = clockNow();
     }
     stream.close();
     this->events.discardPartialEvent();
