Staging: Recognize the copy of an earlier answer to a stage call

What callers saw: status 200 with results that were not their own. When a stage worker sent a second copy of an answer on a connection that was in use again, the copy was taken for the answer to the next call: results of other pieces reached the engine.

Cause: answers to stage calls name neither the call nor its pieces; only their number was compared. Connections were checked for unread bytes before a reuse, which a copy that arrives later passes.

Change: the handles of an endpoint's recent results are kept with the piece that each belongs to. An answer with the handle of another piece, or of another number, is rejected and its connection closed, so that the answer still to come cannot reach a third call. After an answer without results, whose copy could not be recognized, the connection is closed too. The client's `acceptReply` decides before a connection can be reused.

--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -23,6 +23,7 @@
 constexpr Common::Milliseconds kMinWakeDelay{5};
 // The results of a call are some 100 bytes for each piece.
 constexpr std::size_t kMaxResultsBytes = 1 << 20;
+constexpr unsigned kStatusOk = 200;
 
 std::int64_t countAnswers(const std::vector<Staging::PieceResult> &results,
                           Staging::PieceAnswer answer)
@@ -190,10 +191,15 @@
     options.deadline = clockNow() + kFreeTimeout;
     options.connectTimeout = kConnectTimeout;
     options.maxBodyBytes = kMaxResultsBytes;
+    // The copy of a reply to a call shows that the reply to this order is still to come.
+    options.acceptReply = [this](const Http::Response &reply) {
+        return this->state.dialect.readStageResults(reply.body) ? Http::ReplyUse::Reject
+                                                                : Http::ReplyUse::Accept;
+    };
     const auto answer = co_await this->state.client.call(
         order.address, this->state.dialect.writeFreeOrder(order.handles), options);
     // A failure is only counted: the endpoint drops the results itself after their lifetime.
-    if (!answer || answer->status != 200)
+    if (!answer || answer->status != kStatusOk)
         this->state.metrics.count("stage_frees_failed");
     if (answer) {
         this->applyResponseHead(
@@ -270,6 +276,20 @@
     this->dispatch(service);
 }
 
+Http::ReplyUse StageOwner::useOfReply(const std::string &service, const Staging::PlannedCall &call,
+                                      const Http::Response &reply)
+{
+    if (reply.status != kStatusOk)
+        return Http::ReplyUse::AcceptAndClose;
+    const auto results = this->state.dialect.readStageResults(reply.body);
+    if (!results || !Staging::isAnswerTo(this->queues[service].queue, call, *results)) {
+        this->state.metrics.count("stage_replies_rejected");
+        return Http::ReplyUse::Reject;
+    }
+    const bool hasResult = countAnswers(*results, Staging::PieceAnswer::Made) > 0;
+    return hasResult ? Http::ReplyUse::Accept : Http::ReplyUse::AcceptAndClose;
+}
+
 Http::Awaitable<void> StageOwner::runCall(std::string service, Staging::PlannedCall call)
 {
     const Common::Time sentAt = clockNow();
@@ -299,6 +319,9 @@
     options.connectTimeout = kConnectTimeout;
     options.repeatable = false;
     options.maxBodyBytes = kMaxResultsBytes;
+    options.acceptReply = [this, &service, &call](const Http::Response &reply) {
+        return this->useOfReply(service, call, reply);
+    };
     Http::Request request = this->state.dialect.writeStageCall(call, sentAt);
     const auto answer
         = co_await this->state.client.call(call.endpoint.address, std::move(request), options);
@@ -316,7 +339,7 @@
     } else {
         const EndpointResponseHead head
             = this->state.dialect.readResponseHead(answer->status, answer->headers);
-        const auto results = answer->status == 200
+        const auto results = answer->status == kStatusOk
             ? this->state.dialect.readStageResults(answer->body)
             : std::nullopt;
         if (results) {
--- a/Source/Core/Entry/StageOwner.h
+++ b/Source/Core/Entry/StageOwner.h
@@ -67,6 +67,9 @@
                            const EndpointResponseHead &head);
     void notifySettled(Queue &queue, const std::vector<Staging::SettledPiece> &settled);
     Http::Awaitable<void> runCall(std::string service, Staging::PlannedCall call);
+    // Decides whether a reply belongs to the call, and whether a copy of it could be recognized.
+    Http::ReplyUse useOfReply(const std::string &service, const Staging::PlannedCall &call,
+                              const Http::Response &reply);
     Http::Awaitable<void> notifyFetched(std::string service, Staging::CallNumber call,
                                         std::vector<Staging::PieceTicket> tickets);
     Http::Awaitable<void> runFreeOrder(std::string service, Staging::FreeOrder order);
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -106,6 +106,8 @@
     CallHandle *handle = nullptr;
     std::size_t maxIdleConnections = 0;
     bool reused = false;
+    // The complete reply has to be accepted before its connection is released.
+    bool isHeldUntilAccepted = false;
 };
 
 namespace {
@@ -348,14 +350,25 @@
     Response response;
     response.status = opened->status();
     response.headers = opened->headers();
+    opened->state->isHeldUntilAccepted = options.acceptReply != nullptr;
     while (true) {
         const auto bytes = co_await opened->read(options.deadline);
         if (!bytes)
             co_return tl::unexpected(bytes.error());
         if (bytes->empty())
-            co_return response;
+            break;
         response.body.append(*bytes);
     }
+    if (options.acceptReply) {
+        const ReplyUse use = options.acceptReply(response);
+        if (use == ReplyUse::Accept)
+            opened->release();
+        opened->close();
+        if (use == ReplyUse::Reject)
+            co_return tl::unexpected(
+                CallError{CallFailure::BadReply, true, "the reply belongs to another request"});
+    }
+    co_return response;
 }
 
 ResponseStream::ResponseStream() = default;
@@ -413,22 +426,26 @@
         state.closeConnection();
         co_return tl::unexpected(std::move(failed));
     }
-    if (count == 0) {
-        if (state.parser.get().keep_alive() && !state.parser.need_eof()) {
-            const auto idleTimeout = announcedIdleTimeout(this->header("Keep-Alive"));
-            if (idleTimeout)
-                state.connection->reuseDeadline = Common::clockNow()
-                    + std::chrono::duration_cast<Common::Duration>(*idleTimeout
-                                                                   * kReusableIdleTimeShare);
-            state.pool->release(state.address, std::move(state.connection),
-                                state.maxIdleConnections);
-            state.connection.reset();
-        }
+    if (count == 0 && !state.isHeldUntilAccepted) {
+        this->release();
         state.closeConnection();
     }
     co_return std::string_view(state.bytes.data(), count);
 }
 
+void ResponseStream::release()
+{
+    State &state = *this->state;
+    if (!state.connection || !state.parser.get().keep_alive() || state.parser.need_eof())
+        return;
+    const auto idleTimeout = announcedIdleTimeout(this->header("Keep-Alive"));
+    if (idleTimeout)
+        state.connection->reuseDeadline = Common::clockNow()
+            + std::chrono::duration_cast<Common::Duration>(*idleTimeout * kReusableIdleTimeShare);
+    state.pool->release(state.address, std::move(state.connection), state.maxIdleConnections);
+    state.connection.reset();
+}
+
 void ResponseStream::close()
 {
     if (this->state)
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -66,6 +66,16 @@
 
 class ResponseStream;
 
+// What becomes of a complete reply and its connection.
+enum class ReplyUse {
+    Accept,
+    // The reply is used; its connection is closed, since a copy of it would not be recognized
+    // there.
+    AcceptAndClose,
+    // The reply belongs to an earlier request on the connection; the call fails.
+    Reject,
+};
+
 struct CallOptions
 {
     Common::Time deadline;
@@ -87,6 +97,8 @@
     // Runs once the head of the reply has been read. If it returns false, the reply is discarded
     // and the connection is closed.
     std::function<bool(const ResponseStream &)> acceptHead;
+    // For `call`: runs once the reply is complete, before its connection can be reused.
+    std::function<ReplyUse(const Response &)> acceptReply;
 };
 
 template <typename T>
@@ -119,6 +131,8 @@
 private:
     friend class Client;
     struct State;
+    // Makes the connection available to other calls if its reply has ended as its framing requires.
+    void release();
     std::unique_ptr<State> state;
 };
 
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -212,6 +212,20 @@
     return taken;
 }
 
+bool isAnswerTo(StageQueue &queue, const PlannedCall &call, const std::vector<PieceResult> &results)
+{
+    const auto endpoint = queue.endpoints.find(call.endpoint.id);
+    if (endpoint == queue.endpoints.end() || results.size() != call.pieces.size())
+        return false;
+    bool isOwn = true;
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        if (results[i].answer == PieceAnswer::Made)
+            isOwn = noteResult(endpoint->second.origins, results[i].handle, call.pieces[i].request)
+                && isOwn;
+    }
+    return isOwn;
+}
+
 std::vector<SettledPiece> callAnswered(StageQueue &queue, CallNumber number,
                                        const std::vector<PieceResult> &results, Time now)
 {
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -9,6 +9,7 @@
 #include "Catalog/Catalog.h"
 #include "Common/Address.h"
 #include "Routing/Endpoint.h"
+#include "Staging/ResultOrigins.h"
 
 #include <deque>
 #include <map>
@@ -146,6 +147,7 @@
     // result memory is full.
     Common::Time fullUntil;
     HeldResults held;
+    ResultOrigins origins;
     // Handles of unneeded results whose release has not been sent to the endpoint yet.
     std::vector<std::string> pendingFrees;
 };
@@ -271,6 +273,11 @@
 std::vector<SettledPiece> callAnswered(StageQueue &queue, CallNumber call,
                                        const std::vector<PieceResult> &results, Common::Time now);
 
+// Returns whether an answer may belong to this call. Otherwise it is the copy of an earlier answer,
+// and the answer of the call is still to come.
+bool isAnswerTo(StageQueue &queue, const PlannedCall &call,
+                const std::vector<PieceResult> &results);
+
 enum class CallFault {
     // The endpoint answered that it did not accept the call.
     Refused,
--- a/Source/UnitTests/Staging/StageQueueTest.cpp
+++ b/Source/UnitTests/Staging/StageQueueTest.cpp
@@ -418,4 +418,36 @@
     BOOST_TEST(this->answer(calls.front()).empty());
 }
 
+// Guards against the copy of an earlier answer being taken for the answer to this call.
+BOOST_AUTO_TEST_CASE(answer_repeatsResultsOfAnotherPiece_belongsToAnotherCall)
+{
+    this->keepOneEndpoint();
+    submit(this->queue, this->piece("r1"), this->now);
+    const PlannedCall first = this->plan().front();
+    const std::vector<PieceResult> results{{PieceAnswer::Made, "h1"}};
+    BOOST_TEST(isAnswerTo(this->queue, first, results));
+    callAnswered(this->queue, first.number, results, this->now);
+    submit(this->queue, this->piece("r2"), this->now);
+    const PlannedCall second = this->plan().front();
+    BOOST_TEST(!isAnswerTo(this->queue, second, results));
+    BOOST_TEST(isAnswerTo(this->queue, second, {{PieceAnswer::Made, "h2"}}));
+    // The same piece may be made again.
+    BOOST_TEST(isAnswerTo(this->queue, first, results));
+    BOOST_TEST(!isAnswerTo(this->queue, first, {}));
+}
+
+// An endpoint that has restarted may number its results anew.
+BOOST_AUTO_TEST_CASE(answer_ofARestartedEndpoint_mayUseHandlesOfTheEarlierProcess)
+{
+    this->keepOneEndpoint();
+    submit(this->queue, this->piece("r1"), this->now);
+    const PlannedCall first = this->plan().front();
+    BOOST_TEST(isAnswerTo(this->queue, first, {{PieceAnswer::Made, "h1"}}));
+    this->listed.front().incarnation = 2;
+    applyEndpoints(this->queue, this->listed, this->now);
+    submit(this->queue, this->piece("r2"), this->now);
+    const PlannedCall second = this->plan().front();
+    BOOST_TEST(isAnswerTo(this->queue, second, {{PieceAnswer::Made, "h1"}}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
