Node: Bound the engines that one generation may lose

What callers saw: at the own interface, a request that crashes each engine that begins its answer was sent to up to six of them.

Cause: the class of the incident, found by looking for it elsewhere: each lost engine was a reason to try the next one, as long as the retry budget allowed.

Change: after two engines that were lost before their first token, the request fails as it would without another engine. Engines that are unreachable, refuse or fail later in the stream do not count.

Evidence: InstanceAnswers/enginesAreLostBeforeTheAnswer_requestReachesTwoOfThem failed before (all three engines of the fixture were tried). The own interface keeps no evidence across requests: a prompt has no parts there that others are known to share.

--- a/Source/Core/Node/Generation.cpp
+++ b/Source/Core/Node/Generation.cpp
@@ -18,6 +18,8 @@
 
 // Maximum number of engines that one generation may use, including the first.
 constexpr std::uint32_t kMaxEngines = 6;
+// Engines that one request may lose before they begin their answer: the request may be the cause.
+constexpr std::uint32_t kMaxEnginesLostBeforeAnswer = 2;
 
 enum class SegmentEnd { Complete, Broken, TooSlow, CallerGone, DeadlineExceeded, DrainTimedOut };
 
@@ -28,6 +30,8 @@
     std::string digest;
     std::string problem;
     Routing::CallReport report;
+    // The connection was lost before the engine's first token.
+    bool isLostBeforeAnswer = false;
 };
 
 class Relay
@@ -139,6 +143,8 @@
         }
         if (!bytes) {
             segment.problem = std::string(Common::nameOf(bytes.error().failure));
+            segment.isLostBeforeAnswer
+                = !hadToken && bytes.error().failure == Http::CallFailure::ConnectionLost;
             segment.end
                 = now >= this->run.deadline ? SegmentEnd::DeadlineExceeded : SegmentEnd::Broken;
             co_return segment;
@@ -231,6 +237,8 @@
     if (!reply) {
         segment.problem = std::string(Common::nameOf(reply.error().failure));
         const bool unreachable = reply.error().failure == Http::CallFailure::ConnectFailed;
+        segment.isLostBeforeAnswer
+            = reply.error().written && reply.error().failure == Http::CallFailure::ConnectionLost;
         segment.report.end = unreachable ? Routing::CallEnd::Unreachable : Routing::CallEnd::Failed;
         if (clockNow() >= this->run.deadline)
             segment.end = SegmentEnd::DeadlineExceeded;
@@ -308,7 +316,9 @@
     std::string problem = "pool " + this->call.pool + " has no available engine";
     this->resuming = this->call.resume.has_value();
     this->result.tokens.callerTokenCount = this->resuming ? this->call.resume->callerTokenCount : 0;
-    for (std::uint32_t engines = 0; engines < kMaxEngines; ++engines) {
+    std::uint32_t lostBeforeAnswer = 0;
+    for (std::uint32_t engines = 0;
+         engines < kMaxEngines && lostBeforeAnswer < kMaxEnginesLostBeforeAnswer; ++engines) {
         if (engines > 0 && !this->takeRetry())
             break;
         const auto engine = this->resuming ? this->chooseEngineToResume() : this->chooseEngine();
@@ -318,6 +328,7 @@
         const Common::Time start = clockNow();
         Segment segment = co_await this->runSegment(*engine);
         this->recordSegment(segment, start);
+        lostBeforeAnswer += segment.isLostBeforeAnswer ? 1 : 0;
         switch (segment.end) {
         case SegmentEnd::Complete:
             this->result.digest = std::move(segment.digest);
--- a/Source/UnitTests/Node/InstanceTest.cpp
+++ b/Source/UnitTests/Node/InstanceTest.cpp
@@ -129,6 +129,20 @@
     BOOST_TEST(this->counter(Common::Counter::StreamsContinued) > 0u);
 }
 
+// Guards against a request that crashes each engine that begins its answer being sent to all of
+// them.
+BOOST_AUTO_TEST_CASE(enginesAreLostBeforeTheAnswer_requestReachesTwoOfThem)
+{
+    const std::uint64_t before = this->counter(Common::Counter::StageRetries);
+    for (const auto &[engine, tokens] : this->tokensByEngine())
+        this->setFault(engine, "drop-before");
+    const Reply reply
+        = this->pipeline("ask", R"({"input":{"text":"question"},"stream":true,"maxTokens":10})");
+    this->clearFaults();
+    BOOST_TEST(reply.status == 502u);
+    BOOST_TEST(this->counter(Common::Counter::StageRetries) - before == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(callerDisconnected_resumesStreamAfterLastEvent)
 {
     const std::string body = R"({"input":{"text":"question"},"stream":true,"maxTokens":400})";
