Tests: Name what the quarantine fixture waits for

Cause: `settle` does not say what has happened afterwards. Change: it is `waitUntilCrashesCount`; no check, bound or seed changes, and no file of the product.

--- a/Source/UnitTests/Quarantine/CrashEvidenceTest.cpp
+++ b/Source/UnitTests/Quarantine/CrashEvidenceTest.cpp
@@ -43,7 +43,7 @@
     }
     messages.push_back({std::nullopt, Acquittal{kFirst, this->now}});
     messages.push_back({std::nullopt, Acquittal{kSession, this->now}});
-    this->settle();
+    this->waitUntilCrashesCount();
     std::mt19937_64 random(5);
     for (int order = 0; order < 50; ++order) {
         std::shuffle(messages.begin(), messages.end(), random);
@@ -95,7 +95,7 @@
         crash.at = this->now;
         BOOST_TEST(mergeCrash(this->evidence, crash, this->now).crashes.empty());
     }
-    this->settle();
+    this->waitUntilCrashesCount();
     BOOST_TEST(!this->isQuarantined({kDeadly}));
 }
 
--- a/Source/UnitTests/Quarantine/QuarantineFixture.h
+++ b/Source/UnitTests/Quarantine/QuarantineFixture.h
@@ -28,7 +28,7 @@
     }
 
     // Time in which evidence spreads and settles.
-    void settle()
+    void waitUntilCrashesCount()
     {
         this->wait(Common::Milliseconds(300));
     }
@@ -44,7 +44,7 @@
     void crash(std::vector<Trait> suspects)
     {
         mergeCrash(this->evidence, this->nextCrash(std::move(suspects)), this->now);
-        this->settle();
+        this->waitUntilCrashesCount();
     }
 
     void answer(const std::vector<Trait> &traits)
--- a/Source/UnitTests/Quarantine/VerdictTest.cpp
+++ b/Source/UnitTests/Quarantine/VerdictTest.cpp
@@ -38,7 +38,7 @@
     this->wait(Common::Milliseconds(400));
     for (Trait session = 10; session < 40; ++session)
         mergeCrash(this->evidence, this->nextCrash({kFirst, session}), this->now);
-    this->settle();
+    this->waitUntilCrashesCount();
     BOOST_TEST(!this->isQuarantined({kFirst, 10}));
     BOOST_TEST(quarantined(this->evidence, this->now).empty());
 }
@@ -51,7 +51,7 @@
     BOOST_TEST(!this->isQuarantined({kFirst}));
     this->wait(Common::Milliseconds(100));
     mergeAcquittal(this->evidence, {kFirst, this->now}, this->now);
-    this->settle();
+    this->waitUntilCrashesCount();
     BOOST_TEST(!this->isQuarantined({kFirst}));
 }
 
@@ -155,7 +155,7 @@
     BOOST_REQUIRE(next.has_value());
     BOOST_TEST((*next > this->now));
     BOOST_TEST((*next - this->now <= Common::Milliseconds(300)));
-    this->settle();
+    this->waitUntilCrashesCount();
     BOOST_TEST(!nextDecisionAt(this->evidence, this->now).has_value());
 }
 
