Serving: Let requests without a response keep a leaving process from its exit

Cause: the exit was a time, 250 ms after the final answers were ordered, whatever was still open. A late instance ended its requests and exited in the same turn, before one answer was written, with grace left. Begun streams were cut an eighth of the grace period before its end.

Change: the process exits once no request is left; streams that have begun are cut a sixteenth before the end of the grace period, and requests without a response keep the process until a sixty-fourth before it. An instance that orders its final answers later than that still has 50 ms to write them: if it is killed meanwhile, nothing more is lost than by an exit. The times at which requests are refused or ended stay as they were.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -1,5 +1,6 @@
 #include "Entry/EntryInstance.h"
 
+#include <algorithm>
 #include <csignal>
 
 #include <boost/asio/co_spawn.hpp>
@@ -316,8 +317,13 @@
 
 Serving::ShutdownActivity EntryInstance::shutdownActivity() const
 {
-    return {this->state.lastRequestAt, this->state.requestsInProgress,
-            this->stageOwner.openPieces()};
+    const auto begun = static_cast<std::size_t>(std::count_if(
+        this->openRequests.begin(), this->openRequests.end(), [](const RequestFlow &request) {
+            return request.phase() == Serving::RequestPhase::Responding;
+        }));
+    const std::size_t inProgress = this->state.requestsInProgress;
+    return {this->state.lastRequestAt, inProgress, this->stageOwner.openPieces(),
+            inProgress - begun};
 }
 
 void EntryInstance::endRequestsForShutdown(Common::Time now)
--- a/Source/Core/Serving/GracefulShutdown.cpp
+++ b/Source/Core/Serving/GracefulShutdown.cpp
@@ -7,13 +7,18 @@
 
 namespace {
 
-// The process exits this part of the grace period before the platform would kill it. A slow machine
-// notices the signal late, and needs time to end.
-constexpr double kGraceMarginShare = 0.125;
+// The final answers are written this part of the grace period before the platform would kill the
+// process. A slow machine notices the signal late, and needs time to end.
+constexpr double kAnswerMarginShare = 0.125;
+// The process exits this part of the grace period before it would be killed, even if responses are
+// being sent.
+constexpr double kExitMarginShare = 0.0625;
 // The same for an instance that is too slow to give all final answers in time.
-constexpr double kMinGraceMarginShare = 0.0625;
+constexpr double kMinExitMarginShare = 0.015625;
 // Time for the final answers of all open requests to be written.
 constexpr Common::Milliseconds kAnswerPeriod{250};
+// The same for an instance that is so late that it would be killed within that time.
+constexpr Common::Milliseconds kMinAnswerPeriod{50};
 // Callers refresh the directory within 2 s.
 constexpr Common::Milliseconds kAcceptAllPeriod{2500};
 // An instance serves at least this long for callers that still have its address cached. Some of
@@ -27,15 +32,15 @@
 
 GracefulShutdown beginShutdown(Common::Duration gracePeriod, Common::Time now)
 {
-    const auto exitBefore = [&](double marginShare) {
+    const auto beforeKill = [&](double marginShare) {
         return now + gracePeriod
             - std::chrono::duration_cast<Common::Duration>(gracePeriod * marginShare);
     };
     GracefulShutdown shutdown;
     shutdown.startedAt = now;
-    shutdown.exitsAt = exitBefore(kGraceMarginShare);
-    shutdown.latestExitAt = exitBefore(kMinGraceMarginShare);
-    shutdown.answersDueAt = shutdown.exitsAt - kAnswerPeriod;
+    shutdown.answersDueAt = beforeKill(kAnswerMarginShare) - kAnswerPeriod;
+    shutdown.exitsAt = beforeKill(kExitMarginShare);
+    shutdown.latestExitAt = beforeKill(kMinExitMarginShare);
     return shutdown;
 }
 
@@ -66,14 +71,23 @@
 {
     if (std::exchange(shutdown.areAnswersGiven, true))
         return;
+    shutdown.latestExitAt = std::max(shutdown.latestExitAt, now + kMinAnswerPeriod);
     shutdown.exitsAt = std::clamp(now + kAnswerPeriod, shutdown.exitsAt, shutdown.latestExitAt);
 }
 
 bool mayExit(const GracefulShutdown &shutdown, const ShutdownActivity &activity, Common::Time now)
 {
+    if (now >= shutdown.latestExitAt)
+        return true;
+    if (activity.unansweredRequests > 0)
+        return false;
     if (now >= shutdown.exitsAt)
         return true;
-    if (activity.requestsInProgress > 0 || activity.openPieces > 0)
+    if (activity.requestsInProgress > 0)
+        return false;
+    if (now >= shutdown.answersDueAt + kAnswerPeriod)
+        return true;
+    if (activity.openPieces > 0)
         return false;
     const Common::Time quietSince = std::max(shutdown.startedAt, activity.lastRequestAt);
     return now - quietSince > kDrainIdlePeriod && now - shutdown.startedAt > kMinDrainDuration;
--- a/Source/Core/Serving/GracefulShutdown.h
+++ b/Source/Core/Serving/GracefulShutdown.h
@@ -15,9 +15,9 @@
     Common::Time startedAt;
     // When requests whose response has not begun get their final answer.
     Common::Time answersDueAt;
-    // When the process exits, even with requests in progress.
+    // When the process exits, even if responses that have begun are not complete.
     Common::Time exitsAt;
-    // `exitsAt` is never postponed beyond this.
+    // When the process exits, even if requests have no response yet. Shortly before it is killed.
     Common::Time latestExitAt;
     bool areAnswersGiven = false;
 };
@@ -29,6 +29,8 @@
     std::size_t requestsInProgress = 0;
     // Pieces of any instance's requests in the queues of this one.
     std::size_t openPieces = 0;
+    // Those of the requests in progress whose response has not begun.
+    std::size_t unansweredRequests = 0;
 };
 
 // Returns the shutdown of an instance that the platform kills after `gracePeriod`.
@@ -47,7 +49,8 @@
              Common::Time now);
 
 // Records that the final answers are given at `now`. Postpones the exit if that is late, so that
-// they can still be written.
+// they can still be written. An instance that is later than its last exit tries to write them
+// nevertheless: if it is killed meanwhile, nothing more is lost than by an exit.
 void noteAnswersGiven(GracefulShutdown &shutdown, Common::Time now);
 
 // Returns whether the process may exit.
--- a/Source/UnitTests/Serving/GracefulShutdownTest.cpp
+++ b/Source/UnitTests/Serving/GracefulShutdownTest.cpp
@@ -87,6 +87,23 @@
     BOOST_TEST(mayExit(this->shutdown, busy, this->shutdown.exitsAt));
 }
 
+// Guards against an exit before a request is answered although the platform still gives time.
+BOOST_AUTO_TEST_CASE(mayExit_requestHasNoResponseYet_waitsUntilTheLatestExit)
+{
+    const ShutdownActivity unanswered{this->now, 1, 0, 1};
+    BOOST_TEST(!mayExit(this->shutdown, unanswered, this->shutdown.exitsAt));
+    BOOST_TEST(!mayExit(this->shutdown, unanswered, this->shutdown.latestExitAt - milliseconds(1)));
+    BOOST_TEST(mayExit(this->shutdown, unanswered, this->shutdown.latestExitAt));
+}
+
+BOOST_AUTO_TEST_CASE(mayExit_finalAnswersWereGivenAndNoRequestIsLeft_exits)
+{
+    const ShutdownActivity answered{this->shutdown.answersDueAt, 0, 2};
+    const Common::Time answeredAt = this->shutdown.answersDueAt + milliseconds(250);
+    BOOST_TEST(!mayExit(this->shutdown, answered, answeredAt - milliseconds(1)));
+    BOOST_TEST(mayExit(this->shutdown, answered, answeredAt));
+}
+
 BOOST_AUTO_TEST_CASE(mayExit_piecesOfOtherInstancesAreOpen_waits)
 {
     const ShutdownActivity owner{this->now, 0, 3};
@@ -111,6 +128,16 @@
     BOOST_TEST((this->shutdown.exitsAt == this->shutdown.latestExitAt));
 }
 
+// Guards against an instance that cancels its requests and exits without writing their answers.
+BOOST_AUTO_TEST_CASE(noteAnswersGiven_afterTheLatestExit_leavesTimeToWriteThem)
+{
+    const Common::Time late = this->shutdown.latestExitAt + milliseconds(20);
+    noteAnswersGiven(this->shutdown, late);
+    const ShutdownActivity unanswered{late, 1, 0, 1};
+    BOOST_TEST(!mayExit(this->shutdown, unanswered, late + milliseconds(49)));
+    BOOST_TEST(mayExit(this->shutdown, unanswered, late + milliseconds(50)));
+}
+
 BOOST_AUTO_TEST_CASE(noteAnswersGiven_inTime_leavesTheExit)
 {
     const Common::Time exitsAt = this->shutdown.exitsAt;
