Http: Let a leaving process answer requests that it has begun to read

Cause: a request counted from the begin of its handler. One whose bytes were read in part, or wholly with its handler still to begin, was invisible to the exit and closed without an answer. Rejections by the server itself were neither counted.

Change: the server counts requests from their first byte to the begin of their handler, and the exit waits for them as for others without a response. So that new requests do not keep the process, the listener and the connections that wait for a request are closed once the final answers had their time, which is when the process ended before.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -311,6 +311,8 @@
         co_await this->state.sleepFor(kDrainPollInterval);
         // Before the check for the exit, also if this instance is far behind.
         this->endRequestsForShutdown(clockNow());
+        if (!Serving::mayRead(*this->state.leaving, clockNow()))
+            this->callerServer->closeIdle();
     } while (!Serving::mayExit(*this->state.leaving, this->shutdownActivity(), clockNow()));
     this->state.context.stop();
 }
@@ -323,7 +325,7 @@
         }));
     const std::size_t inProgress = this->state.requestsInProgress;
     return {this->state.lastRequestAt, inProgress, this->stageOwner.openPieces(),
-            inProgress - begun};
+            inProgress - begun + this->callerServer->requestsBeingRead()};
 }
 
 void EntryInstance::endRequestsForShutdown(Common::Time now)
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -28,6 +28,25 @@
 constexpr std::size_t kMaxDrainedBytes = 4 << 20;
 constexpr Common::Milliseconds kMaxDrainDuration{500};
 
+// Raises a count while it exists.
+class CountGuard
+{
+public:
+    explicit CountGuard(std::atomic<std::size_t> &count) : count(count)
+    {
+        ++this->count;
+    }
+    ~CountGuard()
+    {
+        --this->count;
+    }
+    CountGuard(const CountGuard &) = delete;
+    CountGuard &operator=(const CountGuard &) = delete;
+
+private:
+    std::atomic<std::size_t> &count;
+};
+
 template <bool IsRequest>
 void addField(http::header<IsRequest> &message, const Header &field)
 {
@@ -44,10 +63,12 @@
 }
 
 Connection::Connection(tcp::socket socket, const ServerOptions &options,
-                       const std::atomic<bool> &closeAfterAnswers, std::size_t contextIndex)
+                       const std::atomic<bool> &closeAfterAnswers,
+                       std::atomic<std::size_t> &requestsBeingRead, std::size_t contextIndex)
     : stream(std::move(socket)),
       deadline(this->stream.get_executor(), [this] { this->cancelSocket(); }), options(options),
-      closeAfterAnswers(closeAfterAnswers), context(contextIndex)
+      closeAfterAnswers(closeAfterAnswers), requestsBeingRead(requestsBeingRead),
+      context(contextIndex)
 {
     beast::error_code ignored;
     this->stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -159,9 +180,19 @@
     this->stream.close();
 }
 
+void Connection::closeIfIdle()
+{
+    if (this->isIdle)
+        this->cancelSocket();
+}
+
 Awaitable<void> Connection::serve(const Handler &handler, const std::atomic<bool> &accepting)
 {
-    while (co_await this->readRequest()) {
+    while (accepting) {
+        // GCC 12 evaluates the condition of a loop wrongly that combines this with another.
+        const bool isRead = co_await this->readRequest();
+        if (!isRead)
+            break;
         this->answered = false;
         this->headWritten = false;
         // The request may have waited in the socket buffer until after its caller disconnected.
@@ -170,7 +201,7 @@
         co_await handler(*this);
         this->callerGoneAction = nullptr;
         this->stopWatching.emit(asio::cancellation_type::all);
-        if (!this->answered || !this->keepAlive || !accepting)
+        if (!this->answered || !this->keepAlive)
             break;
     }
     beast::error_code ignored;
@@ -190,6 +221,8 @@
         if (error)
             co_return false;
     }
+    // Until the handler begins, which follows in the same turn of the executor.
+    const CountGuard reading(this->requestsBeingRead);
     this->deadline.moveTo(clockNow() + this->options.requestTimeout);
     co_await http::async_read_header(this->stream, this->buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
@@ -216,8 +249,10 @@
 
 Awaitable<void> Connection::readFirstByte(beast::error_code &error)
 {
+    this->isIdle = true;
     const auto bytes = co_await this->stream.async_read_some(
         this->buffer.prepare(1), asio::redirect_error(asio::use_awaitable, error));
+    this->isIdle = false;
     this->buffer.commit(bytes);
 }
 
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -23,8 +23,10 @@
 class Connection final : public Exchange, public std::enable_shared_from_this<Connection>
 {
 public:
+    // `requestsBeingRead` counts the requests of which a part has been read, and not the last byte.
     Connection(boost::asio::ip::tcp::socket socket, const ServerOptions &options,
-               const std::atomic<bool> &closeAfterAnswers, std::size_t contextIndex);
+               const std::atomic<bool> &closeAfterAnswers,
+               std::atomic<std::size_t> &requestsBeingRead, std::size_t contextIndex);
 
     const Request &request() const override;
     std::size_t contextIndex() const override;
@@ -42,6 +44,8 @@
     Awaitable<void> serve(const Handler &handler, const std::atomic<bool> &accepting);
     // Closes the connection and reports the caller as gone to the request in progress.
     void disconnect();
+    // Closes the connection if it waits for its next request.
+    void closeIfIdle();
 
 private:
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
@@ -70,6 +74,7 @@
     LazyDeadline deadline;
     const ServerOptions &options;
     const std::atomic<bool> &closeAfterAnswers;
+    std::atomic<std::size_t> &requestsBeingRead;
     std::size_t context;
     Common::Time requestReceivedAt;
     boost::beast::flat_buffer buffer;
@@ -79,6 +84,7 @@
     bool answered = false;
     bool headWritten = false;
     bool gone = false;
+    bool isIdle = false;
     std::function<void()> callerGoneAction;
     boost::asio::cancellation_signal stopWatching;
 };
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -29,6 +29,7 @@
     std::shared_ptr<tcp::acceptor> acceptor;
     std::atomic<bool> accepting{true};
     std::atomic<std::size_t> connectionCount{0};
+    std::atomic<std::size_t> requestsBeingRead{0};
     unsigned short port = 0;
     // Open connections by context; each set is used on its context's thread only. The references
     // are weak, since this state may outlive the contexts and a connection must not.
@@ -43,8 +44,9 @@
 Awaitable<void> serveConnection(std::shared_ptr<State> state, tcp::socket socket,
                                 std::size_t contextIndex)
 {
-    auto connection = std::make_shared<Connection>(std::move(socket), state->options,
-                                                   state->closeAfterAnswers, contextIndex);
+    auto connection
+        = std::make_shared<Connection>(std::move(socket), state->options, state->closeAfterAnswers,
+                                       state->requestsBeingRead, contextIndex);
     // `closeAll` may have run between accepting this connection and serving it.
     if (!state->closing) {
         state->openByContext[contextIndex].insert(connection);
@@ -88,6 +90,22 @@
     }
 }
 
+// Calls `action` for each open connection, on the context that serves it.
+template <typename State>
+void forEachConnection(const std::shared_ptr<State> &state, void (Connection::*action)())
+{
+    for (std::size_t i = 0; i < state->contexts.size(); ++i) {
+        asio::post(*state->contexts[i], [state, action, i] {
+            // Iterate over a copy, since a connection removes itself from the set when it ends.
+            const auto connections = state->openByContext[i];
+            for (const auto &weak : connections) {
+                if (const auto connection = weak.lock())
+                    (connection.get()->*action)();
+            }
+        });
+    }
+}
+
 } // namespace
 
 Server::Server(std::vector<asio::io_context *> contexts, ServerOptions options, Handler handler)
@@ -160,20 +178,17 @@
     options.idleTimeout = limits.idleTimeout;
 }
 
+void Server::closeIdle()
+{
+    this->stopAccepting();
+    forEachConnection(this->state, &Connection::closeIfIdle);
+}
+
 void Server::closeAll()
 {
     this->stopAccepting();
     this->state->closing = true;
-    for (std::size_t i = 0; i < this->state->contexts.size(); ++i) {
-        asio::post(*this->state->contexts[i], [state = this->state, i] {
-            // Iterate over a copy, since a connection removes itself from the set when it ends.
-            const auto connections = state->openByContext[i];
-            for (const auto &weak : connections) {
-                if (const auto connection = weak.lock())
-                    connection->disconnect();
-            }
-        });
-    }
+    forEachConnection(this->state, &Connection::disconnect);
 }
 
 std::size_t Server::openConnections() const
@@ -181,6 +196,11 @@
     return this->state->connectionCount.load();
 }
 
+std::size_t Server::requestsBeingRead() const
+{
+    return this->state->requestsBeingRead.load();
+}
+
 unsigned short Server::port() const
 {
     return this->state->port;
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -76,12 +76,18 @@
     // From now on each response announces that its connection is closed and closes it. New
     // connections are still accepted.
     void closeAfterAnswers();
+    // Closes the listener and the connections that wait for their next request. Requests that have
+    // been read in part are still read and answered.
+    void closeIdle();
     // Applies the body and header size limits and the idle, request and body time-outs of `limits`
     // to requests that are read from now on.
     void applyLimits(const ServerOptions &limits);
     // Closes the listener and every connection. Requests in progress see their callers as gone.
     void closeAll();
     std::size_t openConnections() const;
+    // Number of requests of which a part has been read, and which no handler has yet. Includes
+    // those that the server rejects itself.
+    std::size_t requestsBeingRead() const;
     unsigned short port() const;
 
 private:
--- a/Source/Core/Serving/GracefulShutdown.cpp
+++ b/Source/Core/Serving/GracefulShutdown.cpp
@@ -52,6 +52,11 @@
         || now + maxDuration <= shutdown.answersDueAt;
 }
 
+bool mayRead(const GracefulShutdown &shutdown, Common::Time now)
+{
+    return now < shutdown.answersDueAt + kAnswerPeriod;
+}
+
 bool mustEnd(const GracefulShutdown &shutdown, RequestPhase phase, Common::Duration timeToAnswer,
              Common::Time now)
 {
@@ -85,7 +90,7 @@
         return true;
     if (activity.requestsInProgress > 0)
         return false;
-    if (now >= shutdown.answersDueAt + kAnswerPeriod)
+    if (!mayRead(shutdown, now))
         return true;
     if (activity.openPieces > 0)
         return false;
--- a/Source/Core/Serving/GracefulShutdown.h
+++ b/Source/Core/Serving/GracefulShutdown.h
@@ -29,7 +29,7 @@
     std::size_t requestsInProgress = 0;
     // Pieces of any instance's requests in the queues of this one.
     std::size_t openPieces = 0;
-    // Those of the requests in progress whose response has not begun.
+    // Requests whose response has not begun, also those that are still being read.
     std::size_t unansweredRequests = 0;
 };
 
@@ -41,6 +41,10 @@
 // later only requests that are answered before the process exits.
 bool mayAccept(const GracefulShutdown &shutdown, Common::Duration maxDuration, Common::Time now);
 
+// Returns whether further requests are read. Once the final answers had their time, new requests
+// could only be refused, and would keep the process from its exit.
+bool mayRead(const GracefulShutdown &shutdown, Common::Time now);
+
 // Returns whether the shutdown ends a request, so that its caller gets an answer before the process
 // exits. `timeToAnswer` is the expected time from sending the request to the end of its response,
 // zero if unknown. A request that has not been sent ends as soon as it could not be completed any
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -1,5 +1,7 @@
 #include "Http/Server.h"
 
+#include "Common/Clock.h"
+
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -46,17 +48,43 @@
             std::vector<asio::io_context *>{&this->context}, options, std::move(handler));
         BOOST_REQUIRE_EQUAL(this->server->start(), "");
         this->thread = std::thread([this] { this->context.run(); });
-        this->socket.connect({asio::ip::address_v4::loopback(), this->server->port()});
+        this->connect(this->socket);
+        send(this->socket, kRequest);
+    }
+
+    void connect(tcp::socket &client) const
+    {
+        client.connect({asio::ip::address_v4::loopback(), this->server->port()});
         const ::timeval wait{kMaxWaitSeconds, 0};
-        ::setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
-        asio::write(this->socket, asio::buffer(std::string_view(kRequest)));
+        ::setsockopt(client.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+    }
+
+    // The server may have closed the connection; a read shows it.
+    static void send(tcp::socket &client, std::string_view bytes)
+    {
+        boost::system::error_code ignored;
+        asio::write(client, asio::buffer(bytes), ignored);
+    }
+
+    // Waits as long as a read for the condition. Returns whether it was met.
+    static bool eventually(const std::function<bool()> &condition)
+    {
+        const Common::Time end = Common::clockNow() + std::chrono::seconds(kMaxWaitSeconds);
+        while (!condition() && Common::clockNow() < end)
+            std::this_thread::sleep_for(Common::Milliseconds(1));
+        return condition();
     }
 
     // Returns the bytes of one read; empty once the connection has ended.
     std::string read()
+    {
+        return read(this->socket);
+    }
+
+    static std::string read(tcp::socket &client)
     {
         std::array<char, 4096> bytes;
-        const auto count = ::recv(this->socket.native_handle(), bytes.data(), bytes.size(), 0);
+        const auto count = ::recv(client.native_handle(), bytes.data(), bytes.size(), 0);
         const bool inTime = count >= 0 || errno == ECONNRESET;
         BOOST_TEST(
             inTime,
@@ -92,6 +120,23 @@
     BOOST_TEST(this->read().empty());
 }
 
+// Guards against a shutdown that drops a request of which a part has been read.
+BOOST_AUTO_TEST_CASE(closeIdle_requestIsBeingRead_isAnsweredAndIdleConnectionsAreClosed)
+{
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    tcp::socket slow(this->clientContext);
+    this->connect(slow);
+    send(slow, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+    BOOST_REQUIRE(eventually([&] { return this->server->requestsBeingRead() == 1; }));
+    this->server->closeIdle();
+    BOOST_TEST(this->read().empty());
+    send(slow, "cd");
+    BOOST_TEST(read(slow).find("done") != std::string::npos);
+    BOOST_TEST(this->server->requestsBeingRead() == 0u);
+    BOOST_TEST(read(slow).empty());
+}
+
 BOOST_AUTO_TEST_CASE(closeAll_requestInProgress_runsItsCallerGoneAction)
 {
     std::atomic<bool> handlerStarted{false};
--- a/Source/UnitTests/Serving/GracefulShutdownTest.cpp
+++ b/Source/UnitTests/Serving/GracefulShutdownTest.cpp
@@ -104,6 +104,22 @@
     BOOST_TEST(mayExit(this->shutdown, answered, answeredAt));
 }
 
+// Guards against a process that is kept from its exit by requests that it can only refuse.
+BOOST_AUTO_TEST_CASE(mayRead_finalAnswersHadTheirTime_readsNoFurtherRequest)
+{
+    const Common::Time answeredAt = this->shutdown.answersDueAt + milliseconds(250);
+    BOOST_TEST(mayRead(this->shutdown, answeredAt - milliseconds(1)));
+    BOOST_TEST(!mayRead(this->shutdown, answeredAt));
+}
+
+// Guards against an exit while a request is read whose caller sends it slowly.
+BOOST_AUTO_TEST_CASE(mayExit_requestIsBeingRead_waits)
+{
+    const ShutdownActivity reading{this->now, 0, 0, 1};
+    BOOST_TEST(!mayExit(this->shutdown, reading, this->now + milliseconds(6100)));
+    BOOST_TEST(!mayExit(this->shutdown, reading, this->shutdown.exitsAt));
+}
+
 BOOST_AUTO_TEST_CASE(mayExit_piecesOfOtherInstancesAreOpen_waits)
 {
     const ShutdownActivity owner{this->now, 0, 3};
