Http: Answer a request whose handler throws

Cause: an exception of a handler left its connection open without an answer, and the action for a caller that disconnects referred to the request that was destroyed. The counts of connections and requests in progress never went down.

Change: the connection catches it, drops the action, answers 502 (ran: maybe) if no response has begun, and closes. The instance logs handler-failed, and its count of requests in progress goes down with the handler. No input is known that makes a handler throw.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -38,6 +38,25 @@
 // answer that states the reason.
 constexpr std::size_t kHeaderMarginBytes = 4 << 10;
 
+// Counts a request as in progress while it exists, also if its handler throws.
+class RequestCount
+{
+public:
+    explicit RequestCount(std::size_t &inProgress) : inProgress(inProgress)
+    {
+        ++this->inProgress;
+    }
+    ~RequestCount()
+    {
+        --this->inProgress;
+    }
+    RequestCount(const RequestCount &) = delete;
+    RequestCount &operator=(const RequestCount &) = delete;
+
+private:
+    std::size_t &inProgress;
+};
+
 } // namespace
 
 EntryInstance::EntryInstance(Settings settings, const Platform &platform, Reload reload)
@@ -63,8 +82,12 @@
     options.address = address;
     options.maxBodyBytes = kMaxBodyBytes;
     options.maxConnections = this->state.settings.maxConnections;
-    return std::make_unique<Http::Server>(std::vector<asio::io_context *>{&this->state.context},
-                                          options, std::move(handler));
+    auto server = std::make_unique<Http::Server>(
+        std::vector<asio::io_context *>{&this->state.context}, options, std::move(handler));
+    server->onHandlerFault([this](std::string_view fault) {
+        this->state.log.write(LogLine("handler-failed").text("fault", fault), clockNow());
+    });
+    return server;
 }
 
 std::string EntryInstance::startServers()
@@ -169,7 +192,7 @@
 Http::Awaitable<void> EntryInstance::handleCaller(Http::Exchange &exchange)
 {
     this->state.lastRequestAt = clockNow();
-    ++this->state.requestsInProgress;
+    const RequestCount count(this->state.requestsInProgress);
     auto request = this->state.dialect.readRequest(exchange.request());
     if (request) {
         request->receivedAt = exchange.receivedAt();
@@ -182,7 +205,6 @@
         co_await exchange.respond(
             this->state.dialect.writeRefusal({RefusalReason::BadRequest, true, std::nullopt}, ""));
     }
-    --this->state.requestsInProgress;
 }
 
 Http::Awaitable<void> EntryInstance::handleDirectory(Http::Exchange &exchange)
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -55,10 +55,11 @@
 
 } // namespace
 
-std::string errorBody(std::string_view code, std::string_view message)
+std::string errorBody(std::string_view code, std::string_view message, std::string_view ran)
 {
     std::string body = R"({"error":{"code":")";
-    body.append(code).append(R"(","message":")").append(message).append(R"(","ran":"no"}})");
+    body.append(code).append(R"(","message":")").append(message);
+    body.append(R"(","ran":")").append(ran).append(R"("}})");
     return body;
 }
 
@@ -186,7 +187,8 @@
         this->cancelSocket();
 }
 
-Awaitable<void> Connection::serve(const Handler &handler, const std::atomic<bool> &accepting)
+Awaitable<void> Connection::serve(const Handler &handler, const HandlerFaultAction &onFault,
+                                  const std::atomic<bool> &accepting)
 {
     while (accepting) {
         // GCC 12 evaluates the condition of a loop wrongly that combines this with another.
@@ -198,7 +200,7 @@
         // The request may have waited in the socket buffer until after its caller disconnected.
         this->gone = this->isPeerClosed();
         this->watchCaller();
-        co_await handler(*this);
+        co_await this->handle(handler, onFault);
         this->callerGoneAction = nullptr;
         this->stopWatching.emit(asio::cancellation_type::all);
         if (!this->answered || !this->keepAlive)
@@ -209,6 +211,29 @@
     this->stream.close();
 }
 
+Awaitable<void> Connection::handle(const Handler &handler, const HandlerFaultAction &onFault)
+{
+    std::string fault;
+    try {
+        co_await handler(*this);
+        co_return;
+    } catch (const std::exception &exception) {
+        fault = exception.what();
+    } catch (...) {
+        fault = "unknown exception";
+    }
+    // What the action refers to was destroyed with the handler.
+    this->callerGoneAction = nullptr;
+    this->keepAlive = false;
+    if (onFault)
+        onFault(fault);
+    if (this->headWritten || this->gone)
+        co_return;
+    Response response
+        = jsonResponse(502, errorBody("internal", "the request could not be handled", "maybe"));
+    co_await this->respond(std::move(response));
+}
+
 Awaitable<bool> Connection::readRequest()
 {
     Parser parser;
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -15,9 +15,9 @@
 
 namespace Tanagerbay::Http {
 
-// Returns the JSON body of an error response that the server sends itself, without calling the
-// handler.
-std::string errorBody(std::string_view code, std::string_view message);
+// Returns the JSON body of an error response that the server sends itself. `ran` tells whether the
+// request was run; it was not if the handler was not called.
+std::string errorBody(std::string_view code, std::string_view message, std::string_view ran = "no");
 
 // Used on the socket's executor only. The options must outlive the connection.
 class Connection final : public Exchange, public std::enable_shared_from_this<Connection>
@@ -41,7 +41,8 @@
     Awaitable<bool> endStream() override;
 
     // Serves requests until the connection ends or the server stops accepting.
-    Awaitable<void> serve(const Handler &handler, const std::atomic<bool> &accepting);
+    Awaitable<void> serve(const Handler &handler, const HandlerFaultAction &onFault,
+                          const std::atomic<bool> &accepting);
     // Closes the connection and reports the caller as gone to the request in progress.
     void disconnect();
     // Closes the connection if it waits for its next request.
@@ -50,6 +51,9 @@
 private:
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
+    // Runs the handler. If it throws, the caller gets an error response if possible, and the
+    // connection is to be closed.
+    Awaitable<void> handle(const Handler &handler, const HandlerFaultAction &onFault);
     // Reads the next request. Returns false if the connection has ended or the request was
     // rejected; a request that exceeds a limit gets its error response here.
     Awaitable<bool> readRequest();
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -26,6 +26,7 @@
     std::vector<asio::io_context *> contexts;
     ServerOptions options;
     Handler handler;
+    HandlerFaultAction handlerFaultAction;
     std::shared_ptr<tcp::acceptor> acceptor;
     std::atomic<bool> accepting{true};
     std::atomic<std::size_t> connectionCount{0};
@@ -50,7 +51,7 @@
     // `closeAll` may have run between accepting this connection and serving it.
     if (!state->closing) {
         state->openByContext[contextIndex].insert(connection);
-        co_await connection->serve(state->handler, state->accepting);
+        co_await connection->serve(state->handler, state->handlerFaultAction, state->accepting);
         state->openByContext[contextIndex].erase(connection);
     }
     state->connectionCount.fetch_sub(1);
@@ -125,6 +126,11 @@
     this->state->acceptor.reset();
 }
 
+void Server::onHandlerFault(HandlerFaultAction action)
+{
+    this->state->handlerFaultAction = std::move(action);
+}
+
 std::string Server::start()
 {
     const ServerOptions &options = this->state->options;
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -60,6 +60,8 @@
 // A handler must respond exactly once. If it returns without a complete response, the connection is
 // closed.
 using Handler = std::function<Awaitable<void>(Exchange &)>;
+// Reports an exception of a handler.
+using HandlerFaultAction = std::function<void(std::string_view fault)>;
 
 class Server
 {
@@ -68,6 +70,9 @@
     Server(std::vector<boost::asio::io_context *> contexts, ServerOptions options, Handler handler);
     ~Server();
 
+    // A handler that throws ends only its own request, whose caller gets an error response if none
+    // has begun. Sets the action that reports it; called before `start`.
+    void onHandlerFault(HandlerFaultAction action);
     // Starts to listen; may be called again after `stopAccepting`. Returns an empty text, or the
     // reason of the failure.
     std::string start();
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <atomic>
 #include <cerrno>
+#include <stdexcept>
 #include <thread>
 
 #include <sys/socket.h>
@@ -137,6 +138,44 @@
     BOOST_TEST(read(slow).empty());
 }
 
+// Guards against a caller that gets neither an answer nor a close, and whose later disconnect calls
+// into a request that no longer exists.
+BOOST_AUTO_TEST_CASE(handlerThrows_responseHasNotBegun_isAnsweredAsUnknownAndClosed)
+{
+    std::atomic<bool> callerGoneActionRan{false};
+    this->start([&](Http::Exchange &exchange) -> Http::Awaitable<void> {
+        if (exchange.request().method == "GET") {
+            exchange.onCallerGone([&callerGoneActionRan] { callerGoneActionRan = true; });
+            throw std::runtime_error("fault of the handler");
+        }
+        co_await answer(exchange);
+    });
+    const std::string response = this->read();
+    BOOST_TEST(response.find("HTTP/1.1 502") == 0u);
+    BOOST_TEST(response.find(R"("ran":"maybe")") != std::string::npos);
+    BOOST_TEST(this->read().empty());
+    this->socket.close();
+    tcp::socket next(this->clientContext);
+    this->connect(next);
+    send(next, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(read(next).find("done") != std::string::npos);
+    BOOST_TEST(read(next).empty());
+    BOOST_TEST(eventually([&] { return this->server->openConnections() == 0; }));
+    BOOST_TEST(!callerGoneActionRan);
+}
+
+BOOST_AUTO_TEST_CASE(handlerThrows_responseHasBegun_closesTheConnection)
+{
+    this->start([](Http::Exchange &exchange) -> Http::Awaitable<void> {
+        Http::Response head;
+        head.status = 200;
+        co_await exchange.beginStream(std::move(head));
+        throw std::runtime_error("fault of the handler");
+    });
+    BOOST_TEST(this->read().find("HTTP/1.1 200") == 0u);
+    BOOST_TEST(this->read().empty());
+}
+
 BOOST_AUTO_TEST_CASE(closeAll_requestInProgress_runsItsCallerGoneAction)
 {
     std::atomic<bool> handlerStarted{false};
