Http: Apply changed limits to connections that are kept open

Cause: the limits of a request and the idle time-out were taken before the wait for its first byte. After a change was acknowledged, the next request on a kept connection met the old limits (413, 431), and a connection was closed at the old, shorter time-out.

Change: the limits are taken after the first byte. A raised idle time-out prolongs the waits that run; a lowered one leaves them, since callers may still rely on the longer one.

--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -2,6 +2,8 @@
 
 #include "Common/Clock.h"
 
+#include <algorithm>
+
 #include <sys/socket.h>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -187,6 +189,14 @@
         this->cancelSocket();
 }
 
+void Connection::applyIdleTimeout()
+{
+    // Callers may still rely on a longer time-out from before.
+    this->idleUntil = std::max(this->idleUntil, this->idleSince + this->options.idleTimeout);
+    if (this->isIdle)
+        this->deadline.moveTo(this->idleUntil);
+}
+
 Awaitable<void> Connection::serve(const Handler &handler, const HandlerFaultAction &onFault,
                                   const std::atomic<bool> &accepting)
 {
@@ -236,18 +246,21 @@
 
 Awaitable<bool> Connection::readRequest()
 {
-    Parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(this->options.maxHeaderBytes));
-    parser.body_limit(this->options.maxBodyBytes);
     beast::error_code error;
     if (this->buffer.size() == 0) {
-        this->deadline.moveTo(clockNow() + this->options.idleTimeout);
+        this->idleSince = clockNow();
+        this->idleUntil = this->idleSince + this->options.idleTimeout;
+        this->deadline.moveTo(this->idleUntil);
         co_await this->readFirstByte(error);
         if (error)
             co_return false;
     }
     // Until the handler begins, which follows in the same turn of the executor.
     const CountGuard reading(this->requestsBeingRead);
+    // The limits may have changed during the wait.
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(this->options.maxHeaderBytes));
+    parser.body_limit(this->options.maxBodyBytes);
     this->deadline.moveTo(clockNow() + this->options.requestTimeout);
     co_await http::async_read_header(this->stream, this->buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -47,6 +47,8 @@
     void disconnect();
     // Closes the connection if it waits for its next request.
     void closeIfIdle();
+    // Lets the connection wait for its next request as long as the options say now.
+    void applyIdleTimeout();
 
 private:
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
@@ -81,6 +83,9 @@
     std::atomic<std::size_t> &requestsBeingRead;
     std::size_t context;
     Common::Time requestReceivedAt;
+    // The present or last wait for a request.
+    Common::Time idleSince;
+    Common::Time idleUntil;
     boost::beast::flat_buffer buffer;
     std::string ip;
     Request currentRequest;
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -182,6 +182,7 @@
     options.requestTimeout = limits.requestTimeout;
     options.bodyTimeout = limits.bodyTimeout;
     options.idleTimeout = limits.idleTimeout;
+    forEachConnection(this->state, &Connection::applyIdleTimeout);
 }
 
 void Server::closeIdle()
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -85,7 +85,8 @@
     // been read in part are still read and answered.
     void closeIdle();
     // Applies the body and header size limits and the idle, request and body time-outs of `limits`
-    // to requests that are read from now on.
+    // to requests that are read from now on, also on open connections. A connection that waits for
+    // its next request is closed at the later of the old and the new idle time-out.
     void applyLimits(const ServerOptions &limits);
     // Closes the listener and every connection. Requests in progress see their callers as gone.
     void closeAll();
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <atomic>
 #include <cerrno>
+#include <future>
 #include <stdexcept>
 #include <thread>
 
@@ -13,6 +14,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -43,10 +45,9 @@
 
     void start(Http::Handler handler)
     {
-        Http::ServerOptions options;
-        options.address = {"127.0.0.1", 0};
+        this->options.address = {"127.0.0.1", 0};
         this->server = std::make_unique<Http::Server>(
-            std::vector<asio::io_context *>{&this->context}, options, std::move(handler));
+            std::vector<asio::io_context *>{&this->context}, this->options, std::move(handler));
         BOOST_REQUIRE_EQUAL(this->server->start(), "");
         this->thread = std::thread([this] { this->context.run(); });
         this->connect(this->socket);
@@ -93,6 +94,18 @@
         return {bytes.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0))};
     }
 
+    // Applies the options in the thread of the server.
+    void applyOptions()
+    {
+        std::promise<void> done;
+        asio::post(this->context, [&] {
+            this->server->applyLimits(this->options);
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    Http::ServerOptions options;
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard;
     std::unique_ptr<Http::Server> server;
@@ -138,6 +151,34 @@
     BOOST_TEST(read(slow).empty());
 }
 
+// Guards against a limit from before a change that is enforced on connections which are kept open.
+BOOST_AUTO_TEST_CASE(applyLimits_connectionIsKept_nextRequestMeetsTheNewLimit)
+{
+    this->options.maxBodyBytes = 100;
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    // By then the connection waits for its next request.
+    std::this_thread::sleep_for(Common::Milliseconds(200));
+    this->options.maxBodyBytes = 10'000;
+    this->applyOptions();
+    send(this->socket,
+         "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x'));
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+}
+
+// Guards against closing a connection on which its caller may still send by the new time-out.
+BOOST_AUTO_TEST_CASE(applyLimits_idleTimeoutIsRaised_keepsConnectionThatWaits)
+{
+    this->options.idleTimeout = Common::Milliseconds(2000);
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    this->options.idleTimeout = Common::Milliseconds(60'000);
+    this->applyOptions();
+    std::this_thread::sleep_for(Common::Milliseconds(2500));
+    send(this->socket, kRequest);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+}
+
 // Guards against a caller that gets neither an answer nor a close, and whose later disconnect calls
 // into a request that no longer exists.
 BOOST_AUTO_TEST_CASE(handlerThrows_responseHasNotBegun_isAnsweredAsUnknownAndClosed)
