Tanagerbay: Hold SIGHUP back until the instance waits for it

Cause: until the instance waited for signals, SIGHUP had its default action and ended the process that had just been started.

Change: serve blocks it first of all, and it is delivered once the instance waits for signals, so that the change of the settings is not missed either.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -285,6 +285,11 @@
 Http::Awaitable<void> EntryInstance::watchSignals()
 {
     asio::signal_set signals(this->state.context, SIGTERM, SIGINT, SIGHUP);
+    // The process may have held it back since its start.
+    ::sigset_t reloadSignal;
+    ::sigemptyset(&reloadSignal);
+    ::sigaddset(&reloadSignal, SIGHUP);
+    ::pthread_sigmask(SIG_UNBLOCK, &reloadSignal, nullptr);
     while (true) {
         boost::system::error_code error;
         const int number
--- a/Source/Tanagerbay/ServeCommand.cpp
+++ b/Source/Tanagerbay/ServeCommand.cpp
@@ -3,6 +3,7 @@
 #include "Tanagerbay/Support.h"
 #include "platform/Adapter.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -26,6 +27,16 @@
     return std::nullopt;
 }
 
+// Holds a signal to read the settings again back, or delivers it. Until the instance waits for it,
+// the signal would end the process.
+void maskReloadSignal(int how)
+{
+    ::sigset_t signals;
+    ::sigemptyset(&signals);
+    ::sigaddset(&signals, SIGHUP);
+    ::pthread_sigmask(how, &signals, nullptr);
+}
+
 int serveOnPlatform(Entry::Settings settings, const std::string &path)
 {
     Entry::EntryInstance instance(std::move(settings), PlatformAdapter::platform(),
@@ -42,6 +53,7 @@
 
 int serve(const Arguments &arguments)
 {
+    maskReloadSignal(SIG_BLOCK);
     cxxopts::Options options("tanagerbay serve",
                              "Runs an entry instance until SIGTERM or a drain.");
     options.add_options()("settings", "Settings file", cxxopts::value<std::string>())(
@@ -59,6 +71,7 @@
         auto settings = readPlatformSettings(*path);
         return settings ? serveOnPlatform(std::move(*settings), *path) : ExitCode::Failure;
     }
+    maskReloadSignal(SIG_UNBLOCK);
     auto settings = readEntrySettings(*path);
     if (!settings)
         return ExitCode::Failure;
