Http: Read the request of a connection that is refused for the limit

Cause: above the connection limit the answer was written and the socket closed with the request unread, which resets the connection: the caller could not send its request to the end, and could lose the answer.

Change: the refusal takes the way of the server's other rejections, which discards what the caller still sends, within limits.

--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -183,6 +183,12 @@
     this->stream.close();
 }
 
+Awaitable<void> Connection::refuse()
+{
+    co_await this->reject(503, "overloaded", "the connection limit is reached");
+    this->stream.close();
+}
+
 void Connection::closeIfIdle()
 {
     if (this->isIdle)
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -43,6 +43,8 @@
     // Serves requests until the connection ends or the server stops accepting.
     Awaitable<void> serve(const Handler &handler, const HandlerFaultAction &onFault,
                           const std::atomic<bool> &accepting);
+    // Answers that the connection limit is reached, instead of serving requests.
+    Awaitable<void> refuse();
     // Closes the connection and reports the caller as gone to the request in progress.
     void disconnect();
     // Closes the connection if it waits for its next request.
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -10,15 +10,12 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
 namespace Tanagerbay::Http {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
 struct Server::State
@@ -57,15 +54,14 @@
     state->connectionCount.fetch_sub(1);
 }
 
-Awaitable<void> refuseConnection(tcp::socket socket)
+template <typename State>
+Awaitable<void> refuseConnection(std::shared_ptr<State> state, tcp::socket socket,
+                                 std::size_t contextIndex)
 {
-    http::response<http::string_body> message{http::status::service_unavailable, 11};
-    message.body() = errorBody("overloaded", "the connection limit is reached");
-    message.set(http::field::content_type, "application/json");
-    message.keep_alive(false);
-    message.prepare_payload();
-    beast::error_code ignored;
-    co_await http::async_write(socket, message, asio::redirect_error(asio::use_awaitable, ignored));
+    const auto connection
+        = std::make_shared<Connection>(std::move(socket), state->options, state->closeAfterAnswers,
+                                       state->requestsBeingRead, contextIndex);
+    co_await connection->refuse();
 }
 
 template <typename State>
@@ -83,7 +79,8 @@
         if (error)
             continue;
         if (state->connectionCount.load() >= state->options.maxConnections) {
-            asio::co_spawn(context, refuseConnection(std::move(socket)), asio::detached);
+            asio::co_spawn(context, refuseConnection(state, std::move(socket), index),
+                           asio::detached);
             continue;
         }
         state->connectionCount.fetch_add(1);
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -217,6 +217,24 @@
     BOOST_TEST(this->read().empty());
 }
 
+// Guards against a refusal that its caller loses, since closing a socket with unread input resets
+// the connection.
+BOOST_AUTO_TEST_CASE(connectionLimit_callerSendsALongRequest_readsTheRefusal)
+{
+    this->options.maxConnections = 1;
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    tcp::socket refused(this->clientContext);
+    this->connect(refused);
+    const std::string request = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n"
+        + std::string(1'000'000, 'x');
+    boost::system::error_code error;
+    BOOST_TEST(asio::write(refused, asio::buffer(request), error) == request.size());
+    BOOST_TEST(!error);
+    BOOST_TEST(read(refused).find("HTTP/1.1 503") == 0u);
+    BOOST_TEST(read(refused).empty());
+}
+
 BOOST_AUTO_TEST_CASE(closeAll_requestInProgress_runsItsCallerGoneAction)
 {
     std::atomic<bool> handlerStarted{false};
