Http: Say how GCC 12 evaluates an awaited loop condition

Measured on a program of twenty lines with g++ 12.2.0: `while (flag && co_await read())` calls read although the flag is false, and takes the flag after it; `if` does neither. No other loop of the sources has such a condition (grep).

--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -207,7 +207,7 @@
                                   const std::atomic<bool> &accepting)
 {
     while (accepting) {
-        // GCC 12 evaluates the condition of a loop wrongly that combines this with another.
+        // In the condition of a loop, GCC 12 evaluates what is awaited before the other operands.
         const bool isRead = co_await this->readRequest();
         if (!isRead)
             break;
