Serving: Leave twice the time between the latest exit and the kill

Cause: a sixty-fourth of the grace period, 125 ms of eight seconds, is less than what a loaded instance needs to notice the time: it looks every 50 ms, and its turns have taken over 100 ms.

Change: requests without a response keep the process until a thirty-second before the end of the grace period.

--- a/Source/Core/Serving/GracefulShutdown.cpp
+++ b/Source/Core/Serving/GracefulShutdown.cpp
@@ -14,7 +14,7 @@
 // being sent.
 constexpr double kExitMarginShare = 0.0625;
 // The same for an instance that is too slow to give all final answers in time.
-constexpr double kMinExitMarginShare = 0.015625;
+constexpr double kMinExitMarginShare = 0.03125;
 // Time for the final answers of all open requests to be written.
 constexpr Common::Milliseconds kAnswerPeriod{250};
 // The same for an instance that is so late that it would be killed within that time.
