Entry: Log the software versions of endpoints and the streams that callers take up again

Change: the entry of an endpoint is decoded with its version, also as readers report it to other instances; an entry without one keeps the version that is known of the process. `endpoint-listed`, `send-ended` and `request-ended` name the version, `request-ended` also the attempt and the event after which a stream is taken up. No decision depends on it yet.

--- a/Source/Core/Entry/EndpointChanges.cpp
+++ b/Source/Core/Entry/EndpointChanges.cpp
@@ -12,7 +12,8 @@
 bool isSameForRouting(const ListedEndpoint &a, const ListedEndpoint &b)
 {
     return a.service == b.service && a.entry.address == b.entry.address
-        && a.entry.incarnation == b.entry.incarnation && a.entry.state == b.entry.state;
+        && a.entry.incarnation == b.entry.incarnation && a.entry.state == b.entry.state
+        && a.entry.version == b.entry.version;
 }
 
 } // namespace
--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -199,7 +199,8 @@
                               .text("endpoint", listed.entry.id.value)
                               .text("service", listed.service)
                               .text("address", Common::formatAddress(listed.entry.address))
-                              .text("state", Common::nameOf(listed.entry.state)),
+                              .text("state", Common::nameOf(listed.entry.state))
+                              .text("version", listed.entry.version),
                           now);
 }
 
--- a/Source/Core/Entry/EndpointList.cpp
+++ b/Source/Core/Entry/EndpointList.cpp
@@ -24,7 +24,10 @@
 
 bool isSameProcess(const ListedEndpoint &a, const ListedEndpoint &b)
 {
-    return a.entry.incarnation == b.entry.incarnation && a.entry.address == b.entry.address;
+    // A process whose start time is not known is told from the next one by its version only.
+    const bool mayBeOther = a.entry.incarnation == 0 && a.entry.version != b.entry.version;
+    return a.entry.incarnation == b.entry.incarnation && a.entry.address == b.entry.address
+        && !mayBeOther;
 }
 
 } // namespace
@@ -47,10 +50,15 @@
         return EntryChange::Outdated;
     const bool sameProcess = !added && isSameProcess(known.listed, entry);
     const bool isUnchanged = sameProcess && known.listed.service == entry.service
-        && known.listed.entry.state == entry.entry.state;
+        && known.listed.entry.state == entry.entry.state
+        && (entry.entry.version.empty() || known.listed.entry.version == entry.entry.version);
     if (!sameProcess)
         known = KnownEndpoint{};
+    // A reader of an earlier release reports no versions.
+    const std::string version
+        = entry.entry.version.empty() ? known.listed.entry.version : entry.entry.version;
     known.listed = entry;
+    known.listed.entry.version = version;
     known.removeAt.reset();
     // A process that leaves does not come back; one without a start time may be another process.
     if (entry.entry.state == Routing::EndpointState::Leaving && entry.entry.incarnation != 0)
--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -249,6 +249,7 @@
                                  {"id", endpoint.id.value},
                                  {"address", Common::formatAddress(endpoint.address)},
                                  {"state", Common::nameOf(endpoint.state)},
+                                 {"version", endpoint.version},
                                  {"inFlight", endpoint.ownInFlight},
                                  {"errorRate", endpoint.health.errorRate},
                                  {"slowness", Routing::currentSlowness(endpoint.health, now)},
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -51,6 +51,8 @@
     std::string pieceKey;
     // Sequence number of the last stream event that the caller received, if it resumes a stream.
     std::optional<std::uint64_t> lastEvent;
+    // ID of the caller's attempt that brought the first event of that stream; empty if unknown.
+    std::string resumedAttempt;
     Common::Time receivedAt;
 };
 
--- a/Source/Core/Entry/ReaderMessages.cpp
+++ b/Source/Core/Entry/ReaderMessages.cpp
@@ -40,6 +40,7 @@
     endpoint.entry.id = Common::EndpointId(textOf(object, "id"));
     endpoint.entry.failureDomain = Common::FailureDomain(textOf(object, "domain"));
     endpoint.entry.incarnation = numberOf(object, "incarnation");
+    endpoint.entry.version = textOf(object, "version");
     endpoint.entry.slots = static_cast<std::uint32_t>(numberOf(object, "slots"));
     const auto state = Common::valueNamed<Routing::EndpointState>(textOf(object, "state"));
     if (!state || endpoint.entry.id.empty()
@@ -62,6 +63,7 @@
                           {"address", Common::formatAddress(entry.address)},
                           {"domain", entry.failureDomain.value},
                           {"incarnation", entry.incarnation},
+                          {"version", entry.version},
                           {"slots", entry.slots},
                           {"state", Common::nameOf(entry.state)}});
     }
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -38,6 +38,7 @@
 // Callers choose the number and the names of prompt parts, so that a log line bounds both.
 constexpr std::size_t kMaxLoggedParts = 8;
 constexpr std::size_t kMaxLoggedPartLength = 16;
+constexpr std::size_t kMaxLoggedIdLength = 64;
 } // namespace
 
 RequestFlow::RequestFlow(const RequestDependencies &dependencies, Http::Exchange &exchange,
@@ -358,6 +359,7 @@
         this->state.log.write(LogLine("send-ended")
                                   .text("request", this->request.id)
                                   .text("endpoint", endpoint.id.value)
+                                  .text("version", endpoint.version)
                                   .text("outcome", Common::nameOf(sent.outcome))
                                   .text("detail", sent.detail)
                                   .number("reached", this->attempts.reached)
@@ -432,7 +434,13 @@
         line.milliseconds("objectiveMs", this->route->objective);
     }
     if (!this->lastEndpoint.empty())
-        line.text("endpoint", this->lastEndpoint).number("reached", this->attempts.reached);
+        line.text("endpoint", this->lastEndpoint)
+            .text("version", this->lastVersion)
+            .number("reached", this->attempts.reached);
+    if (this->request.lastEvent) {
+        line.text("resumes", this->request.resumedAttempt.substr(0, kMaxLoggedIdLength))
+            .number("lastEvent", static_cast<std::int64_t>(*this->request.lastEvent));
+    }
     if (this->stagedAt)
         line.milliseconds("stagedMs", *this->stagedAt - this->request.receivedAt);
     if (this->firstEventAt) {
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -166,6 +166,7 @@
     std::optional<Common::Time> firstEventAt;
     std::optional<Common::Time> stagedAt;
     std::string lastEndpoint;
+    std::string lastVersion;
     // `Responding` follows from the exchange and is never stored here.
     Serving::RequestPhase lastPhase = Serving::RequestPhase::Admission;
 };
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -144,6 +144,7 @@
         entry && entry->engine)
         call.urgency = std::min(kMinUrgencyValue + this->priority, kMaxUrgencyValue);
     this->lastEndpoint = endpoint.id.value;
+    this->lastVersion = endpoint.version;
     this->lastPhase = Serving::RequestPhase::Sent;
     this->eventsBeforeSend = this->events.eventCount();
 
--- a/Source/Core/Routing/Endpoint.h
+++ b/Source/Core/Routing/Endpoint.h
@@ -8,6 +8,7 @@
 #include "Common/Time.h"
 
 #include <cstdint>
+#include <string>
 
 namespace Tanagerbay::Routing {
 
@@ -65,6 +66,8 @@
     EndpointState state = EndpointState::Live;
     // Start time of the endpoint's process; zero where it is not known.
     std::uint64_t incarnation = 0;
+    // Version of the software that the process runs; empty where it is not known.
+    std::string version;
     LoadReport report;
     // This instance's calls in flight when the report arrived.
     std::uint32_t ownInFlightAtReport = 0;
--- a/Source/Core/Routing/Pool.cpp
+++ b/Source/Core/Routing/Pool.cpp
@@ -189,13 +189,15 @@
         const Endpoint *known = find(pool, entry.id);
         Endpoint endpoint = known ? *known : Endpoint{};
         // An endpoint with a new address or a restarted process starts without history.
-        const bool isSameProcess
-            = known && known->address == entry.address && known->incarnation == entry.incarnation;
+        const bool isSameProcess = known && known->address == entry.address
+            && known->incarnation == entry.incarnation
+            && (entry.incarnation != 0 || known->version == entry.version);
         if (!isSameProcess) {
             endpoint = Endpoint{};
             endpoint.report.slots = entry.slots;
         }
         endpoint.incarnation = entry.incarnation;
+        endpoint.version = entry.version;
         endpoint.id = entry.id;
         endpoint.address = entry.address;
         endpoint.failureDomain = entry.failureDomain;
--- a/Source/Core/Routing/Pool.h
+++ b/Source/Core/Routing/Pool.h
@@ -42,6 +42,8 @@
     // Start time of the endpoint's process; zero where it is not known. A process restarted under
     // the same identifier is treated as a new endpoint.
     std::uint64_t incarnation = 0;
+    // Version of the software that the process runs; empty where it is not known.
+    std::string version = {};
     // Number of calls that the endpoint processes concurrently, where the list states it.
     std::uint32_t slots = 1;
 };
--- a/Source/UnitTests/Entry/EndpointChangesTest.cpp
+++ b/Source/UnitTests/Entry/EndpointChangesTest.cpp
@@ -172,6 +172,7 @@
     changes.to = {1, 20};
     changes.listed = {entry("e1", 3)};
     changes.listed.front().entry.state = Routing::EndpointState::Leaving;
+    changes.listed.front().entry.version = "v1.1";
     changes.dropped = {{Common::EndpointId("e2"), 7, 9}};
     const auto read
         = changesFromJson(boost::json::parse(boost::json::serialize(changesToJson(changes))));
@@ -185,6 +186,7 @@
     BOOST_TEST((endpoint.entry.address == Common::Address{"127.0.0.1", 9000}));
     BOOST_TEST(endpoint.entry.failureDomain.value == "a");
     BOOST_TEST(endpoint.entry.incarnation == 7u);
+    BOOST_TEST(endpoint.entry.version == "v1.1");
     BOOST_TEST(endpoint.entry.slots == 4u);
     BOOST_TEST((endpoint.entry.state == Routing::EndpointState::Leaving));
     BOOST_REQUIRE(read->dropped.size() == 1u);
--- a/Source/UnitTests/Entry/EndpointListTest.cpp
+++ b/Source/UnitTests/Entry/EndpointListTest.cpp
@@ -47,6 +47,30 @@
 
 BOOST_FIXTURE_TEST_SUITE(EndpointLists, EndpointListFixture)
 
+// Guards against a version that stays that of the process before, where processes name no start
+// time.
+BOOST_AUTO_TEST_CASE(restart_unknownStartTimeAndOtherVersion_changesTheVersion)
+{
+    ListedEndpoint listed = this->entry(0, 1);
+    listed.entry.version = "v1";
+    this->apply(listed);
+    listed.entry.version = "v2";
+    BOOST_TEST((this->apply(listed) == EntryChange::Changed));
+    BOOST_TEST(routingEntries(this->list).at("app").front().version == "v2");
+}
+
+// Guards against a known version that is lost when a reader of an earlier release reports none.
+BOOST_AUTO_TEST_CASE(report_withoutVersion_keepsTheVersion)
+{
+    ListedEndpoint listed = this->entry(7, 1);
+    listed.entry.version = "v1";
+    this->apply(listed);
+    listed.entry.version.clear();
+    listed.sequence = 2;
+    BOOST_TEST((this->apply(listed) == EntryChange::None));
+    BOOST_TEST(routingEntries(this->list).at("app").front().version == "v1");
+}
+
 BOOST_AUTO_TEST_CASE(heartbeat_sameStateAndHigherSequence_changesNothing)
 {
     BOOST_TEST((this->apply(this->entry(7, 1)) == EntryChange::Changed));
