Routing: Choose only endpoints of a required version

Cause: the choice of an endpoint excludes those that a request has tried and knows nothing of software versions.

Change: `ChoiceRequest` and `AffinityRequest` may name a version; then only endpoints of exactly that version are chosen, by every policy and as a fallback, and only their load bounds the choice by affinity, so that the streams of a version are spread over its few endpoints.

Nothing requires a version yet.

--- a/Source/Core/Routing/AffinityChoice.cpp
+++ b/Source/Core/Routing/AffinityChoice.cpp
@@ -41,7 +41,7 @@
     double calls = 0;
     double eligibleCount = 0;
     for (const Endpoint &endpoint : pool.endpoints) {
-        if (!isEligible(endpoint, now))
+        if (!isEligible(endpoint, now) || !hasVersion(endpoint, request.version))
             continue;
         calls += endpoint.ownInFlight;
         ++eligibleCount;
@@ -53,7 +53,8 @@
     std::uint64_t bestScore = 0;
     for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
         const Endpoint &endpoint = pool.endpoints[i];
-        if (isLeaving(endpoint) || isHeld(endpoint, now) || wasTried(request, endpoint.id))
+        if (isLeaving(endpoint) || isHeld(endpoint, now) || wasTried(request, endpoint.id)
+            || !hasVersion(endpoint, request.version))
             continue;
         const int rank = faultRank(endpoint, maxCalls, now);
         // Without a shared part, the endpoint with the fewest calls in flight is chosen.
--- a/Source/Core/Routing/AffinityChoice.h
+++ b/Source/Core/Routing/AffinityChoice.h
@@ -15,9 +15,12 @@
     std::string_view key;
     // Endpoints that this request has tried already; they are never chosen.
     std::vector<Common::EndpointId> tried;
+    // If set, only endpoints that run this software version are chosen, and only their load counts.
+    std::optional<std::string> version = std::nullopt;
 };
 
-// Returns the index of the endpoint, or nothing where all are leaving, held or tried.
+// Returns the index of the endpoint, or nothing where all are leaving, held, tried or of another
+// version.
 std::optional<std::size_t> chooseByAffinity(const Pool &pool, const AffinityRequest &request,
                                             Common::Time now);
 
--- a/Source/Core/Routing/Endpoint.cpp
+++ b/Source/Core/Routing/Endpoint.cpp
@@ -57,6 +57,11 @@
     return endpoint.state != EndpointState::Live || endpoint.report.leaving;
 }
 
+bool hasVersion(const Endpoint &endpoint, const std::optional<std::string> &required)
+{
+    return !required || endpoint.version == *required;
+}
+
 bool isHeld(const Endpoint &endpoint, Common::Time now)
 {
     return now < endpoint.heldUntil;
--- a/Source/Core/Routing/Endpoint.h
+++ b/Source/Core/Routing/Endpoint.h
@@ -8,6 +8,7 @@
 #include "Common/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Tanagerbay::Routing {
@@ -96,6 +97,9 @@
 // limit is not reached.
 bool isEligible(const Endpoint &endpoint, Common::Time now);
 
+// Whether the endpoint runs the required software version, if one is required.
+bool hasVersion(const Endpoint &endpoint, const std::optional<std::string> &required);
+
 // Records that the endpoint wants nothing from this instance for the period. A hold is never
 // shortened by a later, shorter one.
 void holdBack(Endpoint &endpoint, Common::Duration period, Common::Time now);
--- a/Source/Core/Routing/Pool.cpp
+++ b/Source/Core/Routing/Pool.cpp
@@ -30,7 +30,8 @@
 
 bool isCandidate(const Endpoint &endpoint, const ChoiceRequest &request, Common::Time now)
 {
-    if (!isEligible(endpoint, now) || contains(request.tried, endpoint.id))
+    if (!isEligible(endpoint, now) || contains(request.tried, endpoint.id)
+        || !hasVersion(endpoint, request.version))
         return false;
     const bool needsProbe = currentSlowness(endpoint.health, now) > kProbeSlowness;
     return !needsProbe || endpoint.ownInFlight == 0;
@@ -54,7 +55,8 @@
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
         const Endpoint &endpoint = pool.endpoints[i];
-        if (isLeaving(endpoint) || isHeld(endpoint, now) || contains(request.tried, endpoint.id))
+        if (isLeaving(endpoint) || isHeld(endpoint, now) || contains(request.tried, endpoint.id)
+            || !hasVersion(endpoint, request.version))
             continue;
         if (!best || endpoint.health.ejectedUntil < pool.endpoints[*best].health.ejectedUntil)
             best = i;
@@ -254,11 +256,12 @@
         holdBack(*endpoint, period, now);
 }
 
-std::optional<Common::Time> allHeldUntil(const Pool &pool, Common::Time now)
+std::optional<Common::Time> allHeldUntil(const Pool &pool, Common::Time now,
+                                         const std::optional<std::string> &version)
 {
     std::optional<Common::Time> first;
     for (const Endpoint &endpoint : pool.endpoints) {
-        if (isLeaving(endpoint))
+        if (isLeaving(endpoint) || !hasVersion(endpoint, version))
             continue;
         if (!isHeld(endpoint, now))
             return std::nullopt;
--- a/Source/Core/Routing/Pool.h
+++ b/Source/Core/Routing/Pool.h
@@ -73,6 +73,8 @@
     std::vector<Common::EndpointId> tried;
     // Blocks of the prompt; null where the stage has no prompt.
     const PrefixBlocks *prefix = nullptr;
+    // If set, only endpoints that run this software version are chosen.
+    std::optional<std::string> version = std::nullopt;
 };
 
 // Adds new endpoints, updates known ones and removes those that are no longer listed. Calls in
@@ -116,9 +118,10 @@
 // removed in the meantime is ignored.
 void holdBack(Pool &pool, const Common::EndpointId &id, Common::Duration period, Common::Time now);
 
-// Returns when the first hold ends, where every endpoint that is not leaving is held; otherwise
-// nothing.
-std::optional<Common::Time> allHeldUntil(const Pool &pool, Common::Time now);
+// Returns when the first hold ends, where every endpoint of the required version that is not
+// leaving is held; otherwise nothing.
+std::optional<Common::Time> allHeldUntil(const Pool &pool, Common::Time now,
+                                         const std::optional<std::string> &version = std::nullopt);
 
 // Capacity and load of the pool. `slots` and `others` are summed over the endpoints that are
 // neither leaving nor ejected, `own` over all endpoints.
--- a/Source/UnitTests/Routing/AffinityChoiceTest.cpp
+++ b/Source/UnitTests/Routing/AffinityChoiceTest.cpp
@@ -105,4 +105,35 @@
     BOOST_TEST(this->pool.endpoints.front().ownInFlight == 1u);
 }
 
+// Guards against a stream that goes on at a version that cannot continue what another one wrote.
+BOOST_AUTO_TEST_CASE(chooseByAffinity_requiredVersion_choosesNoOther)
+{
+    for (std::size_t i = 0; i < 9; ++i)
+        this->pool.endpoints[i].version = i < 2 ? "v1" : "v2";
+    for (int i = 0; i < 100; ++i) {
+        const auto chosen = chooseByAffinity(
+            this->pool, {"part" + std::to_string(i), {}, std::string("v1")}, this->now);
+        BOOST_REQUIRE(chosen.has_value());
+        BOOST_TEST(this->pool.endpoints[*chosen].version == "v1");
+    }
+    const std::vector<Common::EndpointId> tried{Common::EndpointId("e0"), Common::EndpointId("e1")};
+    BOOST_TEST(
+        !chooseByAffinity(this->pool, {"part", tried, std::string("v1")}, this->now).has_value());
+}
+
+// Guards against the streams of a version that all go to one of its few endpoints: the load bound
+// counts the endpoints that may serve them only.
+BOOST_AUTO_TEST_CASE(chooseByAffinity_fewEndpointsOfTheVersion_spreadsAHotPartOverThem)
+{
+    for (std::size_t i = 0; i < 9; ++i) {
+        this->pool.endpoints[i].version = i < 2 ? "v1" : "v2";
+        this->pool.endpoints[i].ownInFlight = i < 2 ? 0 : 40;
+    }
+    for (int i = 0; i < 20; ++i)
+        beginCall(this->pool,
+                  chooseByAffinity(this->pool, {"part", {}, std::string("v1")}, this->now).value());
+    BOOST_TEST(this->pool.endpoints[0].ownInFlight > 3u);
+    BOOST_TEST(this->pool.endpoints[1].ownInFlight > 3u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Routing/PoolTest.cpp
+++ b/Source/UnitTests/Routing/PoolTest.cpp
@@ -195,4 +195,22 @@
     BOOST_TEST(budget.extraAttempts < 100u);
 }
 
+// Guards against work that goes on at a version that cannot continue what another one wrote.
+BOOST_AUTO_TEST_CASE(choice_requiredVersion_choosesNoOtherByAnyPolicy)
+{
+    this->pool.endpoints[4].version = "v1";
+    this->request.version = "v1";
+    for (const ChoicePolicy policy : {ChoicePolicy::Sampled, ChoicePolicy::Random,
+                                      ChoicePolicy::RoundRobin, ChoicePolicy::LeastInFlight}) {
+        this->pool.policy = policy;
+        for (const auto &[index, count] : this->choices(50))
+            BOOST_TEST(index == 4u);
+    }
+    // The fallback, which may choose an ejected endpoint, stays within the version too.
+    this->fail(4, 10);
+    BOOST_TEST(choose(this->pool, this->request, this->now, this->random).value() == 4u);
+    this->pool.endpoints[4].state = EndpointState::Leaving;
+    BOOST_TEST(!choose(this->pool, this->request, this->now, this->random).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
