--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -87,6 +87,17 @@
     }
 }
 
+void EndpointDiscovery::noteConfirmed(Common::Time readAt)
+{
+    this->knownUntil = this->confirmedAt.value_or(this->state.startedAt);
+    this->confirmedAt = std::max(this->confirmedAt.value_or(readAt), readAt);
+}
+
+void EndpointDiscovery::onRestart(RestartHandler action)
+{
+    this->restartHandler = std::move(action);
+}
+
 Http::Awaitable<Common::Duration> EndpointDiscovery::readStore()
 {
     const Common::Time startedAt = clockNow();
@@ -122,7 +133,7 @@
         this->state.logState(LogLine("store-regained").text("read", "endpoints"));
     }
     this->needsReading = false;
-    this->confirmedAt = std::max(this->confirmedAt.value_or(startedAt), startedAt);
+    this->noteConfirmed(startedAt);
     if (use == ReadingUse::Apply)
         this->applyReading(*reading, now);
     this->relay.setPosition(this->position);
@@ -162,8 +173,7 @@
     // A failed reading of this instance's own says nothing about the store while readers reach it.
     // Otherwise, a later reading would keep endpoints that are gone as after an outage.
     this->storeFailed = false;
-    this->confirmedAt
-        = std::max(this->confirmedAt.value_or(report.endpointsReadAt), report.endpointsReadAt);
+    this->noteConfirmed(report.endpointsReadAt);
     if (use == ChangesUse::Known)
         return;
     for (const DroppedEntry &entry : report.changes->dropped) {
@@ -189,12 +199,18 @@
 
 void EndpointDiscovery::noteListed(const ListedEndpoint &listed, Common::Time now)
 {
+    const auto known = this->list.known.find(listed.entry.id);
+    const Routing::EndpointEntry before
+        = known == this->list.known.end() ? listed.entry : known->second.listed.entry;
     const EntryChange change = applyEntry(this->list, listed);
     if (change == EntryChange::Outdated)
         this->state.metrics.count("endpoint_entries_outdated");
     if (change != EntryChange::Changed)
         return;
     this->changed = true;
+    if (before.incarnation != listed.entry.incarnation && before.version != listed.entry.version
+        && this->restartHandler)
+        this->restartHandler(before.id, before.incarnation, this->knownUntil);
     this->state.log.write(LogLine("endpoint-listed")
                               .text("endpoint", listed.entry.id.value)
                               .text("service", listed.service)
@@ -250,8 +266,13 @@
     std::map<std::string, std::vector<Routing::EndpointEntry>> entries = routingEntries(this->list);
     for (const auto &[service, pool] : this->state.pools)
         entries[service];
-    for (const auto &[service, listed] : entries)
-        Routing::applyEntries(this->state.poolOf(service), listed);
+    const Common::Time now = clockNow();
+    for (const auto &[service, listed] : entries) {
+        Routing::Pool &pool = this->state.poolOf(service);
+        Routing::noteVersions(this->state.versions, service, pool, now);
+        Routing::applyEntries(pool, listed);
+    }
+    Routing::dropVersionsBefore(this->state.versions, now - Routing::kVersionMemory);
     this->stages.refresh();
 }
 
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -20,6 +20,11 @@
     // Sets the handler that is called when an endpoint's answer announced that it leaves, and no
     // other instance had told of it.
     void onLeaving(std::function<void(const LeavingEndpoint &)> action);
+    // Called when an endpoint turns out to have been restarted with another software version: with
+    // the start time of its process before, and until when that one is known to have run.
+    using RestartHandler = std::function<void(const Common::EndpointId &, std::uint64_t incarnation,
+                                              Common::Time knownUntil)>;
+    void onRestart(RestartHandler action);
     // Takes note of what an endpoint's answer says about the endpoint itself.
     void noteResponse(const Routing::Endpoint &endpoint, const EndpointResponseHead &answer);
     // Applies what a reader of the store reports.
@@ -38,6 +43,8 @@
     void report(Common::Time readAt, const std::vector<Common::EndpointId> &removed);
     // Whether readers keep this instance up to date, so that it need not read itself yet.
     bool isKeptUpToDate(Common::Time now) const;
+    // Records that the list was read at that time.
+    void noteConfirmed(Common::Time readAt);
     Common::Duration delayAfterFault();
     void noteFault(StoreFault fault, Common::Time now);
     void applyReading(const EndpointsUpdate &reading, Common::Time now);
@@ -56,6 +63,9 @@
     StorePosition reportedPosition;
     // When the last reading began that the list is based on, by this instance or a reader.
     std::optional<Common::Time> confirmedAt;
+    // The same before the reading that is being applied.
+    Common::Time knownUntil;
+    RestartHandler restartHandler;
     // A reader's report leaves a gap that only a reading of its own closes.
     bool needsReading = false;
     Common::Backoff backoff;
--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -41,15 +41,17 @@
 
 EntryInstance::EntryInstance(Settings settings, const Platform &platform, Reload reload)
     : state(std::move(settings), platform.dialect), store(platform.makeStore(this->state)),
-      reload(std::move(reload)), gossip(this->state), mesh(this->state),
-      relay(this->state, this->mesh), crashWatch(this->state, this->gossip),
+      reload(std::move(reload)), datagrams(this->state), gossip(this->state, this->datagrams),
+      mesh(this->state), relay(this->state, this->mesh), crashWatch(this->state, this->gossip),
+      streams(this->state, this->datagrams), versionRows(this->state, *this->store, this->relay),
       stageOwner(this->state), stageClient(this->state, this->mesh, this->stageOwner),
       catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay),
       endpoints(this->state, this->stageOwner, *this->store, this->relay), parts{this->state,
                                                                                  this->catalogs,
                                                                                  this->endpoints,
                                                                                  this->stageClient,
-                                                                                 this->crashWatch}
+                                                                                 this->crashWatch,
+                                                                                 this->streams}
 {
 }
 
@@ -96,7 +98,10 @@
     }
     if (const std::string problem = this->mesh.start(); !problem.empty())
         return problem;
-    return this->gossip.start();
+    if (const std::string problem = this->datagrams.start(); !problem.empty())
+        return problem;
+    this->gossip.start();
+    return "";
 }
 
 std::string EntryInstance::run()
@@ -109,12 +114,10 @@
                              .text("callers", Common::formatAddress(this->state.settings.callers))
                              .text("store", Common::formatAddress(this->state.settings.store)));
     this->mesh.on("members?", [this](const PeerLinkPtr &link, const boost::json::object &) {
-        boost::json::object answer = this->gossip.allReports();
-        answer["type"] = "members";
-        this->mesh.reply(link, answer);
+        this->mesh.reply(link, this->allKnown());
     });
     this->mesh.on("members", [this](const PeerLinkPtr &, const boost::json::object &message) {
-        this->gossip.applyAll(message);
+        this->applyAllKnown(message);
     });
     this->gossip.onAskAll([this](const Common::Address &peer) {
         this->mesh.send(peer, {{"type", "members?"}});
@@ -137,6 +140,14 @@
         });
     this->crashWatch.onChange([this] { this->endQuarantinedRequests(); });
     this->crashWatch.start();
+    this->streams.start();
+    this->versionRows.start();
+    this->endpoints.onRestart(
+        [this](const Common::EndpointId &id, std::uint64_t incarnation, Common::Time knownUntil) {
+            this->streams.forget(id, incarnation, knownUntil);
+            for (RequestFlow &request : this->openRequests)
+                request.noteRestarted(id, incarnation, knownUntil);
+        });
     this->catalogs.onChange([this] { this->applyCatalog(); });
     this->catalogs.start();
     this->endpoints.start();
@@ -152,6 +163,24 @@
     return "";
 }
 
+boost::json::object EntryInstance::allKnown()
+{
+    const Common::Time now = clockNow();
+    boost::json::object message = this->gossip.allReports();
+    for (const auto &[service, pool] : this->state.pools)
+        Routing::noteVersions(this->state.versions, service, pool, now);
+    message["type"] = "members";
+    message["versions"] = toJson(this->state.versions, now);
+    return message;
+}
+
+void EntryInstance::applyAllKnown(const boost::json::object &message)
+{
+    this->gossip.applyAll(message);
+    if (const boost::json::value *versions = message.if_contains("versions"))
+        Routing::mergeHistory(this->state.versions, readVersionHistory(*versions, clockNow()));
+}
+
 void EntryInstance::applyCatalog()
 {
     const Catalog::CallerLimits &limits = this->state.catalog->limits;
@@ -232,6 +261,7 @@
     dump["requestsInProgress"] = this->state.requestsInProgress;
     dump["isReader"] = this->relay.isReader();
     dump["openPieces"] = this->stageOwner.openPieces();
+    dump["streamOrigins"] = this->streams.size();
     dump["linesDropped"] = this->state.log.droppedLines();
     boost::json::array members;
     for (const auto &[id, member] : this->state.members.byId) {
@@ -248,8 +278,8 @@
             endpoints.push_back({{"service", service},
                                  {"id", endpoint.id.value},
                                  {"address", Common::formatAddress(endpoint.address)},
-                                 {"state", Common::nameOf(endpoint.state)},
                                  {"version", endpoint.version},
+                                 {"state", Common::nameOf(endpoint.state)},
                                  {"inFlight", endpoint.ownInFlight},
                                  {"errorRate", endpoint.health.errorRate},
                                  {"slowness", Routing::currentSlowness(endpoint.health, now)},
@@ -301,6 +331,7 @@
     this->callerServer->closeAfterAnswers();
     this->gossip.announce();
     this->stageClient.handOver();
+    this->streams.handOver();
     asio::co_spawn(
         this->state.context,
         [this]() -> Http::Awaitable<void> {
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Entry/RequestFlow.h"
+#include "Entry/VersionRows.h"
 
 namespace Tanagerbay::Entry {
 
@@ -40,6 +41,9 @@
     void endRequestsForShutdown(Common::Time now);
     // Ends the requests that must not be sent any more, or must not go on at their endpoint.
     void endQuarantinedRequests();
+    // All that another instance asks for when it meets this one.
+    boost::json::object allKnown();
+    void applyAllKnown(const boost::json::object &message);
     Http::Awaitable<void> listInstances();
     Http::Awaitable<void> housekeeping();
     void applyCatalog();
@@ -49,10 +53,13 @@
     State state;
     std::unique_ptr<Store> store;
     Reload reload;
+    PeerDatagrams datagrams;
     Gossip gossip;
     PeerMesh mesh;
     StoreRelay relay;
     CrashWatch crashWatch;
+    StreamRegistry streams;
+    VersionRows versionRows;
     StageOwner stageOwner;
     StageClient stageClient;
     CatalogSync catalogs;
--- a/Source/Core/Entry/Gossip.cpp
+++ b/Source/Core/Entry/Gossip.cpp
@@ -4,20 +4,15 @@
 #include "Entry/PeerMesh.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
 
 namespace Tanagerbay::Entry {
 
 namespace asio = boost::asio;
 namespace json = boost::json;
-using asio::ip::udp;
 
 namespace {
 
@@ -35,7 +30,6 @@
 // a stage queue take about 10 Mbit/s at 0.05 cores.
 constexpr double kStrengthPerCore = 1000;
 constexpr double kStrengthPerMbps = 5;
-constexpr std::size_t kMaxDatagramBytes = 8 << 10;
 constexpr Common::Milliseconds kMinTickDelay{5};
 
 // Positions of the values in a report. Reports are sent very often, so they are encoded as arrays
@@ -144,28 +138,19 @@
 
 } // namespace
 
-Gossip::Gossip(State &state)
-    : state(state), socket(state.context), incarnation(Common::unixMilliseconds())
+Gossip::Gossip(State &state, PeerDatagrams &datagrams)
+    : state(state), datagrams(datagrams), incarnation(Common::unixMilliseconds())
 {
 }
 
-std::string Gossip::start()
+void Gossip::start()
 {
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(this->state.settings.peers.ip, error);
-    if (!error)
-        this->socket.open(udp::v4(), error);
-    if (!error)
-        this->socket.bind({ip, this->state.settings.peers.port}, error);
-    if (error) {
-        return "cannot open " + Common::formatAddress(this->state.settings.peers)
-            + " for probes: " + error.message();
-    }
-    this->socket.non_blocking(true, error);
+    this->datagrams.on("reports",
+                       [this](const json::object &message, const Common::Address &sender) {
+                           this->handleDatagram(message, sender);
+                       });
     this->raiseSequence(0);
     asio::co_spawn(this->state.context, this->sendLoop(), asio::detached);
-    asio::co_spawn(this->state.context, this->receiveLoop(), asio::detached);
-    return "";
 }
 
 void Gossip::onReport(std::function<void(const Membership::MemberReport &)> action)
@@ -254,7 +239,7 @@
     this->raiseSequence(0);
 }
 
-std::string Gossip::datagramFor(const Membership::ProbeMessage &message)
+json::object Gossip::datagramFor(const Membership::ProbeMessage &message)
 {
     const std::uint32_t repeats = Membership::newsRepeats(this->state.members.byId.size());
     json::object datagram;
@@ -282,21 +267,13 @@
         leavingEndpoints.push_back(json::array{leaving.id.value, leaving.incarnation});
     if (!leavingEndpoints.empty())
         datagram["leavingEndpoints"] = std::move(leavingEndpoints);
-    return json::serialize(datagram);
+    return datagram;
 }
 
 void Gossip::send(const std::vector<Membership::ProbeMessage> &messages)
 {
-    for (const Membership::ProbeMessage &message : messages) {
-        const std::string datagram = this->datagramFor(message);
-        boost::system::error_code error;
-        const auto ip = asio::ip::make_address(message.to.ip, error);
-        if (!error)
-            this->socket.send_to(asio::buffer(datagram), {ip, message.to.port}, 0, error);
-        // A datagram that cannot be sent is treated like a lost one: it is not answered.
-        if (error)
-            this->state.metrics.count("probes_unsent");
-    }
+    for (const Membership::ProbeMessage &message : messages)
+        this->datagrams.send(message.to, this->datagramFor(message));
 }
 
 void Gossip::announce()
@@ -384,28 +361,9 @@
     }
 }
 
-Http::Awaitable<void> Gossip::receiveLoop()
-{
-    std::array<char, kMaxDatagramBytes> bytes;
-    while (true) {
-        udp::endpoint sender;
-        boost::system::error_code error;
-        const std::size_t size = co_await this->socket.async_receive_from(
-            asio::buffer(bytes), sender, asio::redirect_error(asio::use_awaitable, error));
-        if (error == asio::error::operation_aborted || !this->socket.is_open())
-            co_return;
-        if (!error)
-            this->handleDatagram({bytes.data(), size},
-                                 {sender.address().to_string(), sender.port()});
-    }
-}
-
-void Gossip::handleDatagram(std::string_view datagram, const Common::Address &sender)
+void Gossip::handleDatagram(const json::object &message, const Common::Address &sender)
 {
-    boost::system::error_code error;
-    const json::value message = json::parse({datagram.data(), datagram.size()}, error);
-    const json::array *reports
-        = !error && message.is_object() ? arrayOf(message.get_object(), "reports") : nullptr;
+    const json::array *reports = arrayOf(message, "reports");
     if (!reports) {
         this->state.metrics.count("datagrams_invalid");
         return;
@@ -414,12 +372,12 @@
         if (const auto news = fromJson(value))
             this->handleNews(*news, sender);
     }
-    if (const json::array *leaving = arrayOf(message.get_object(), "leavingEndpoints"))
+    if (const json::array *leaving = arrayOf(message, "leavingEndpoints"))
         this->handleLeaving(*leaving);
     if (this->attachmentHandler)
-        this->attachmentHandler(message.get_object());
+        this->attachmentHandler(message);
     // Instances of an earlier version send reports only.
-    if (const auto probe = probeFromJson(message.get_object().if_contains("probe")))
+    if (const auto probe = probeFromJson(message.if_contains("probe")))
         this->send(Membership::onProbeMessage(this->detector, *probe, sender, clockNow()));
 }
 
--- a/Source/Core/Entry/Gossip.h
+++ b/Source/Core/Entry/Gossip.h
@@ -3,23 +3,17 @@
 // of instances.
 #pragma once
 
-#include "Entry/State.h"
+#include "Entry/PeerDatagrams.h"
 #include "Membership/Detector.h"
 
-#include <functional>
-
-#include <boost/asio/ip/udp.hpp>
-#include <boost/json.hpp>
-
 namespace Tanagerbay::Entry {
 
 class Gossip
 {
 public:
-    explicit Gossip(State &state);
+    Gossip(State &state, PeerDatagrams &datagrams);
 
-    // Returns an empty string, or the reason why the port cannot be opened.
-    std::string start();
+    void start();
     // Tells some other instances at once, after a change that all must learn of.
     void announce();
     // Checks at once whether an instance is alive, since it has not answered otherwise.
@@ -49,20 +43,19 @@
 
 private:
     Http::Awaitable<void> sendLoop();
-    Http::Awaitable<void> receiveLoop();
     void send(const std::vector<Membership::ProbeMessage> &messages);
-    std::string datagramFor(const Membership::ProbeMessage &message);
+    boost::json::object datagramFor(const Membership::ProbeMessage &message);
     Membership::MemberReport ownReport() const;
     // Raises the sequence if the state that other instances have to know of has changed.
     void noteOwnState();
     void raiseSequence(std::uint64_t above);
     void askAll(const Common::Address &peer, Common::Duration minInterval);
-    void handleDatagram(std::string_view datagram, const Common::Address &sender);
+    void handleDatagram(const boost::json::object &message, const Common::Address &sender);
     void handleNews(const Membership::MemberNews &news, const Common::Address &sender);
     void handleLeaving(const boost::json::array &endpoints);
 
     State &state;
-    boost::asio::ip::udp::socket socket;
+    PeerDatagrams &datagrams;
     Membership::Detector detector;
     std::function<void(const Membership::MemberReport &)> reportHandler;
     std::function<void(const LeavingEndpoint &)> leavingHandler;
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -69,6 +69,10 @@
     OutcomeUnknown,
     // The request has a property that crashes endpoints.
     Quarantined,
+    // No endpoint is left that runs the software version that began the stream.
+    VersionGone,
+    // It is not known which software version began the stream, and there are several.
+    StreamUnknown,
 };
 
 } // namespace Tanagerbay::Entry
@@ -77,7 +81,7 @@
 struct Tanagerbay::Common::EnumNames<Tanagerbay::Entry::RefusalReason>
 {
     using Reason = Entry::RefusalReason;
-    static constexpr NameTable<Reason, 11> table = {{
+    static constexpr NameTable<Reason, 13> table = {{
         {Reason::BadRequest, "bad-request"},
         {Reason::NoSuchRoute, "no-such-route"},
         {Reason::UnknownKey, "unknown-key"},
@@ -89,6 +93,8 @@
         {Reason::DeadlinePassed, "deadline-passed"},
         {Reason::OutcomeUnknown, "outcome-unknown"},
         {Reason::Quarantined, "quarantined"},
+        {Reason::VersionGone, "version-gone"},
+        {Reason::StreamUnknown, "stream-unknown"},
     }};
 };
 
@@ -257,6 +263,15 @@
     double strength = 0;
 };
 
+// A software version that endpoints of the service run, or have run lately.
+struct ServiceVersion
+{
+    std::string service;
+    std::string version;
+
+    auto operator<=>(const ServiceVersion &) const = default;
+};
+
 template <typename T>
 using StoreResult = tl::expected<T, StoreFault>;
 
@@ -278,6 +293,12 @@
     // applied or not.
     virtual Http::Awaitable<StoreResult<std::uint64_t>>
     writeInstance(const ListedInstance &instance) = 0;
+    virtual Http::Awaitable<StoreResult<std::vector<ServiceVersion>>> readVersions() = 0;
+    // Returns the epoch in which the store confirmed the write.
+    virtual Http::Awaitable<StoreResult<std::uint64_t>>
+    writeVersions(const std::vector<ServiceVersion> &added,
+                  const std::vector<ServiceVersion> &removed)
+        = 0;
     virtual Http::Awaitable<bool> removeInstance(const Common::InstanceId &id) = 0;
     // The highest epoch that any answer of the store has named, including answers that report a
     // fault.
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -38,7 +38,6 @@
 // Callers choose the number and the names of prompt parts, so that a log line bounds both.
 constexpr std::size_t kMaxLoggedParts = 8;
 constexpr std::size_t kMaxLoggedPartLength = 16;
-constexpr std::size_t kMaxLoggedIdLength = 64;
 } // namespace
 
 RequestFlow::RequestFlow(const RequestDependencies &dependencies, Http::Exchange &exchange,
@@ -175,6 +174,17 @@
         co_await this->refuse(this->refusalForQuarantine(), "");
         co_return false;
     }
+    if (!this->isResumption())
+        co_return true;
+    const auto refusal = co_await this->findOrigin();
+    if (this->callerGone) {
+        this->recordEnd("caller-gone", "before the request was sent");
+        co_return false;
+    }
+    if (refusal || this->earlyEnd) {
+        co_await this->refuse(this->earlyEnd ? this->refusalForEarlyEnd() : *refusal, "");
+        co_return false;
+    }
     co_return true;
 }
 
@@ -217,7 +227,8 @@
 Common::Duration RequestFlow::retryAfterNoEndpoint()
 {
     const Common::Time now = clockNow();
-    const auto heldUntil = Routing::allHeldUntil(this->state.poolOf(this->service), now);
+    const auto heldUntil
+        = Routing::allHeldUntil(this->state.poolOf(this->service), now, this->requiredVersion);
     if (!heldUntil)
         return kDefaultRetryAfter;
     std::uniform_real_distribution<double> draw(0, 1);
@@ -228,7 +239,7 @@
 {
     const auto chosen = this->chooseEndpoint(clockNow());
     if (!chosen) {
-        co_await this->refuse({RefusalReason::NoEndpoint, true, this->retryAfterNoEndpoint()},
+        co_await this->refuse({this->reasonNoEndpoint(), true, this->retryAfterNoEndpoint()},
                               this->service);
         co_return false;
     }
@@ -269,13 +280,17 @@
 
 std::optional<std::size_t> RequestFlow::chooseEndpoint(Common::Time now)
 {
+    if (this->isVersionUncertain)
+        return std::nullopt;
     Routing::Pool &pool = this->state.poolOf(this->service);
     const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
     if (entry && entry->engine)
-        return Routing::chooseByAffinity(pool, {this->affinityKey(), this->triedEndpoints}, now);
+        return Routing::chooseByAffinity(
+            pool, {this->affinityKey(), this->triedEndpoints, this->requiredVersion}, now);
     Routing::ChoiceRequest choice;
     choice.failureDomain = this->state.settings.failureDomain;
     choice.tried = this->triedEndpoints;
+    choice.version = this->requiredVersion;
     return Routing::choose(pool, choice, now, this->state.random);
 }
 
@@ -295,7 +310,7 @@
     if (!Serving::mayTryAnother(this->attempts, outcome, now))
         return "attempts";
     if (!this->chooseEndpoint(now))
-        return "no-endpoint";
+        return Common::nameOf(this->reasonNoEndpoint());
     // A failed connection attempt added no load to the service, so it needs no retry budget.
     if (outcome != SendOutcome::NotSent && !this->takeFromRetryBudget(now))
         return "budget";
@@ -311,7 +326,7 @@
         const auto chosen = this->chooseEndpoint(now);
         if (!chosen || this->timeLeft(now) <= Common::Duration(0)) {
             const bool late = chosen.has_value();
-            Refusal refusal{late ? RefusalReason::NotRunInTime : RefusalReason::NoEndpoint, true,
+            Refusal refusal{late ? RefusalReason::NotRunInTime : this->reasonNoEndpoint(), true,
                             this->retryAfterNoEndpoint()};
             if (this->attempts.mayHaveRun)
                 refusal = {RefusalReason::OutcomeUnknown, false, std::nullopt};
@@ -400,7 +415,7 @@
     }
     if (step == NextStep::Refuse) {
         const auto reason
-            = this->attempts.reached > 0 ? RefusalReason::Overloaded : RefusalReason::NoEndpoint;
+            = this->attempts.reached > 0 ? RefusalReason::Overloaded : this->reasonNoEndpoint();
         co_await this->refuse({reason, true, this->retryAfterNoEndpoint()}, last.detail);
         co_return;
     }
@@ -433,12 +448,12 @@
         line.text("route", this->route->name).text("service", this->service);
         line.milliseconds("objectiveMs", this->route->objective);
     }
-    if (!this->lastEndpoint.empty())
-        line.text("endpoint", this->lastEndpoint)
-            .text("version", this->lastVersion)
+    if (!this->sentTo.endpoint.empty())
+        line.text("endpoint", this->sentTo.endpoint.value)
+            .text("version", this->sentTo.version)
             .number("reached", this->attempts.reached);
     if (this->request.lastEvent) {
-        line.text("resumes", this->request.resumedAttempt.substr(0, kMaxLoggedIdLength))
+        line.text("resumes", this->loggedResumedAttempt())
             .number("lastEvent", static_cast<std::int64_t>(*this->request.lastEvent));
     }
     if (this->stagedAt)
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -5,6 +5,7 @@
 #include "Entry/CrashWatch.h"
 #include "Entry/EndpointDiscovery.h"
 #include "Entry/StageRun.h"
+#include "Entry/StreamRegistry.h"
 #include "Http/Server.h"
 #include "Serving/Attempt.h"
 #include "Serving/EventSequence.h"
@@ -22,6 +23,7 @@
     EndpointDiscovery &endpoints;
     StageClient &stages;
     CrashWatch &crashWatch;
+    StreamRegistry &streams;
 };
 
 // Removes itself from the list of open requests when it is destroyed.
@@ -47,6 +49,10 @@
     bool isQuarantined() const;
     // Makes `run` answer the caller at once, without another send.
     void endForQuarantine();
+    // Takes note that an endpoint was restarted with another software version. A request that was
+    // sent to it at `since` or later may have reached the new process.
+    void noteRestarted(const Common::EndpointId &endpoint, std::uint64_t incarnation,
+                       Common::Time since);
     // Records that the exit of the process ends this request without a complete response.
     void recordCutByExit();
 
@@ -72,6 +78,19 @@
     Http::Awaitable<bool> admit();
     Http::Awaitable<std::optional<Refusal>> checkRoute();
     std::optional<RefusalReason> findRouteAndWorkspace();
+    // Whether the request takes up a stream that an earlier attempt of its caller began.
+    bool isResumption() const;
+    // Finds out which version began the stream that the request takes up. Returns the refusal if
+    // that is not known, or if the route does not lead there any more.
+    Http::Awaitable<std::optional<Refusal>> findOrigin();
+    void noteResumption(std::string_view result);
+    // Records which endpoint wrote the first event, before the caller gets it.
+    void noteStreamBegun();
+    // Whether an endpoint that is not leaving runs the version that the request requires.
+    bool isVersionListed() const;
+    // Why no endpoint can be chosen.
+    RefusalReason reasonNoEndpoint() const;
+    std::string loggedResumedAttempt() const;
     Http::Awaitable<bool> runStages();
     StagePlan makeStagePlan(const Routing::Endpoint &endpoint) const;
     // Returns when the caller is expected to give up: at the deadline, or earlier on a stream that
@@ -165,8 +184,14 @@
     bool isEndRecorded = false;
     std::optional<Common::Time> firstEventAt;
     std::optional<Common::Time> stagedAt;
-    std::string lastEndpoint;
-    std::string lastVersion;
+    // The endpoint process of the last send.
+    Serving::StreamOrigin sentTo;
+    // The endpoint process that began the stream, by this request or the one that it takes up.
+    std::optional<Serving::StreamOrigin> origin;
+    // If set, only endpoints that run this software version may be sent the request.
+    std::optional<std::string> requiredVersion;
+    // The process that began the stream may have been another one than `origin` tells.
+    bool isVersionUncertain = false;
     // `Responding` follows from the exchange and is never stored here.
     Serving::RequestPhase lastPhase = Serving::RequestPhase::Admission;
 };
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -69,6 +69,7 @@
 {
     const auto isOther = [&](const Routing::Endpoint &endpoint) {
         return Routing::isEligible(endpoint, now)
+            && Routing::hasVersion(endpoint, this->requiredVersion)
             && std::find(this->triedEndpoints.begin(), this->triedEndpoints.end(), endpoint.id)
             == this->triedEndpoints.end();
     };
@@ -143,8 +144,8 @@
     if (const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
         entry && entry->engine)
         call.urgency = std::min(kMinUrgencyValue + this->priority, kMaxUrgencyValue);
-    this->lastEndpoint = endpoint.id.value;
-    this->lastVersion = endpoint.version;
+    this->sentTo = {this->service,        endpoint.version, endpoint.id,
+                    endpoint.incarnation, startedAt,        this->deadline};
     this->lastPhase = Serving::RequestPhase::Sent;
     this->eventsBeforeSend = this->events.eventCount();
 
@@ -286,6 +287,7 @@
         co_return true;
     if (!this->firstEventAt) {
         this->firstEventAt = clockNow();
+        this->noteStreamBegun();
         // The first event shows that the engine has read its inputs.
         if (this->stageRun)
             this->stageRun->releaseAll();
--- /dev/null
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -0,0 +1,115 @@
+// A stream may go on only at the software version that wrote its first event: within one answer,
+// and when its caller takes it up again with another request, at whatever instance.
+#include "Entry/RequestFlow.h"
+
+#include <algorithm>
+
+namespace Tanagerbay::Entry {
+
+namespace {
+
+// Retry-After of streams that cannot go on now. An endpoint of the version may come back, and
+// another instance may know where the stream began.
+constexpr Common::Milliseconds kRetryAfterResumption{300};
+
+bool leadsTo(const Catalog::Route &route, const std::string &service)
+{
+    return std::any_of(
+        route.services.begin(), route.services.end(),
+        [&service](const Catalog::WeightedService &option) { return option.service == service; });
+}
+
+} // namespace
+
+bool RequestFlow::isResumption() const
+{
+    return this->isStream() && this->request.lastEvent.has_value();
+}
+
+void RequestFlow::noteResumption(std::string_view result)
+{
+    this->state.metrics.count(labelled("streams_resumed", "result", result));
+    this->state.log.write(
+        LogLine("stream-resumed")
+            .text("request", this->request.id)
+            .text("resumes", this->loggedResumedAttempt())
+            .number("lastEvent", static_cast<std::int64_t>(*this->request.lastEvent))
+            .text("result", result)
+            .text("service", this->service)
+            .text("version", this->origin ? this->origin->version : "")
+            .text("begunAt", this->origin ? this->origin->endpoint.value : ""),
+        clockNow());
+}
+
+Http::Awaitable<std::optional<Refusal>> RequestFlow::findOrigin()
+{
+    std::string attempt = this->request.resumedAttempt;
+    this->origin = co_await this->dependencies.streams.find(
+        std::move(attempt), Serving::originExpiry(this->deadline, clockNow()));
+    const Common::Time now = clockNow();
+    if (this->origin) {
+        if (!leadsTo(*this->route, this->origin->service)) {
+            this->noteResumption("route-moved");
+            co_return Refusal{RefusalReason::VersionGone, true, kRetryAfterResumption};
+        }
+        this->service = this->origin->service;
+        this->requiredVersion = this->origin->version;
+        this->noteResumption("known");
+        co_return std::nullopt;
+    }
+    // One service and one version: there is nothing else where the stream can have begun.
+    if (this->route->services.size() == 1)
+        this->requiredVersion = Routing::onlyVersionSince(this->state.versions, this->service,
+                                                          this->state.poolOf(this->service),
+                                                          now - Routing::kVersionMemory);
+    this->noteResumption(this->requiredVersion ? "only-version" : "unknown");
+    if (this->requiredVersion)
+        co_return std::nullopt;
+    co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
+}
+
+void RequestFlow::noteStreamBegun()
+{
+    if (!this->route->resumable)
+        return;
+    if (!this->origin)
+        this->origin = this->sentTo;
+    this->requiredVersion = this->origin->version;
+    // A caller may also name this attempt when it takes the stream up again.
+    Serving::StreamOrigin known = *this->origin;
+    known.expiresAt = Serving::originExpiry(this->deadline, clockNow());
+    this->dependencies.streams.noteBegun(this->request.id, known);
+}
+
+void RequestFlow::noteRestarted(const Common::EndpointId &endpoint, std::uint64_t incarnation,
+                                Common::Time since)
+{
+    if (this->origin && this->origin->endpoint == endpoint
+        && this->origin->incarnation == incarnation && this->origin->sentAt >= since)
+        this->isVersionUncertain = true;
+}
+
+bool RequestFlow::isVersionListed() const
+{
+    const auto found = this->state.pools.find(this->service);
+    if (found == this->state.pools.end() || this->isVersionUncertain)
+        return false;
+    const std::vector<Routing::Endpoint> &endpoints = found->second.endpoints;
+    return std::any_of(endpoints.begin(), endpoints.end(), [this](const Routing::Endpoint &each) {
+        return Routing::hasVersion(each, this->requiredVersion) && !Routing::isLeaving(each);
+    });
+}
+
+RefusalReason RequestFlow::reasonNoEndpoint() const
+{
+    return this->requiredVersion && !this->isVersionListed() ? RefusalReason::VersionGone
+                                                             : RefusalReason::NoEndpoint;
+}
+
+std::string RequestFlow::loggedResumedAttempt() const
+{
+    constexpr std::size_t kMaxLoggedLength = 64;
+    return this->request.resumedAttempt.substr(0, kMaxLoggedLength);
+}
+
+} // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/State.h
+++ b/Source/Core/Entry/State.h
@@ -10,7 +10,7 @@
 #include "Entry/Settings.h"
 #include "Http/Client.h"
 #include "Membership/Members.h"
-#include "Routing/Pool.h"
+#include "Routing/VersionHistory.h"
 #include "Serving/GracefulShutdown.h"
 
 #include <map>
@@ -46,6 +46,7 @@
     Http::Client client;
     Catalog::CatalogPtr catalog;
     std::map<std::string, Routing::Pool> pools;
+    Routing::VersionHistory versions;
     std::unordered_map<std::string, Serving::FleetBudget> budgets;
     Membership::Members members;
     // Whether the store's list of instances has been read since start-up.
--- /dev/null
+++ b/Source/Core/Entry/StreamMessages.cpp
@@ -0,0 +1,157 @@
+#include "Entry/StreamMessages.h"
+
+#include <algorithm>
+
+namespace Tanagerbay::Entry {
+
+namespace json = boost::json;
+
+namespace {
+
+// Longest period in a message; a history without a beginning has this age.
+constexpr Common::Milliseconds kMaxPeriod{24LL * 3600 * 1000};
+
+// Positions of the values of a message; the ones from `Service` on are those of an origin.
+enum StreamField : std::size_t {
+    Kind,
+    Number,
+    Attempt,
+    LeftMs,
+    FindFieldCount,
+    Service = FindFieldCount,
+    Version,
+    Endpoint,
+    Incarnation,
+    SentAgeMs,
+    OriginFieldCount
+};
+
+std::optional<std::uint64_t> unsignedOf(const json::value &value)
+{
+    if (value.is_uint64())
+        return value.get_uint64();
+    if (value.is_int64() && value.get_int64() >= 0)
+        return static_cast<std::uint64_t>(value.get_int64());
+    return std::nullopt;
+}
+
+std::optional<Common::Milliseconds> millisecondsOf(const json::value &value)
+{
+    const auto number = unsignedOf(value);
+    if (!number)
+        return std::nullopt;
+    const auto maxNumber = static_cast<std::uint64_t>(kMaxPeriod.count());
+    return Common::Milliseconds(std::min(*number, maxNumber));
+}
+
+std::optional<std::string> textOf(const json::value &value)
+{
+    if (!value.is_string())
+        return std::nullopt;
+    return std::string(value.get_string());
+}
+
+std::int64_t ageMs(Common::Time then, Common::Time now)
+{
+    return std::max<std::int64_t>(Common::toMilliseconds(now - then), 0);
+}
+
+bool readOrigin(const json::array &fields, Serving::StreamOrigin &origin, Common::Time now)
+{
+    if (fields.size() < OriginFieldCount)
+        return false;
+    const auto service = textOf(fields[Service]);
+    const auto version = textOf(fields[Version]);
+    const auto endpoint = textOf(fields[Endpoint]);
+    const auto incarnation = unsignedOf(fields[Incarnation]);
+    const auto age = millisecondsOf(fields[SentAgeMs]);
+    if (!service || !version || !endpoint || !incarnation || !age)
+        return false;
+    origin.service = *service;
+    origin.version = *version;
+    origin.endpoint = Common::EndpointId(*endpoint);
+    origin.incarnation = *incarnation;
+    origin.sentAt = now - *age;
+    return true;
+}
+
+} // namespace
+
+json::array toJson(const StreamMessage &message, Common::Time now)
+{
+    const Serving::StreamOrigin &origin = message.origin;
+    // Positive, so that the receiver keeps the entry although some time has passed.
+    json::array fields{Common::nameOf(message.kind), message.number, message.attempt,
+                       ageMs(now, origin.expiresAt)};
+    if (message.kind == StreamMessageKind::Began || message.kind == StreamMessageKind::Found) {
+        fields.emplace_back(origin.service);
+        fields.emplace_back(origin.version);
+        fields.emplace_back(origin.endpoint.value);
+        fields.emplace_back(origin.incarnation);
+        fields.emplace_back(ageMs(origin.sentAt, now));
+    }
+    return fields;
+}
+
+std::optional<StreamMessage> readStreamMessage(const json::value &value, Common::Time now)
+{
+    if (!value.is_array() || value.get_array().size() < FindFieldCount)
+        return std::nullopt;
+    const json::array &fields = value.get_array();
+    const auto name = textOf(fields[Kind]);
+    if (!name)
+        return std::nullopt;
+    const auto kind = Common::valueNamed<StreamMessageKind>(*name);
+    const auto number = unsignedOf(fields[Number]);
+    const auto attempt = textOf(fields[Attempt]);
+    const auto left = millisecondsOf(fields[LeftMs]);
+    if (!kind || !number || !attempt || attempt->empty() || !left)
+        return std::nullopt;
+    StreamMessage message{*kind, *number, *attempt, {}};
+    message.origin.expiresAt = now + *left;
+    const bool hasOrigin = *kind == StreamMessageKind::Began || *kind == StreamMessageKind::Found;
+    if (hasOrigin && !readOrigin(fields, message.origin, now))
+        return std::nullopt;
+    return message;
+}
+
+json::object toJson(const Routing::VersionHistory &history, Common::Time now)
+{
+    json::object services;
+    for (const auto &[service, versions] : history.byService) {
+        json::array list;
+        for (const auto &[version, at] : versions)
+            list.push_back(json::array{version, ageMs(at, now)});
+        services[service] = std::move(list);
+    }
+    const bool hasBeginning = history.completeSince > now - kMaxPeriod;
+    return {{"completeMs", hasBeginning ? ageMs(history.completeSince, now) : kMaxPeriod.count()},
+            {"services", std::move(services)}};
+}
+
+Routing::VersionHistory readVersionHistory(const json::value &value, Common::Time now)
+{
+    Routing::VersionHistory history{{}, now};
+    const json::object *object = value.if_object();
+    const json::value *complete = object ? object->if_contains("completeMs") : nullptr;
+    const json::value *services = object ? object->if_contains("services") : nullptr;
+    const auto completeAge = complete ? millisecondsOf(*complete) : std::nullopt;
+    if (!completeAge || !services || !services->is_object())
+        return history;
+    history.completeSince = *completeAge < kMaxPeriod ? now - *completeAge : Common::Time::min();
+    for (const auto &member : services->get_object()) {
+        const json::array *list = member.value().if_array();
+        for (std::size_t i = 0; list && i < list->size(); ++i) {
+            const json::array *entry = (*list)[i].if_array();
+            if (!entry || entry->size() < 2)
+                continue;
+            const auto version = textOf((*entry)[0]);
+            const auto age = millisecondsOf((*entry)[1]);
+            if (version && age)
+                history.byService[std::string(member.key())][*version] = now - *age;
+        }
+    }
+    return history;
+}
+
+} // namespace Tanagerbay::Entry
--- /dev/null
+++ b/Source/Core/Entry/StreamRegistry.cpp
@@ -0,0 +1,162 @@
+#include "Entry/StreamRegistry.h"
+
+#include "Common/Hash.h"
+#include "Membership/Holders.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Tanagerbay::Entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Number of other instances that are told of a stream. Several may fail at once, and a datagram may
+// be lost.
+constexpr std::size_t kHolders = 3;
+// More are asked, since the instance that told them may have believed other ones to be down.
+constexpr std::size_t kAskedInstances = 8;
+// A question is repeated, since datagrams may be lost. Together less than callers wait for a
+// connection.
+constexpr int kAskRounds = 3;
+constexpr Common::Milliseconds kAskPeriod{80};
+// Callers choose the names of attempts. A longer one is replaced by its digest.
+constexpr std::size_t kMaxAttemptLength = 64;
+
+std::string keyOf(const std::string &attempt)
+{
+    return attempt.size() <= kMaxAttemptLength ? attempt : Common::digestOf(attempt);
+}
+
+} // namespace
+
+StreamRegistry::StreamRegistry(State &state, PeerDatagrams &datagrams)
+    : state(state), datagrams(datagrams)
+{
+}
+
+void StreamRegistry::start()
+{
+    this->datagrams.on(
+        kStreamMember, [this](const boost::json::object &object, const Common::Address &sender) {
+            const auto message = readStreamMessage(object.at(kStreamMember), clockNow());
+            if (message)
+                this->handle(*message, sender);
+            else
+                this->state.metrics.count("datagrams_invalid");
+        });
+}
+
+void StreamRegistry::send(const Common::Address &to, const StreamMessage &message)
+{
+    boost::json::object object;
+    object[kStreamMember] = toJson(message, clockNow());
+    this->datagrams.send(to, object);
+}
+
+void StreamRegistry::noteBegun(const std::string &attempt, const Serving::StreamOrigin &origin)
+{
+    const Common::Time now = clockNow();
+    const std::string key = keyOf(attempt);
+    Serving::addOrigin(this->origins, key, origin, now);
+    const StreamMessage message{StreamMessageKind::Began, 0, key, origin};
+    for (const Membership::Member *holder :
+         Membership::holdersOf(this->state.members, key, kHolders, false, now))
+        this->send(holder->report.peerAddress, message);
+}
+
+bool StreamRegistry::isWaiting(const Search &search) const
+{
+    const Common::Time now = clockNow();
+    return std::any_of(search.unanswered.begin(), search.unanswered.end(), [&](const auto &entry) {
+        const auto found = this->state.members.byId.find(entry.second);
+        return found != this->state.members.byId.end()
+            && !Membership::isSuspect(this->state.members, found->second, now);
+    });
+}
+
+Http::Awaitable<std::optional<Serving::StreamOrigin>> StreamRegistry::find(std::string attempt,
+                                                                           Common::Time neededUntil)
+{
+    const Common::Time now = clockNow();
+    const std::string key = keyOf(attempt);
+    if (const auto *origin = Serving::findOrigin(this->origins, key, neededUntil, now))
+        co_return *origin;
+    if (key.empty())
+        co_return std::nullopt;
+    Search search(this->state.context);
+    for (const Membership::Member *holder :
+         Membership::holdersOf(this->state.members, key, kAskedInstances, true, now))
+        search.unanswered.emplace(holder->report.peerAddress, holder->report.id);
+    StreamMessage question{StreamMessageKind::Find, ++this->lastNumber, key, {}};
+    question.origin.expiresAt = neededUntil;
+    this->searches[question.number] = &search;
+    for (int round = 0; round < kAskRounds && !search.origin && this->isWaiting(search); ++round) {
+        for (const auto &[address, instance] : search.unanswered)
+            this->send(address, question);
+        search.timer.expires_after(kAskPeriod);
+        boost::system::error_code ignored;
+        co_await search.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    this->searches.erase(question.number);
+    if (search.origin)
+        Serving::addOrigin(this->origins, key, *search.origin, clockNow());
+    co_return search.origin;
+}
+
+void StreamRegistry::handle(const StreamMessage &message, const Common::Address &sender)
+{
+    const Common::Time now = clockNow();
+    if (message.kind == StreamMessageKind::Began) {
+        Serving::addOrigin(this->origins, message.attempt, message.origin, now);
+        return;
+    }
+    if (message.kind == StreamMessageKind::Find) {
+        StreamMessage answer{StreamMessageKind::Unknown, message.number, message.attempt, {}};
+        const Serving::StreamOrigin *origin
+            = Serving::findOrigin(this->origins, message.attempt, message.origin.expiresAt, now);
+        if (origin) {
+            answer.kind = StreamMessageKind::Found;
+            answer.origin = *origin;
+        }
+        this->send(sender, answer);
+        return;
+    }
+    // An answer may come after its question has ended.
+    const auto found = this->searches.find(message.number);
+    if (found == this->searches.end())
+        return;
+    Search &search = *found->second;
+    search.unanswered.erase(sender);
+    if (message.kind == StreamMessageKind::Found)
+        search.origin = message.origin;
+    if (search.origin || !this->isWaiting(search))
+        search.timer.cancel();
+}
+
+void StreamRegistry::forget(const Common::EndpointId &endpoint, std::uint64_t incarnation,
+                            Common::Time since)
+{
+    Serving::forgetOrigins(this->origins, endpoint, incarnation, since);
+}
+
+void StreamRegistry::handOver()
+{
+    const Common::Time now = clockNow();
+    for (const auto &[attempt, origin] : this->origins.byAttempt) {
+        // The first ones hold it already, unless this instance was one of them.
+        const auto holders
+            = Membership::holdersOf(this->state.members, attempt, kHolders, false, now);
+        if (!holders.empty() && origin.expiresAt > now)
+            this->send(holders.back()->report.peerAddress,
+                       {StreamMessageKind::Began, 0, attempt, origin});
+    }
+}
+
+std::size_t StreamRegistry::size() const
+{
+    return this->origins.byAttempt.size();
+}
+
+} // namespace Tanagerbay::Entry
--- /dev/null
+++ b/Source/Core/Entry/StreamRegistry.h
@@ -0,0 +1,59 @@
+// Finds out which endpoint process began a stream that a caller takes up again.
+//
+// The instance that relays the first event of a stream tells a few others, chosen by the caller's
+// attempt, so that any instance knows whom to ask after the first one has ended. The cost is
+// constant for each stream, however many instances there are.
+#pragma once
+
+#include "Entry/PeerDatagrams.h"
+#include "Entry/StreamMessages.h"
+
+namespace Tanagerbay::Entry {
+
+class StreamRegistry
+{
+public:
+    StreamRegistry(State &state, PeerDatagrams &datagrams);
+
+    void start();
+    // Records where a stream began. To be called before its first event is passed on, so that the
+    // instances that are told learn of it even if this one ends right after.
+    void noteBegun(const std::string &attempt, const Serving::StreamOrigin &origin);
+    // Returns where the stream began that the attempt brought, from this instance's memory or that
+    // of others. Returns nothing if none of them knows. `neededUntil` is until when the stream may
+    // be taken up once more.
+    Http::Awaitable<std::optional<Serving::StreamOrigin>> find(std::string attempt,
+                                                               Common::Time neededUntil);
+    // Forgets streams that may have begun at another process than the one that was recorded. See
+    // `Serving::forgetOrigins`.
+    void forget(const Common::EndpointId &endpoint, std::uint64_t incarnation, Common::Time since);
+    // Passes on what this instance holds to those that hold it after its exit.
+    void handOver();
+    std::size_t size() const;
+
+private:
+    // A question to other instances.
+    struct Search
+    {
+        explicit Search(boost::asio::io_context &context) : timer(context)
+        {
+        }
+
+        std::optional<Serving::StreamOrigin> origin;
+        std::map<Common::Address, Common::InstanceId> unanswered;
+        boost::asio::steady_timer timer;
+    };
+
+    void handle(const StreamMessage &message, const Common::Address &sender);
+    void send(const Common::Address &to, const StreamMessage &message);
+    // Whether an instance that is believed to be up has not answered.
+    bool isWaiting(const Search &search) const;
+
+    State &state;
+    PeerDatagrams &datagrams;
+    Serving::StreamOrigins origins;
+    std::map<std::uint64_t, Search *> searches;
+    std::uint64_t lastNumber = 0;
+};
+
+} // namespace Tanagerbay::Entry
--- /dev/null
+++ b/Source/Core/Membership/Holders.cpp
@@ -0,0 +1,56 @@
+#include "Membership/Holders.h"
+
+#include "Common/Hash.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace Tanagerbay::Membership {
+
+namespace {
+
+struct Candidate
+{
+    const Member *member = nullptr;
+    std::uint64_t score = 0;
+    // Number of instances of the same failure domain that come before.
+    std::size_t rankInDomain = 0;
+};
+
+bool isDoubtful(const Members &members, const Member &member, Common::Time now)
+{
+    return member.report.state == MemberState::Leaving || isSuspect(members, member, now);
+}
+
+} // namespace
+
+std::vector<const Member *> holdersOf(const Members &members, std::string_view key,
+                                      std::size_t count, bool includesDoubtful, Common::Time now)
+{
+    const std::uint64_t seed = Common::hash64(key);
+    std::vector<Candidate> candidates;
+    for (const auto &[id, member] : members.byId) {
+        if (id == members.self || !member.report.peerAddress.isSet())
+            continue;
+        candidates.push_back({&member, Common::hash64(id.value, seed), 0});
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Candidate &a, const Candidate &b) { return a.score > b.score; });
+    std::map<Common::FailureDomain, std::size_t> countByDomain;
+    for (Candidate &candidate : candidates)
+        candidate.rankInDomain = countByDomain[candidate.member->report.failureDomain]++;
+    std::stable_sort(
+        candidates.begin(), candidates.end(),
+        [](const Candidate &a, const Candidate &b) { return a.rankInDomain < b.rankInDomain; });
+    std::vector<const Member *> holders;
+    for (const Candidate &candidate : candidates) {
+        if (holders.size() >= count)
+            break;
+        if (includesDoubtful || !isDoubtful(members, *candidate.member, now))
+            holders.push_back(candidate.member);
+    }
+    return holders;
+}
+
+} // namespace Tanagerbay::Membership
--- /dev/null
+++ b/Source/Core/Serving/StreamOrigins.h
@@ -0,0 +1,65 @@
+// Which endpoint process began a stream, by the caller's attempt that brought the stream's first
+// event.
+//
+// Entries are made of streams that have begun only. An attempt that a caller names but that brought
+// nothing takes no place here.
+#pragma once
+
+#include "Common/Ids.h"
+#include "Common/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace Tanagerbay::Serving {
+
+struct StreamOrigin
+{
+    std::string service;
+    // Version of the software that the process runs.
+    std::string version;
+    Common::EndpointId endpoint;
+    // Start time of the process; zero if not known.
+    std::uint64_t incarnation = 0;
+    // When the request was sent to the process.
+    Common::Time sentAt;
+    // Until when callers may take the stream up again.
+    Common::Time expiresAt;
+};
+
+struct StreamOrigins
+{
+    std::unordered_map<std::string, StreamOrigin> byAttempt;
+    std::set<std::pair<Common::Time, std::string>> byExpiry;
+};
+
+// Number of entries above which those that expire first are dropped.
+constexpr std::size_t kMaxStreamOrigins = 20'000;
+// Time after a caller's deadline during which its streams are remembered.
+constexpr Common::Milliseconds kStreamOriginMargin{5000};
+// A caller may name any deadline.
+constexpr Common::Milliseconds kMaxStreamOriginLifetime{300'000};
+
+// Returns until when a stream may be taken up again whose caller waits until `deadline`.
+Common::Time originExpiry(Common::Time deadline, Common::Time now);
+
+// Adds the origin of a stream. The first event has one origin only, so that a known entry is kept
+// and only its expiry is extended.
+void addOrigin(StreamOrigins &origins, const std::string &attempt, const StreamOrigin &origin,
+               Common::Time now);
+
+// Returns the origin, or nullptr. `neededUntil` extends the expiry of a stream that goes on.
+const StreamOrigin *findOrigin(StreamOrigins &origins, const std::string &attempt,
+                               Common::Time neededUntil, Common::Time now);
+
+// Forgets the streams that were sent to an endpoint's process at `since` or later, after the
+// endpoint turned out to have been restarted with another version: some of them may have begun at
+// the new process.
+void forgetOrigins(StreamOrigins &origins, const Common::EndpointId &endpoint,
+                   std::uint64_t incarnation, Common::Time since);
+
+} // namespace Tanagerbay::Serving
--- /dev/null
+++ b/Source/UnitTests/Entry/StreamMessagesTest.cpp
@@ -0,0 +1,102 @@
+#include "Entry/StreamMessages.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagerbay;
+using namespace Tanagerbay::Entry;
+
+namespace {
+
+struct StreamMessagesFixture
+{
+    Common::Time now = Common::Time(std::chrono::seconds(1000));
+    StreamMessage message{StreamMessageKind::Found, 7, "9c41d07be2a35f68", {}};
+
+    StreamMessagesFixture()
+    {
+        this->message.origin = {"app",
+                                "v1.1",
+                                Common::EndpointId("e1"),
+                                17,
+                                this->now - std::chrono::seconds(2),
+                                this->now + std::chrono::seconds(9)};
+    }
+
+    std::optional<StreamMessage> sent(const StreamMessage &made) const
+    {
+        const std::string text = boost::json::serialize(toJson(made, this->now));
+        return readStreamMessage(boost::json::parse(text), this->now);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StreamMessagesSuite, StreamMessagesFixture)
+
+BOOST_AUTO_TEST_CASE(origin_writtenAndRead_isTheSame)
+{
+    for (const StreamMessageKind kind : {StreamMessageKind::Began, StreamMessageKind::Found}) {
+        this->message.kind = kind;
+        const auto read = this->sent(this->message);
+        BOOST_REQUIRE(read.has_value());
+        BOOST_TEST((read->kind == kind));
+        BOOST_TEST(read->number == 7u);
+        BOOST_TEST(read->attempt == "9c41d07be2a35f68");
+        BOOST_TEST(read->origin.service == "app");
+        BOOST_TEST(read->origin.version == "v1.1");
+        BOOST_TEST(read->origin.endpoint.value == "e1");
+        BOOST_TEST(read->origin.incarnation == 17u);
+        BOOST_TEST((read->origin.sentAt == this->message.origin.sentAt));
+        BOOST_TEST((read->origin.expiresAt == this->message.origin.expiresAt));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(question_writtenAndRead_isTheSame)
+{
+    this->message.kind = StreamMessageKind::Find;
+    const auto read = this->sent(this->message);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((read->kind == StreamMessageKind::Find));
+    BOOST_TEST((read->origin.expiresAt == this->message.origin.expiresAt));
+}
+
+BOOST_AUTO_TEST_CASE(message_invalid_isRejected)
+{
+    for (const char *invalid :
+         {"1", "[]", "{}", R"(["find",1,"a"])", R"(["other",1,"a",1])", R"(["find",-1,"a",1])",
+          R"(["find",1,"",1])", R"([1,1,"a",1])", R"(["began",0,"a",1])",
+          R"(["began",0,"a",1,"s",1,"e",1,1])", R"(["found",0,"a",1,"s","v","e",-1,1])"})
+        BOOST_TEST(!readStreamMessage(boost::json::parse(invalid), this->now).has_value(), invalid);
+}
+
+BOOST_AUTO_TEST_CASE(history_writtenAndRead_isTheSame)
+{
+    Routing::VersionHistory history{{}, this->now - std::chrono::seconds(30)};
+    history.byService["app"]["v1"] = this->now - std::chrono::seconds(3);
+    const auto read = readVersionHistory(
+        boost::json::parse(boost::json::serialize(toJson(history, this->now))), this->now);
+    BOOST_TEST((read.completeSince == history.completeSince));
+    BOOST_TEST((read.byService == history.byService));
+}
+
+// Guards against a history that is complete, and counts as incomplete at the instance that is told.
+BOOST_AUTO_TEST_CASE(history_withoutBeginning_staysSo)
+{
+    const Routing::VersionHistory history{{}, Common::Time::min()};
+    const auto read = readVersionHistory(toJson(history, this->now), this->now);
+    BOOST_TEST((read.completeSince == Common::Time::min()));
+}
+
+BOOST_AUTO_TEST_CASE(history_invalid_tellsNothing)
+{
+    for (const char *invalid :
+         {"1", "{}", R"({"completeMs":5})", R"({"completeMs":-5,"services":{}})",
+          R"({"completeMs":0,"services":{"a":[1,[],["v"],["v",-1],[1,1]]}})"}) {
+        const auto read = readVersionHistory(boost::json::parse(invalid), this->now);
+        BOOST_TEST((read.completeSince == this->now), invalid);
+        for (const auto &[service, versions] : read.byService)
+            BOOST_TEST(versions.empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Serving/StreamOriginsTest.cpp
@@ -0,0 +1,112 @@
+#include "Serving/StreamOrigins.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagerbay;
+using namespace Tanagerbay::Serving;
+
+namespace {
+
+struct StreamOriginsFixture
+{
+    Common::Time now = Common::Time(std::chrono::seconds(100));
+    StreamOrigins origins;
+
+    StreamOrigin origin(const std::string &version, int seconds) const
+    {
+        StreamOrigin made;
+        made.service = "app";
+        made.version = version;
+        made.endpoint = Common::EndpointId("e1");
+        made.incarnation = 7;
+        made.sentAt = this->now;
+        made.expiresAt = this->now + std::chrono::seconds(seconds);
+        return made;
+    }
+
+    std::string versionOf(const std::string &attempt)
+    {
+        const StreamOrigin *found = findOrigin(this->origins, attempt, this->now, this->now);
+        return found ? found->version : "";
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StreamOriginsSuite, StreamOriginsFixture)
+
+BOOST_AUTO_TEST_CASE(origin_known_isFoundUntilItExpires)
+{
+    addOrigin(this->origins, "a", this->origin("v1", 10), this->now);
+    BOOST_TEST(this->versionOf("a") == "v1");
+    this->now += std::chrono::seconds(9);
+    BOOST_TEST(this->versionOf("a") == "v1");
+    this->now += std::chrono::seconds(2);
+    BOOST_TEST(this->versionOf("a") == "");
+    BOOST_TEST(this->origins.byAttempt.empty());
+    BOOST_TEST(this->origins.byExpiry.empty());
+}
+
+// Guards against a chain of tries that outlives the memory of the stream's first one.
+BOOST_AUTO_TEST_CASE(origin_takenUpAgain_isKeptForTheNextTry)
+{
+    addOrigin(this->origins, "a", this->origin("v1", 10), this->now);
+    this->now += std::chrono::seconds(9);
+    findOrigin(this->origins, "a", this->now + std::chrono::seconds(20), this->now);
+    this->now += std::chrono::seconds(15);
+    BOOST_TEST(this->versionOf("a") == "v1");
+}
+
+// Guards against a later, wrong report of where a stream began.
+BOOST_AUTO_TEST_CASE(origin_addedTwice_theFirstIsKept)
+{
+    addOrigin(this->origins, "a", this->origin("v1", 10), this->now);
+    addOrigin(this->origins, "a", this->origin("v2", 20), this->now);
+    BOOST_TEST(this->versionOf("a") == "v1");
+    this->now += std::chrono::seconds(15);
+    BOOST_TEST(this->versionOf("a") == "v1");
+}
+
+// Guards against look-ups of invented attempts that displace streams.
+BOOST_AUTO_TEST_CASE(find_inventedAttempts_displaceNothing)
+{
+    addOrigin(this->origins, "a", this->origin("v1", 10), this->now);
+    for (std::size_t i = 0; i < 2 * kMaxStreamOrigins; ++i)
+        findOrigin(this->origins, "invented" + std::to_string(i), this->now, this->now);
+    BOOST_TEST(this->origins.byAttempt.size() == 1u);
+    BOOST_TEST(this->versionOf("a") == "v1");
+}
+
+BOOST_AUTO_TEST_CASE(add_moreThanTheLimit_dropsThoseThatExpireFirst)
+{
+    for (std::size_t i = 0; i < kMaxStreamOrigins; ++i)
+        addOrigin(this->origins, "a" + std::to_string(i), this->origin("v1", 100), this->now);
+    addOrigin(this->origins, "short", this->origin("v1", 1), this->now);
+    BOOST_TEST(this->origins.byAttempt.size() == kMaxStreamOrigins);
+    BOOST_TEST(this->versionOf("short") == "");
+    BOOST_TEST(this->versionOf("a0") == "v1");
+}
+
+// Guards against an endpoint that started again under its id, so that a stream that was sent there
+// before the list showed it may have begun at the new process.
+BOOST_AUTO_TEST_CASE(forget_restartedEndpoint_forgetsOnlyWhatTheNewProcessMayHaveBegun)
+{
+    addOrigin(this->origins, "before", this->origin("v1", 100), this->now);
+    this->now += std::chrono::seconds(5);
+    addOrigin(this->origins, "after", this->origin("v1", 100), this->now);
+    StreamOrigin other = this->origin("v1", 100);
+    other.endpoint = Common::EndpointId("e2");
+    addOrigin(this->origins, "other", other, this->now);
+    forgetOrigins(this->origins, Common::EndpointId("e1"), 7, this->now - std::chrono::seconds(1));
+    BOOST_TEST(this->versionOf("before") == "v1");
+    BOOST_TEST(this->versionOf("after") == "");
+    BOOST_TEST(this->versionOf("other") == "v1");
+}
+
+BOOST_AUTO_TEST_CASE(expiry_anyDeadline_isBounded)
+{
+    BOOST_TEST((originExpiry(this->now + std::chrono::hours(24), this->now)
+                == this->now + kMaxStreamOriginLifetime));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
