--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -1,5 +1,6 @@
 #include "Entry/EntryInstance.h"
 
+#include <algorithm>
 #include <csignal>
 
 #include <boost/asio/co_spawn.hpp>
@@ -37,6 +38,25 @@
 // answer that states the reason.
 constexpr std::size_t kHeaderMarginBytes = 4 << 10;
 
+// Counts a request as in progress while it exists, also if its handler throws.
+class RequestCount
+{
+public:
+    explicit RequestCount(std::size_t &inProgress) : inProgress(inProgress)
+    {
+        ++this->inProgress;
+    }
+    ~RequestCount()
+    {
+        --this->inProgress;
+    }
+    RequestCount(const RequestCount &) = delete;
+    RequestCount &operator=(const RequestCount &) = delete;
+
+private:
+    std::size_t &inProgress;
+};
+
 } // namespace
 
 EntryInstance::EntryInstance(Settings settings, const Platform &platform, Reload reload)
@@ -64,8 +84,12 @@
     options.address = address;
     options.maxBodyBytes = kMaxBodyBytes;
     options.maxConnections = this->state.settings.maxConnections;
-    return std::make_unique<Http::Server>(std::vector<asio::io_context *>{&this->state.context},
-                                          options, std::move(handler));
+    auto server = std::make_unique<Http::Server>(
+        std::vector<asio::io_context *>{&this->state.context}, options, std::move(handler));
+    server->onHandlerFault([this](std::string_view fault) {
+        this->state.log.write(LogLine("handler-failed").text("fault", fault), clockNow());
+    });
+    return server;
 }
 
 std::string EntryInstance::startServers()
@@ -197,7 +221,7 @@
 Http::Awaitable<void> EntryInstance::handleCaller(Http::Exchange &exchange)
 {
     this->state.lastRequestAt = clockNow();
-    ++this->state.requestsInProgress;
+    const RequestCount count(this->state.requestsInProgress);
     auto request = this->state.dialect.readRequest(exchange.request());
     if (request) {
         request->receivedAt = exchange.receivedAt();
@@ -210,7 +234,6 @@
         co_await exchange.respond(
             this->state.dialect.writeRefusal({RefusalReason::BadRequest, true, std::nullopt}, ""));
     }
-    --this->state.requestsInProgress;
 }
 
 Http::Awaitable<void> EntryInstance::handleDirectory(Http::Exchange &exchange)
@@ -293,6 +316,11 @@
 Http::Awaitable<void> EntryInstance::watchSignals()
 {
     asio::signal_set signals(this->state.context, SIGTERM, SIGINT, SIGHUP);
+    // The process may have held it back since its start.
+    ::sigset_t reloadSignal;
+    ::sigemptyset(&reloadSignal);
+    ::sigaddset(&reloadSignal, SIGHUP);
+    ::pthread_sigmask(SIG_UNBLOCK, &reloadSignal, nullptr);
     while (true) {
         boost::system::error_code error;
         const int number
@@ -342,14 +370,21 @@
         co_await this->state.sleepFor(kDrainPollInterval);
         // Before the check for the exit, also if this instance is far behind.
         this->endRequestsForShutdown(clockNow());
+        if (!Serving::mayRead(*this->state.leaving, clockNow()))
+            this->callerServer->closeIdle();
     } while (!Serving::mayExit(*this->state.leaving, this->shutdownActivity(), clockNow()));
     this->state.context.stop();
 }
 
 Serving::ShutdownActivity EntryInstance::shutdownActivity() const
 {
-    return {this->state.lastRequestAt, this->state.requestsInProgress,
-            this->stageOwner.openPieces()};
+    const auto begun = static_cast<std::size_t>(std::count_if(
+        this->openRequests.begin(), this->openRequests.end(), [](const RequestFlow &request) {
+            return request.phase() == Serving::RequestPhase::Responding;
+        }));
+    const std::size_t inProgress = this->state.requestsInProgress;
+    return {this->state.lastRequestAt, inProgress, this->stageOwner.openPieces(),
+            inProgress - begun + this->callerServer->requestsBeingRead()};
 }
 
 void EntryInstance::endRequestsForShutdown(Common::Time now)
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -10,15 +10,12 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
 namespace Tanagerbay::Http {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
 struct Server::State
@@ -26,9 +23,11 @@
     std::vector<asio::io_context *> contexts;
     ServerOptions options;
     Handler handler;
+    HandlerFaultAction handlerFaultAction;
     std::shared_ptr<tcp::acceptor> acceptor;
     std::atomic<bool> accepting{true};
     std::atomic<std::size_t> connectionCount{0};
+    std::atomic<std::size_t> requestsBeingRead{0};
     unsigned short port = 0;
     // Open connections by context; each set is used on its context's thread only. The references
     // are weak, since this state may outlive the contexts and a connection must not.
@@ -43,26 +42,26 @@
 Awaitable<void> serveConnection(std::shared_ptr<State> state, tcp::socket socket,
                                 std::size_t contextIndex)
 {
-    auto connection = std::make_shared<Connection>(std::move(socket), state->options,
-                                                   state->closeAfterAnswers, contextIndex);
+    auto connection
+        = std::make_shared<Connection>(std::move(socket), state->options, state->closeAfterAnswers,
+                                       state->requestsBeingRead, contextIndex);
     // `closeAll` may have run between accepting this connection and serving it.
     if (!state->closing) {
         state->openByContext[contextIndex].insert(connection);
-        co_await connection->serve(state->handler, state->accepting);
+        co_await connection->serve(state->handler, state->handlerFaultAction, state->accepting);
         state->openByContext[contextIndex].erase(connection);
     }
     state->connectionCount.fetch_sub(1);
 }
 
-Awaitable<void> refuseConnection(tcp::socket socket)
+template <typename State>
+Awaitable<void> refuseConnection(std::shared_ptr<State> state, tcp::socket socket,
+                                 std::size_t contextIndex)
 {
-    http::response<http::string_body> message{http::status::service_unavailable, 11};
-    message.body() = errorBody("overloaded", "the connection limit is reached");
-    message.set(http::field::content_type, "application/json");
-    message.keep_alive(false);
-    message.prepare_payload();
-    beast::error_code ignored;
-    co_await http::async_write(socket, message, asio::redirect_error(asio::use_awaitable, ignored));
+    const auto connection
+        = std::make_shared<Connection>(std::move(socket), state->options, state->closeAfterAnswers,
+                                       state->requestsBeingRead, contextIndex);
+    co_await connection->refuse();
 }
 
 template <typename State>
@@ -80,7 +79,8 @@
         if (error)
             continue;
         if (state->connectionCount.load() >= state->options.maxConnections) {
-            asio::co_spawn(context, refuseConnection(std::move(socket)), asio::detached);
+            asio::co_spawn(context, refuseConnection(state, std::move(socket), index),
+                           asio::detached);
             continue;
         }
         state->connectionCount.fetch_add(1);
@@ -88,6 +88,22 @@
     }
 }
 
+// Calls `action` for each open connection, on the context that serves it.
+template <typename State>
+void forEachConnection(const std::shared_ptr<State> &state, void (Connection::*action)())
+{
+    for (std::size_t i = 0; i < state->contexts.size(); ++i) {
+        asio::post(*state->contexts[i], [state, action, i] {
+            // Iterate over a copy, since a connection removes itself from the set when it ends.
+            const auto connections = state->openByContext[i];
+            for (const auto &weak : connections) {
+                if (const auto connection = weak.lock())
+                    (connection.get()->*action)();
+            }
+        });
+    }
+}
+
 } // namespace
 
 Server::Server(std::vector<asio::io_context *> contexts, ServerOptions options, Handler handler)
@@ -107,6 +123,11 @@
     this->state->acceptor.reset();
 }
 
+void Server::onHandlerFault(HandlerFaultAction action)
+{
+    this->state->handlerFaultAction = std::move(action);
+}
+
 std::string Server::start()
 {
     const ServerOptions &options = this->state->options;
@@ -158,22 +179,20 @@
     options.requestTimeout = limits.requestTimeout;
     options.bodyTimeout = limits.bodyTimeout;
     options.idleTimeout = limits.idleTimeout;
+    forEachConnection(this->state, &Connection::applyIdleTimeout);
+}
+
+void Server::closeIdle()
+{
+    this->stopAccepting();
+    forEachConnection(this->state, &Connection::closeIfIdle);
 }
 
 void Server::closeAll()
 {
     this->stopAccepting();
     this->state->closing = true;
-    for (std::size_t i = 0; i < this->state->contexts.size(); ++i) {
-        asio::post(*this->state->contexts[i], [state = this->state, i] {
-            // Iterate over a copy, since a connection removes itself from the set when it ends.
-            const auto connections = state->openByContext[i];
-            for (const auto &weak : connections) {
-                if (const auto connection = weak.lock())
-                    connection->disconnect();
-            }
-        });
-    }
+    forEachConnection(this->state, &Connection::disconnect);
 }
 
 std::size_t Server::openConnections() const
@@ -181,6 +200,11 @@
     return this->state->connectionCount.load();
 }
 
+std::size_t Server::requestsBeingRead() const
+{
+    return this->state->requestsBeingRead.load();
+}
+
 unsigned short Server::port() const
 {
     return this->state->port;
