--- a/Source/Core/Routing/Endpoint.h
+++ b/Source/Core/Routing/Endpoint.h
@@ -8,6 +8,8 @@
 #include "Common/Time.h"
 
 #include <cstdint>
+#include <optional>
+#include <string>
 
 namespace Tanagerbay::Routing {
 
@@ -65,6 +67,8 @@
     EndpointState state = EndpointState::Live;
     // Start time of the endpoint's process; zero where it is not known.
     std::uint64_t incarnation = 0;
+    // Version of the software that the process runs; empty where it is not known.
+    std::string version;
     LoadReport report;
     // This instance's calls in flight when the report arrived.
     std::uint32_t ownInFlightAtReport = 0;
@@ -93,6 +97,9 @@
 // limit is not reached.
 bool isEligible(const Endpoint &endpoint, Common::Time now);
 
+// Whether the endpoint runs the required software version, if one is required.
+bool hasVersion(const Endpoint &endpoint, const std::optional<std::string> &required);
+
 // Records that the endpoint wants nothing from this instance for the period. A hold is never
 // shortened by a later, shorter one.
 void holdBack(Endpoint &endpoint, Common::Duration period, Common::Time now);
