Tests: Show a generation that goes on at another software version

The own interface goes on with a broken stream at any other engine, with the delivered tokens as its prefix. Engines of several software versions may serve side by side, and what two versions write does not fit together. The engine stand-in learns versions: it states one in its list entry and in the head of its reply, marks its tokens with it, digests the prefix it was given instead of the tokens it would have written, and can be replaced by a process of another version.

--- a/Source/Core/Pipeline/Wire.h
+++ b/Source/Core/Pipeline/Wire.h
@@ -16,6 +16,8 @@
 inline constexpr std::string_view kLoadReport = "Load-Report";
 // Processing time of the call at the endpoint, in microseconds.
 inline constexpr std::string_view kBusyMicros = "Busy-Micros";
+// Version of the endpoint's software; absent if the endpoint does not state it.
+inline constexpr std::string_view kSoftwareVersion = "Software-Version";
 inline constexpr std::string_view kIdempotencyKey = "Idempotency-Key";
 // Identifies a stream to the caller: the engine and the engine's name for the stream. To resume, a
 // caller that lost its connection sends it back together with `Last-Event-ID`.
--- a/Source/StandIns/Engine.cpp
+++ b/Source/StandIns/Engine.cpp
@@ -66,6 +66,27 @@
     co_await exchange.respond(std::move(response));
 }
 
+void Engine::restart(std::string version)
+{
+    this->endpoint.version = std::move(version);
+    for (auto *sequences : {&this->waiting, &this->running}) {
+        for (const SequencePtr &sequence : *sequences) {
+            sequence->abandoned = true;
+            sequence->wake.cancel();
+        }
+    }
+    this->abandonedStreams.clear();
+    this->cache.clear();
+    this->cacheOrder.clear();
+}
+
+std::string Engine::tokenOf(const Sequence &sequence, std::size_t index)
+{
+    if (index < sequence.prefix.size())
+        return sequence.prefix[index];
+    return tokenAt(sequence.promptDigest, index) + sequence.tokenSuffix;
+}
+
 Engine::SequencePtr Engine::startSequence(const Http::Request &request, std::string &problem)
 {
     Common::JsonFaults jsonFaults;
@@ -77,7 +98,7 @@
     Common::ObjectReader reader(*document, "", jsonFaults);
     const std::string prompt = reader.text("prompt");
     const auto requestedCount = reader.integer("maxTokens", 1, 1'000'000);
-    const std::vector<std::string> prefix = reader.textArray("prefix", false);
+    std::vector<std::string> prefix = reader.textArray("prefix", false);
     if (!jsonFaults.empty()) {
         problem = Common::describeFaults(jsonFaults);
         return nullptr;
@@ -86,6 +107,9 @@
     sequence->promptDigest = Common::digestOf(prompt);
     sequence->blocks = Routing::prefixBlocks(prompt, Wire::kPrefixBlockBytes);
     sequence->producedCount = prefix.size();
+    sequence->prefix = std::move(prefix);
+    if (!this->endpoint.version.empty())
+        sequence->tokenSuffix = "~" + this->endpoint.version;
     sequence->requestedCount = static_cast<std::size_t>(requestedCount);
     sequence->isPatient = request.headers.find(Wire::kPriority) == "patient";
     return sequence;
@@ -143,6 +167,8 @@
     const std::string tag(exchange.request().headers.find(Wire::kAttemptTag));
     head.headers.add(Wire::kAttemptTag, foreign ? "other-run:0:0:0" : tag);
     head.headers.add(Wire::kLoadReport, this->loadReport());
+    if (!this->endpoint.version.empty())
+        head.headers.add(Wire::kSoftwareVersion, this->endpoint.version);
     bool streamComplete = co_await exchange.beginStream(std::move(head));
     if (streamComplete)
         streamComplete = co_await this->sendTokens(exchange, *sequence, first);
@@ -154,9 +180,9 @@
     if (sequence->producedCount < sequence->requestedCount)
         ++this->cancelled;
     // Generation stops. The tokens produced so far are kept for a reader that resumes the stream.
-    sequence->abandoned = true;
+    const bool isProcessGone = std::exchange(sequence->abandoned, true);
     const std::string name = tag.substr(0, tag.rfind(':'));
-    if (!this->faults.trigger(this->endpoint.id, FaultKind::Die, clockNow()))
+    if (!isProcessGone && !this->faults.trigger(this->endpoint.id, FaultKind::Die, clockNow()))
         this->abandonedStreams[name] = {sequence, clockNow()};
     this->evictExpiredStreams(clockNow());
 }
@@ -167,22 +193,23 @@
     std::size_t sent = first;
     std::vector<std::string> allTokens;
     for (std::size_t i = 0; i < first; ++i)
-        allTokens.push_back(tokenAt(sequence.promptDigest, i));
+        allTokens.push_back(tokenOf(sequence, i));
     std::string buffer;
     while (sent < sequence.requestedCount) {
-        if (sent == sequence.producedCount) {
+        if (sent == sequence.producedCount && !sequence.abandoned) {
             sequence.wake.expires_at(Common::Time::max());
             boost::system::error_code ignored;
             co_await sequence.wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
         const Common::Time now = clockNow();
-        if (exchange.callerGone() || this->faults.trigger(this->endpoint.id, FaultKind::Die, now))
+        if (exchange.callerGone() || sequence.abandoned
+            || this->faults.trigger(this->endpoint.id, FaultKind::Die, now))
             co_return false;
         if (sent > first && this->faults.trigger(this->endpoint.id, FaultKind::Truncate, now))
             co_return false;
         buffer.clear();
         for (; sent < sequence.producedCount; ++sent) {
-            allTokens.push_back(tokenAt(sequence.promptDigest, sent));
+            allTokens.push_back(tokenOf(sequence, sent));
             Http::appendEvent(buffer, {std::to_string(sent), "", allTokens.back()});
         }
         if (!buffer.empty() && !co_await exchange.writeChunk(buffer))
--- a/Source/StandIns/Engine.h
+++ b/Source/StandIns/Engine.h
@@ -26,6 +26,10 @@
 
     Http::Awaitable<void> handle(Http::Exchange &exchange);
 
+    // Simulates that another process of this version takes the engine's place: streams in progress
+    // end early, retained ones and the cache are lost.
+    void restart(std::string version);
+
     std::uint64_t totalTokens() const
     {
         return this->tokensProduced;
@@ -52,6 +56,11 @@
     {
         boost::asio::steady_timer wake;
         std::string promptDigest;
+        // Tokens that were sent with the request.
+        std::vector<std::string> prefix;
+        // Appended to each token that this engine generates, so that a reader can tell versions
+        // apart.
+        std::string tokenSuffix;
         Routing::PrefixBlocks blocks;
         // Index of the next token to produce, counted from the start of the answer, including
         // the prefix sent with the request.
@@ -68,6 +77,7 @@
     Http::Awaitable<void> stream(Http::Exchange &exchange, std::shared_ptr<Sequence> sequence,
                                  std::size_t first);
     void evictExpiredStreams(Common::Time now);
+    static std::string tokenOf(const Sequence &sequence, std::size_t index);
     SequencePtr startSequence(const Http::Request &request, std::string &problem);
     Http::Awaitable<bool> sendTokens(Http::Exchange &exchange, Sequence &sequence,
                                      std::size_t first);
--- a/Source/StandIns/Host.cpp
+++ b/Source/StandIns/Host.cpp
@@ -85,7 +85,13 @@
     hosted->server = std::make_unique<Http::Server>(std::vector<asio::io_context *>{&context},
                                                     options, std::move(handler));
     const std::string problem = hosted->server->start();
-    this->instances.put({endpoint.id, pool.name, endpoint.address, {}, endpoint.failureDomain},
+    this->instances.put({endpoint.id,
+                         pool.name,
+                         endpoint.address,
+                         {},
+                         endpoint.failureDomain,
+                         false,
+                         endpoint.version},
                         clockNow() - std::chrono::hours(1));
     this->hostedEndpoints.push_back(std::move(hosted));
     return problem;
@@ -207,6 +213,7 @@
     const std::string address = reader.text("address", "");
     const std::string peerAddress = reader.text("peerAddress", "");
     record.failureDomain = Common::FailureDomain(reader.text("failureDomain", ""));
+    record.version = reader.text("version", "");
     reader.finish();
     if (!address.empty() && !Common::parseAddress(address, record.address))
         reader.fault("address", "must be ip:port");
@@ -221,6 +228,37 @@
     return Http::jsonResponse(200, "{}");
 }
 
+Http::Awaitable<Http::Response> Host::restartEngine(std::string body)
+{
+    Common::JsonFaults problems;
+    const auto document = Common::parseJson(body, problems);
+    if (!document)
+        co_return badInput(problems);
+    Common::ObjectReader reader(*document, "", problems);
+    const std::string id = reader.text("id");
+    const std::string version = reader.text("version");
+    const bool isListed = reader.flag("listed", true);
+    reader.finish();
+    if (!problems.empty())
+        co_return badInput(problems);
+    for (const auto &hosted : this->hostedEndpoints) {
+        if (hosted->id != id || !hosted->engine)
+            continue;
+        if (isListed)
+            this->instances.changeVersion(id, version, clockNow());
+        // An engine is changed on the thread that serves it.
+        co_await asio::co_spawn(
+            *this->contexts[hosted->context],
+            [&hosted, &version]() -> Http::Awaitable<void> {
+                hosted->engine->restart(version);
+                co_return;
+            },
+            asio::use_awaitable);
+        co_return Http::jsonResponse(200, "{}");
+    }
+    co_return Http::jsonResponse(404, R"({"error":"no such engine"})");
+}
+
 Http::Awaitable<Http::Response> Host::counts()
 {
     json::object pools;
@@ -282,6 +320,9 @@
         response = Http::jsonResponse(200, "{}");
     } else if (target.path == "/v1/instances" && request.method == "POST") {
         response = this->changeInstance(request.body);
+    } else if (target.path == "/v1/restarts" && request.method == "POST") {
+        std::string body = request.body;
+        response = co_await this->restartEngine(std::move(body));
     } else if (target.path == "/v1/counts") {
         response = co_await this->counts();
     }
--- a/Source/StandIns/Host.h
+++ b/Source/StandIns/Host.h
@@ -4,6 +4,9 @@
 //   POST   /v1/faults    {"target","kind","value","probability","durationMs"}
 //   DELETE /v1/faults    clears all faults, or with ?target=NAME those of one target
 //   POST   /v1/instances {"id","state"}, or a complete record with {"address","peerAddress",...}
+//   POST   /v1/restarts  {"id","version","listed"}: another process of this version takes an
+//   engine's
+//                        place; the instance list states the new version only if `listed` is true
 //   GET    /v1/counts    runs by key, tokens, busy time, table operations, stored objects
 #pragma once
 
@@ -45,6 +48,7 @@
     Http::Awaitable<void> control(Http::Exchange &exchange);
     Http::Response setFault(const std::string &body);
     Http::Response changeInstance(const std::string &body);
+    Http::Awaitable<Http::Response> restartEngine(std::string body);
     Http::Awaitable<Http::Response> counts();
     // Closes the listener of each endpoint while the fault `die` is on, and reopens it afterwards.
     Http::Awaitable<void> watchListeners();
--- a/Source/StandIns/Platform.cpp
+++ b/Source/StandIns/Platform.cpp
@@ -198,6 +198,19 @@
     return true;
 }
 
+bool InstanceListStandIn::changeVersion(const std::string &id, const std::string &version,
+                                        Common::Time now)
+{
+    const std::lock_guard<std::mutex> guard(this->lock);
+    Records records = this->latest;
+    const auto found = records.find(id);
+    if (found == records.end())
+        return false;
+    found->second.version = version;
+    this->publish(std::move(records), now);
+    return true;
+}
+
 std::string InstanceListStandIn::render(Common::Time now)
 {
     const std::lock_guard<std::mutex> guard(this->lock);
@@ -216,6 +229,8 @@
                 entry["pool"] = record.pool;
             if (record.peerAddress.isSet())
                 entry["peerAddress"] = Common::formatAddress(record.peerAddress);
+            if (!record.version.empty())
+                entry["version"] = record.version;
             list.push_back(std::move(entry));
         }
     }
--- a/Source/StandIns/Platform.h
+++ b/Source/StandIns/Platform.h
@@ -81,6 +81,8 @@
     Common::Address peerAddress;
     Common::FailureDomain failureDomain;
     bool leaving = false;
+    // Version of the instance's software; empty if the list does not state it.
+    std::string version;
 };
 
 class InstanceListStandIn
@@ -94,6 +96,8 @@
     // Sets the state of an instance: live, leaving or gone (removed). Returns false if the instance
     // is unknown.
     bool change(const std::string &id, std::string_view state, Common::Time now);
+    // Sets the software version of an instance. Returns false if the instance is unknown.
+    bool changeVersion(const std::string &id, const std::string &version, Common::Time now);
 
 private:
     using Records = std::map<std::string, InstanceRecord>;
--- a/Source/StandIns/Settings.cpp
+++ b/Source/StandIns/Settings.cpp
@@ -54,6 +54,7 @@
         endpoint.id = entry.text("id");
         endpoint.address = readAddress(entry, "address");
         endpoint.failureDomain = Common::FailureDomain(entry.text("failureDomain"));
+        endpoint.version = entry.text("version", "");
         entry.finish();
         pool.endpoints.push_back(std::move(endpoint));
     }
--- a/Source/StandIns/Settings.h
+++ b/Source/StandIns/Settings.h
@@ -15,6 +15,8 @@
     std::string id;
     Common::Address address;
     Common::FailureDomain failureDomain;
+    // Version of the endpoint's software; empty if it states none.
+    std::string version;
 };
 
 enum class PoolKind { Stage, Engine, Service };
--- a/Source/UnitTests/Node/InstanceFixture.cpp
+++ b/Source/UnitTests/Node/InstanceFixture.cpp
@@ -32,7 +32,9 @@
 
 } // namespace
 
-InstanceFixture::InstanceFixture(const json::object &changes)
+InstanceFixture::InstanceFixture(const json::object &changes,
+                                 std::vector<std::string> engineVersions)
+    : engineVersions(std::move(engineVersions))
 {
     Node::configureLog(true);
     Common::JsonFaults faults;
@@ -73,8 +75,12 @@
         for (int i = 1; i <= count; ++i) {
             const std::string id = name + "-" + std::to_string(i);
             this->addresses[id] = this->nextAddress();
-            endpoints.push_back(
-                json::object{{"id", id}, {"address", this->addresses[id]}, {"failureDomain", "a"}});
+            json::object endpoint{
+                {"id", id}, {"address", this->addresses[id]}, {"failureDomain", "a"}};
+            const auto index = static_cast<std::size_t>(i - 1);
+            if (kind == "engine" && index < this->engineVersions.size())
+                endpoint["version"] = this->engineVersions[index];
+            endpoints.push_back(std::move(endpoint));
         }
         json::object pool = poolSettings(name, endpoints);
         pool["kind"] = kind;
@@ -251,6 +257,46 @@
     asio::write(socket, asio::buffer(bytes));
 }
 
+Reply InstanceFixture::callAndInterrupt(Http::Request request, const std::string &until,
+                                        const std::function<void()> &action)
+{
+    asio::io_context context(1);
+    Http::Client client(context.get_executor());
+    Reply reply;
+    const auto run = [&]() -> Http::Awaitable<void> {
+        Http::CallOptions options;
+        options.deadline = std::chrono::steady_clock::now() + kCallTimeout;
+        auto stream = co_await client.open(this->callerAddress, request, options);
+        if (!stream)
+            co_return;
+        reply.status = stream->status();
+        reply.headers = stream->headers();
+        bool isInterrupted = false;
+        while (true) {
+            const auto bytes = co_await stream->read(options.deadline);
+            if (!bytes || bytes->empty())
+                co_return;
+            reply.body.append(*bytes);
+            if (isInterrupted || reply.body.find(until) == std::string::npos)
+                continue;
+            isInterrupted = true;
+            action();
+        }
+    };
+    asio::co_spawn(context, run(), asio::detached);
+    context.run();
+    return reply;
+}
+
+void InstanceFixture::restartEngine(const std::string &id, const std::string &version,
+                                    bool isListed)
+{
+    const json::object body{{"id", id}, {"version", version}, {"listed", isListed}};
+    Http::Request request{"POST", "/v1/restarts", {}, json::serialize(body)};
+    const Reply reply = this->call(this->control, std::move(request));
+    BOOST_REQUIRE_EQUAL(reply.status, 200u);
+}
+
 void InstanceFixture::setFault(const std::string &target, const std::string &kind,
                                double probability, double value)
 {
--- a/Source/UnitTests/Node/InstanceFixture.h
+++ b/Source/UnitTests/Node/InstanceFixture.h
@@ -19,8 +19,10 @@
 class InstanceFixture
 {
 public:
-    // `changes` replaces members of the instance's settings, section by section.
-    explicit InstanceFixture(const boost::json::object &changes = {});
+    // `changes` replaces members of the instance's settings, section by section. Engines have the
+    // software versions given, in order; the others state none.
+    explicit InstanceFixture(const boost::json::object &changes = {},
+                             std::vector<std::string> engineVersions = {});
     ~InstanceFixture();
 
 protected:
@@ -38,6 +40,12 @@
     // Sends a request and closes the connection immediately, without reading the response.
     void sendAndDisconnect(const std::string &bytes);
 
+    // Sends a request, runs the action once the response contains `until`, and reads the rest.
+    Reply callAndInterrupt(Http::Request request, const std::string &until,
+                           const std::function<void()> &action);
+
+    // Replaces the process of an engine by one of another software version.
+    void restartEngine(const std::string &id, const std::string &version, bool isListed = true);
     void setFault(const std::string &target, const std::string &kind, double probability = 1,
                   double value = 1);
     void clearFaults();
@@ -59,6 +67,7 @@
     void putLists();
     std::string nextAddress();
 
+    std::vector<std::string> engineVersions;
     std::map<std::string, std::string> addresses;
 };
 
