Node: Continue a stream only at engines of the version that began it

Callers got complete answers whose tokens came from two software versions: a generation whose engine failed, or was left as too slow, went on at any other engine, and a resumed stream did so when it broke again. The version was no part of what is continued; it did not exist at the own interface.

It is now an optional field of an entry of the list of instances and of an endpoint in the settings, and an optional header field of an engine's reply. The version of the process that wrote the first token is fixed with that token. Only engines of it are chosen (Routing), and a reply that states another version is dropped before its first token, since the list lags behind a process that was replaced at the same id and address. If no engine of the version is left while others serve, the answer ends at once with version_unavailable. A slow engine is left only if another one may go on. The Stream-Id names the version; a resumption is refused with ran: no if no engine of it is left, or if the id does not name it and several versions serve. The dump shows the version of each endpoint, three counters the streams that were resumed and refused.

--- a/Source/Core/Common/Error.h
+++ b/Source/Core/Common/Error.h
@@ -28,6 +28,7 @@
     EndpointFailed,
     DeadlineExceeded,
     VersionConflict,
+    VersionUnavailable,
     CallerGone,
     Internal,
 };
@@ -35,7 +36,7 @@
 template <>
 struct EnumNames<ErrorCode>
 {
-    static constexpr NameTable<ErrorCode, 18> table = {{
+    static constexpr NameTable<ErrorCode, 19> table = {{
         {ErrorCode::BadInput, "bad_input"},
         {ErrorCode::Unauthenticated, "unauthenticated"},
         {ErrorCode::NotAllowed, "not_allowed"},
@@ -52,6 +53,7 @@
         {ErrorCode::EndpointFailed, "endpoint_failed"},
         {ErrorCode::DeadlineExceeded, "deadline_exceeded"},
         {ErrorCode::VersionConflict, "version_conflict"},
+        {ErrorCode::VersionUnavailable, "version_unavailable"},
         {ErrorCode::CallerGone, "caller_gone"},
         {ErrorCode::Internal, "internal"},
     }};
@@ -103,6 +105,7 @@
         return 413;
     case ErrorCode::KeyInProgress:
     case ErrorCode::OutcomeUnknown:
+    case ErrorCode::VersionUnavailable:
         return 409;
     case ErrorCode::KeyReused:
         return 422;
--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -2,9 +2,11 @@
 // other.
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace Tanagerbay::Common {
@@ -35,6 +37,18 @@
 using FailureDomain = Id<struct FailureDomainTag>;
 using IdempotencyKey = Id<struct IdempotencyKeyTag>;
 
+// Maximum length of a software version.
+inline constexpr std::size_t kMaxVersionLength = 128;
+
+// Whether the text has at most `maxLength` characters, all of them visible ASCII characters. Others
+// must not be copied into header fields and logs.
+inline bool isVisibleText(std::string_view text, std::size_t maxLength)
+{
+    return text.size() <= maxLength && std::all_of(text.begin(), text.end(), [](char character) {
+               return character > ' ' && character < 127;
+           });
+}
+
 } // namespace Tanagerbay::Common
 
 template <typename Tag>
--- a/Source/Core/Node/CallerApi.cpp
+++ b/Source/Core/Node/CallerApi.cpp
@@ -1,7 +1,5 @@
 #include "Node/CallerApi.h"
 
-#include <algorithm>
-
 #include <boost/json.hpp>
 
 namespace Tanagerbay::Node {
@@ -25,14 +23,6 @@
     return value.substr(kScheme.size());
 }
 
-// Identifiers are copied into headers and logs, so only visible ASCII characters are accepted.
-bool isValidIdentifier(std::string_view text)
-{
-    return text.size() <= kMaxIdLength && std::all_of(text.begin(), text.end(), [](char character) {
-               return character > ' ' && character < 127;
-           });
-}
-
 } // namespace
 
 CallerApi::CallerApi(const CallerApiDependencies &dependencies)
@@ -146,7 +136,8 @@
                                   + route.pipeline->stages.back().model);
     const std::string_view requestId = request.headers.find("Request-Id");
     const std::string_view key = request.headers.find("Idempotency-Key");
-    if (!isValidIdentifier(requestId) || !isValidIdentifier(key))
+    if (!Common::isVisibleText(requestId, kMaxIdLength)
+        || !Common::isVisibleText(key, kMaxIdLength))
         return Common::notRun(
             ErrorCode::BadInput,
             "Request-Id and Idempotency-Key must be at most 128 visible ASCII characters");
--- a/Source/Core/Node/EndpointDiscovery.cpp
+++ b/Source/Core/Node/EndpointDiscovery.cpp
@@ -104,6 +104,7 @@
         entry.id = Common::EndpointId(instance.id.value);
         entry.address = instance.address;
         entry.failureDomain = instance.failureDomain;
+        entry.version = instance.version;
         entry.state = instance.state == Storage::InstanceState::Live
             ? Routing::EndpointState::Live
             : Routing::EndpointState::Leaving;
--- a/Source/Core/Node/Generation.cpp
+++ b/Source/Core/Node/Generation.cpp
@@ -3,6 +3,7 @@
 #include "Http/EventStream.h"
 #include "Node/EnginePace.h"
 #include "Node/EngineStreamReader.h"
+#include "Node/EngineVersions.h"
 #include "Node/StageCall.h"
 #include "Pipeline/Prompt.h"
 #include "Pipeline/Wire.h"
@@ -32,6 +33,10 @@
     Routing::CallReport report;
     // The connection was lost before the engine's first token.
     bool isLostBeforeAnswer = false;
+    // Version of the engine's software; empty if unknown.
+    std::string version;
+    // The engine runs another version than the one that began the stream.
+    bool isOtherVersion = false;
 };
 
 class Relay
@@ -49,6 +54,10 @@
     Http::Awaitable<Segment> runSegment(const ChosenEndpoint &engine);
     Http::Request requestFor(const Pipeline::AttemptTag &tag, Common::Time now);
     std::optional<ChosenEndpoint> chooseEngineToResume();
+    std::optional<Common::Error> requireResumedVersion();
+    bool isEndedByVersion() const;
+    bool checkVersion(const Http::ResponseStream &reply, const ChosenEndpoint &engine,
+                      Segment &segment) const;
     Http::Awaitable<Segment> readSegment(Http::ResponseStream &reply, Segment segment);
     Http::Awaitable<bool> forward(std::string_view bytes);
     bool isTooSlow(Common::Time now) const;
@@ -56,6 +65,7 @@
     void recordSegment(const Segment &segment, Common::Time start);
     bool takeRetry();
     Common::Error lostStreamError() const;
+    Common::Error endError(const std::string &problem);
     std::optional<ChosenEndpoint> chooseEngine();
 
     RequestScope &scope;
@@ -65,6 +75,9 @@
     Routing::PrefixBlocks prefix;
     std::vector<Common::EndpointId> tried;
     GenerationResult result;
+    StreamVersion version;
+    // True if an engine turned out to run another version than its entry states.
+    bool metOtherVersion = false;
     // Reader of the current engine's stream.
     std::optional<EngineStreamReader> reader;
     Common::Time firstTokenAt;
@@ -81,6 +94,7 @@
     choice.failureDomain = this->scope.shared.settings.failureDomain;
     choice.tried = this->tried;
     choice.prefix = &this->prefix;
+    choice.version = this->version;
     auto chosen = chooseEndpoint(this->scope, this->shard, choice);
     if (!chosen)
         return std::nullopt;
@@ -106,7 +120,8 @@
     progress.tokensLeft = maxTokens - std::min(maxTokens, this->result.tokens.count());
     progress.timeLeft = this->run.deadline - now;
     const std::lock_guard<std::mutex> guard(this->shard.lock);
-    return Node::isTooSlow(this->shard.pool, progress);
+    return Node::isTooSlow(this->shard.pool, progress)
+        && hasUntriedEngine(this->shard.pool, this->version, this->tried, now);
 }
 
 Http::Awaitable<bool> Relay::forward(std::string_view bytes)
@@ -158,8 +173,10 @@
         const bool hasMore = this->reader->process(*bytes, outgoing);
         this->scope.shared.counters.add(Counter::TokensDelivered,
                                         this->reader->forwardedCount() - forwardedBefore);
-        if (!hadToken && this->reader->tokenCount() > 0)
+        if (!hadToken && this->reader->tokenCount() > 0) {
             this->firstTokenAt = now;
+            this->version = segment.version;
+        }
         if (this->call.stream && !outgoing.empty() && !co_await this->forward(outgoing)) {
             segment.end = SegmentEnd::CallerGone;
             co_return segment;
@@ -199,16 +216,70 @@
     return request;
 }
 
+// Returns whether engines are left, but none of the version that began the stream.
+bool Relay::isEndedByVersion() const
+{
+    if (!this->version)
+        return false;
+    const std::lock_guard<std::mutex> guard(this->shard.lock);
+    const Routing::Pool &pool = this->shard.pool;
+    const Common::Time now = clockNow();
+    return !hasUntriedEngine(pool, this->version, this->tried, now)
+        && (this->metOtherVersion || hasUntriedEngine(pool, std::nullopt, this->tried, now));
+}
+
+// Sets the version that began the stream to be resumed. Returns an error if it is not known, or if
+// no engine of it is left.
+std::optional<Common::Error> Relay::requireResumedVersion()
+{
+    const std::lock_guard<std::mutex> guard(this->shard.lock);
+    const Routing::Pool &pool = this->shard.pool;
+    if (pool.endpoints.empty())
+        return std::nullopt;
+    // While all engines have the same version, it is the one that began the stream.
+    this->version = this->call.resume->version ? this->call.resume->version : onlyVersion(pool);
+    if (this->version && servesVersion(pool, this->version))
+        return std::nullopt;
+    this->scope.shared.counters.add(this->version ? Counter::StreamsVersionUnavailable
+                                                  : Counter::StreamsVersionUnknown);
+    const std::string reason = this->version
+        ? "no engine of the version that began the stream is left"
+        : "the Stream-Id does not name the version that began the stream, and several serve";
+    return Common::Error{ErrorCode::VersionUnavailable,
+                         reason + "; repeat the request without Last-Event-ID"};
+}
+
 // Chooses the engine that retains the stream to be resumed, if it is still in the pool.
 std::optional<ChosenEndpoint> Relay::chooseEngineToResume()
 {
     const std::lock_guard<std::mutex> guard(this->shard.lock);
     const auto found = this->shard.pool.indexById.find(this->call.resume->engine);
-    if (found == this->shard.pool.indexById.end())
+    if (found == this->shard.pool.indexById.end()
+        || !Routing::hasVersion(this->shard.pool.endpoints[found->second], this->version))
         return std::nullopt;
     Routing::beginCall(this->shard.pool, found->second);
     const Routing::Endpoint &endpoint = this->shard.pool.endpoints[found->second];
-    return ChosenEndpoint{endpoint.id, endpoint.address};
+    return ChosenEndpoint{endpoint.id, endpoint.address, endpoint.version};
+}
+
+// Reads the version of the engine's process from its reply, since the list of endpoints may not
+// know yet that the process was replaced. Returns false if the stream may not go on there.
+bool Relay::checkVersion(const Http::ResponseStream &reply, const ChosenEndpoint &engine,
+                         Segment &segment) const
+{
+    const std::string_view stated = reply.header(Wire::kSoftwareVersion);
+    segment.version = stated.empty() ? engine.version : std::string(stated);
+    if (!Common::isVisibleText(segment.version, Common::kMaxVersionLength)) {
+        segment.problem = "the engine stated an invalid software version";
+        segment.report.end = Routing::CallEnd::Failed;
+        return false;
+    }
+    if (!this->version || segment.version == *this->version)
+        return true;
+    segment.isOtherVersion = true;
+    segment.problem = "the engine runs another software version than the stream";
+    segment.report.end = Routing::CallEnd::Cancelled;
+    return false;
 }
 
 Http::Awaitable<Segment> Relay::runSegment(const ChosenEndpoint &engine)
@@ -222,7 +293,7 @@
     Http::Request request = this->requestFor(tag, now);
     // The engine retains the stream under this name after its reader has disconnected.
     const std::string tagText = Pipeline::formatTag(tag);
-    this->streamId = engine.id.value + "/" + tagText.substr(0, tagText.rfind(':'));
+    const std::string streamName = tagText.substr(0, tagText.rfind(':'));
     Http::CallHandle handle;
     this->scope.cancelCalls = [&handle] { handle.cancel(); };
     Http::CallOptions options;
@@ -252,7 +323,10 @@
     } else {
         segment.report.load = parseLoadReport(reply->header(Wire::kLoadReport));
         segment.report.end = Routing::CallEnd::Failed;
-        segment = co_await this->readSegment(*reply, std::move(segment));
+        if (this->checkVersion(*reply, engine, segment)) {
+            this->streamId = formatStreamId(engine.id, streamName, segment.version);
+            segment = co_await this->readSegment(*reply, std::move(segment));
+        }
         if (segment.end != SegmentEnd::Complete)
             reply->close();
     }
@@ -305,6 +379,15 @@
             Common::Ran::Maybe};
 }
 
+Common::Error Relay::endError(const std::string &problem)
+{
+    if (!this->isEndedByVersion())
+        return runError(this->scope, ErrorCode::EndpointFailed, problem);
+    this->scope.shared.counters.add(Counter::StreamsVersionUnavailable);
+    return runError(this->scope, ErrorCode::VersionUnavailable,
+                    "no engine of the version that began the stream can continue it: " + problem);
+}
+
 Http::Awaitable<Common::Result<GenerationResult>> Relay::runToEnd()
 {
     if (this->scope.mustEnd)
@@ -316,6 +399,11 @@
     std::string problem = "pool " + this->call.pool + " has no available engine";
     this->resuming = this->call.resume.has_value();
     this->result.tokens.callerTokenCount = this->resuming ? this->call.resume->callerTokenCount : 0;
+    if (this->resuming) {
+        this->scope.shared.counters.add(Counter::StreamsResumed);
+        if (auto refusal = this->requireResumedVersion())
+            co_return tl::unexpected(std::move(*refusal));
+    }
     std::uint32_t lostBeforeAnswer = 0;
     for (std::uint32_t engines = 0;
          engines < kMaxEngines && lostBeforeAnswer < kMaxEnginesLostBeforeAnswer; ++engines) {
@@ -329,6 +417,7 @@
         Segment segment = co_await this->runSegment(*engine);
         this->recordSegment(segment, start);
         lostBeforeAnswer += segment.isLostBeforeAnswer ? 1 : 0;
+        this->metOtherVersion = this->metOtherVersion || segment.isOtherVersion;
         switch (segment.end) {
         case SegmentEnd::Complete:
             this->result.digest = std::move(segment.digest);
@@ -359,7 +448,7 @@
     }
     if (this->resuming)
         co_return tl::unexpected(this->lostStreamError());
-    co_return tl::unexpected(runError(this->scope, ErrorCode::EndpointFailed, problem));
+    co_return tl::unexpected(this->endError(problem));
 }
 
 } // namespace
--- a/Source/Core/Node/ResumePoint.cpp
+++ b/Source/Core/Node/ResumePoint.cpp
@@ -17,6 +17,14 @@
                             + request.value);
 }
 
+std::string formatStreamId(const Common::EndpointId &engine, std::string_view streamName,
+                           std::string_view version)
+{
+    std::string id = engine.value;
+    id.append("/").append(streamName).append("/").append(version);
+    return id;
+}
+
 Common::Result<std::optional<ResumePoint>> readResumePoint(const RequestScope &scope)
 {
     const Http::Headers &headers = scope.exchange.request().headers;
@@ -36,7 +44,11 @@
                               "resuming a stream requires Last-Event-ID, Stream-Id and Request-Id");
     }
     point.engine = Common::EndpointId(std::string(streamId.substr(0, slash)));
-    point.streamName = std::string(streamId.substr(slash + 1));
+    const std::string_view rest = streamId.substr(slash + 1);
+    const std::size_t nameEnd = rest.find('/');
+    point.streamName = std::string(rest.substr(0, nameEnd));
+    if (nameEnd != std::string_view::npos)
+        point.version = std::string(rest.substr(nameEnd + 1));
     point.callerTokenCount = lastToken + 1;
     if (!point.streamName.starts_with(streamNamePrefix(scope.access.workspace->id, scope.requestId)
                                       + "-"))
--- a/Source/Core/Node/Settings.cpp
+++ b/Source/Core/Node/Settings.cpp
@@ -175,6 +175,9 @@
             endpoint.id = Common::EndpointId(entry.text("id"));
             endpoint.address = readAddress(entry, "address");
             endpoint.failureDomain = Common::FailureDomain(entry.text("failureDomain"));
+            endpoint.version = entry.text("version", "");
+            if (!Common::isVisibleText(endpoint.version, Common::kMaxVersionLength))
+                entry.fault("version", "must be at most 128 visible ASCII characters");
             entry.finish();
             pool.endpoints.push_back(std::move(endpoint));
         }
--- a/Source/Core/Node/StateDump.cpp
+++ b/Source/Core/Node/StateDump.cpp
@@ -56,6 +56,7 @@
         {"id", endpoint.id.value},
         {"address", Common::formatAddress(endpoint.address)},
         {"failureDomain", endpoint.failureDomain.value},
+        {"version", endpoint.version},
         {"state", Common::nameOf(endpoint.state)},
         {"eligible", Routing::isEligible(endpoint, now)},
         {"reportedRunning", endpoint.report.running},
--- a/Source/Core/Pipeline/Wire.h
+++ b/Source/Core/Pipeline/Wire.h
@@ -19,8 +19,9 @@
 // Version of the endpoint's software; absent if the endpoint does not state it.
 inline constexpr std::string_view kSoftwareVersion = "Software-Version";
 inline constexpr std::string_view kIdempotencyKey = "Idempotency-Key";
-// Identifies a stream to the caller: the engine and the engine's name for the stream. To resume, a
-// caller that lost its connection sends it back together with `Last-Event-ID`.
+// Identifies a stream to the caller: the engine, the engine's name for the stream and the engine's
+// software version. To resume, a caller that lost its connection sends it back together with
+// `Last-Event-ID`.
 inline constexpr std::string_view kStreamId = "Stream-Id";
 // Type of the event that tells a caller that its stream continues under another stream id.
 inline constexpr std::string_view kMovedEvent = "moved";
--- a/Source/Core/Storage/InstanceList.cpp
+++ b/Source/Core/Storage/InstanceList.cpp
@@ -24,6 +24,9 @@
     if (!state)
         reader.fault("state", "must be live or leaving");
     instance.state = state.value_or(InstanceState::Live);
+    instance.version = reader.text("version", "");
+    if (!Common::isVisibleText(instance.version, Common::kMaxVersionLength))
+        reader.fault("version", "must be at most 128 visible ASCII characters");
     return instance;
 }
 
--- a/Source/Core/Storage/InstanceList.h
+++ b/Source/Core/Storage/InstanceList.h
@@ -35,6 +35,8 @@
     Http::Address peerAddress;
     Common::FailureDomain failureDomain;
     InstanceState state = InstanceState::Live;
+    // Version of the instance's software; empty if the list does not state it.
+    std::string version;
 };
 
 class InstanceList
--- a/Source/UnitTests/Node/InstanceFixture.cpp
+++ b/Source/UnitTests/Node/InstanceFixture.cpp
@@ -142,6 +142,7 @@
         {"pipelines",
          json::array{json::object{{"name", "ask"}, {"stages", allStages}},
                      json::object{{"name", "pack"}, {"stages", allStages}},
+                     json::object{{"name", "chat"}, {"stages", json::array{generation}}},
                      json::object{{"name", "search"}, {"stages", stagesBeforeGeneration}}}},
         {"services",
          json::array{
@@ -167,7 +168,7 @@
             "ratePerSecond":1000,"promises":[{"for":"pack","deadlineMs":20000,"priority":"patient"}]}],"workspaces":[{"id":"w1","plan":"p","keyDigests":[")"
         + Common::secretDigestOf(kKey) + R"("]}]})";
     const std::string entitlements
-        = R"({"entitlements":[{"plan":"p","pipelines":["ask","search","pack"],
+        = R"({"entitlements":[{"plan":"p","pipelines":["ask","search","pack","chat"],
             "services":["roster","schedule"],"models":["tutor"],
             "allowances":[{"action":"roster","count":30,"windowSeconds":31536000}]}]})";
     const std::string target = "/v1/lists/plans?acceptWarnings=true";
--- a/Source/UnitTests/Node/StreamVersionTest.cpp
+++ b/Source/UnitTests/Node/StreamVersionTest.cpp
@@ -5,6 +5,7 @@
 #include "Http/EventStream.h"
 
 #include <set>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 
@@ -44,6 +45,22 @@
     return versions;
 }
 
+std::string withoutVersion(const std::string &streamId)
+{
+    return streamId.substr(0, streamId.rfind('/'));
+}
+
+std::string errorMember(const std::string &body, const std::string &member)
+{
+    return std::string(boost::json::parse(body).at("error").at(member).as_string());
+}
+
+struct Begun
+{
+    std::string streamId;
+    std::string engine;
+};
+
 class VersionFixture : public InstanceFixture
 {
 protected:
@@ -52,16 +69,83 @@
     {
     }
 
-    Http::Request ask(int maxTokens)
+    static constexpr const char *kRequestId = "r-1";
+
+    static Http::Request ask(int maxTokens, const std::string &pipeline = "ask")
     {
         const boost::json::object body{{"input", boost::json::object{{"text", "question"}}},
                                        {"stream", true},
                                        {"maxTokens", maxTokens}};
-        Http::Request request{"POST", "/v1/pipelines/ask", {}, boost::json::serialize(body)};
+        Http::Request request{
+            "POST", "/v1/pipelines/" + pipeline, {}, boost::json::serialize(body)};
         request.headers.add("Authorization", "Bearer key-w1");
+        request.headers.add("Request-Id", kRequestId);
         return request;
     }
 
+    // Begins a stream, disconnects after token 30 and returns its beginning.
+    Begun beginAndDisconnect(const Http::Request &request)
+    {
+        std::string bytes = "POST " + request.target + " HTTP/1.1\r\nHost: x\r\n";
+        for (const Http::Header &header : request.headers.fields)
+            bytes += header.name + ": " + header.value + "\r\n";
+        bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n";
+        const std::string received = this->callAndDisconnect(bytes + request.body, "id: 30\n");
+        const std::string field = "Stream-Id: ";
+        const std::size_t at = received.find(field);
+        BOOST_REQUIRE_MESSAGE(at != std::string::npos, "no stream began: " << received);
+        const std::size_t start = at + field.size();
+        Begun begun;
+        begun.streamId = received.substr(start, received.find("\r\n", start) - start);
+        begun.engine = begun.streamId.substr(0, begun.streamId.find('/'));
+        return begun;
+    }
+
+    // The request that resumes the stream after token 30.
+    static Http::Request resumption(Http::Request request, const std::string &streamId)
+    {
+        request.headers.add("Last-Event-ID", "30");
+        request.headers.add("Stream-Id", streamId);
+        return request;
+    }
+
+    // Resumes the stream once its engine has noticed that its reader has disconnected.
+    Reply resume(
+        const Http::Request &request, const std::string &until = "none",
+        const std::function<void()> &action = [] {})
+    {
+        Reply reply;
+        for (int tries = 0; tries < 100 && reply.status != 200; ++tries) {
+            std::this_thread::sleep_for(Common::Milliseconds(20));
+            reply = this->callAndInterrupt(request, until, action);
+        }
+        return reply;
+    }
+
+    // Waits until the instance has read the version of an engine from the instance list.
+    void awaitVersion(const std::string &engine, const std::string &version)
+    {
+        const auto isKnown = [&] {
+            const boost::json::value state
+                = boost::json::parse(this->operatorCall("GET", "/v1/state", "", "").body);
+            for (const auto &row : state.at("pools").at("tutors").at("endpoints").as_array()) {
+                if (row.at("id").as_string() == engine)
+                    return row.at("version").as_string() == version;
+            }
+            return false;
+        };
+        while (!isKnown())
+            std::this_thread::sleep_for(Common::Milliseconds(10));
+    }
+
+    // Other engines than the one given.
+    static std::vector<std::string> othersThan(const std::string &engine)
+    {
+        std::vector<std::string> others{"tutors-1", "tutors-2", "tutors-3"};
+        std::erase(others, engine);
+        return others;
+    }
+
     // The engine that has generated tokens since the counts were taken.
     std::string servingEngine(const std::map<std::string, std::uint64_t> &before)
     {
@@ -80,6 +164,13 @@
     }
 };
 
+struct OneVersion : VersionFixture
+{
+    OneVersion() : VersionFixture({"v1", "v1", "v1"})
+    {
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(StreamVersions)
@@ -89,14 +180,159 @@
 BOOST_FIXTURE_TEST_CASE(engineFailsMidStream_onlyOtherVersionsServe_endsAsBroken, ThreeVersions)
 {
     const auto before = this->tokensByEngine();
-    const Reply reply = this->callAndInterrupt(this->ask(600), "id: 30\n", [&] {
-        this->setFault(this->servingEngine(before), "truncate");
-    });
+    const Reply reply = this->callAndInterrupt(
+        ask(600), "id: 30\n", [&] { this->setFault(this->servingEngine(before), "truncate"); });
     this->clearFaults();
     const Stream stream = readStream(reply.body);
     BOOST_TEST(versionsOf(stream).size() == 1u);
+    BOOST_REQUIRE(stream.lastType == "error");
+    BOOST_TEST(errorMember(stream.lastData, "code") == "version_unavailable");
+    BOOST_TEST(this->counter(Common::Counter::StreamsVersionUnavailable) == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(engineFailsMidAnswer_onlyOtherVersionsServe_answerIsNotComplete,
+                        ThreeVersions)
+{
+    const auto before = this->tokensByEngine();
+    Http::Request request = ask(600);
+    request.body = R"({"input":{"text":"question"},"maxTokens":600})";
+    std::thread faultInjector([&] {
+        std::string serving;
+        while (serving.empty())
+            serving = this->servingEngine(before);
+        this->setFault(serving, "truncate");
+    });
+    const Reply reply = this->call(this->callerAddress, request);
+    faultInjector.join();
+    this->clearFaults();
+    BOOST_TEST(reply.status == 409u);
+    BOOST_TEST(errorMember(reply.body, "code") == "version_unavailable");
+    BOOST_TEST(errorMember(reply.body, "ran") == "maybe");
+}
+
+BOOST_FIXTURE_TEST_CASE(engineFailsMidStream_itsVersionServes_continuesThere, OneVersion)
+{
+    const auto before = this->tokensByEngine();
+    const Reply reply = this->callAndInterrupt(ask(600), "id: 30\n", [&] {
+        const std::string serving = this->servingEngine(before);
+        const std::string other = othersThan(serving).front();
+        this->restartEngine(other, "v2");
+        this->awaitVersion(other, "v2");
+        this->setFault(serving, "truncate");
+    });
+    this->clearFaults();
+    const Stream stream = readStream(reply.body);
+    BOOST_TEST(stream.lastType == "done");
+    BOOST_TEST(stream.tokens.size() == 600u);
+    BOOST_TEST((versionsOf(stream) == std::set<std::string>{"v1"}));
+}
+
+// The version counts that the process states, since the instance list lags behind.
+BOOST_FIXTURE_TEST_CASE(engineFailsMidStream_othersRestartedAtAnotherVersion_endsAsBroken,
+                        OneVersion)
+{
+    const auto before = this->tokensByEngine();
+    const Reply reply = this->callAndInterrupt(ask(600), "id: 30\n", [&] {
+        const std::string serving = this->servingEngine(before);
+        for (const std::string &other : othersThan(serving))
+            this->restartEngine(other, "v2", false);
+        this->setFault(serving, "truncate");
+    });
+    this->clearFaults();
+    const Stream stream = readStream(reply.body);
+    BOOST_TEST((versionsOf(stream) == std::set<std::string>{"v1"}));
+    BOOST_REQUIRE(stream.lastType == "error");
+    BOOST_TEST(errorMember(stream.lastData, "code") == "version_unavailable");
+}
+
+// The engine's process is replaced at the same id and address while it serves the stream.
+BOOST_FIXTURE_TEST_CASE(enginesRestartMidStream_atAnotherVersion_streamIsNotContinuedThere,
+                        OneVersion)
+{
+    const Reply reply = this->callAndInterrupt(ask(600), "id: 30\n", [&] {
+        for (const std::string &engine : othersThan(""))
+            this->restartEngine(engine, "v2");
+    });
+    const Stream stream = readStream(reply.body);
+    BOOST_TEST((versionsOf(stream) == std::set<std::string>{"v1"}));
     BOOST_TEST(stream.lastType == "error");
-    BOOST_TEST(stream.lastData.find(R"("version_unavailable")") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedStream_severalVersionsServe_goesOnAtItsEngine, ThreeVersions)
+{
+    const Http::Request request = ask(400);
+    const Begun begun = this->beginAndDisconnect(request);
+    const Stream rest = readStream(this->resume(resumption(request, begun.streamId)).body);
+    BOOST_TEST(rest.lastType == "done");
+    BOOST_TEST(rest.tokens.size() == 400u - 31u);
+    BOOST_TEST(versionsOf(rest).size() == 1u);
+    BOOST_TEST(this->counter(Common::Counter::StreamsResumed) > 0u);
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedStream_engineFailsAndOnlyOtherVersionsServe_endsAsBroken,
+                        ThreeVersions)
+{
+    const Http::Request request = ask(400, "chat");
+    const Begun begun = this->beginAndDisconnect(request);
+    const Reply reply = this->resume(resumption(request, begun.streamId), "id: 60\n",
+                                     [&] { this->setFault(begun.engine, "truncate"); });
+    this->clearFaults();
+    const Stream rest = readStream(reply.body);
+    BOOST_TEST(versionsOf(rest).size() == 1u);
+    BOOST_REQUIRE(rest.lastType == "error");
+    BOOST_TEST(errorMember(rest.lastData, "code") == "version_unavailable");
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedStream_engineFailsAndItsVersionServes_continuesThere, OneVersion)
+{
+    const Http::Request request = ask(400, "chat");
+    const Begun begun = this->beginAndDisconnect(request);
+    const std::string other = othersThan(begun.engine).front();
+    this->restartEngine(other, "v2");
+    this->awaitVersion(other, "v2");
+    const Reply reply = this->resume(resumption(request, begun.streamId), "id: 60\n",
+                                     [&] { this->setFault(begun.engine, "truncate"); });
+    this->clearFaults();
+    const Stream rest = readStream(reply.body);
+    BOOST_TEST(rest.lastType == "done");
+    BOOST_TEST(rest.tokens.size() == 400u - 31u);
+    BOOST_TEST((versionsOf(rest) == std::set<std::string>{"v1"}));
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedStream_noEngineOfItsVersionLeft_isRefusedAsNotRun, OneVersion)
+{
+    const Http::Request request = ask(400);
+    const Begun begun = this->beginAndDisconnect(request);
+    for (const std::string &engine : othersThan("")) {
+        this->restartEngine(engine, "v2");
+        this->awaitVersion(engine, "v2");
+    }
+    const Reply reply = this->call(this->callerAddress, resumption(request, begun.streamId));
+    BOOST_TEST(reply.status == 409u);
+    BOOST_TEST(errorMember(reply.body, "code") == "version_unavailable");
+    BOOST_TEST(errorMember(reply.body, "ran") == "no");
+    BOOST_TEST(this->counter(Common::Counter::StreamsVersionUnavailable) == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedStream_versionUnknownAndSeveralServe_isRefusedAsNotRun,
+                        ThreeVersions)
+{
+    const Http::Request request = ask(400);
+    const Begun begun = this->beginAndDisconnect(request);
+    const Reply reply
+        = this->call(this->callerAddress, resumption(request, withoutVersion(begun.streamId)));
+    BOOST_TEST(reply.status == 409u);
+    BOOST_TEST(errorMember(reply.body, "code") == "version_unavailable");
+    BOOST_TEST(errorMember(reply.body, "ran") == "no");
+    BOOST_TEST(this->counter(Common::Counter::StreamsVersionUnknown) == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedStream_versionUnknownAndOneServes_goesOn, OneVersion)
+{
+    const Http::Request request = ask(400);
+    const Begun begun = this->beginAndDisconnect(request);
+    const Reply reply = this->resume(resumption(request, withoutVersion(begun.streamId)));
+    BOOST_TEST(readStream(reply.body).lastType == "done");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
