Node: End a resumed stream rather than continue it with another prompt

A caller that resumed a stream got a complete answer made of two prompts, if the stream's engine failed once more. The stages before generation are not run again for a resumed stream, since its engine retains it; but another engine that went on with the delivered tokens got a prompt without the outputs of these stages. The terminal event matched, since its digest covers the prefix as delivered.

A generation now knows whether its prompt is whole. If it is not, the stream ends with outcome_unknown when its engine fails, and a slow engine is not left. A pipeline of generation alone has the whole prompt and goes on as before.

--- a/Source/Core/Node/Generation.cpp
+++ b/Source/Core/Node/Generation.cpp
@@ -120,7 +120,7 @@
     progress.tokensLeft = maxTokens - std::min(maxTokens, this->result.tokens.count());
     progress.timeLeft = this->run.deadline - now;
     const std::lock_guard<std::mutex> guard(this->shard.lock);
-    return Node::isTooSlow(this->shard.pool, progress)
+    return this->call.hasWholePrompt && Node::isTooSlow(this->shard.pool, progress)
         && hasUntriedEngine(this->shard.pool, this->version, this->tried, now);
 }
 
@@ -375,7 +375,7 @@
 Common::Error Relay::lostStreamError() const
 {
     return {ErrorCode::OutcomeUnknown,
-            "the engine no longer retains the stream; repeat the request without Last-Event-ID",
+            "no engine can continue the stream; repeat the request without Last-Event-ID",
             Common::Ran::Maybe};
 }
 
@@ -432,9 +432,10 @@
             co_return tl::unexpected(drainTimeoutError(this->scope));
         case SegmentEnd::Broken:
         case SegmentEnd::TooSlow:
-            // Another engine may generate other tokens, so it can only continue the stream if all
-            // tokens that the caller already has are known here.
-            if (this->result.tokens.count() < this->result.tokens.callerTokenCount)
+            // Another engine may generate other tokens, so it can only continue the stream if the
+            // prompt and all tokens that the caller already has are known here.
+            if (!this->call.hasWholePrompt
+                || this->result.tokens.count() < this->result.tokens.callerTokenCount)
                 co_return tl::unexpected(this->lostStreamError());
             this->resuming = false;
             problem = "engine " + engine->id.value + ": "
--- a/Source/Core/Node/Generation.h
+++ b/Source/Core/Node/Generation.h
@@ -19,6 +19,9 @@
     bool stream = false;
     // Set if the caller resumes a stream after its connection was lost.
     std::optional<ResumePoint> resume;
+    // False if the prompt lacks the outputs of earlier stages, which are not run again for a
+    // resumed stream. No other engine can continue it then.
+    bool hasWholePrompt = true;
 };
 
 struct GenerationResult
--- a/Source/Core/Node/PipelineHandler.cpp
+++ b/Source/Core/Node/PipelineHandler.cpp
@@ -126,6 +126,7 @@
     call.prompt = Pipeline::buildPrompt(body.input, previous);
     call.maxTokens = body.maxTokens > 0 ? body.maxTokens : scope.shared.settings.defaultMaxTokens;
     call.stream = body.stream;
+    call.hasWholePrompt = !resume || pipeline.stages.size() == 1;
     call.resume = std::move(resume);
     auto end = co_await generate(scope, run, std::move(call));
     if (!end)
--- a/Source/UnitTests/Node/StreamVersionTest.cpp
+++ b/Source/UnitTests/Node/StreamVersionTest.cpp
@@ -175,6 +175,25 @@
 
 BOOST_AUTO_TEST_SUITE(StreamVersions)
 
+// Guards against a resumed stream that goes on with another prompt: the stages before generation
+// are not run again, so their outputs are missing.
+BOOST_FIXTURE_TEST_CASE(resumedStream_engineFailsAgain_isNotContinuedWithAnotherPrompt, OneVersion)
+{
+    const Http::Request request = ask(400);
+    const std::vector<std::string> whole
+        = readStream(this->call(this->callerAddress, request).body).tokens;
+    BOOST_REQUIRE(whole.size() == 400u);
+    const Begun begun = this->beginAndDisconnect(request);
+    const Reply reply = this->resume(resumption(request, begun.streamId), "id: 60\n",
+                                     [&] { this->setFault(begun.engine, "truncate"); });
+    this->clearFaults();
+    const Stream rest = readStream(reply.body);
+    BOOST_REQUIRE(rest.tokens.size() <= whole.size() - 31);
+    BOOST_TEST(std::equal(rest.tokens.begin(), rest.tokens.end(), whole.begin() + 31));
+    BOOST_REQUIRE(rest.lastType == "error");
+    BOOST_TEST(errorMember(rest.lastData, "code") == "outcome_unknown");
+}
+
 // Guards against a stream that goes on at an engine of another software version than the one that
 // began it.
 BOOST_FIXTURE_TEST_CASE(engineFailsMidStream_onlyOtherVersionsServe_endsAsBroken, ThreeVersions)
