--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -15,16 +15,18 @@
 
 namespace Tanagerbay::Http {
 
-// Returns the JSON body of an error response that the server sends itself, without calling the
-// handler.
-std::string errorBody(std::string_view code, std::string_view message);
+// Returns the JSON body of an error response that the server sends itself. `ran` tells whether the
+// request was run; it was not if the handler was not called.
+std::string errorBody(std::string_view code, std::string_view message, std::string_view ran = "no");
 
 // Used on the socket's executor only. The options must outlive the connection.
 class Connection final : public Exchange, public std::enable_shared_from_this<Connection>
 {
 public:
+    // `requestsBeingRead` counts the requests of which a part has been read, and not the last byte.
     Connection(boost::asio::ip::tcp::socket socket, const ServerOptions &options,
-               const std::atomic<bool> &closeAfterAnswers, std::size_t contextIndex);
+               const std::atomic<bool> &closeAfterAnswers,
+               std::atomic<std::size_t> &requestsBeingRead, std::size_t contextIndex);
 
     const Request &request() const override;
     std::size_t contextIndex() const override;
@@ -39,13 +41,23 @@
     Awaitable<bool> endStream() override;
 
     // Serves requests until the connection ends or the server stops accepting.
-    Awaitable<void> serve(const Handler &handler, const std::atomic<bool> &accepting);
+    Awaitable<void> serve(const Handler &handler, const HandlerFaultAction &onFault,
+                          const std::atomic<bool> &accepting);
+    // Answers that the connection limit is reached, instead of serving requests.
+    Awaitable<void> refuse();
     // Closes the connection and reports the caller as gone to the request in progress.
     void disconnect();
+    // Closes the connection if it waits for its next request.
+    void closeIfIdle();
+    // Lets the connection wait for its next request as long as the options say now.
+    void applyIdleTimeout();
 
 private:
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
+    // Runs the handler. If it throws, the caller gets an error response if possible, and the
+    // connection is to be closed.
+    Awaitable<void> handle(const Handler &handler, const HandlerFaultAction &onFault);
     // Reads the next request. Returns false if the connection has ended or the request was
     // rejected; a request that exceeds a limit gets its error response here.
     Awaitable<bool> readRequest();
@@ -70,8 +82,12 @@
     LazyDeadline deadline;
     const ServerOptions &options;
     const std::atomic<bool> &closeAfterAnswers;
+    std::atomic<std::size_t> &requestsBeingRead;
     std::size_t context;
     Common::Time requestReceivedAt;
+    // The present or last wait for a request.
+    Common::Time idleSince;
+    Common::Time idleUntil;
     boost::beast::flat_buffer buffer;
     std::string ip;
     Request currentRequest;
@@ -79,6 +95,7 @@
     bool answered = false;
     bool headWritten = false;
     bool gone = false;
+    bool isIdle = false;
     std::function<void()> callerGoneAction;
     boost::asio::cancellation_signal stopWatching;
 };
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -1,15 +1,20 @@
 #include "Http/Server.h"
 
+#include "Common/Clock.h"
+
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <cerrno>
+#include <future>
+#include <stdexcept>
 #include <thread>
 
 #include <sys/socket.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -40,23 +45,48 @@
 
     void start(Http::Handler handler)
     {
-        Http::ServerOptions options;
-        options.address = {"127.0.0.1", 0};
+        this->options.address = {"127.0.0.1", 0};
         this->server = std::make_unique<Http::Server>(
-            std::vector<asio::io_context *>{&this->context}, options, std::move(handler));
+            std::vector<asio::io_context *>{&this->context}, this->options, std::move(handler));
         BOOST_REQUIRE_EQUAL(this->server->start(), "");
         this->thread = std::thread([this] { this->context.run(); });
-        this->socket.connect({asio::ip::address_v4::loopback(), this->server->port()});
+        this->connect(this->socket);
+        send(this->socket, kRequest);
+    }
+
+    void connect(tcp::socket &client) const
+    {
+        client.connect({asio::ip::address_v4::loopback(), this->server->port()});
         const ::timeval wait{kMaxWaitSeconds, 0};
-        ::setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
-        asio::write(this->socket, asio::buffer(std::string_view(kRequest)));
+        ::setsockopt(client.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+    }
+
+    // The server may have closed the connection; a read shows it.
+    static void send(tcp::socket &client, std::string_view bytes)
+    {
+        boost::system::error_code ignored;
+        asio::write(client, asio::buffer(bytes), ignored);
+    }
+
+    // Waits as long as a read for the condition. Returns whether it was met.
+    static bool eventually(const std::function<bool()> &condition)
+    {
+        const Common::Time end = Common::clockNow() + std::chrono::seconds(kMaxWaitSeconds);
+        while (!condition() && Common::clockNow() < end)
+            std::this_thread::sleep_for(Common::Milliseconds(1));
+        return condition();
     }
 
     // Returns the bytes of one read; empty once the connection has ended.
     std::string read()
+    {
+        return read(this->socket);
+    }
+
+    static std::string read(tcp::socket &client)
     {
         std::array<char, 4096> bytes;
-        const auto count = ::recv(this->socket.native_handle(), bytes.data(), bytes.size(), 0);
+        const auto count = ::recv(client.native_handle(), bytes.data(), bytes.size(), 0);
         const bool inTime = count >= 0 || errno == ECONNRESET;
         BOOST_TEST(
             inTime,
@@ -64,6 +94,18 @@
         return {bytes.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0))};
     }
 
+    // Applies the options in the thread of the server.
+    void applyOptions()
+    {
+        std::promise<void> done;
+        asio::post(this->context, [&] {
+            this->server->applyLimits(this->options);
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    Http::ServerOptions options;
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard;
     std::unique_ptr<Http::Server> server;
@@ -92,6 +134,107 @@
     BOOST_TEST(this->read().empty());
 }
 
+// Guards against a shutdown that drops a request of which a part has been read.
+BOOST_AUTO_TEST_CASE(closeIdle_requestIsBeingRead_isAnsweredAndIdleConnectionsAreClosed)
+{
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    tcp::socket slow(this->clientContext);
+    this->connect(slow);
+    send(slow, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+    BOOST_REQUIRE(eventually([&] { return this->server->requestsBeingRead() == 1; }));
+    this->server->closeIdle();
+    BOOST_TEST(this->read().empty());
+    send(slow, "cd");
+    BOOST_TEST(read(slow).find("done") != std::string::npos);
+    BOOST_TEST(this->server->requestsBeingRead() == 0u);
+    BOOST_TEST(read(slow).empty());
+}
+
+// Guards against a limit from before a change that is enforced on connections which are kept open.
+BOOST_AUTO_TEST_CASE(applyLimits_connectionIsKept_nextRequestMeetsTheNewLimit)
+{
+    this->options.maxBodyBytes = 100;
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    // By then the connection waits for its next request.
+    std::this_thread::sleep_for(Common::Milliseconds(200));
+    this->options.maxBodyBytes = 10'000;
+    this->applyOptions();
+    send(this->socket,
+         "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x'));
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+}
+
+// Guards against closing a connection on which its caller may still send by the new time-out.
+BOOST_AUTO_TEST_CASE(applyLimits_idleTimeoutIsRaised_keepsConnectionThatWaits)
+{
+    this->options.idleTimeout = Common::Milliseconds(2000);
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    this->options.idleTimeout = Common::Milliseconds(60'000);
+    this->applyOptions();
+    std::this_thread::sleep_for(Common::Milliseconds(2500));
+    send(this->socket, kRequest);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+}
+
+// Guards against a caller that gets neither an answer nor a close, and whose later disconnect calls
+// into a request that no longer exists.
+BOOST_AUTO_TEST_CASE(handlerThrows_responseHasNotBegun_isAnsweredAsUnknownAndClosed)
+{
+    std::atomic<bool> callerGoneActionRan{false};
+    this->start([&](Http::Exchange &exchange) -> Http::Awaitable<void> {
+        if (exchange.request().method == "GET") {
+            exchange.onCallerGone([&callerGoneActionRan] { callerGoneActionRan = true; });
+            throw std::runtime_error("fault of the handler");
+        }
+        co_await answer(exchange);
+    });
+    const std::string response = this->read();
+    BOOST_TEST(response.find("HTTP/1.1 502") == 0u);
+    BOOST_TEST(response.find(R"("ran":"maybe")") != std::string::npos);
+    BOOST_TEST(this->read().empty());
+    this->socket.close();
+    tcp::socket next(this->clientContext);
+    this->connect(next);
+    send(next, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(read(next).find("done") != std::string::npos);
+    BOOST_TEST(read(next).empty());
+    BOOST_TEST(eventually([&] { return this->server->openConnections() == 0; }));
+    BOOST_TEST(!callerGoneActionRan);
+}
+
+BOOST_AUTO_TEST_CASE(handlerThrows_responseHasBegun_closesTheConnection)
+{
+    this->start([](Http::Exchange &exchange) -> Http::Awaitable<void> {
+        Http::Response head;
+        head.status = 200;
+        co_await exchange.beginStream(std::move(head));
+        throw std::runtime_error("fault of the handler");
+    });
+    BOOST_TEST(this->read().find("HTTP/1.1 200") == 0u);
+    BOOST_TEST(this->read().empty());
+}
+
+// Guards against a refusal that its caller loses, since closing a socket with unread input resets
+// the connection.
+BOOST_AUTO_TEST_CASE(connectionLimit_callerSendsALongRequest_readsTheRefusal)
+{
+    this->options.maxConnections = 1;
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    tcp::socket refused(this->clientContext);
+    this->connect(refused);
+    const std::string request = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n"
+        + std::string(1'000'000, 'x');
+    boost::system::error_code error;
+    BOOST_TEST(asio::write(refused, asio::buffer(request), error) == request.size());
+    BOOST_TEST(!error);
+    BOOST_TEST(read(refused).find("HTTP/1.1 503") == 0u);
+    BOOST_TEST(read(refused).empty());
+}
+
 BOOST_AUTO_TEST_CASE(closeAll_requestInProgress_runsItsCallerGoneAction)
 {
     std::atomic<bool> handlerStarted{false};
