Entry: Decide at the end of a pause whether its stream is resumed elsewhere

Cause: a read of a stream got a shorter deadline if, at its begin, another endpoint and an extra send were left. If other requests used the budget during the pause, the call was ended and the stream cut, although its worker would have gone on.

Change: the read keeps the deadline of the request. A check at the end of the inactivity time-out ends the call only if another endpoint could go on then, and is repeated otherwise. It runs once a time-out rather than for each event.

--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -1,6 +1,7 @@
 // Serves one caller's request: admission, pipeline stages, sends to endpoints, relayed response.
 #pragma once
 
+#include "Common/DelayedAction.h"
 #include "Entry/CatalogSync.h"
 #include "Entry/CrashWatch.h"
 #include "Entry/EndpointDiscovery.h"
@@ -92,8 +93,33 @@
     // Returns until when the endpoint may make no progress. `progressAt` is when the request was
     // sent or its last event arrived.
     Common::Time sendDeadline(Common::Time progressAt, Common::Time now);
+    Common::Duration inactivityTimeout() const;
+    // Whether another send is left after the current one.
+    bool hasAnotherAttempt() const;
+    // Returns whether a stream that has begun may be resumed at another endpoint, since its
+    // endpoint makes no progress.
+    bool mayLeaveSilentEndpoint(Common::Time now);
     // Returns whether another endpoint and the retry budget would permit another send now.
     bool couldResumeElsewhere(Common::Time now);
+    // A stream that waits for the next event of its endpoint.
+    struct EventWait
+    {
+        explicit EventWait(boost::asio::io_context &context) : check(context)
+        {
+        }
+
+        Common::DelayedAction check;
+        Common::Time progressAt;
+        // Not set while the caller takes its time to read the events.
+        bool isReading = false;
+        bool isWatched = false;
+        // The call was cancelled, since the endpoint made no progress.
+        bool hasTimedOut = false;
+    };
+    // Ends the call of a stream that has begun once its endpoint has made no progress for too long
+    // and another one could go on. Whether one could is decided then: meanwhile other requests may
+    // have used the retry budget.
+    void watchSilence(EventWait &wait, Common::Time now);
     void applyResponseHead(const Routing::Endpoint &endpoint, const EndpointResponseHead &answer);
     // Reports an endpoint that may have crashed before it began its answer.
     void noteConnectionLost(const Routing::Endpoint &endpoint);
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -21,6 +21,8 @@
 // minimum well below the 2 s after which their callers give up.
 constexpr int kInactivityObjectives = 2;
 constexpr Common::Milliseconds kMinStreamInactivityTimeout{1200};
+// How often it is checked whether a stream without progress can be resumed at another endpoint.
+constexpr Common::Milliseconds kSilenceCheckInterval{100};
 // Range of the urgency sent to engines, smaller being more urgent. A request without a value gets
 // 5.
 constexpr int kMinUrgencyValue = 3;
@@ -73,27 +75,55 @@
             == this->triedEndpoints.end();
     };
     const std::vector<Routing::Endpoint> &endpoints = this->state.poolOf(this->service).endpoints;
-    // Runs for each event of a stream. All known instances are an upper bound of the live ones.
+    // All known instances are an upper bound of the live ones.
     const std::size_t instances = this->state.members.byId.size() + 1;
     return this->state.budgets[this->service].hasExtraSend(this->state.settings.bounds.extraSends,
                                                            instances, now)
         && std::any_of(endpoints.begin(), endpoints.end(), isOther);
 }
 
+bool RequestFlow::hasAnotherAttempt() const
+{
+    return this->attempts.repeatable && this->attempts.reached + 1 < this->attempts.maxAttempts;
+}
+
+Common::Duration RequestFlow::inactivityTimeout() const
+{
+    if (!this->isStream())
+        return this->route->objective * kInactivityObjectives;
+    return std::max<Common::Duration>(kMinStreamInactivityTimeout,
+                                      this->estimatedEngineTime() * kInactivityObjectives);
+}
+
 Common::Time RequestFlow::sendDeadline(Common::Time progressAt, Common::Time now)
 {
-    const bool canRetry
-        = this->attempts.repeatable && this->attempts.reached + 1 < this->attempts.maxAttempts;
-    if (!canRetry)
-        return this->deadline;
-    // A stream that has begun would be cut if nobody could go on with it.
-    if (this->exchange.started() && !this->couldResumeElsewhere(now))
+    if (!this->hasAnotherAttempt()
+        || (this->exchange.started() && !this->mayLeaveSilentEndpoint(now)))
         return this->deadline;
-    const Common::Duration inactivityTimeout = this->isStream()
-        ? std::max<Common::Duration>(kMinStreamInactivityTimeout,
-                                     this->estimatedEngineTime() * kInactivityObjectives)
-        : Common::Duration(this->route->objective * kInactivityObjectives);
-    return std::min(this->deadline, progressAt + inactivityTimeout);
+    return std::min(this->deadline, progressAt + this->inactivityTimeout());
+}
+
+bool RequestFlow::mayLeaveSilentEndpoint(Common::Time now)
+{
+    // A stream would be cut if nobody could go on with it.
+    return this->hasAnotherAttempt() && this->couldResumeElsewhere(now);
+}
+
+void RequestFlow::watchSilence(EventWait &wait, Common::Time now)
+{
+    wait.isWatched = true;
+    const Common::Duration rest = wait.progressAt + this->inactivityTimeout() - now;
+    const auto delay = std::max<Common::Duration>(rest, kSilenceCheckInterval);
+    wait.check.start(delay, [this, &wait] {
+        const Common::Time checkedAt = clockNow();
+        wait.hasTimedOut = wait.isReading
+            && checkedAt - wait.progressAt >= this->inactivityTimeout()
+            && this->mayLeaveSilentEndpoint(checkedAt);
+        if (wait.hasTimedOut)
+            this->call.cancel();
+        else
+            this->watchSilence(wait, checkedAt);
+    });
 }
 
 Http::CallOptions RequestFlow::callOptions(Common::Time now)
@@ -306,13 +336,21 @@
     const Http::Headers headers = stream.headers();
     const unsigned status = stream.status();
     bool wasAnswerBegun = false;
-    Common::Time progressAt = clockNow();
+    // Ends with this function, so `call` is that of this endpoint when the check runs.
+    EventWait wait(this->state.context);
+    wait.progressAt = clockNow();
     while (true) {
+        if (this->exchange.started() && !wait.isWatched)
+            this->watchSilence(wait, clockNow());
         // Bytes of an event that does not end are no progress.
-        const auto bytes = co_await stream.read(this->sendDeadline(progressAt, clockNow()));
+        wait.isReading = true;
+        const auto bytes = co_await stream.read(
+            wait.isWatched ? this->deadline : this->sendDeadline(wait.progressAt, clockNow()));
+        wait.isReading = false;
         if (!bytes) {
             result.connectionLost = bytes.error().failure == Http::CallFailure::ConnectionLost;
-            result.detail = "stream interrupted: " + bytes.error().message;
+            result.detail = "stream interrupted: "
+                + (wait.hasTimedOut ? "no progress" : bytes.error().message);
             break;
         }
         if (bytes->empty() && this->events.hasPartialEvent()) {
@@ -357,7 +395,7 @@
         }
         // The caller may have taken its time to read the events.
         if (this->events.eventCount() > eventsBefore)
-            progressAt = clockNow();
+            wait.progressAt = clockNow();
     }
     stream.close();
     this->events.discardPartialEvent();
