Entry: Let streams stay with a silent worker during a shutdown

Cause: a stream that has begun was taken from a worker that was silent for 1.2 s, also while its instance stopped. The other worker refused it, or its stages were not done in time, and it was cut, although its worker was sound. Nobody was at work on it any more when the process exited.

Change: a leaving instance does not take a stream that has begun from its worker for its silence.

--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -105,8 +105,9 @@
 
 bool RequestFlow::mayLeaveSilentEndpoint(Common::Time now)
 {
-    // A stream would be cut if nobody could go on with it.
-    return this->hasAnotherAttempt() && this->couldResumeElsewhere(now);
+    // A stream would be cut if nobody could go on with it. Before the exit, the stages and another
+    // endpoint might not be done in time, while an endpoint that only pauses goes on.
+    return !this->state.leaving && this->hasAnotherAttempt() && this->couldResumeElsewhere(now);
 }
 
 void RequestFlow::watchSilence(EventWait &wait, Common::Time now)
