Entry: Ask an endpoint which process it is before a stream goes on there

Cause: the list of endpoints is outdated for some time after an endpoint was restarted under its id with another version, longer while the store is away.

Change: before a send that requires a version, the endpoint is asked for the start time of its process, which needs no place in its queue. If it is not the listed one, or there is no answer within 250 ms, the next endpoint is chosen. New requests cost nothing more. An endpoint that does not state its start time is taken as listed.

--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -161,6 +161,11 @@
     // Returns the headers of an endpoint's response that are relayed to the caller.
     Http::Headers (*relayedHeaders)(const Http::Headers &headers);
 
+    // Asks an endpoint which process it is.
+    Http::Request (*writeProcessQuestion)();
+    // Returns the start time of the endpoint's process; nothing if the answer does not state it.
+    std::optional<std::uint64_t> (*readProcessAnswer)(const std::string &body);
+
     Http::Request (*writeStageCall)(const Staging::PlannedCall &call, Common::Time now);
     // Returns nothing if the body is invalid.
     std::optional<std::vector<Staging::PieceResult>> (*readStageResults)(const std::string &body);
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -346,11 +346,20 @@
             continue;
         const Routing::Endpoint endpoint = pool.endpoints[*currentChoice];
         this->triedEndpoints.push_back(endpoint.id);
+        if (this->requiredVersion) {
+            const bool isListed = co_await this->isListedProcess(endpoint);
+            if (this->callerGone || this->earlyEnd) {
+                co_await this->endUnanswered(NextStep::Refuse, {});
+                co_return;
+            }
+            if (!isListed)
+                continue;
+        }
         SendResult sent = co_await this->sendTo(endpoint);
         if (sent.isAnswered)
             co_return;
         if (this->callerGone) {
-            this->recordEnd("caller-gone", sent.detail);
+            co_await this->endUnanswered(NextStep::Fail, std::move(sent));
             co_return;
         }
         if (sent.inputsGone && !hasRepeatedStages && !this->earlyEnd
@@ -397,6 +406,10 @@
 
 Http::Awaitable<void> RequestFlow::endUnanswered(NextStep step, SendResult last)
 {
+    if (this->callerGone) {
+        this->recordEnd("caller-gone", last.detail);
+        co_return;
+    }
     if (this->exchange.started()) {
         // Close the connection without the end of the stream, so that the caller can tell that the
         // stream is truncated.
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -87,6 +87,9 @@
     void noteResumption(std::string_view result);
     // Records which endpoint wrote the first event, before the caller gets it.
     void noteStreamBegun();
+    // Asks the endpoint whether it still is the process that the list names, since the list is
+    // outdated for some time after a restart. Returns false also if it does not answer.
+    Http::Awaitable<bool> isListedProcess(Routing::Endpoint endpoint);
     // Whether an endpoint that is not leaving runs the version that the request requires.
     bool isVersionListed() const;
     // Why no endpoint can be chosen.
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -12,6 +12,11 @@
 // another instance may know where the stream began.
 constexpr Common::Milliseconds kRetryAfterResumption{300};
 
+// An endpoint that does not say within this time which process it is is not sent the rest of a
+// stream.
+constexpr Common::Milliseconds kProcessAnswerTimeout{250};
+constexpr std::size_t kMaxProcessAnswerBytes = 1 << 20;
+
 bool leadsTo(const Catalog::Route &route, const std::string &service)
 {
     return std::any_of(
@@ -89,6 +94,29 @@
         this->isVersionUncertain = true;
 }
 
+Http::Awaitable<bool> RequestFlow::isListedProcess(Routing::Endpoint endpoint)
+{
+    if (endpoint.incarnation == 0)
+        co_return true;
+    Http::CallOptions options;
+    options.deadline = clockNow() + kProcessAnswerTimeout;
+    options.connectTimeout = kProcessAnswerTimeout;
+    options.maxBodyBytes = kMaxProcessAnswerBytes;
+    const auto answer = co_await this->state.client.call(
+        endpoint.address, this->state.dialect.writeProcessQuestion(), options);
+    if (!answer) {
+        this->state.metrics.count(labelled("process_checks", "result", "unanswered"));
+        co_return false;
+    }
+    const auto startTime = this->state.dialect.readProcessAnswer(answer->body);
+    const bool isListed = !startTime || *startTime == endpoint.incarnation;
+    this->state.metrics.count(labelled("process_checks", "result",
+                                       !startTime     ? "unstated"
+                                           : isListed ? "listed"
+                                                      : "other"));
+    co_return isListed;
+}
+
 bool RequestFlow::isVersionListed() const
 {
     const auto found = this->state.pools.find(this->service);
