--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -1,5 +1,6 @@
 #include "Entry/EntryInstance.h"
 
+#include <algorithm>
 #include <csignal>
 
 #include <boost/asio/co_spawn.hpp>
@@ -37,19 +38,40 @@
 // answer that states the reason.
 constexpr std::size_t kHeaderMarginBytes = 4 << 10;
 
+// Counts a request as in progress while it exists, also if its handler throws.
+class RequestCount
+{
+public:
+    explicit RequestCount(std::size_t &inProgress) : inProgress(inProgress)
+    {
+        ++this->inProgress;
+    }
+    ~RequestCount()
+    {
+        --this->inProgress;
+    }
+    RequestCount(const RequestCount &) = delete;
+    RequestCount &operator=(const RequestCount &) = delete;
+
+private:
+    std::size_t &inProgress;
+};
+
 } // namespace
 
 EntryInstance::EntryInstance(Settings settings, const Platform &platform, Reload reload)
     : state(std::move(settings), platform.dialect), store(platform.makeStore(this->state)),
-      reload(std::move(reload)), gossip(this->state), mesh(this->state),
-      relay(this->state, this->mesh), crashWatch(this->state, this->gossip),
+      reload(std::move(reload)), datagrams(this->state), gossip(this->state, this->datagrams),
+      mesh(this->state), relay(this->state, this->mesh), crashWatch(this->state, this->gossip),
+      streams(this->state, this->datagrams), versionRows(this->state, *this->store, this->relay),
       stageOwner(this->state), stageClient(this->state, this->mesh, this->stageOwner),
       catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay),
       endpoints(this->state, this->stageOwner, *this->store, this->relay), parts{this->state,
                                                                                  this->catalogs,
                                                                                  this->endpoints,
                                                                                  this->stageClient,
-                                                                                 this->crashWatch}
+                                                                                 this->crashWatch,
+                                                                                 this->streams}
 {
 }
 
@@ -62,8 +84,12 @@
     options.address = address;
     options.maxBodyBytes = kMaxBodyBytes;
     options.maxConnections = this->state.settings.maxConnections;
-    return std::make_unique<Http::Server>(std::vector<asio::io_context *>{&this->state.context},
-                                          options, std::move(handler));
+    auto server = std::make_unique<Http::Server>(
+        std::vector<asio::io_context *>{&this->state.context}, options, std::move(handler));
+    server->onHandlerFault([this](std::string_view fault) {
+        this->state.log.write(LogLine("handler-failed").text("fault", fault), clockNow());
+    });
+    return server;
 }
 
 std::string EntryInstance::startServers()
@@ -96,7 +122,10 @@
     }
     if (const std::string problem = this->mesh.start(); !problem.empty())
         return problem;
-    return this->gossip.start();
+    if (const std::string problem = this->datagrams.start(); !problem.empty())
+        return problem;
+    this->gossip.start();
+    return "";
 }
 
 std::string EntryInstance::run()
@@ -109,12 +138,10 @@
                              .text("callers", Common::formatAddress(this->state.settings.callers))
                              .text("store", Common::formatAddress(this->state.settings.store)));
     this->mesh.on("members?", [this](const PeerLinkPtr &link, const boost::json::object &) {
-        boost::json::object answer = this->gossip.allReports();
-        answer["type"] = "members";
-        this->mesh.reply(link, answer);
+        this->mesh.reply(link, this->allKnown());
     });
     this->mesh.on("members", [this](const PeerLinkPtr &, const boost::json::object &message) {
-        this->gossip.applyAll(message);
+        this->applyAllKnown(message);
     });
     this->gossip.onAskAll([this](const Common::Address &peer) {
         this->mesh.send(peer, {{"type", "members?"}});
@@ -137,6 +164,14 @@
         });
     this->crashWatch.onChange([this] { this->endQuarantinedRequests(); });
     this->crashWatch.start();
+    this->streams.start();
+    this->versionRows.start();
+    this->endpoints.onRestart(
+        [this](const Common::EndpointId &id, std::uint64_t incarnation, Common::Time knownUntil) {
+            this->streams.forget(id, incarnation, knownUntil);
+            for (RequestFlow &request : this->openRequests)
+                request.noteRestarted(id, incarnation, knownUntil);
+        });
     this->catalogs.onChange([this] { this->applyCatalog(); });
     this->catalogs.start();
     this->endpoints.start();
@@ -152,6 +187,24 @@
     return "";
 }
 
+boost::json::object EntryInstance::allKnown()
+{
+    const Common::Time now = clockNow();
+    boost::json::object message = this->gossip.allReports();
+    for (const auto &[service, pool] : this->state.pools)
+        Routing::noteVersions(this->state.versions, service, pool, now);
+    message["type"] = "members";
+    message["versions"] = toJson(this->state.versions, now);
+    return message;
+}
+
+void EntryInstance::applyAllKnown(const boost::json::object &message)
+{
+    this->gossip.applyAll(message);
+    if (const boost::json::value *versions = message.if_contains("versions"))
+        Routing::mergeHistory(this->state.versions, readVersionHistory(*versions, clockNow()));
+}
+
 void EntryInstance::applyCatalog()
 {
     const Catalog::CallerLimits &limits = this->state.catalog->limits;
@@ -168,7 +221,7 @@
 Http::Awaitable<void> EntryInstance::handleCaller(Http::Exchange &exchange)
 {
     this->state.lastRequestAt = clockNow();
-    ++this->state.requestsInProgress;
+    const RequestCount count(this->state.requestsInProgress);
     auto request = this->state.dialect.readRequest(exchange.request());
     if (request) {
         request->receivedAt = exchange.receivedAt();
@@ -181,7 +234,6 @@
         co_await exchange.respond(
             this->state.dialect.writeRefusal({RefusalReason::BadRequest, true, std::nullopt}, ""));
     }
-    --this->state.requestsInProgress;
 }
 
 Http::Awaitable<void> EntryInstance::handleDirectory(Http::Exchange &exchange)
@@ -232,6 +284,7 @@
     dump["requestsInProgress"] = this->state.requestsInProgress;
     dump["isReader"] = this->relay.isReader();
     dump["openPieces"] = this->stageOwner.openPieces();
+    dump["streamOrigins"] = this->streams.size();
     dump["linesDropped"] = this->state.log.droppedLines();
     boost::json::array members;
     for (const auto &[id, member] : this->state.members.byId) {
@@ -248,6 +301,7 @@
             endpoints.push_back({{"service", service},
                                  {"id", endpoint.id.value},
                                  {"address", Common::formatAddress(endpoint.address)},
+                                 {"version", endpoint.version},
                                  {"state", Common::nameOf(endpoint.state)},
                                  {"inFlight", endpoint.ownInFlight},
                                  {"errorRate", endpoint.health.errorRate},
@@ -262,6 +316,11 @@
 Http::Awaitable<void> EntryInstance::watchSignals()
 {
     asio::signal_set signals(this->state.context, SIGTERM, SIGINT, SIGHUP);
+    // The process may have held it back since its start.
+    ::sigset_t reloadSignal;
+    ::sigemptyset(&reloadSignal);
+    ::sigaddset(&reloadSignal, SIGHUP);
+    ::pthread_sigmask(SIG_UNBLOCK, &reloadSignal, nullptr);
     while (true) {
         boost::system::error_code error;
         const int number
@@ -300,6 +359,7 @@
     this->callerServer->closeAfterAnswers();
     this->gossip.announce();
     this->stageClient.handOver();
+    this->streams.handOver();
     asio::co_spawn(
         this->state.context,
         [this]() -> Http::Awaitable<void> {
@@ -310,14 +370,21 @@
         co_await this->state.sleepFor(kDrainPollInterval);
         // Before the check for the exit, also if this instance is far behind.
         this->endRequestsForShutdown(clockNow());
+        if (!Serving::mayRead(*this->state.leaving, clockNow()))
+            this->callerServer->closeIdle();
     } while (!Serving::mayExit(*this->state.leaving, this->shutdownActivity(), clockNow()));
     this->state.context.stop();
 }
 
 Serving::ShutdownActivity EntryInstance::shutdownActivity() const
 {
-    return {this->state.lastRequestAt, this->state.requestsInProgress,
-            this->stageOwner.openPieces()};
+    const auto begun = static_cast<std::size_t>(std::count_if(
+        this->openRequests.begin(), this->openRequests.end(), [](const RequestFlow &request) {
+            return request.phase() == Serving::RequestPhase::Responding;
+        }));
+    const std::size_t inProgress = this->state.requestsInProgress;
+    return {this->state.lastRequestAt, inProgress, this->stageOwner.openPieces(),
+            inProgress - begun + this->callerServer->requestsBeingRead()};
 }
 
 void EntryInstance::endRequestsForShutdown(Common::Time now)
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -51,6 +51,8 @@
     std::string pieceKey;
     // Sequence number of the last stream event that the caller received, if it resumes a stream.
     std::optional<std::uint64_t> lastEvent;
+    // ID of the caller's attempt that brought the first event of that stream; empty if unknown.
+    std::string resumedAttempt;
     Common::Time receivedAt;
 };
 
@@ -67,6 +69,10 @@
     OutcomeUnknown,
     // The request has a property that crashes endpoints.
     Quarantined,
+    // No endpoint is left that runs the software version that began the stream.
+    VersionGone,
+    // It is not known which software version began the stream, and there are several.
+    StreamUnknown,
 };
 
 } // namespace Tanagerbay::Entry
@@ -75,7 +81,7 @@
 struct Tanagerbay::Common::EnumNames<Tanagerbay::Entry::RefusalReason>
 {
     using Reason = Entry::RefusalReason;
-    static constexpr NameTable<Reason, 11> table = {{
+    static constexpr NameTable<Reason, 13> table = {{
         {Reason::BadRequest, "bad-request"},
         {Reason::NoSuchRoute, "no-such-route"},
         {Reason::UnknownKey, "unknown-key"},
@@ -87,6 +93,8 @@
         {Reason::DeadlinePassed, "deadline-passed"},
         {Reason::OutcomeUnknown, "outcome-unknown"},
         {Reason::Quarantined, "quarantined"},
+        {Reason::VersionGone, "version-gone"},
+        {Reason::StreamUnknown, "stream-unknown"},
     }};
 };
 
@@ -255,6 +263,15 @@
     double strength = 0;
 };
 
+// A software version that endpoints of the service run, or have run lately.
+struct ServiceVersion
+{
+    std::string service;
+    std::string version;
+
+    auto operator<=>(const ServiceVersion &) const = default;
+};
+
 template <typename T>
 using StoreResult = tl::expected<T, StoreFault>;
 
@@ -276,6 +293,12 @@
     // applied or not.
     virtual Http::Awaitable<StoreResult<std::uint64_t>>
     writeInstance(const ListedInstance &instance) = 0;
+    virtual Http::Awaitable<StoreResult<std::vector<ServiceVersion>>> readVersions() = 0;
+    // Returns the epoch in which the store confirmed the write.
+    virtual Http::Awaitable<StoreResult<std::uint64_t>>
+    writeVersions(const std::vector<ServiceVersion> &added,
+                  const std::vector<ServiceVersion> &removed)
+        = 0;
     virtual Http::Awaitable<bool> removeInstance(const Common::InstanceId &id) = 0;
     // The highest epoch that any answer of the store has named, including answers that report a
     // fault.
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -60,6 +60,8 @@
 // A handler must respond exactly once. If it returns without a complete response, the connection is
 // closed.
 using Handler = std::function<Awaitable<void>(Exchange &)>;
+// Reports an exception of a handler.
+using HandlerFaultAction = std::function<void(std::string_view fault)>;
 
 class Server
 {
@@ -68,6 +70,9 @@
     Server(std::vector<boost::asio::io_context *> contexts, ServerOptions options, Handler handler);
     ~Server();
 
+    // A handler that throws ends only its own request, whose caller gets an error response if none
+    // has begun. Sets the action that reports it; called before `start`.
+    void onHandlerFault(HandlerFaultAction action);
     // Starts to listen; may be called again after `stopAccepting`. Returns an empty text, or the
     // reason of the failure.
     std::string start();
@@ -76,12 +81,19 @@
     // From now on each response announces that its connection is closed and closes it. New
     // connections are still accepted.
     void closeAfterAnswers();
+    // Closes the listener and the connections that wait for their next request. Requests that have
+    // been read in part are still read and answered.
+    void closeIdle();
     // Applies the body and header size limits and the idle, request and body time-outs of `limits`
-    // to requests that are read from now on.
+    // to requests that are read from now on, also on open connections. A connection that waits for
+    // its next request is closed at the later of the old and the new idle time-out.
     void applyLimits(const ServerOptions &limits);
     // Closes the listener and every connection. Requests in progress see their callers as gone.
     void closeAll();
     std::size_t openConnections() const;
+    // Number of requests of which a part has been read, and which no handler has yet. Includes
+    // those that the server rejects itself.
+    std::size_t requestsBeingRead() const;
     unsigned short port() const;
 
 private:
