Serving: Keep reports of streams that may have begun at a restarted endpoint out

Cause: two instances learn at different times that an endpoint was restarted with another version. The first one forgets what the new process may have begun; the second one, which still takes the new process for the old one, reports such a stream to it afterwards, and the report is kept.

Change: what was replaced, and since when, is remembered as long as origins are; a report or an answer about such a stream is dropped.

--- a/Source/Core/Entry/StreamRegistry.cpp
+++ b/Source/Core/Entry/StreamRegistry.cpp
@@ -129,7 +129,9 @@
         return;
     Search &search = *found->second;
     search.unanswered.erase(sender);
-    if (message.kind == StreamMessageKind::Found)
+    // Another instance may not know yet that the endpoint was restarted.
+    if (message.kind == StreamMessageKind::Found
+        && !Serving::isUncertain(this->origins, message.origin))
         search.origin = message.origin;
     if (search.origin || !this->isWaiting(search))
         search.timer.cancel();
@@ -138,7 +140,7 @@
 void StreamRegistry::forget(const Common::EndpointId &endpoint, std::uint64_t incarnation,
                             Common::Time since)
 {
-    Serving::forgetOrigins(this->origins, endpoint, incarnation, since);
+    Serving::forgetOrigins(this->origins, endpoint, incarnation, since, clockNow());
 }
 
 void StreamRegistry::handOver()
--- a/Source/Core/Serving/StreamOrigins.cpp
+++ b/Source/Core/Serving/StreamOrigins.cpp
@@ -36,6 +36,12 @@
 
 } // namespace
 
+bool isUncertain(const StreamOrigins &origins, const StreamOrigin &origin)
+{
+    const auto replaced = origins.replaced.find({origin.endpoint, origin.incarnation});
+    return replaced != origins.replaced.end() && origin.sentAt >= replaced->second.since;
+}
+
 Common::Time originExpiry(Common::Time deadline, Common::Time now)
 {
     return std::min(deadline + kStreamOriginMargin, now + kMaxStreamOriginLifetime);
@@ -45,7 +51,7 @@
                Common::Time now)
 {
     removeExpired(origins, now);
-    if (origin.expiresAt <= now)
+    if (origin.expiresAt <= now || isUncertain(origins, origin))
         return;
     const auto [entry, added] = origins.byAttempt.try_emplace(attempt, origin);
     if (!added) {
@@ -69,13 +75,14 @@
 }
 
 void forgetOrigins(StreamOrigins &origins, const Common::EndpointId &endpoint,
-                   std::uint64_t incarnation, Common::Time since)
+                   std::uint64_t incarnation, Common::Time since, Common::Time now)
 {
+    std::erase_if(origins.replaced,
+                  [now](const auto &entry) { return entry.second.rememberedUntil <= now; });
+    origins.replaced[{endpoint, incarnation}] = {since, now + kMaxStreamOriginLifetime};
     for (auto entry = origins.byAttempt.begin(); entry != origins.byAttempt.end();) {
-        const StreamOrigin &origin = entry->second;
         const auto next = std::next(entry);
-        if (origin.endpoint == endpoint && origin.incarnation == incarnation
-            && origin.sentAt >= since)
+        if (isUncertain(origins, entry->second))
             remove(origins, entry);
         entry = next;
     }
--- a/Source/Core/Serving/StreamOrigins.h
+++ b/Source/Core/Serving/StreamOrigins.h
@@ -9,6 +9,7 @@
 #include "Common/Time.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -31,9 +32,19 @@
     Common::Time expiresAt;
 };
 
+// An endpoint's process that was replaced by one with another version. What was sent to it at
+// `since` or later may have reached the new one.
+struct ReplacedProcess
+{
+    Common::Time since;
+    Common::Time rememberedUntil;
+};
+
 struct StreamOrigins
 {
     std::unordered_map<std::string, StreamOrigin> byAttempt;
+    // By endpoint and start time of the replaced process.
+    std::map<std::pair<Common::EndpointId, std::uint64_t>, ReplacedProcess> replaced;
     std::set<std::pair<Common::Time, std::string>> byExpiry;
 };
 
@@ -47,8 +58,11 @@
 // Returns until when a stream may be taken up again whose caller waits until `deadline`.
 Common::Time originExpiry(Common::Time deadline, Common::Time now);
 
-// Adds the origin of a stream. The first event has one origin only, so that a known entry is kept
-// and only its expiry is extended.
+// Returns whether the stream may have begun at the successor of the process that the origin names.
+bool isUncertain(const StreamOrigins &origins, const StreamOrigin &origin);
+
+// Adds the origin of a stream, unless it is uncertain. The first event has one origin only, so that
+// a known entry is kept and only its expiry is extended.
 void addOrigin(StreamOrigins &origins, const std::string &attempt, const StreamOrigin &origin,
                Common::Time now);
 
@@ -58,8 +72,8 @@
 
 // Forgets the streams that were sent to an endpoint's process at `since` or later, after the
 // endpoint turned out to have been restarted with another version: some of them may have begun at
-// the new process.
+// the new process. Another instance may learn of the restart later, and still report such streams.
 void forgetOrigins(StreamOrigins &origins, const Common::EndpointId &endpoint,
-                   std::uint64_t incarnation, Common::Time since);
+                   std::uint64_t incarnation, Common::Time since, Common::Time now);
 
 } // namespace Tanagerbay::Serving
--- a/Source/UnitTests/Serving/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Serving/StreamOriginsTest.cpp
@@ -97,12 +97,38 @@
     StreamOrigin other = this->origin("v1", 100);
     other.endpoint = Common::EndpointId("e2");
     addOrigin(this->origins, "other", other, this->now);
-    forgetOrigins(this->origins, Common::EndpointId("e1"), 7, this->now - std::chrono::seconds(1));
+    forgetOrigins(this->origins, Common::EndpointId("e1"), 7, this->now - std::chrono::seconds(1),
+                  this->now);
     BOOST_TEST(this->versionOf("before") == "v1");
     BOOST_TEST(this->versionOf("after") == "");
     BOOST_TEST(this->versionOf("other") == "v1");
 }
 
+// Guards against an instance that learns of a restart later, and until then reports streams of the
+// new process as those of the one before.
+BOOST_AUTO_TEST_CASE(add_afterTheEndpointWasRestarted_keepsOnlyWhatTheOldProcessBegan)
+{
+    forgetOrigins(this->origins, Common::EndpointId("e1"), 7, this->now, this->now);
+    StreamOrigin old = this->origin("v1", 100);
+    old.sentAt = this->now - std::chrono::seconds(1);
+    addOrigin(this->origins, "old", old, this->now);
+    addOrigin(this->origins, "new", this->origin("v1", 100), this->now);
+    StreamOrigin next = this->origin("v2", 100);
+    next.incarnation = 8;
+    addOrigin(this->origins, "next", next, this->now);
+    BOOST_TEST(this->versionOf("old") == "v1");
+    BOOST_TEST(this->versionOf("new") == "");
+    BOOST_TEST(this->versionOf("next") == "v2");
+}
+
+BOOST_AUTO_TEST_CASE(restarts_old_areForgotten)
+{
+    forgetOrigins(this->origins, Common::EndpointId("e1"), 7, this->now, this->now);
+    this->now += kMaxStreamOriginLifetime;
+    forgetOrigins(this->origins, Common::EndpointId("e2"), 7, this->now, this->now);
+    BOOST_TEST(this->origins.replaced.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(expiry_anyDeadline_isBounded)
 {
     BOOST_TEST((originExpiry(this->now + std::chrono::hours(24), this->now)
