--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -2,6 +2,8 @@
 
 #include "Common/Clock.h"
 
+#include <algorithm>
+
 #include <sys/socket.h>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -28,6 +30,25 @@
 constexpr std::size_t kMaxDrainedBytes = 4 << 20;
 constexpr Common::Milliseconds kMaxDrainDuration{500};
 
+// Raises a count while it exists.
+class CountGuard
+{
+public:
+    explicit CountGuard(std::atomic<std::size_t> &count) : count(count)
+    {
+        ++this->count;
+    }
+    ~CountGuard()
+    {
+        --this->count;
+    }
+    CountGuard(const CountGuard &) = delete;
+    CountGuard &operator=(const CountGuard &) = delete;
+
+private:
+    std::atomic<std::size_t> &count;
+};
+
 template <bool IsRequest>
 void addField(http::header<IsRequest> &message, const Header &field)
 {
@@ -36,18 +57,21 @@
 
 } // namespace
 
-std::string errorBody(std::string_view code, std::string_view message)
+std::string errorBody(std::string_view code, std::string_view message, std::string_view ran)
 {
     std::string body = R"({"error":{"code":")";
-    body.append(code).append(R"(","message":")").append(message).append(R"(","ran":"no"}})");
+    body.append(code).append(R"(","message":")").append(message);
+    body.append(R"(","ran":")").append(ran).append(R"("}})");
     return body;
 }
 
 Connection::Connection(tcp::socket socket, const ServerOptions &options,
-                       const std::atomic<bool> &closeAfterAnswers, std::size_t contextIndex)
+                       const std::atomic<bool> &closeAfterAnswers,
+                       std::atomic<std::size_t> &requestsBeingRead, std::size_t contextIndex)
     : stream(std::move(socket)),
       deadline(this->stream.get_executor(), [this] { this->cancelSocket(); }), options(options),
-      closeAfterAnswers(closeAfterAnswers), context(contextIndex)
+      closeAfterAnswers(closeAfterAnswers), requestsBeingRead(requestsBeingRead),
+      context(contextIndex)
 {
     beast::error_code ignored;
     this->stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -159,18 +183,43 @@
     this->stream.close();
 }
 
-Awaitable<void> Connection::serve(const Handler &handler, const std::atomic<bool> &accepting)
+Awaitable<void> Connection::refuse()
+{
+    co_await this->reject(503, "overloaded", "the connection limit is reached");
+    this->stream.close();
+}
+
+void Connection::closeIfIdle()
+{
+    if (this->isIdle)
+        this->cancelSocket();
+}
+
+void Connection::applyIdleTimeout()
+{
+    // Callers may still rely on a longer time-out from before.
+    this->idleUntil = std::max(this->idleUntil, this->idleSince + this->options.idleTimeout);
+    if (this->isIdle)
+        this->deadline.moveTo(this->idleUntil);
+}
+
+Awaitable<void> Connection::serve(const Handler &handler, const HandlerFaultAction &onFault,
+                                  const std::atomic<bool> &accepting)
 {
-    while (co_await this->readRequest()) {
+    while (accepting) {
+        // GCC 12 evaluates the condition of a loop wrongly that combines this with another.
+        const bool isRead = co_await this->readRequest();
+        if (!isRead)
+            break;
         this->answered = false;
         this->headWritten = false;
         // The request may have waited in the socket buffer until after its caller disconnected.
         this->gone = this->isPeerClosed();
         this->watchCaller();
-        co_await handler(*this);
+        co_await this->handle(handler, onFault);
         this->callerGoneAction = nullptr;
         this->stopWatching.emit(asio::cancellation_type::all);
-        if (!this->answered || !this->keepAlive || !accepting)
+        if (!this->answered || !this->keepAlive)
             break;
     }
     beast::error_code ignored;
@@ -178,18 +227,46 @@
     this->stream.close();
 }
 
+Awaitable<void> Connection::handle(const Handler &handler, const HandlerFaultAction &onFault)
+{
+    std::string fault;
+    try {
+        co_await handler(*this);
+        co_return;
+    } catch (const std::exception &exception) {
+        fault = exception.what();
+    } catch (...) {
+        fault = "unknown exception";
+    }
+    // What the action refers to was destroyed with the handler.
+    this->callerGoneAction = nullptr;
+    this->keepAlive = false;
+    if (onFault)
+        onFault(fault);
+    if (this->headWritten || this->gone)
+        co_return;
+    Response response
+        = jsonResponse(502, errorBody("internal", "the request could not be handled", "maybe"));
+    co_await this->respond(std::move(response));
+}
+
 Awaitable<bool> Connection::readRequest()
 {
-    Parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(this->options.maxHeaderBytes));
-    parser.body_limit(this->options.maxBodyBytes);
     beast::error_code error;
     if (this->buffer.size() == 0) {
-        this->deadline.moveTo(clockNow() + this->options.idleTimeout);
+        this->idleSince = clockNow();
+        this->idleUntil = this->idleSince + this->options.idleTimeout;
+        this->deadline.moveTo(this->idleUntil);
         co_await this->readFirstByte(error);
         if (error)
             co_return false;
     }
+    // Until the handler begins, which follows in the same turn of the executor.
+    const CountGuard reading(this->requestsBeingRead);
+    // The limits may have changed during the wait.
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(this->options.maxHeaderBytes));
+    parser.body_limit(this->options.maxBodyBytes);
     this->deadline.moveTo(clockNow() + this->options.requestTimeout);
     co_await http::async_read_header(this->stream, this->buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
@@ -216,8 +293,10 @@
 
 Awaitable<void> Connection::readFirstByte(beast::error_code &error)
 {
+    this->isIdle = true;
     const auto bytes = co_await this->stream.async_read_some(
         this->buffer.prepare(1), asio::redirect_error(asio::use_awaitable, error));
+    this->isIdle = false;
     this->buffer.commit(bytes);
 }
 
