Entry: Name the question for an endpoint's process before it is sent

Cause: g++ 12 miscompiles an awaited call whose argument builds another temporary (docs/DEVELOPERS.md); the question was built in the argument. Change: it is a variable first. No difference was seen.

--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -102,8 +102,9 @@
     options.deadline = clockNow() + kProcessAnswerTimeout;
     options.connectTimeout = kProcessAnswerTimeout;
     options.maxBodyBytes = kMaxProcessAnswerBytes;
-    const auto answer = co_await this->state.client.call(
-        endpoint.address, this->state.dialect.writeProcessQuestion(), options);
+    Http::Request question = this->state.dialect.writeProcessQuestion();
+    const auto answer
+        = co_await this->state.client.call(endpoint.address, std::move(question), options);
     if (!answer) {
         this->state.metrics.count(labelled("process_checks", "result", "unanswered"));
         co_return false;
