Routing: Divide the limit that an endpoint states between instances

An endpoint may state how many requests a second it takes from all instances together. An endpoint without a permit is not eligible, as one that is held back. Stage calls are sent by the queue's owner, at three quarters of the limit, so that two owners at once stay within the allowance; results are then left to their lifetime instead of freed by orders.

--- a/Source/Core/Catalog/Catalog.cpp
+++ b/Source/Core/Catalog/Catalog.cpp
@@ -57,6 +57,17 @@
     return found == catalog.services.end() ? nullptr : &found->second;
 }
 
+bool isOnRoutes(const Catalog &catalog, const std::string &service)
+{
+    return std::any_of(catalog.routes.begin(), catalog.routes.end(),
+                       [&service](const Route &route) {
+                           return std::any_of(route.services.begin(), route.services.end(),
+                                              [&service](const WeightedService &option) {
+                                                  return option.service == service;
+                                              });
+                       });
+}
+
 bool isRepeatable(const Route &route)
 {
     return route.kind == RouteKind::Idempotent
--- a/Source/Core/Catalog/Catalog.h
+++ b/Source/Core/Catalog/Catalog.h
@@ -153,6 +153,9 @@
 // Returns the service of that name, or null.
 const Service *findService(const Catalog &catalog, const std::string &name);
 
+// Whether a route leads to the service.
+bool isOnRoutes(const Catalog &catalog, const std::string &service);
+
 // Whether a request of the route may run more than once.
 bool isRepeatable(const Route &route);
 
--- a/Source/Core/Membership/Holders.cpp
+++ b/Source/Core/Membership/Holders.cpp
@@ -23,6 +23,19 @@
     return member.report.state == MemberState::Leaving || isSuspect(members, member, now);
 }
 
+// Sorts by rendezvous hashing, one of each failure domain before a second one of any.
+void sortByRendezvous(std::vector<Candidate> &candidates)
+{
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Candidate &a, const Candidate &b) { return a.score > b.score; });
+    std::map<Common::FailureDomain, std::size_t> countByDomain;
+    for (Candidate &candidate : candidates)
+        candidate.rankInDomain = countByDomain[candidate.member->report.failureDomain]++;
+    std::stable_sort(
+        candidates.begin(), candidates.end(),
+        [](const Candidate &a, const Candidate &b) { return a.rankInDomain < b.rankInDomain; });
+}
+
 } // namespace
 
 std::vector<const Member *> holdersOf(const Members &members, std::string_view key,
@@ -35,14 +48,7 @@
             continue;
         candidates.push_back({&member, Common::hash64(id.value, seed), 0});
     }
-    std::sort(candidates.begin(), candidates.end(),
-              [](const Candidate &a, const Candidate &b) { return a.score > b.score; });
-    std::map<Common::FailureDomain, std::size_t> countByDomain;
-    for (Candidate &candidate : candidates)
-        candidate.rankInDomain = countByDomain[candidate.member->report.failureDomain]++;
-    std::stable_sort(
-        candidates.begin(), candidates.end(),
-        [](const Candidate &a, const Candidate &b) { return a.rankInDomain < b.rankInDomain; });
+    sortByRendezvous(candidates);
     std::vector<const Member *> holders;
     for (const Candidate &candidate : candidates) {
         if (holders.size() >= count)
@@ -53,4 +59,23 @@
     return holders;
 }
 
+DutyRank rankFor(const Members &members, std::string_view key)
+{
+    const std::uint64_t seed = Common::hash64(key);
+    std::vector<Candidate> candidates;
+    for (const auto &[id, member] : members.byId) {
+        const bool isKnown = id == members.self || member.lastReportAt;
+        if (isKnown && member.report.state != MemberState::Leaving
+            && member.condition != Condition::Failed)
+            candidates.push_back({&member, Common::hash64(id.value, seed), 0});
+    }
+    sortByRendezvous(candidates);
+    DutyRank rank{candidates.size(), std::nullopt};
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].member->report.id == members.self)
+            rank.own = i;
+    }
+    return rank;
+}
+
 } // namespace Tanagerbay::Membership
--- a/Source/Core/Membership/Holders.h
+++ b/Source/Core/Membership/Holders.h
@@ -3,6 +3,7 @@
 
 #include "Membership/Members.h"
 
+#include <optional>
 #include <string_view>
 
 namespace Tanagerbay::Membership {
@@ -13,4 +14,17 @@
 std::vector<const Member *> holdersOf(const Members &members, std::string_view key,
                                       std::size_t count, bool includesDoubtful, Common::Time now);
 
+// Instances that may be given a duty: neither leaving nor known to have failed. An instance that is
+// only suspected keeps its duties, since most suspicions are refuted and the views of the instances
+// differ meanwhile.
+struct DutyRank
+{
+    // Number of such instances, including this one.
+    std::size_t instances = 0;
+    // Position of this instance in the order of rendezvous hashing for the key, counted as in
+    // `holdersOf`; nothing if it is leaving.
+    std::optional<std::size_t> own;
+};
+DutyRank rankFor(const Members &members, std::string_view key);
+
 } // namespace Tanagerbay::Membership
--- a/Source/Core/Routing/Endpoint.cpp
+++ b/Source/Core/Routing/Endpoint.cpp
@@ -62,9 +62,14 @@
     return !required || endpoint.version == *required;
 }
 
+Common::Time sendableFrom(const Endpoint &endpoint)
+{
+    return std::max(endpoint.heldUntil, opensAt(endpoint.gate));
+}
+
 bool isHeld(const Endpoint &endpoint, Common::Time now)
 {
-    return now < endpoint.heldUntil;
+    return now < sendableFrom(endpoint);
 }
 
 void holdBack(Endpoint &endpoint, Common::Duration period, Common::Time now)
--- a/Source/Core/Routing/Endpoint.h
+++ b/Source/Core/Routing/Endpoint.h
@@ -6,6 +6,7 @@
 #include "Common/EnumNames.h"
 #include "Common/Ids.h"
 #include "Common/Time.h"
+#include "Routing/SendGate.h"
 
 #include <cstdint>
 #include <optional>
@@ -76,6 +77,10 @@
     Health health;
     // The endpoint has asked this instance to send it nothing before this time.
     Common::Time heldUntil;
+    // Limit on the requests a second that the endpoint states for all instances together, and this
+    // instance's part of it.
+    std::optional<double> statedLimit;
+    SendGate gate;
     std::uint64_t callsBegun = 0;
     std::uint64_t callsFailed = 0;
     // Busy time that the endpoint reported for this instance's calls.
@@ -89,8 +94,12 @@
 // Whether the endpoint leaves, by its entry or by its own report.
 bool isLeaving(const Endpoint &endpoint);
 
-// Whether the endpoint has asked this instance to send it nothing at present. Nothing is sent to
-// such an endpoint, even if there is no other.
+// Returns when the endpoint's hold has ended and its limit permits a send of this instance.
+// `Time::max()` if the limit permits none.
+Common::Time sendableFrom(const Endpoint &endpoint);
+
+// Whether the endpoint has asked this instance to send it nothing at present, or its limit does not
+// permit a send. Nothing is sent to such an endpoint, even if there is no other.
 bool isHeld(const Endpoint &endpoint, Common::Time now);
 
 // Whether the endpoint may be chosen: it is neither leaving, held nor ejected, and its slow-start
--- a/Source/Core/Routing/Pool.cpp
+++ b/Source/Core/Routing/Pool.cpp
@@ -1,6 +1,7 @@
 #include "Routing/Pool.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Tanagerbay::Routing {
 
@@ -265,12 +266,51 @@
             continue;
         if (!isHeld(endpoint, now))
             return std::nullopt;
-        if (!first || endpoint.heldUntil < *first)
-            first = endpoint.heldUntil;
+        const Common::Time from = sendableFrom(endpoint);
+        if (!first || from < *first)
+            first = from;
     }
     return first;
 }
 
+std::optional<NextSend> nextSend(const Pool &pool, const ChoiceRequest &request, Common::Time now)
+{
+    std::optional<NextSend> next;
+    double perSecond = 0;
+    for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
+        const Endpoint &endpoint = pool.endpoints[i];
+        const Common::Time from = sendableFrom(endpoint);
+        if (isLeaving(endpoint) || contains(request.tried, endpoint.id)
+            || !hasVersion(endpoint, request.version) || from == Common::Time::max())
+            continue;
+        perSecond += isLimited(endpoint.gate) ? 1 / Common::toSeconds(endpoint.gate.interval)
+                                              : std::numeric_limits<double>::infinity();
+        const Common::Time at = std::max(now, from);
+        if (!next || at < next->at)
+            next = NextSend{i, at, 0};
+    }
+    if (next)
+        next->perSecond = perSecond;
+    return next;
+}
+
+std::optional<Common::Duration> meanInterval(const Pool &pool,
+                                             const std::optional<std::string> &version)
+{
+    double perSecond = 0;
+    for (const Endpoint &endpoint : pool.endpoints) {
+        if (isLeaving(endpoint) || !hasVersion(endpoint, version))
+            continue;
+        if (!endpoint.statedLimit)
+            return std::nullopt;
+        perSecond += *endpoint.statedLimit;
+    }
+    if (perSecond <= 0)
+        return std::nullopt;
+    return std::chrono::duration_cast<Common::Duration>(
+        std::chrono::duration<double>(1 / perSecond));
+}
+
 Capacity capacityOf(const Pool &pool, Common::Time now)
 {
     Capacity capacity;
--- a/Source/Core/Routing/Pool.h
+++ b/Source/Core/Routing/Pool.h
@@ -77,6 +77,16 @@
     std::optional<std::string> version = std::nullopt;
 };
 
+// The endpoint that permits the next send.
+struct NextSend
+{
+    std::size_t index = 0;
+    Common::Time at;
+    // Sends a second that the limits permit this instance over all endpoints; infinite if one of
+    // them has no limit.
+    double perSecond = 0;
+};
+
 // Adds new endpoints, updates known ones and removes those that are no longer listed. Calls in
 // flight to a removed endpoint are not cancelled.
 void applyEntries(Pool &pool, const std::vector<EndpointEntry> &entries);
@@ -118,11 +128,20 @@
 // removed in the meantime is ignored.
 void holdBack(Pool &pool, const Common::EndpointId &id, Common::Duration period, Common::Time now);
 
-// Returns when the first hold ends, where every endpoint of the required version that is not
-// leaving is held; otherwise nothing.
+// Returns when the first endpoint can be sent a request again, where every endpoint of the required
+// version that is not leaving is held; otherwise nothing.
 std::optional<Common::Time> allHeldUntil(const Pool &pool, Common::Time now,
                                          const std::optional<std::string> &version = std::nullopt);
 
+// Returns the endpoint among those that `choose` could return which permits a send first, or
+// nothing where none ever does.
+std::optional<NextSend> nextSend(const Pool &pool, const ChoiceRequest &request, Common::Time now);
+
+// Returns the mean time between two requests that the endpoints of the required version take from
+// all instances together; nothing if there is none or one of them states no limit.
+std::optional<Common::Duration>
+meanInterval(const Pool &pool, const std::optional<std::string> &version = std::nullopt);
+
 // Capacity and load of the pool. `slots` and `others` are summed over the endpoints that are
 // neither leaving nor ejected, `own` over all endpoints.
 struct Capacity
--- a/Source/Core/Staging/CallPlan.cpp
+++ b/Source/Core/Staging/CallPlan.cpp
@@ -13,6 +13,8 @@
 using Common::Duration;
 using Common::Time;
 
+// Pieces do not outlive a hold or limit that lasts as long as this.
+constexpr std::chrono::hours kLongestHold{1};
 // A call counts as lost after this multiple of its expected duration.
 constexpr int kCallTimeoutFactor = 8;
 // Endpoints with a higher slowness factor are used only under a large backlog.
@@ -46,7 +48,8 @@
     for (const auto &[id, endpoint] : queue.endpoints) {
         if (!endpoint.isListed)
             continue;
-        const Time free = std::max(now, endpoint.endpoint.heldUntil);
+        const Time free
+            = std::max(now, std::min(Routing::sendableFrom(endpoint.endpoint), now + kLongestHold));
         first = first ? std::min(*first, free) : free;
     }
     return first.value_or(now);
@@ -186,6 +189,9 @@
 // work that needs the memory they are kept, in case they were not fetched after all.
 std::vector<std::string> evictFetchedResults(StageQueue &queue, StageEndpoint &endpoint)
 {
+    // The order to free them would be another request.
+    if (Routing::isLimited(endpoint.endpoint.gate))
+        return {};
     const WaitingPieces &waiting = queue.waiting;
     const std::uint64_t largest
         = waiting.groupsBySize.empty() ? 0 : waiting.groupsBySize.rbegin()->first;
@@ -217,6 +223,7 @@
     queue.unfetchedBytes += call.reservedBytes;
     call.pieces = batch;
     planned.deadline = now + call.expectedDuration * kCallTimeoutFactor;
+    Routing::takePermit(endpoint.endpoint.gate, now);
     ++endpoint.callsInFlight;
     endpoint.endpoint.ownInFlight = endpoint.callsInFlight;
     endpoint.expectedFreeAt = std::max(endpoint.expectedFreeAt, now) + call.expectedDuration;
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -1,5 +1,6 @@
 #include "Staging/StageQueue.h"
 
+#include "Routing/LimitShare.h"
 #include "Staging/QueueInternals.h"
 #include "Staging/ResultMemory.h"
 #include "Staging/WaitingPieces.h"
@@ -122,6 +123,20 @@
     }
 }
 
+// The owner of the queue is the only instance that sends calls.
+void applyLimit(const StageQueue &queue, Routing::Endpoint &endpoint, std::optional<double> limit)
+{
+    endpoint.statedLimit = limit;
+    endpoint.gate.interval = limit
+        ? Routing::sendInterval(Routing::stageLimitParts(*limit, queue.isOnRoutes).calls, 1)
+        : Duration(0);
+}
+
+bool wantsFrees(const Routing::Endpoint &endpoint, Time now)
+{
+    return !Routing::isHeld(endpoint, now) && !Routing::isLimited(endpoint.gate);
+}
+
 } // namespace
 
 Time overdueTime(const OpenCall &call)
@@ -169,6 +184,7 @@
         endpoint.endpoint.incarnation = entry.incarnation;
         endpoint.endpoint.state = entry.state;
         endpoint.endpoint.heldUntil = std::max(endpoint.endpoint.heldUntil, entry.heldUntil);
+        applyLimit(queue, endpoint.endpoint, entry.statedLimit);
         endpoint.isListed = entry.state == Routing::EndpointState::Live;
     }
     for (auto &[id, endpoint] : queue.endpoints)
@@ -312,7 +328,7 @@
 {
     return std::any_of(queue.endpointsWithFrees.begin(), queue.endpointsWithFrees.end(),
                        [&queue, now](const Common::EndpointId &id) {
-                           return !Routing::isHeld(queue.endpoints.at(id).endpoint, now);
+                           return wantsFrees(queue.endpoints.at(id).endpoint, now);
                        });
 }
 
@@ -322,12 +338,19 @@
         Routing::holdBack(endpoint->endpoint, period, now);
 }
 
+bool mayBegin(const StageQueue &queue, const PlannedCall &call)
+{
+    const auto found = queue.endpoints.find(call.endpoint.id);
+    return Routing::isLimited(call.endpoint.gate) || found == queue.endpoints.end()
+        || !Routing::isLimited(found->second.endpoint.gate);
+}
+
 std::vector<FreeOrder> takeFreeOrders(StageQueue &queue, Time now)
 {
     std::vector<FreeOrder> orders;
     std::erase_if(queue.endpointsWithFrees, [&](const Common::EndpointId &id) {
         StageEndpoint &endpoint = queue.endpoints.at(id);
-        if (Routing::isHeld(endpoint.endpoint, now))
+        if (!wantsFrees(endpoint.endpoint, now))
             return false;
         for (const std::string &handle : endpoint.pendingFrees)
             dropResult(queue, endpoint, handle);
@@ -341,7 +364,7 @@
 {
     std::optional<Time> wake;
     const auto consider = [&wake, now](Time at) {
-        if (at > now && (!wake || at < *wake))
+        if (at > now && at != Time::max() && (!wake || at < *wake))
             wake = at;
     };
     if (!queue.callsByOverdueTime.empty())
@@ -352,7 +375,7 @@
         if (!endpoint.isListed || endpoint.callsInFlight >= queue.batching.concurrentCalls)
             continue;
         consider(std::max({endpoint.fullUntil, endpoint.endpoint.health.ejectedUntil,
-                           endpoint.endpoint.heldUntil}));
+                           Routing::sendableFrom(endpoint.endpoint)}));
         if (!endpoint.held.byExpiry.empty())
             consider(endpoint.held.byExpiry.front().first);
     }
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -232,6 +232,8 @@
     // comparison.
     bool dropsExpiredPieces = true;
     Catalog::Batching batching;
+    // Whether the endpoints are also sent requests, which have a part of their limits.
+    bool isOnRoutes = false;
     std::unordered_map<PieceTicket, OpenPiece> pieces;
     WaitingPieces waiting;
     std::map<Common::EndpointId, StageEndpoint> endpoints;
@@ -278,8 +280,12 @@
 bool isAnswerTo(StageQueue &queue, const PlannedCall &call,
                 const std::vector<PieceResult> &results);
 
+// Whether a call may still be sent, immediately before its first byte is written: its endpoint may
+// have stated a limit since it was planned.
+bool mayBegin(const StageQueue &queue, const PlannedCall &call);
+
 enum class CallFault {
-    // The endpoint answered that it did not accept the call.
+    // The endpoint answered that it did not accept the call, or its limit did not permit it.
     Refused,
     // The connection could not be established.
     Unreachable,
@@ -312,8 +318,8 @@
     Common::Address address;
     std::vector<std::string> handles;
 };
-// Both leave out endpoints that are held back: they want nothing at present, and results end with
-// their lifetime in any case.
+// Both leave out endpoints that are held back or have a limit: they want nothing at present or
+// little, and results end with their lifetime in any case.
 bool hasFreeOrders(const StageQueue &queue, Common::Time now);
 std::vector<FreeOrder> takeFreeOrders(StageQueue &queue, Common::Time now);
 
--- a/Source/UnitTests/Routing/HoldTest.cpp
+++ b/Source/UnitTests/Routing/HoldTest.cpp
@@ -143,4 +143,57 @@
     BOOST_TEST((settled.front().outcome == Staging::PieceOutcome::Expired));
 }
 
+BOOST_AUTO_TEST_CASE(limitedEndpoint_withoutPermit_isNotChosenEvenIfThereIsNoOther)
+{
+    Endpoint &limited = this->pool.endpoints[0];
+    limited.gate.interval = seconds(4);
+    takePermit(limited.gate, this->now);
+    this->hold(1, seconds(60));
+    BOOST_TEST(!this->isAnyChosen());
+    this->now += seconds(4);
+    BOOST_TEST(choose(this->pool, {}, this->now, this->random).value() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(allLimited_nextSend_isTheFirstPermitAtTheSumOfTheRates)
+{
+    this->pool.endpoints[0].gate.interval = seconds(4);
+    this->pool.endpoints[1].gate.interval = seconds(2);
+    takePermit(this->pool.endpoints[0].gate, this->now);
+    takePermit(this->pool.endpoints[1].gate, this->now);
+    const auto next = nextSend(this->pool, {}, this->now);
+    BOOST_TEST(next.value().index == 1u);
+    BOOST_TEST((next->at == this->now + seconds(2)));
+    BOOST_TEST(next->perSecond == 0.75);
+    this->pool.endpoints[1].gate.interval = kNoSends;
+    BOOST_TEST(nextSend(this->pool, {}, this->now).value().index == 0u);
+    this->pool.endpoints[0].gate.interval = kNoSends;
+    BOOST_TEST(!nextSend(this->pool, {}, this->now));
+}
+
+BOOST_AUTO_TEST_CASE(allStateLimits_meanInterval_isThatOfTheirSum)
+{
+    BOOST_TEST(!meanInterval(this->pool));
+    this->pool.endpoints[0].statedLimit = 1;
+    BOOST_TEST(!meanInterval(this->pool));
+    this->pool.endpoints[1].statedLimit = 3;
+    BOOST_TEST((meanInterval(this->pool).value() == milliseconds(250)));
+}
+
+// A process that starts again has no limit.
+BOOST_AUTO_TEST_CASE(limitedEndpoint_startsAgain_hasNoLimit)
+{
+    std::vector<EndpointEntry> entries;
+    for (Endpoint &endpoint : this->pool.endpoints) {
+        endpoint.statedLimit = 1;
+        endpoint.gate.interval = seconds(4);
+        entries.push_back({endpoint.id, endpoint.address, {}});
+    }
+    applyEntries(this->pool, entries);
+    BOOST_TEST(isLimited(this->pool.endpoints[0].gate));
+    entries[0].incarnation = 9;
+    applyEntries(this->pool, entries);
+    BOOST_TEST(!isLimited(this->pool.endpoints[0].gate));
+    BOOST_TEST(!this->pool.endpoints[0].statedLimit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Staging/StageQueueTest.cpp
+++ b/Source/UnitTests/Staging/StageQueueTest.cpp
@@ -450,4 +450,78 @@
     BOOST_TEST(isAnswerTo(this->queue, second, {{PieceAnswer::Made, "h1"}}));
 }
 
+// Guards against stage calls beyond the limit that an endpoint states for all instances.
+BOOST_AUTO_TEST_CASE(endpointStatesLimit_getsCallsAtThreeQuartersOfIt)
+{
+    this->listed.resize(1);
+    this->listed[0].statedLimit = 1;
+    applyEndpoints(this->queue, this->listed, this->now);
+    int calls = 0;
+    const Common::Time end = this->now + std::chrono::seconds(40);
+    for (; this->now < end; this->now += milliseconds(20)) {
+        PieceRequest request = this->piece("r");
+        request.expiresAt = this->now + milliseconds(500);
+        submit(this->queue, request, this->now);
+        for (const PlannedCall &call : planCalls(this->queue, this->now, this->settled)) {
+            ++calls;
+            callFailed(this->queue, call.number, CallFault::Refused, this->now);
+        }
+    }
+    BOOST_TEST(calls >= 27);
+    BOOST_TEST(calls <= 31);
+}
+
+BOOST_AUTO_TEST_CASE(endpointStatesLimit_nextWake_isItsPermit)
+{
+    this->listed.resize(1);
+    this->listed[0].statedLimit = 3;
+    applyEndpoints(this->queue, this->listed, this->now);
+    this->submitGroup(this->piece("a"), 1);
+    BOOST_REQUIRE(planCalls(this->queue, this->now, this->settled).size() == 1u);
+    callFailed(this->queue, 1, CallFault::Refused, this->now);
+    BOOST_TEST(planCalls(this->queue, this->now + milliseconds(200), this->settled).empty());
+    const auto wake = nextWakeAt(this->queue, this->now + milliseconds(200));
+    BOOST_TEST((wake.value() - this->now > milliseconds(440)));
+    BOOST_TEST((wake.value() - this->now < milliseconds(450)));
+}
+
+BOOST_AUTO_TEST_CASE(endpointPermitsNoCalls_piecesWaitUntilTheyExpire)
+{
+    this->listed.resize(1);
+    this->listed[0].statedLimit = 0;
+    applyEndpoints(this->queue, this->listed, this->now);
+    this->submitGroup(this->piece("a"), 2);
+    BOOST_TEST(planCalls(this->queue, this->now, this->settled).empty());
+    BOOST_TEST(this->settled.size() == 2u);
+    this->submitGroup(this->piece("b"), 1);
+    BOOST_TEST((nextWakeAt(this->queue, this->now).value() < Common::Time::max()));
+}
+
+BOOST_AUTO_TEST_CASE(endpointStatesLimitAfterCallWasPlanned_callIsNotBegun)
+{
+    this->submitGroup(this->piece("a"), 1);
+    const auto plans = planCalls(this->queue, this->now, this->settled);
+    BOOST_REQUIRE(plans.size() == 1u);
+    BOOST_TEST(mayBegin(this->queue, plans[0]));
+    for (Routing::Endpoint &endpoint : this->listed)
+        endpoint.statedLimit = 2;
+    applyEndpoints(this->queue, this->listed, this->now);
+    BOOST_TEST(!mayBegin(this->queue, plans[0]));
+}
+
+BOOST_AUTO_TEST_CASE(endpointStatesLimit_resultsAreNotFreedByOrders)
+{
+    this->submitGroup(this->piece("a"), 1);
+    const auto plans = planCalls(this->queue, this->now, this->settled);
+    const auto made
+        = callAnswered(this->queue, plans.at(0).number, {{PieceAnswer::Made, "h"}}, this->now);
+    release(this->queue, made.at(0).producer, "h");
+    BOOST_TEST(hasFreeOrders(this->queue, this->now));
+    for (Routing::Endpoint &endpoint : this->listed)
+        endpoint.statedLimit = 2;
+    applyEndpoints(this->queue, this->listed, this->now);
+    BOOST_TEST(!hasFreeOrders(this->queue, this->now));
+    BOOST_TEST(takeFreeOrders(this->queue, this->now).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
