Entry: Send an endpoint no more than the limit that it states

No source read the header.

The limit is read from the head of each answer, also of stage calls, orders to free results and the question for a process, and passed on with probes at once. Each instance computes its part from its view of the instances. All sends take a permit, the question before a stream goes on counts as one; a send whose endpoint states a limit after it was chosen is turned back before its first byte. Where only endpoints without a permit are left, a request waits in the order of urgency if its turn comes in time, and else is refused at once, with the time of the next permit. A limit that permits nothing is asked for every 4 s by one instance. Values that are no number are logged and change nothing.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -98,6 +98,11 @@
     this->restartHandler = std::move(action);
 }
 
+void EndpointDiscovery::onPoolsChanged(std::function<void()> action)
+{
+    this->poolsHandler = std::move(action);
+}
+
 Http::Awaitable<Common::Duration> EndpointDiscovery::readStore()
 {
     const Common::Time startedAt = clockNow();
@@ -273,6 +278,8 @@
         Routing::applyEntries(pool, listed);
     }
     Routing::dropVersionsBefore(this->state.versions, now - Routing::kVersionMemory);
+    if (this->poolsHandler)
+        this->poolsHandler();
     this->stages.refresh();
 }
 
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -25,6 +25,8 @@
     using RestartHandler = std::function<void(const Common::EndpointId &, std::uint64_t incarnation,
                                               Common::Time knownUntil)>;
     void onRestart(RestartHandler action);
+    // Sets the handler that is called when the pools have changed, before they are used.
+    void onPoolsChanged(std::function<void()> action);
     // Takes note of what an endpoint's answer says about the endpoint itself.
     void noteResponse(const Routing::Endpoint &endpoint, const EndpointResponseHead &answer);
     // Applies what a reader of the store reports.
@@ -66,6 +68,7 @@
     // The same before the reading that is being applied.
     Common::Time knownUntil;
     RestartHandler restartHandler;
+    std::function<void()> poolsHandler;
     // A reader's report leaves a gap that only a reading of its own closes.
     bool needsReading = false;
     Common::Backoff backoff;
--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -63,15 +63,13 @@
     : state(std::move(settings), platform.dialect), store(platform.makeStore(this->state)),
       reload(std::move(reload)), datagrams(this->state), gossip(this->state, this->datagrams),
       mesh(this->state), relay(this->state, this->mesh), crashWatch(this->state, this->gossip),
-      streams(this->state, this->datagrams), versionRows(this->state, *this->store, this->relay),
-      stageOwner(this->state), stageClient(this->state, this->mesh, this->stageOwner),
+      limits(this->state, this->gossip), streams(this->state, this->datagrams),
+      versionRows(this->state, *this->store, this->relay), stageOwner(this->state),
+      stageClient(this->state, this->mesh, this->stageOwner),
       catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay),
-      endpoints(this->state, this->stageOwner, *this->store, this->relay), parts{this->state,
-                                                                                 this->catalogs,
-                                                                                 this->endpoints,
-                                                                                 this->stageClient,
-                                                                                 this->crashWatch,
-                                                                                 this->streams}
+      endpoints(this->state, this->stageOwner, *this->store, this->relay),
+      parts{this->state,      this->catalogs, this->endpoints, this->stageClient,
+            this->crashWatch, this->streams,  this->limits}
 {
 }
 
@@ -162,6 +160,12 @@
         [this](const Routing::Endpoint &endpoint, const EndpointResponseHead &answer) {
             this->endpoints.noteResponse(endpoint, answer);
         });
+    this->stageOwner.onLimit(
+        [this](const Routing::Endpoint &endpoint, const EndpointResponseHead &answer,
+               Common::Time sentAt) { this->limits.noteAnswer(endpoint, answer, sentAt); });
+    this->limits.onChange([this] { this->stageOwner.refresh(); });
+    this->limits.start();
+    this->endpoints.onPoolsChanged([this] { this->limits.applyToPools(); });
     this->crashWatch.onChange([this] { this->endQuarantinedRequests(); });
     this->crashWatch.start();
     this->streams.start();
@@ -307,6 +311,14 @@
                                  {"errorRate", endpoint.health.errorRate},
                                  {"slowness", Routing::currentSlowness(endpoint.health, now)},
                                  {"eligible", Routing::isEligible(endpoint, now)}});
+            if (endpoint.statedLimit) {
+                boost::json::object &dumped = endpoints.back().as_object();
+                dumped["limitPerSecond"] = *endpoint.statedLimit;
+                const bool isSender = endpoint.gate.interval != Routing::kNoSends;
+                dumped["sendIntervalMs"] = isSender
+                    ? boost::json::value(Common::toMilliseconds(endpoint.gate.interval))
+                    : nullptr;
+            }
         }
     }
     dump["endpoints"] = std::move(endpoints);
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -58,6 +58,7 @@
     PeerMesh mesh;
     StoreRelay relay;
     CrashWatch crashWatch;
+    LimitWatch limits;
     StreamRegistry streams;
     VersionRows versionRows;
     StageOwner stageOwner;
--- a/Source/Core/Entry/Gossip.cpp
+++ b/Source/Core/Entry/Gossip.cpp
@@ -171,13 +171,13 @@
 void Gossip::onDatagram(std::function<bool(json::object &, std::uint32_t)> attach,
                         std::function<void(const json::object &)> read)
 {
-    this->attachHandler = std::move(attach);
-    this->attachmentHandler = std::move(read);
+    this->attachHandlers.push_back(std::move(attach));
+    this->attachmentHandlers.push_back(std::move(read));
 }
 
 void Gossip::onAllReports(std::function<void(json::object &)> attach)
 {
-    this->attachAllHandler = std::move(attach);
+    this->attachAllHandlers.push_back(std::move(attach));
 }
 
 void Gossip::addListed(const ListedInstance &instance)
@@ -245,8 +245,10 @@
     json::object datagram;
     // What is attached has been announced to that many instances at once before it spreads by
     // probes.
-    const bool hasAttachment = this->attachHandler
-        && this->attachHandler(datagram, repeats + static_cast<std::uint32_t>(kAnnounceTargets));
+    bool hasAttachment = false;
+    for (const auto &attach : this->attachHandlers)
+        hasAttachment = attach(datagram, repeats + static_cast<std::uint32_t>(kAnnounceTargets))
+            || hasAttachment;
     json::array probe{Common::nameOf(message.kind), message.number};
     if (message.subject.isSet())
         probe.emplace_back(Common::formatAddress(message.subject));
@@ -320,8 +322,8 @@
         reports.push_back(toJson(news));
     json::object message;
     message["reports"] = std::move(reports);
-    if (this->attachAllHandler)
-        this->attachAllHandler(message);
+    for (const auto &attach : this->attachAllHandlers)
+        attach(message);
     return message;
 }
 
@@ -335,8 +337,8 @@
         }
     }
     Membership::applyAllNews(this->detector, this->state.members, all, clockNow());
-    if (this->attachmentHandler)
-        this->attachmentHandler(message);
+    for (const auto &read : this->attachmentHandlers)
+        read(message);
 }
 
 Http::Awaitable<void> Gossip::sendLoop()
@@ -374,8 +376,8 @@
     }
     if (const json::array *leaving = arrayOf(message, "leavingEndpoints"))
         this->handleLeaving(*leaving);
-    if (this->attachmentHandler)
-        this->attachmentHandler(message);
+    for (const auto &read : this->attachmentHandlers)
+        read(message);
     // Instances of an earlier version send reports only.
     if (const auto probe = probeFromJson(message.if_contains("probe")))
         this->send(Membership::onProbeMessage(this->detector, *probe, sender, clockNow()));
--- a/Source/Core/Entry/Gossip.h
+++ b/Source/Core/Entry/Gossip.h
@@ -32,11 +32,11 @@
     void publishLeaving(const LeavingEndpoint &leaving);
     // Sets the handler that is called for each leaving endpoint that another instance names.
     void onLeavingEndpoint(std::function<void(const LeavingEndpoint &)> action);
-    // Sets the handlers that attach to each datagram and read what others attached. `attach` gets
-    // the number of datagrams to which each item is attached, and returns whether it added any.
+    // Adds handlers that attach to each datagram and read what others attached. `attach` gets the
+    // number of datagrams to which each item is attached, and returns whether it added any.
     void onDatagram(std::function<bool(boost::json::object &, std::uint32_t)> attach,
                     std::function<void(const boost::json::object &)> read);
-    // Sets the handler that attaches to an answer with all that this instance knows.
+    // Adds a handler that attaches to an answer with all that this instance knows.
     void onAllReports(std::function<void(boost::json::object &)> attach);
     // Adds an instance listed in the store, unless it is known already.
     void addListed(const ListedInstance &instance);
@@ -60,9 +60,9 @@
     std::function<void(const Membership::MemberReport &)> reportHandler;
     std::function<void(const LeavingEndpoint &)> leavingHandler;
     std::function<void(const Common::Address &)> askAllHandler;
-    std::function<bool(boost::json::object &, std::uint32_t)> attachHandler;
-    std::function<void(const boost::json::object &)> attachmentHandler;
-    std::function<void(boost::json::object &)> attachAllHandler;
+    std::vector<std::function<bool(boost::json::object &, std::uint32_t)>> attachHandlers;
+    std::vector<std::function<void(const boost::json::object &)>> attachmentHandlers;
+    std::vector<std::function<void(boost::json::object &)>> attachAllHandlers;
     Membership::News<Common::EndpointId, LeavingEndpoint> leavingNews;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 1;
--- /dev/null
+++ b/Source/Core/Entry/LimitWatch.h
@@ -0,0 +1,55 @@
+// Keeps the limits that endpoints state for all instances together: learns them from answers and
+// from the other instances, and opens the gates of the pools' endpoints for this instance's part.
+#pragma once
+
+#include "Common/DelayedAction.h"
+#include "Entry/Gossip.h"
+#include "Entry/LimitMessages.h"
+
+namespace Tanagerbay::Entry {
+
+class LimitWatch
+{
+public:
+    LimitWatch(State &state, Gossip &gossip);
+
+    void start();
+    // Sets the handler that is called when gates of the pools' endpoints have changed.
+    void onChange(std::function<void()> action);
+    // Takes note of what the head of an answer to a request sent at `sentAt` states.
+    void noteAnswer(const Routing::Endpoint &endpoint, const EndpointResponseHead &answer,
+                    Common::Time sentAt);
+    // Sets the gates of the pools' endpoints; called after the pools have changed.
+    void applyToPools();
+
+private:
+    // Applies a change, and passes it on.
+    void spread(const Routing::ProcessKey &process, std::string_view learnedFrom);
+    // Returns whether the gate of any endpoint has changed.
+    bool updateGates();
+    bool updateGate(const std::string &service, Routing::Endpoint &endpoint,
+                    const Routing::StatedLimit *limit);
+    bool isStageService(const std::string &service) const;
+    bool isOnRoutes(const std::string &service) const;
+    // Whether the limit permits no requests, or no stage calls where there are no requests.
+    bool isBlocked(const std::string &service, double perSecond) const;
+    // The part of an endpoint's limit that is left for requests.
+    double requestsPart(const std::string &service, double perSecond) const;
+    // Drops limits of processes that have not been listed for a while.
+    void dropOld(Common::Time now);
+    Http::Awaitable<void> followInstances();
+    // Asks endpoints that permit no sends for their limit, since no answer would show its end.
+    void askBlocked(Common::Time now);
+    Http::Awaitable<void> ask(Routing::Endpoint endpoint);
+
+    State &state;
+    Gossip &gossip;
+    Routing::StatedLimits limits;
+    Membership::News<Routing::ProcessKey, Routing::ProcessKey> news;
+    std::function<void()> changeHandler;
+    Common::DelayedAction announcement;
+    bool isAnnouncementPending = false;
+    std::map<Routing::ProcessKey, Common::Time> askedAt;
+};
+
+} // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/Metrics.cpp
+++ b/Source/Core/Entry/Metrics.cpp
@@ -48,6 +48,8 @@
     std::string out;
     for (const auto &[series, value] : this->counters)
         appendSample(out, series, "_total", "", std::to_string(value));
+    for (const auto &[series, value] : this->gauges)
+        appendSample(out, series, "", "", std::to_string(value));
     for (const auto &[series, histogram] : this->histograms) {
         std::uint64_t cumulativeCount = 0;
         for (std::size_t i = 0; i < histogram.buckets.size(); ++i) {
--- a/Source/Core/Entry/Metrics.h
+++ b/Source/Core/Entry/Metrics.h
@@ -30,6 +30,9 @@
     // By name and label of the timed operation.
     std::map<std::string, Histogram> histograms;
 
+    // By name and label of what is measured.
+    std::map<std::string, double> gauges;
+
     void count(const std::string &name, std::uint64_t increment = 1);
     void time(const std::string &name, Common::Duration sample);
     // Returns all metrics in the Prometheus text format.
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -73,6 +73,8 @@
     VersionGone,
     // It is not known which software version began the stream, and there are several.
     StreamUnknown,
+    // All endpoints limit the rate of requests, and none permits one in time.
+    RateLimited,
 };
 
 } // namespace Tanagerbay::Entry
@@ -81,7 +83,7 @@
 struct Tanagerbay::Common::EnumNames<Tanagerbay::Entry::RefusalReason>
 {
     using Reason = Entry::RefusalReason;
-    static constexpr NameTable<Reason, 13> table = {{
+    static constexpr NameTable<Reason, 14> table = {{
         {Reason::BadRequest, "bad-request"},
         {Reason::NoSuchRoute, "no-such-route"},
         {Reason::UnknownKey, "unknown-key"},
@@ -95,6 +97,7 @@
         {Reason::Quarantined, "quarantined"},
         {Reason::VersionGone, "version-gone"},
         {Reason::StreamUnknown, "stream-unknown"},
+        {Reason::RateLimited, "rate-limited"},
     }};
 };
 
@@ -144,6 +147,11 @@
     // The endpoint turned the request away and wants nothing from this instance for so long.
     std::optional<Common::Duration> holdFor;
     std::optional<Routing::LoadReport> load;
+    // Requests a second that the endpoint takes from all instances together, the strictest of
+    // several.
+    std::optional<double> rateLimit;
+    // The answer states a limit that is no number of requests.
+    bool hasUnreadableLimit = false;
 };
 
 struct DirectoryRequest
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -43,7 +43,8 @@
 RequestFlow::RequestFlow(const RequestDependencies &dependencies, Http::Exchange &exchange,
                          CallerRequest callerRequest)
     : dependencies(dependencies), state(dependencies.state), exchange(exchange),
-      request(std::move(callerRequest)), events(this->request.lastEvent)
+      request(std::move(callerRequest)), events(this->request.lastEvent),
+      permitTimer(dependencies.state.context)
 {
 }
 
@@ -97,6 +98,7 @@
     this->exchange.onCallerGone([this] {
         this->callerGone = true;
         this->call.cancel();
+        this->permitTimer.cancel();
         if (this->stageRun)
             this->stageRun->cancel();
     });
@@ -227,6 +229,8 @@
 Common::Duration RequestFlow::retryAfterNoEndpoint()
 {
     const Common::Time now = clockNow();
+    if (this->isRateLimited(now))
+        return this->retryAfterLimit(now);
     const auto heldUntil
         = Routing::allHeldUntil(this->state.poolOf(this->service), now, this->requiredVersion);
     if (!heldUntil)
@@ -237,7 +241,7 @@
 
 Http::Awaitable<bool> RequestFlow::runStages()
 {
-    const auto chosen = this->chooseEndpoint(clockNow());
+    const auto chosen = this->chooseSoonest(clockNow());
     if (!chosen) {
         co_await this->refuse({this->reasonNoEndpoint(), true, this->retryAfterNoEndpoint()},
                               this->service);
@@ -309,7 +313,7 @@
         return this->earlyEnd == EarlyEnd::Shutdown ? "shutdown" : "quarantine";
     if (!Serving::mayTryAnother(this->attempts, outcome, now))
         return "attempts";
-    if (!this->chooseEndpoint(now))
+    if (!this->chooseSoonest(now))
         return Common::nameOf(this->reasonNoEndpoint());
     // A failed connection attempt added no load to the service, so it needs no retry budget.
     if (outcome != SendOutcome::NotSent && !this->takeFromRetryBudget(now))
@@ -321,9 +325,22 @@
 {
     this->state.budgets[this->service].noteFirstSend(clockNow());
     bool hasRepeatedStages = false;
+    // The request has waited for a permit and is the next one to be sent.
+    bool hasTurn = false;
     while (true) {
         Common::Time now = clockNow();
         const auto chosen = this->chooseEndpoint(now);
+        const bool mustQueue = chosen && !hasTurn
+            && this->mustQueueForPermit(this->state.poolOf(this->service).endpoints[*chosen]);
+        if ((!chosen || mustQueue) && this->mayWaitForPermit(now)) {
+            co_await this->waitForPermit();
+            hasTurn = true;
+            if (this->callerGone || this->earlyEnd) {
+                co_await this->endUnanswered(NextStep::Refuse, {});
+                co_return;
+            }
+            continue;
+        }
         if (!chosen || this->timeLeft(now) <= Common::Duration(0)) {
             const bool late = chosen.has_value();
             Refusal refusal{late ? RefusalReason::NotRunInTime : this->reasonNoEndpoint(), true,
@@ -346,6 +363,9 @@
             continue;
         const Routing::Endpoint endpoint = pool.endpoints[*currentChoice];
         this->triedEndpoints.push_back(endpoint.id);
+        // The question for the endpoint's process is a request to it too.
+        this->takePermit(endpoint.id, this->requiredVersion ? 2 : 1, clockNow());
+        hasTurn = false;
         if (this->requiredVersion) {
             const bool isListed = co_await this->isListedProcess(endpoint);
             if (this->callerGone || this->earlyEnd) {
@@ -362,6 +382,11 @@
             co_await this->endUnanswered(NextStep::Fail, std::move(sent));
             co_return;
         }
+        if (sent.isTurnedBack && !this->earlyEnd) {
+            this->triedEndpoints.pop_back();
+            this->call = Http::CallHandle();
+            continue;
+        }
         if (sent.inputsGone && !hasRepeatedStages && !this->earlyEnd
             && this->takeFromRetryBudget(clockNow())) {
             hasRepeatedStages = true;
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -5,6 +5,7 @@
 #include "Entry/CatalogSync.h"
 #include "Entry/CrashWatch.h"
 #include "Entry/EndpointDiscovery.h"
+#include "Entry/LimitWatch.h"
 #include "Entry/StageRun.h"
 #include "Entry/StreamRegistry.h"
 #include "Http/Server.h"
@@ -25,6 +26,7 @@
     StageClient &stages;
     CrashWatch &crashWatch;
     StreamRegistry &streams;
+    LimitWatch &limits;
 };
 
 // Removes itself from the list of open requests when it is destroyed.
@@ -74,6 +76,8 @@
         // The endpoint reported that a stage result is no longer available.
         bool inputsGone = false;
         std::string detail;
+        // Nothing was sent, since the endpoint had stated a limit after it was chosen.
+        bool isTurnedBack = false;
     };
 
     Http::Awaitable<bool> admit();
@@ -104,6 +108,28 @@
     Common::Duration retryAfterWithJitter();
     // Returns the retry delay of a request that finds no endpoint to be sent to.
     Common::Duration retryAfterNoEndpoint();
+    // Whether the request begins work, rather than going on with a stream.
+    bool isNewWork() const;
+    // Returns when an endpoint with a rate limit permits the next send; nothing if none does, or
+    // the request would not wait for it.
+    std::optional<Routing::NextSend> nextPermit(Common::Time now) const;
+    // Latest time of a send that can still be answered in time.
+    Common::Time latestSend() const;
+    // Whether the request's turn to be sent comes in time, if it waits for a permit.
+    bool mayWaitForPermit(Common::Time now) const;
+    // Whether other requests wait for the endpoint's permits and go first.
+    bool mustQueueForPermit(const Routing::Endpoint &chosen) const;
+    // Waits for the request's turn. Returns early if it will not come in time.
+    Http::Awaitable<void> waitForPermit();
+    // Like `chooseEndpoint`; where no endpoint permits a send now, returns the one that does first.
+    std::optional<std::size_t> chooseSoonest(Common::Time now);
+    // Takes the permit for so many sends to the endpoint, if it limits them.
+    void takePermit(const Common::EndpointId &id, int sends, Common::Time now);
+    // Returns whether the request may still be sent, immediately before its first byte is written.
+    bool maySendNow(const Common::EndpointId &id);
+    // Whether the limit of an endpoint keeps the request from being sent to it.
+    bool isRateLimited(Common::Time now) const;
+    Common::Duration retryAfterLimit(Common::Time now);
     Http::Awaitable<void> sendUntilAnswered();
     std::optional<std::size_t> chooseEndpoint(Common::Time now);
     // Returns why a request must not be retried on another endpoint; empty if it may be. Consumes
@@ -142,7 +168,8 @@
     // and another one could go on. Whether one could is decided then: meanwhile other requests may
     // have used the retry budget.
     void watchSilence(EventWait &wait, Common::Time now);
-    void applyResponseHead(const Routing::Endpoint &endpoint, const EndpointResponseHead &answer);
+    void applyResponseHead(const Routing::Endpoint &endpoint, const EndpointResponseHead &answer,
+                           Common::Time sentAt);
     // Reports an endpoint that may have crashed before it began its answer.
     void noteConnectionLost(const Routing::Endpoint &endpoint);
     Http::Awaitable<SendResult> readNotRunResponse(Http::ResponseStream &stream, unsigned status,
@@ -211,6 +238,10 @@
     // Number of events that earlier endpoints have delivered.
     std::uint64_t eventsBeforeSend = 0;
     bool isEndRecorded = false;
+    boost::asio::steady_timer permitTimer;
+    // The endpoint limited its requests when the permit for the current send was taken.
+    bool hasPermit = false;
+    bool isTurnedBack = false;
     std::optional<Common::Time> firstEventAt;
     std::optional<Common::Time> stagedAt;
     // The endpoint process of the last send.
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -148,7 +148,7 @@
 }
 
 void RequestFlow::applyResponseHead(const Routing::Endpoint &endpoint,
-                                    const EndpointResponseHead &answer)
+                                    const EndpointResponseHead &answer, Common::Time sentAt)
 {
     Routing::Pool &pool = this->state.poolOf(this->service);
     const auto found = pool.indexById.find(endpoint.id);
@@ -156,6 +156,7 @@
         Routing::noteReport(pool.endpoints[found->second], *answer.load);
     if (answer.holdFor)
         Routing::holdBack(pool, endpoint.id, *answer.holdFor, clockNow());
+    this->dependencies.limits.noteAnswer(endpoint, answer, sentAt);
     this->dependencies.endpoints.noteResponse(endpoint, answer);
 }
 
@@ -185,14 +186,17 @@
     Common::DelayedAction fetched(this->state.context);
     if (this->stageRun && !this->stageResults.empty())
         fetched.start(kInputFetchDuration, [this] { this->stageRun->markFinalEvictable(); });
+    Http::CallOptions options = this->callOptions(startedAt);
+    this->isTurnedBack = false;
+    options.beforeFirstByte = [this, &endpoint] { return this->maySendNow(endpoint.id); };
     auto opened = co_await this->state.client.open(
-        endpoint.address, this->state.dialect.writeCall(this->request, call),
-        this->callOptions(startedAt));
+        endpoint.address, this->state.dialect.writeCall(this->request, call), std::move(options));
     Routing::CallReport report;
     report.endpoint = endpoint.id;
     if (!opened) {
         const Http::CallError &error = opened.error();
         result.outcome = error.written ? SendOutcome::Unknown : SendOutcome::NotSent;
+        result.isTurnedBack = this->isTurnedBack;
         result.connectionLost = error.written && error.failure == Http::CallFailure::ConnectionLost;
         result.detail = std::string(Common::nameOf(error.failure)) + ": " + error.message;
         report.end = error.failure == Http::CallFailure::ConnectFailed
@@ -202,7 +206,7 @@
         const unsigned status = opened->status();
         const EndpointResponseHead answer
             = this->state.dialect.readResponseHead(status, opened->headers());
-        this->applyResponseHead(endpoint, answer);
+        this->applyResponseHead(endpoint, answer, startedAt);
         const bool isForThisRequest = answer.requestId == this->request.id;
         // Without a request ID, a response is only attributed to this request on a new connection,
         // where no late response to an earlier request can arrive.
@@ -232,7 +236,7 @@
         report.pace = report.duration / static_cast<std::int64_t>(this->events.eventCount());
     else if (!this->isStream())
         report.pace = report.duration;
-    if (this->callerGone || (this->earlyEnd && !result.isAnswered))
+    if (this->callerGone || result.isTurnedBack || (this->earlyEnd && !result.isAnswered))
         report.end = Routing::CallEnd::Cancelled;
     Routing::endCall(this->state.poolOf(this->service), report, now);
     co_return result;
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -98,8 +98,11 @@
 {
     if (endpoint.incarnation == 0)
         co_return true;
+    const Common::Time askedAt = clockNow();
     Http::CallOptions options;
-    options.deadline = clockNow() + kProcessAnswerTimeout;
+    options.deadline = askedAt + kProcessAnswerTimeout;
+    // A repetition would be another request to an endpoint that may limit them.
+    options.freshConnection = this->hasPermit;
     options.connectTimeout = kProcessAnswerTimeout;
     options.maxBodyBytes = kMaxProcessAnswerBytes;
     Http::Request question = this->state.dialect.writeProcessQuestion();
@@ -109,6 +112,8 @@
         this->state.metrics.count(labelled("process_checks", "result", "unanswered"));
         co_return false;
     }
+    this->applyResponseHead(
+        endpoint, this->state.dialect.readResponseHead(answer->status, answer->headers), askedAt);
     const auto startTime = this->state.dialect.readProcessAnswer(answer->body);
     const bool isListed = !startTime || *startTime == endpoint.incarnation;
     this->state.metrics.count(labelled("process_checks", "result",
@@ -131,8 +136,9 @@
 
 RefusalReason RequestFlow::reasonNoEndpoint() const
 {
-    return this->requiredVersion && !this->isVersionListed() ? RefusalReason::VersionGone
-                                                             : RefusalReason::NoEndpoint;
+    if (this->requiredVersion && !this->isVersionListed())
+        return RefusalReason::VersionGone;
+    return this->isRateLimited(clockNow()) ? RefusalReason::RateLimited : RefusalReason::NoEndpoint;
 }
 
 std::string RequestFlow::loggedResumedAttempt() const
--- a/Source/Core/Entry/RequestShutdown.cpp
+++ b/Source/Core/Entry/RequestShutdown.cpp
@@ -49,6 +49,7 @@
 {
     this->earlyEnd = reason;
     this->call.cancel();
+    this->permitTimer.cancel();
     if (this->stageRun)
         this->stageRun->cancel();
 }
--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -50,6 +50,7 @@
     Queue &queue = this->queues[service];
     queue.queue.service = service;
     queue.queue.batching = *catalogService->batching;
+    queue.queue.isOnRoutes = Catalog::isOnRoutes(*this->state.catalog, service);
     queue.wakeTimer = std::make_unique<asio::steady_timer>(this->state.context);
     queue.freeTimer = std::make_unique<asio::steady_timer>(this->state.context);
     Staging::applyEndpoints(queue.queue, this->state.poolOf(service).endpoints, clockNow());
@@ -61,8 +62,10 @@
     for (auto &[service, queue] : this->queues) {
         const Catalog::Service *catalogService
             = this->state.catalog ? Catalog::findService(*this->state.catalog, service) : nullptr;
-        if (catalogService && catalogService->batching)
+        if (catalogService && catalogService->batching) {
             queue.queue.batching = *catalogService->batching;
+            queue.queue.isOnRoutes = Catalog::isOnRoutes(*this->state.catalog, service);
+        }
         Staging::applyEndpoints(queue.queue, this->state.poolOf(service).endpoints, clockNow());
         this->dispatch(service);
     }
@@ -187,8 +190,9 @@
 
 Http::Awaitable<void> StageOwner::runFreeOrder(std::string service, Staging::FreeOrder order)
 {
+    const Common::Time sentAt = clockNow();
     Http::CallOptions options;
-    options.deadline = clockNow() + kFreeTimeout;
+    options.deadline = sentAt + kFreeTimeout;
     options.connectTimeout = kConnectTimeout;
     options.maxBodyBytes = kMaxResultsBytes;
     // The copy of a reply to a call shows that the reply to this order is still to come.
@@ -204,12 +208,12 @@
     if (answer) {
         this->applyResponseHead(
             service, order.endpoint,
-            this->state.dialect.readResponseHead(answer->status, answer->headers));
+            this->state.dialect.readResponseHead(answer->status, answer->headers), sentAt);
     }
 }
 
 void StageOwner::applyResponseHead(const std::string &service, const Common::EndpointId &id,
-                                   const EndpointResponseHead &head)
+                                   const EndpointResponseHead &head, Common::Time sentAt)
 {
     Routing::Pool &pool = this->state.poolOf(service);
     const auto found = pool.indexById.find(id);
@@ -220,8 +224,19 @@
         Routing::holdBack(pool, id, *head.holdFor, now);
         Staging::holdBack(this->queues[service].queue, id, *head.holdFor, now);
     }
+    // Copies, since the handlers may change the pool.
+    const Routing::Endpoint endpoint = pool.endpoints[found->second];
+    if (this->limitHandler)
+        this->limitHandler(endpoint, head, sentAt);
     if (this->responseHandler)
-        this->responseHandler(pool.endpoints[found->second], head);
+        this->responseHandler(endpoint, head);
+}
+
+void StageOwner::onLimit(
+    std::function<void(const Routing::Endpoint &, const EndpointResponseHead &, Common::Time)>
+        action)
+{
+    this->limitHandler = std::move(action);
 }
 
 void StageOwner::onResponse(
@@ -322,6 +337,12 @@
     options.acceptReply = [this, &service, &call](const Http::Response &reply) {
         return this->useOfReply(service, call, reply);
     };
+    bool isTurnedBack = false;
+    options.beforeFirstByte = [this, &service, &call, &isTurnedBack] {
+        isTurnedBack = !Staging::mayBegin(this->queues[service].queue, call);
+        return !isTurnedBack;
+    };
+    const Common::Time calledAt = clockNow();
     Http::Request request = this->state.dialect.writeStageCall(call, sentAt);
     const auto answer
         = co_await this->state.client.call(call.endpoint.address, std::move(request), options);
@@ -332,8 +353,9 @@
     std::int64_t inputsGone = 0;
     Queue &queue = this->queues[service];
     if (!answer) {
-        const auto fault
-            = answer.error().written ? Staging::CallFault::Lost : Staging::CallFault::Unreachable;
+        const auto fault = isTurnedBack ? Staging::CallFault::Refused
+            : answer.error().written    ? Staging::CallFault::Lost
+                                        : Staging::CallFault::Unreachable;
         outcome = Common::nameOf(answer.error().failure);
         settled = Staging::callFailed(queue.queue, call.number, fault, now);
     } else {
@@ -352,7 +374,7 @@
             const auto fault = refused ? Staging::CallFault::Refused : Staging::CallFault::Lost;
             settled = Staging::callFailed(queue.queue, call.number, fault, now);
         }
-        this->applyResponseHead(service, call.endpoint.id, head);
+        this->applyResponseHead(service, call.endpoint.id, head, calledAt);
     }
     this->state.metrics.count(labelled("stage_calls", "outcome", outcome));
     this->state.metrics.count("stage_pieces", call.pieces.size());
--- a/Source/Core/Entry/StageOwner.h
+++ b/Source/Core/Entry/StageOwner.h
@@ -43,6 +43,10 @@
     // Sets the handler that is called with the head of each answer to a stage call.
     void
     onResponse(std::function<void(const Routing::Endpoint &, const EndpointResponseHead &)> action);
+    // The same for what the answer says about the endpoint's limit, with the time of the request.
+    void onLimit(
+        std::function<void(const Routing::Endpoint &, const EndpointResponseHead &, Common::Time)>
+            action);
     // Number of pieces that are waiting or in a call, over all services.
     std::size_t openPieces() const;
 
@@ -64,7 +68,7 @@
     void sendFreeOrders(const std::string &service, Queue &queue);
     // Takes note of what the head of an answer says about the endpoint itself.
     void applyResponseHead(const std::string &service, const Common::EndpointId &id,
-                           const EndpointResponseHead &head);
+                           const EndpointResponseHead &head, Common::Time sentAt);
     void notifySettled(Queue &queue, const std::vector<Staging::SettledPiece> &settled);
     Http::Awaitable<void> runCall(std::string service, Staging::PlannedCall call);
     // Decides whether a reply belongs to the call, and whether a copy of it could be recognized.
@@ -76,6 +80,8 @@
 
     State &state;
     std::function<void(const Routing::Endpoint &, const EndpointResponseHead &)> responseHandler;
+    std::function<void(const Routing::Endpoint &, const EndpointResponseHead &, Common::Time)>
+        limitHandler;
     std::map<std::string, Queue> queues;
 };
 
--- a/Source/Core/Entry/State.h
+++ b/Source/Core/Entry/State.h
@@ -12,6 +12,7 @@
 #include "Membership/Members.h"
 #include "Routing/VersionHistory.h"
 #include "Serving/GracefulShutdown.h"
+#include "Serving/PermitQueue.h"
 
 #include <map>
 #include <random>
@@ -48,6 +49,8 @@
     std::map<std::string, Routing::Pool> pools;
     Routing::VersionHistory versions;
     std::unordered_map<std::string, Serving::FleetBudget> budgets;
+    // Requests that wait for a permit, by service.
+    std::unordered_map<std::string, Serving::PermitQueue> permits;
     Membership::Members members;
     // Whether the store's list of instances has been read since start-up.
     bool instancesWereListed = false;
