Entry: Ask for a limit that no answer has shown for 4 s

A limit ended for the instances by the answer to a request of one of its few senders. Without requests at these, all others went on believing it. Found by reading the fix against the cases of the design: the first of the endpoint's instances now asks for the limit then, with a permit of its own. A request that arrives while others wait for permits, and whose turn does not come in time, is refused instead of taking their permit.

--- a/Source/Core/Entry/LimitWatch.cpp
+++ b/Source/Core/Entry/LimitWatch.cpp
@@ -213,32 +213,52 @@
 {
     while (true) {
         co_await this->state.sleepFor(kUpdateInterval);
-        if (this->limits.empty())
-            continue;
         const Common::Time now = clockNow();
-        this->applyToPools();
-        this->askBlocked(now);
+        if (this->hasLimits()) {
+            this->applyToPools();
+            this->askForLimits(now);
+        }
         this->dropOld(now);
     }
 }
 
-void LimitWatch::askBlocked(Common::Time now)
+bool LimitWatch::beginQuestion(const std::string &service, Routing::Endpoint &endpoint,
+                               Common::Time now)
 {
-    for (const auto &[service, pool] : this->state.pools) {
-        for (const Routing::Endpoint &endpoint : pool.endpoints) {
-            if (!endpoint.statedLimit || !this->isBlocked(service, *endpoint.statedLimit))
-                continue;
-            const Membership::DutyRank rank
-                = Membership::rankFor(this->state.members, endpoint.id.value);
-            Common::Time &askedAt = this->askedAt.try_emplace(keyOf(endpoint), now).first->second;
-            if (rank.own != 0u || now - askedAt < Routing::kLimitQuestionInterval)
-                continue;
-            askedAt = now;
-            boost::asio::co_spawn(this->state.context, this->ask(endpoint), boost::asio::detached);
+    const auto limit = this->limits.find(keyOf(endpoint));
+    if (limit == this->limits.end() || !limit->second.perSecond
+        || Membership::rankFor(this->state.members, endpoint.id.value).own != 0u)
+        return false;
+    Common::Time &askedAt = this->askedAt.try_emplace(keyOf(endpoint), now).first->second;
+    const bool isBlocked = this->isBlocked(service, *limit->second.perSecond);
+    // An answer that has confirmed the limit lately makes the question needless.
+    const Common::Time knownAt = isBlocked ? askedAt : std::max(askedAt, limit->second.learnedAt);
+    if (now - knownAt < Routing::kLimitQuestionInterval
+        || (!isBlocked && now < Routing::opensAt(endpoint.gate)))
+        return false;
+    if (!isBlocked)
+        Routing::takePermit(endpoint.gate, now);
+    askedAt = now;
+    return true;
+}
+
+void LimitWatch::askForLimits(Common::Time now)
+{
+    for (auto &[service, pool] : this->state.pools) {
+        for (Routing::Endpoint &endpoint : pool.endpoints) {
+            if (endpoint.statedLimit && this->beginQuestion(service, endpoint, now))
+                boost::asio::co_spawn(this->state.context, this->ask(endpoint),
+                                      boost::asio::detached);
         }
     }
 }
 
+bool LimitWatch::hasLimits() const
+{
+    return std::any_of(this->limits.begin(), this->limits.end(),
+                       [](const auto &entry) { return entry.second.perSecond.has_value(); });
+}
+
 Http::Awaitable<void> LimitWatch::ask(Routing::Endpoint endpoint)
 {
     const Common::Time sentAt = clockNow();
--- a/Source/Core/Entry/LimitWatch.h
+++ b/Source/Core/Entry/LimitWatch.h
@@ -38,9 +38,13 @@
     // Drops limits of processes that have not been listed for a while.
     void dropOld(Common::Time now);
     Http::Awaitable<void> followInstances();
-    // Asks endpoints that permit no sends for their limit, since no answer would show its end.
-    void askBlocked(Common::Time now);
+    // Asks endpoints for their limit where no answer would show its end: those that permit no
+    // sends, and those to which nothing has been sent for a while.
+    void askForLimits(Common::Time now);
+    // Whether this instance asks the endpoint now. Takes the permit for the question.
+    bool beginQuestion(const std::string &service, Routing::Endpoint &endpoint, Common::Time now);
     Http::Awaitable<void> ask(Routing::Endpoint endpoint);
+    bool hasLimits() const;
 
     State &state;
     Gossip &gossip;
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -330,8 +330,7 @@
     while (true) {
         Common::Time now = clockNow();
         const auto chosen = this->chooseEndpoint(now);
-        const bool mustQueue = chosen && !hasTurn
-            && this->mustQueueForPermit(this->state.poolOf(this->service).endpoints[*chosen]);
+        const bool mustQueue = chosen && !hasTurn && this->mustQueueForPermit(*chosen, now);
         if ((!chosen || mustQueue) && this->mayWaitForPermit(now)) {
             co_await this->waitForPermit();
             hasTurn = true;
@@ -341,10 +340,12 @@
             }
             continue;
         }
-        if (!chosen || this->timeLeft(now) <= Common::Duration(0)) {
-            const bool late = chosen.has_value();
-            Refusal refusal{late ? RefusalReason::NotRunInTime : this->reasonNoEndpoint(), true,
-                            this->retryAfterNoEndpoint()};
+        if (!chosen || mustQueue || this->timeLeft(now) <= Common::Duration(0)) {
+            const RefusalReason reason = mustQueue ? RefusalReason::RateLimited
+                : chosen                           ? RefusalReason::NotRunInTime
+                                                   : this->reasonNoEndpoint();
+            Refusal refusal{reason, true,
+                            mustQueue ? this->retryAfterLimit(now) : this->retryAfterNoEndpoint()};
             if (this->attempts.mayHaveRun)
                 refusal = {RefusalReason::OutcomeUnknown, false, std::nullopt};
             co_await this->refuse(refusal, this->service);
@@ -359,7 +360,7 @@
         // The endpoints may have changed while the stages ran.
         const Routing::Pool &pool = this->state.poolOf(this->service);
         const auto currentChoice = this->chooseEndpoint(clockNow());
-        if (!currentChoice)
+        if (!currentChoice || (!hasTurn && this->mustQueueForPermit(*currentChoice, clockNow())))
             continue;
         const Routing::Endpoint endpoint = pool.endpoints[*currentChoice];
         this->triedEndpoints.push_back(endpoint.id);
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -117,8 +117,9 @@
     Common::Time latestSend() const;
     // Whether the request's turn to be sent comes in time, if it waits for a permit.
     bool mayWaitForPermit(Common::Time now) const;
-    // Whether other requests wait for the endpoint's permits and go first.
-    bool mustQueueForPermit(const Routing::Endpoint &chosen) const;
+    // Whether only endpoints with rate limits are left, the chosen one among them, and other
+    // requests that wait for their permits go first.
+    bool mustQueueForPermit(std::size_t chosen, Common::Time now) const;
     // Waits for the request's turn. Returns early if it will not come in time.
     Http::Awaitable<void> waitForPermit();
     // Like `chooseEndpoint`; where no endpoint permits a send now, returns the one that does first.
--- a/Source/Core/Entry/RequestPermit.cpp
+++ b/Source/Core/Entry/RequestPermit.cpp
@@ -6,6 +6,7 @@
 #include "Serving/RetryAfter.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -98,9 +99,12 @@
     return turnAt(*next, before) <= this->latestSend();
 }
 
-bool RequestFlow::mustQueueForPermit(const Routing::Endpoint &chosen) const
+bool RequestFlow::mustQueueForPermit(std::size_t chosen, Common::Time now) const
 {
-    return Routing::isLimited(chosen.gate)
+    if (!Routing::isLimited(this->state.poolOf(this->service).endpoints[chosen].gate))
+        return false;
+    const auto next = this->nextPermit(now);
+    return next && std::isfinite(next->perSecond)
         && Serving::countAhead(this->state.permits[this->service], this->isNewWork(),
                                this->priority)
         > 0;
--- a/Source/Core/Routing/LimitShare.h
+++ b/Source/Core/Routing/LimitShare.h
@@ -14,7 +14,7 @@
 namespace Tanagerbay::Routing {
 
 // A lower limit, in requests a second, allows no sends. The end of such a limit is found by a
-// question to the endpoint every `kLimitQuestionInterval`.
+// question to the endpoint; so is that of a limit which no answer has shown for so long.
 constexpr double kMinUsableLimit = 0.1;
 constexpr Common::Milliseconds kLimitQuestionInterval{4000};
 
