--- a/Source/Core/Routing/Pool.cpp
+++ b/Source/Core/Routing/Pool.cpp
@@ -283,8 +283,10 @@
         if (isLeaving(endpoint) || contains(request.tried, endpoint.id)
             || !hasVersion(endpoint, request.version) || from == Common::Time::max())
             continue;
-        perSecond += isLimited(endpoint.gate) ? 1 / Common::toSeconds(endpoint.gate.interval)
-                                              : std::numeric_limits<double>::infinity();
+        if (isLimited(endpoint.gate))
+            perSecond += 1 / Common::toSeconds(endpoint.gate.interval);
+        else
+            perSecond = std::numeric_limits<double>::infinity();
         const Common::Time at = std::max(now, from);
         if (!next || at < next->at)
             next = NextSend{i, at, 0};
