Quarantine: Judge each repeated request by its own crashes

Cause: a request that crashes its endpoints came again with the same path, caller and body, and was sent on. Contents that explained the same crashes were joined into one suspicion that asked for all of them in one request, which never happens; that is the usual case where a small pool ends together. And the content of a request did not include its caller, so that an answer to another caller's request with the same path acquitted it each time. The class of fault is evidence about one subject that is mixed with that about others. Change: a trait is either a prompt part or a content with its caller. Each content is held back after its third crash by itself, and only an answer to the same content acquits it. Requests with shared prompt parts have a content too. A content whose crashes something else explains as well is tried 5 to 10 s after the last one, so that a sound request beside a deadly one is served again soon; after three failed trials a content is not tried before its evidence is dropped.

--- a/Source/Core/Entry/CrashWatch.cpp
+++ b/Source/Core/Entry/CrashWatch.cpp
@@ -1,7 +1,6 @@
 #include "Entry/CrashWatch.h"
 
 #include "Common/Hash.h"
-#include "Entry/RequestTraits.h"
 #include "Http/ListenerProbe.h"
 
 #include <algorithm>
@@ -54,11 +53,12 @@
     this->changeHandler = std::move(action);
 }
 
-void CrashWatch::noteLost(const Routing::Endpoint &endpoint, const CallerRequest &request,
-                          const std::vector<Quarantine::Trait> &traits)
+void CrashWatch::noteLost(const Routing::Endpoint &endpoint,
+                          const std::vector<Quarantine::Trait> &traits,
+                          const std::vector<std::string> &traitNames)
 {
     const Quarantine::Process process{endpoint.id, endpoint.incarnation};
-    this->rememberNames(request, traits);
+    this->rememberNames(traits, traitNames);
     const Common::Time now = clockNow();
     if (this->evidence.crashes.contains(process)) {
         this->recordCrash(process, {now, traits});
@@ -206,10 +206,9 @@
     return true;
 }
 
-void CrashWatch::rememberNames(const CallerRequest &request,
-                               const std::vector<Quarantine::Trait> &traits)
+void CrashWatch::rememberNames(const std::vector<Quarantine::Trait> &traits,
+                               const std::vector<std::string> &traitNames)
 {
-    const std::vector<std::string> traitNames = traitNamesOf(request);
     for (std::size_t i = 0; i < traits.size() && this->names.size() < kMaxNames; ++i)
         this->names.try_emplace(traits[i], traitNames[i]);
 }
--- a/Source/Core/Entry/CrashWatch.h
+++ b/Source/Core/Entry/CrashWatch.h
@@ -20,8 +20,8 @@
     // Sets the handler that is called when other requests than before are quarantined.
     void onChange(std::function<void()> action);
     // Records that the connection to the endpoint was lost before the answer to the request began.
-    void noteLost(const Routing::Endpoint &endpoint, const CallerRequest &request,
-                  const std::vector<Quarantine::Trait> &traits);
+    void noteLost(const Routing::Endpoint &endpoint, const std::vector<Quarantine::Trait> &traits,
+                  const std::vector<std::string> &traitNames);
     void noteAnswerBegun(const std::vector<Quarantine::Trait> &traits);
     // Returns the suspicion for which a request with these traits must not be sent, or nullptr.
     const Quarantine::Suspicion *find(const std::vector<Quarantine::Trait> &traits) const;
@@ -47,7 +47,8 @@
     void spread(const Quarantine::News &news);
     void decide();
     void logChanges(const std::vector<Quarantine::Suspicion> &before, Common::Time now);
-    void rememberNames(const CallerRequest &request, const std::vector<Quarantine::Trait> &traits);
+    void rememberNames(const std::vector<Quarantine::Trait> &traits,
+                       const std::vector<std::string> &traitNames);
     bool isTrialInstance(const Quarantine::Suspicion &suspicion, Common::Time now) const;
     Http::Awaitable<void> dropOldEvidence();
 
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -48,6 +48,11 @@
 {
 }
 
+Common::WorkspaceId RequestFlow::workspaceId() const
+{
+    return this->workspace ? this->workspace->id : Common::WorkspaceId();
+}
+
 bool RequestFlow::isStream() const
 {
     return this->route->kind == Catalog::RouteKind::Streaming;
@@ -171,7 +176,7 @@
         co_await this->refuse(this->refusalForShutdown(), "");
         co_return false;
     }
-    this->traits = traitsOf(this->request);
+    this->traits = traitsOf(this->request, this->workspaceId());
     if (this->isHeldBackByQuarantine()) {
         co_await this->refuse(this->refusalForQuarantine(), "");
         co_return false;
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -184,6 +184,8 @@
     Http::Awaitable<void> refuse(Refusal refusal, std::string_view detail);
     Http::Awaitable<void> endUnanswered(Serving::NextStep step, SendResult last);
     void recordEnd(std::string_view outcome, std::string_view detail);
+    // Empty if the route needs no API key.
+    Common::WorkspaceId workspaceId() const;
     bool isStream() const;
     std::string_view affinityKey() const;
     // Returns the names of the prompt parts that other requests may share, separated by commas.
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -2,6 +2,7 @@
 #include "Entry/RequestFlow.h"
 
 #include "Common/DelayedAction.h"
+#include "Entry/RequestTraits.h"
 
 #include <algorithm>
 #include <limits>
@@ -169,8 +170,7 @@
     EndpointCall call;
     call.endpoint = endpoint.id;
     call.timeLeft = this->timeLeft(startedAt);
-    if (this->workspace)
-        call.workspace = this->workspace->id.value;
+    call.workspace = this->workspaceId().value;
     call.stageResults = this->stageResults;
     call.afterEvent = this->events.lastEvent();
     if (const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
@@ -250,7 +250,8 @@
     const bool isExpectedToRun
         = found != pool.indexById.end() && !Routing::isLeaving(pool.endpoints[found->second]);
     if (isExpectedToRun && !this->hasAnswerBegun())
-        this->dependencies.crashWatch.noteLost(endpoint, this->request, this->traits);
+        this->dependencies.crashWatch.noteLost(endpoint, this->traits,
+                                               traitNamesOf(this->request, this->workspaceId()));
 }
 
 Http::Awaitable<Http::CallResult<std::string>> RequestFlow::readBody(Http::ResponseStream &stream)
--- a/Source/Core/Entry/RequestTraits.h
+++ b/Source/Core/Entry/RequestTraits.h
@@ -6,11 +6,15 @@
 
 namespace Tanagerbay::Entry {
 
-// Returns the traits of a request: the parts of its prompt that other requests may share, which are
-// all but the last; without such a part its content, which is the same when a caller repeats it.
-std::vector<Quarantine::Trait> traitsOf(const CallerRequest &request);
+// Returns the traits of a request. First the parts of its prompt that other requests may share,
+// which are all but the last. Then its content together with its workspace, which is what an
+// endpoint gets to see; a request without shared parts also has its content together with the key
+// that its caller used.
+std::vector<Quarantine::Trait> traitsOf(const CallerRequest &request,
+                                        const Common::WorkspaceId &workspace);
 
 // Returns their names in the same order, for logs.
-std::vector<std::string> traitNamesOf(const CallerRequest &request);
+std::vector<std::string> traitNamesOf(const CallerRequest &request,
+                                      const Common::WorkspaceId &workspace);
 
 } // namespace Tanagerbay::Entry
--- a/Source/Core/Quarantine/CrashEvidence.cpp
+++ b/Source/Core/Quarantine/CrashEvidence.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr std::chrono::hours kRetention{1};
 // A dropped crash is remembered without suspects, so that a late report does not bring it back.
 constexpr std::chrono::hours kDroppedMemory{2};
 constexpr std::size_t kMaxCrashes = 256;
--- a/Source/Core/Quarantine/CrashEvidence.h
+++ b/Source/Core/Quarantine/CrashEvidence.h
@@ -59,6 +59,8 @@
     std::vector<Acquittal> acquittals;
 };
 
+// Crashes older than this are dropped.
+constexpr std::chrono::hours kRetention{1};
 // Maximum number of suspects of one crash.
 constexpr std::size_t kMaxSuspects = 256;
 
--- a/Source/Core/Quarantine/Verdict.cpp
+++ b/Source/Core/Quarantine/Verdict.cpp
@@ -1,5 +1,7 @@
 #include "Quarantine/Verdict.h"
 
+#include "Common/Hash.h"
+
 #include <algorithm>
 
 namespace Tanagerbay::Quarantine {
@@ -14,6 +16,12 @@
 // Delay of the first trial after the last crash; doubles with each further crash.
 constexpr std::chrono::seconds kFirstTrialDelay{60};
 constexpr std::size_t kMaxDoublings = 5;
+// The same for what may have been there by chance. The delay of each differs, up to twice as much,
+// so that one is not lost in the trial of another.
+constexpr Common::Milliseconds kDoubtfulTrialDelay{5000};
+constexpr std::uint64_t kDelaySteps = 64;
+// Crashes from which on a content is not tried again before its evidence is dropped.
+constexpr std::size_t kMaxContentCrashes = 2 * kMinCrashes;
 
 // Crashes that accuse a trait, as sorted indexes.
 using CrashIndexes = std::vector<std::size_t>;
@@ -48,28 +56,27 @@
     std::erase_if(accusations, [](const auto &entry) { return entry.second.size() < kMinCrashes; });
 }
 
-} // namespace
+Suspicion makeSuspicion(const std::vector<const Crash *> &crashes, const CrashIndexes &explained)
+{
+    Suspicion suspicion;
+    suspicion.crashCount = explained.size();
+    suspicion.lastCrashAt = crashes[explained.front()]->at;
+    for (const std::size_t index : explained)
+        suspicion.lastCrashAt = std::max(suspicion.lastCrashAt, crashes[index]->at);
+    return suspicion;
+}
 
-std::vector<Suspicion> quarantined(const Evidence &evidence, Common::Time now)
+// The trait that explains most crashes comes first; others must explain the remaining ones.
+void addPartSuspicions(const std::vector<const Crash *> &crashes, Accusations accusations,
+                       std::vector<Suspicion> &suspicions)
 {
-    std::vector<const Crash *> crashes;
-    for (const auto &[process, crash] : evidence.crashes) {
-        if (hasSettled(crash, now))
-            crashes.push_back(&crash);
-    }
-    Accusations accusations = accusationsIn(evidence, crashes);
-    std::vector<Suspicion> suspicions;
-    // The trait that explains most crashes comes first; others must explain the remaining ones.
+    std::erase_if(accusations, [](const auto &entry) { return isContent(entry.first); });
     while (!accusations.empty()) {
         const auto best = std::max_element(
             accusations.begin(), accusations.end(),
             [](const auto &a, const auto &b) { return a.second.size() < b.second.size(); });
         const CrashIndexes explained = best->second;
-        Suspicion suspicion;
-        suspicion.crashCount = explained.size();
-        suspicion.lastCrashAt = crashes[explained.front()]->at;
-        for (const std::size_t index : explained)
-            suspicion.lastCrashAt = std::max(suspicion.lastCrashAt, crashes[index]->at);
+        Suspicion suspicion = makeSuspicion(crashes, explained);
         for (const auto &[trait, indexes] : accusations) {
             if (indexes == explained)
                 suspicion.traits.push_back(trait);
@@ -77,6 +84,47 @@
         suspicions.push_back(std::move(suspicion));
         removeExplained(accusations, explained);
     }
+}
+
+// Each content counts by itself. Several are often in flight together, as they are sent again and
+// again to the few endpoints that are left, and more than one of them may be deadly.
+void addContentSuspicions(const std::vector<const Crash *> &crashes, const Accusations &accusations,
+                          std::vector<Suspicion> &suspicions)
+{
+    for (const auto &[trait, explained] : accusations) {
+        if (!isContent(trait))
+            continue;
+        Suspicion suspicion = makeSuspicion(crashes, explained);
+        suspicion.traits = {trait};
+        suspicion.isDoubtful
+            = std::any_of(accusations.begin(), accusations.end(), [&](const auto &other) {
+                  return other.first != trait && !isSameContent(other.first, trait)
+                      && std::includes(other.second.begin(), other.second.end(), explained.begin(),
+                                       explained.end());
+              });
+        suspicions.push_back(std::move(suspicion));
+    }
+}
+
+// Returns a fraction that is the same at all instances.
+double delayFraction(Trait trait)
+{
+    return static_cast<double>(Common::hash64(std::to_string(trait)) % kDelaySteps) / kDelaySteps;
+}
+
+} // namespace
+
+std::vector<Suspicion> quarantined(const Evidence &evidence, Common::Time now)
+{
+    std::vector<const Crash *> crashes;
+    for (const auto &[process, crash] : evidence.crashes) {
+        if (hasSettled(crash, now))
+            crashes.push_back(&crash);
+    }
+    const Accusations accusations = accusationsIn(evidence, crashes);
+    std::vector<Suspicion> suspicions;
+    addPartSuspicions(crashes, accusations, suspicions);
+    addContentSuspicions(crashes, accusations, suspicions);
     return suspicions;
 }
 
@@ -93,19 +141,31 @@
 const Suspicion *findSuspicion(const std::vector<Suspicion> &suspicions,
                                const std::vector<Trait> &traits)
 {
-    const auto found = std::find_if(
-        suspicions.begin(), suspicions.end(), [&](const Suspicion &suspicion) {
-            return std::all_of(suspicion.traits.begin(), suspicion.traits.end(), [&](Trait trait) {
-                return std::find(traits.begin(), traits.end(), trait) != traits.end();
-            });
+    const auto applies = [&traits](const Suspicion &suspicion) {
+        return std::all_of(suspicion.traits.begin(), suspicion.traits.end(), [&](Trait trait) {
+            return std::find(traits.begin(), traits.end(), trait) != traits.end();
         });
-    return found == suspicions.end() ? nullptr : &*found;
+    };
+    const Suspicion *longest = nullptr;
+    for (const Suspicion &suspicion : suspicions) {
+        if (applies(suspicion) && (!longest || trialAt(suspicion) > trialAt(*longest)))
+            longest = &suspicion;
+    }
+    return longest;
 }
 
 Common::Time trialAt(const Suspicion &suspicion)
 {
+    const Trait first = suspicion.traits.front();
+    if (isContent(first) && suspicion.crashCount >= kMaxContentCrashes)
+        return suspicion.lastCrashAt + kRetention;
     const std::size_t doublings = std::min(suspicion.crashCount - kMinCrashes, kMaxDoublings);
-    return suspicion.lastCrashAt + kFirstTrialDelay * (1 << doublings);
+    Common::Duration delay = kFirstTrialDelay;
+    if (suspicion.isDoubtful) {
+        delay = std::chrono::duration_cast<Common::Duration>(kDoubtfulTrialDelay
+                                                             * (1 + delayFraction(first)));
+    }
+    return suspicion.lastCrashAt + delay * (1 << doublings);
 }
 
 } // namespace Tanagerbay::Quarantine
--- a/Source/Core/Quarantine/Verdict.h
+++ b/Source/Core/Quarantine/Verdict.h
@@ -10,7 +10,8 @@
 
 // The narrowest property that explains some crashes. Requests that have all of the traits are
 // quarantined. More than one trait means that the evidence cannot tell them apart yet: the crashed
-// requests had all of them.
+// requests had all of them. A content is never joined with another trait: what has crashed so many
+// endpoints by itself is not sent again, whatever else was there.
 struct Suspicion
 {
     // Sorted.
@@ -18,6 +19,9 @@
     // Number of crashes that it explains.
     std::size_t crashCount = 0;
     Common::Time lastCrashAt;
+    // Whether something else that is quarantined also explains all of its crashes, so that it may
+    // have been there by chance.
+    bool isDoubtful = false;
 
     bool operator==(const Suspicion &) const = default;
 };
@@ -29,7 +33,8 @@
 // Returns when `quarantined` next has to be asked again although no evidence arrives, if ever.
 std::optional<Common::Time> nextDecisionAt(const Evidence &evidence, Common::Time now);
 
-// Returns the suspicion that applies to a request with these traits, or nullptr.
+// Returns the suspicion that applies to a request with these traits, or nullptr. Of several, the
+// one that holds it back longest.
 const Suspicion *findSuspicion(const std::vector<Suspicion> &suspicions,
                                const std::vector<Trait> &traits);
 
