--- a/Source/Core/Entry/Settings.cpp
+++ b/Source/Core/Entry/Settings.cpp
@@ -71,6 +71,10 @@
     ObjectReader reader(value, std::move(path), faults);
     settings.peers.ip = settings.callers.ip;
     settings.peers.port = static_cast<std::uint16_t>(reader.integer("port", 1, kMaxPort));
+    settings.connectFrom = reader.text("connectFrom", "");
+    Common::Address from;
+    if (!settings.connectFrom.empty() && !Common::parseAddress(settings.connectFrom + ":1", from))
+        reader.fault("connectFrom", "must be an IP address, is " + settings.connectFrom);
     settings.metrics.ip = settings.callers.ip;
     settings.metrics.port
         = static_cast<std::uint16_t>(reader.integer("metricsPort", 0, kMaxPort, 0));
--- a/Source/Core/Entry/Settings.h
+++ b/Source/Core/Entry/Settings.h
@@ -33,6 +33,9 @@
     Common::Address control;
     // Where other instances connect. All instances use the same port.
     Common::Address peers;
+    // IP address from which connections to endpoints, instances and the store are made; empty if
+    // the system chooses it.
+    std::string connectFrom;
     // Where the metrics are served.
     Common::Address metrics;
     // IP addresses of seed instances. Heartbeats are also sent to them, because other instances may
--- a/Source/Core/Entry/State.cpp
+++ b/Source/Core/Entry/State.cpp
@@ -33,6 +33,7 @@
       random(randomSeed(this->settings)), log(STDOUT_FILENO, this->startedAt),
       client(this->context.get_executor())
 {
+    this->client.connectFrom(this->settings.connectFrom);
     this->versions.completeSince = this->startedAt;
     this->members.self = this->settings.instance;
     this->members.unheardGrace = kUnheardGrace;
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -73,6 +73,8 @@
     std::shared_ptr<std::set<ClientConnection *>> active
         = std::make_shared<std::set<ClientConnection *>>();
     bool closed = false;
+    // Where new connections come from; empty if the system chooses.
+    std::string localIp;
 
     ConnectionPtr acquire(const Address &address);
     void release(const Address &address, ConnectionPtr connection, std::size_t maxIdleConnections);
@@ -173,12 +175,24 @@
 
 using ActiveConnections = std::shared_ptr<std::set<ClientConnection *>>;
 
+void bindTo(const std::string &localIp, tcp::socket &socket, beast::error_code &error)
+{
+    const auto ip = asio::ip::make_address(localIp, error);
+    const tcp::endpoint local(ip, 0);
+    if (!error)
+        socket.open(local.protocol(), error);
+    if (!error)
+        socket.bind(local, error);
+}
+
 // Returns the reason why no connection could be made, or nullopt.
 Awaitable<std::optional<CallError>> connect(ConnectionPtr connection, const Address &address,
-                                            const CallOptions &options)
+                                            const std::string &localIp, const CallOptions &options)
 {
     beast::error_code error;
     const auto ip = asio::ip::make_address(address.ip, error);
+    if (!error && !localIp.empty())
+        bindTo(localIp, connection->stream.socket(), error);
     if (error)
         co_return CallError{CallFailure::ConnectFailed, false, error.message()};
     const Common::Time connectDeadline = Common::clockNow() + options.connectTimeout;
@@ -245,6 +259,11 @@
 
 Client::~Client() = default;
 
+void Client::connectFrom(std::string ip)
+{
+    this->pool->localIp = std::move(ip);
+}
+
 std::size_t Client::idleConnections() const
 {
     std::size_t total = 0;
@@ -285,7 +304,7 @@
             connection->markActive(this->pool->active);
             if (options.handle)
                 options.handle->abort = [connection] { connection->stream.cancel(); };
-            auto failed = co_await connect(connection, address, options);
+            auto failed = co_await connect(connection, address, this->pool->localIp, options);
             if (options.handle)
                 options.handle->abort = nullptr;
             if (failed) {
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -142,6 +142,10 @@
     explicit Client(boost::asio::any_io_executor executor);
     ~Client();
 
+    // Makes new connections come from this IP address of the machine; by default the system chooses
+    // it.
+    void connectFrom(std::string ip);
+
     // Sends a request and reads the complete response.
     Awaitable<CallResult<Response>> call(Address address, Request request, CallOptions options);
     // Sends a request and reads the head of the response.
