Routing: Tell the loss of all paths from an outage of the endpoints

Cause: an instance that can connect to no endpoint cannot tell by itself whether all endpoints have ended or its own links are at fault, and only in the second case another instance can help. The paths count as lost if all probes fail and another instance had contact later than this one failed; an instance without work probes when another one asks.

--- a/Source/Core/Routing/PathHealth.cpp
+++ b/Source/Core/Routing/PathHealth.cpp
@@ -25,8 +25,7 @@
 {
     return std::any_of(health.otherContacts.begin(), health.otherContacts.end(),
                        [&](const auto &entry) {
-                           return entry.second >= since
-                               && now - entry.second < kOtherContactMemory;
+                           return entry.second >= since && now - entry.second < kOtherContactMemory;
                        });
 }
 
@@ -60,6 +59,11 @@
     entry->second = std::max(entry->second, contactAt);
 }
 
+void noteAsked(PathHealth &health)
+{
+    health.isAsked = true;
+}
+
 bool needsProbes(const PathHealth &health, std::optional<Common::Time> waitingSince,
                  Common::Time now)
 {
@@ -67,11 +71,16 @@
     if (health.probedAt && now - *health.probedAt < interval)
         return false;
     const bool isSilent = waitingSince && now - *waitingSince >= kMaxSilence;
-    return health.isLost || isSilent || health.failedEndpoints.size() >= kMinUnreachable;
+    // An instance that has nothing to send has no contact to tell of.
+    const bool mustTell = health.isAsked
+        && (!health.lastContactAt || now - *health.lastContactAt >= kContactMargin);
+    return health.isLost || isSilent || mustTell
+        || health.failedEndpoints.size() >= kMinUnreachable;
 }
 
 void noteProbes(PathHealth &health, std::size_t succeeded, std::size_t failed, Common::Time now)
 {
+    health.isAsked = false;
     if (succeeded > 0) {
         noteConnected(health, now);
         return;
@@ -81,9 +90,8 @@
 
 bool decide(PathHealth &health, Common::Time now)
 {
-    std::erase_if(health.otherContacts, [now](const auto &entry) {
-        return now - entry.second >= kOtherContactMemory;
-    });
+    std::erase_if(health.otherContacts,
+                  [now](const auto &entry) { return now - entry.second >= kOtherContactMemory; });
     const bool isFailing = health.hasProbesFailed && health.failingSince;
     // What has been lost stays lost until a probe succeeds, also if the others have no traffic that
     // would show their paths.
--- a/Source/Core/Routing/PathHealth.h
+++ b/Source/Core/Routing/PathHealth.h
@@ -31,6 +31,8 @@
     bool hasProbesFailed = false;
     // When other instances last had contact with an endpoint, as they say.
     std::map<Common::InstanceId, Common::Time> otherContacts;
+    // Another instance wants to know whether this one reaches endpoints.
+    bool isAsked = false;
     bool isLost = false;
 };
 
@@ -47,6 +49,9 @@
 void noteOtherContact(PathHealth &health, const Common::InstanceId &instance,
                       Common::Time contactAt);
 
+// Records that another instance reaches no endpoint and wants to know whether this one does.
+void noteAsked(PathHealth &health);
+
 // Whether a round of probes is due. `waitingSince` is since when calls wait for endpoints without
 // an answer from any of them; unset if none does.
 bool needsProbes(const PathHealth &health, std::optional<Common::Time> waitingSince,
