Entry: Pass requests on while this instance reaches no endpoint

Cause: an instance that was cut off from all endpoints refused what it got, although others had paths; and it kept the queues of stage services that it owned, so that requests with stages failed at all instances. The class of fault is a partial partition that is taken for an outage. Change: PathWatch probes endpoints when connections fail or calls wait without an answer, and tells the others with each datagram when it last had contact. While its paths are lost, an instance is named neither to callers nor as owner of queues, and passes each new request on once, over HTTP on a port of its own, to an instance that has paths; a request that came that way is never passed on again. The sender relays the answer, goes on with a second instance if the first has certainly not sent the request, or within the retry budget if it may be repeated, and closes its connection when the caller leaves. Sends, limits, evidence and stream origins are counted where the send happens.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -63,13 +63,13 @@
     : state(std::move(settings), platform.dialect), store(platform.makeStore(this->state)),
       reload(std::move(reload)), datagrams(this->state), gossip(this->state, this->datagrams),
       mesh(this->state), relay(this->state, this->mesh), crashWatch(this->state, this->gossip),
-      limits(this->state, this->gossip), streams(this->state, this->datagrams),
-      versionRows(this->state, *this->store, this->relay), stageOwner(this->state),
-      stageClient(this->state, this->mesh, this->stageOwner),
+      limits(this->state, this->gossip), paths(this->state, this->gossip, this->stageOwner),
+      streams(this->state, this->datagrams), versionRows(this->state, *this->store, this->relay),
+      stageOwner(this->state), stageClient(this->state, this->mesh, this->stageOwner),
       catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay),
       endpoints(this->state, this->stageOwner, *this->store, this->relay),
       parts{this->state,      this->catalogs, this->endpoints, this->stageClient,
-            this->crashWatch, this->streams,  this->limits}
+            this->crashWatch, this->streams,  this->limits,    this->paths}
 {
 }
 
@@ -94,7 +94,7 @@
 {
     const Settings &settings = this->state.settings;
     this->callerServer = this->makeServer(settings.callers, [this](Http::Exchange &exchange) {
-        return this->handleCaller(exchange);
+        return this->handleRequest(exchange, RequestSource::Caller);
     });
     this->directoryServer = this->makeServer(settings.directory, [this](Http::Exchange &exchange) {
         return this->handleDirectory(exchange);
@@ -102,8 +102,15 @@
     this->readinessServer = this->makeServer(settings.readiness, [this](Http::Exchange &exchange) {
         return this->handleReadiness(exchange);
     });
-    std::vector<Http::Server *> servers{this->callerServer.get(), this->directoryServer.get(),
-                                        this->readinessServer.get()};
+    if (settings.forwarding.isSet()) {
+        this->forwardServer
+            = this->makeServer(settings.forwarding, [this](Http::Exchange &exchange) {
+                  return this->handleRequest(exchange, RequestSource::Instance);
+              });
+    }
+    std::vector<Http::Server *> servers = this->requestServers();
+    servers.push_back(this->directoryServer.get());
+    servers.push_back(this->readinessServer.get());
     const auto operations
         = [this](Http::Exchange &exchange) { return this->handleOperations(exchange); };
     if (settings.control.isSet()) {
@@ -126,6 +133,14 @@
     return "";
 }
 
+std::vector<Http::Server *> EntryInstance::requestServers() const
+{
+    std::vector<Http::Server *> servers{this->callerServer.get()};
+    if (this->forwardServer)
+        servers.push_back(this->forwardServer.get());
+    return servers;
+}
+
 std::string EntryInstance::run()
 {
     ::signal(SIGPIPE, SIG_IGN);
@@ -166,6 +181,13 @@
     this->limits.onChange([this] { this->stageOwner.refresh(); });
     this->limits.start();
     this->endpoints.onPoolsChanged([this] { this->limits.applyToPools(); });
+    this->stageOwner.onPath([this](const Common::EndpointId &endpoint, bool isAnswered) {
+        if (isAnswered)
+            this->paths.noteAnswer(false);
+        else
+            this->paths.noteUnreachable(endpoint);
+    });
+    this->paths.start();
     this->crashWatch.onChange([this] { this->endQuarantinedRequests(); });
     this->crashWatch.start();
     this->streams.start();
@@ -218,18 +240,19 @@
     options.requestTimeout = limits.headerTimeout;
     options.bodyTimeout = limits.idleTimeout;
     options.idleTimeout = limits.idleTimeout;
-    this->callerServer->applyLimits(options);
+    for (Http::Server *server : this->requestServers())
+        server->applyLimits(options);
     this->stageOwner.refresh();
 }
 
-Http::Awaitable<void> EntryInstance::handleCaller(Http::Exchange &exchange)
+Http::Awaitable<void> EntryInstance::handleRequest(Http::Exchange &exchange, RequestSource source)
 {
     this->state.lastRequestAt = clockNow();
     const RequestCount count(this->state.requestsInProgress);
     auto request = this->state.dialect.readRequest(exchange.request());
     if (request) {
         request->receivedAt = exchange.receivedAt();
-        RequestFlow flow(this->parts, exchange, std::move(*request));
+        RequestFlow flow(this->parts, exchange, std::move(*request), source);
         this->openRequests.push_back(flow);
         co_await flow.run();
     } else {
@@ -285,6 +308,7 @@
     dump["instance"] = this->state.settings.instance.value;
     dump["leaving"] = this->state.leaving.has_value();
     dump["catalogVersion"] = this->state.catalog ? this->state.catalog->version : 0;
+    dump["hasLostPaths"] = this->state.hasLostPaths;
     dump["requestsInProgress"] = this->state.requestsInProgress;
     dump["isReader"] = this->relay.isReader();
     dump["openPieces"] = this->stageOwner.openPieces();
@@ -368,7 +392,8 @@
         = Serving::beginShutdown(this->state.settings.bounds.gracePeriod, clockNow());
     this->state.logState(LogLine("leaving").number(
         "requestsInProgress", static_cast<std::int64_t>(this->state.requestsInProgress)));
-    this->callerServer->closeAfterAnswers();
+    for (Http::Server *server : this->requestServers())
+        server->closeAfterAnswers();
     this->gossip.announce();
     this->stageClient.handOver();
     this->streams.handOver();
@@ -382,8 +407,10 @@
         co_await this->state.sleepFor(kDrainPollInterval);
         // Before the check for the exit, also if this instance is far behind.
         this->endRequestsForShutdown(clockNow());
-        if (!Serving::mayRead(*this->state.leaving, clockNow()))
-            this->callerServer->closeIdle();
+        if (!Serving::mayRead(*this->state.leaving, clockNow())) {
+            for (Http::Server *server : this->requestServers())
+                server->closeIdle();
+        }
     } while (!Serving::mayExit(*this->state.leaving, this->shutdownActivity(), clockNow()));
     this->state.context.stop();
 }
@@ -395,8 +422,11 @@
             return request.phase() == Serving::RequestPhase::Responding;
         }));
     const std::size_t inProgress = this->state.requestsInProgress;
+    std::size_t beingRead = 0;
+    for (const Http::Server *server : this->requestServers())
+        beingRead += server->requestsBeingRead();
     return {this->state.lastRequestAt, inProgress, this->stageOwner.openPieces(),
-            inProgress - begun + this->callerServer->requestsBeingRead()};
+            inProgress - begun + beingRead};
 }
 
 void EntryInstance::endRequestsForShutdown(Common::Time now)
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -30,10 +30,12 @@
 private:
     std::string startServers();
     std::unique_ptr<Http::Server> makeServer(const Common::Address &address, Http::Handler handler);
-    Http::Awaitable<void> handleCaller(Http::Exchange &exchange);
+    Http::Awaitable<void> handleRequest(Http::Exchange &exchange, RequestSource source);
     Http::Awaitable<void> handleDirectory(Http::Exchange &exchange);
     Http::Awaitable<void> handleReadiness(Http::Exchange &exchange);
     Http::Awaitable<void> handleOperations(Http::Exchange &exchange);
+    // The servers of requests: those of callers, and of other instances.
+    std::vector<Http::Server *> requestServers() const;
     Http::Awaitable<void> watchSignals();
     Http::Awaitable<void> leave();
     Serving::ShutdownActivity shutdownActivity() const;
@@ -59,6 +61,7 @@
     StoreRelay relay;
     CrashWatch crashWatch;
     LimitWatch limits;
+    PathWatch paths;
     StreamRegistry streams;
     VersionRows versionRows;
     StageOwner stageOwner;
@@ -68,6 +71,8 @@
     RequestDependencies parts;
     OpenRequests openRequests;
     std::unique_ptr<Http::Server> callerServer;
+    // For requests that other instances pass on.
+    std::unique_ptr<Http::Server> forwardServer;
     std::unique_ptr<Http::Server> directoryServer;
     std::unique_ptr<Http::Server> readinessServer;
     std::unique_ptr<Http::Server> controlServer;
--- a/Source/Core/Entry/Gossip.cpp
+++ b/Source/Core/Entry/Gossip.cpp
@@ -198,8 +198,8 @@
     const Settings &settings = this->state.settings;
     Membership::MemberReport report;
     report.id = settings.instance;
-    // The directory omits instances without a caller address.
-    if (this->state.isReady())
+    // The directory omits instances without a caller address, and nothing is passed on to them.
+    if (this->state.isReady() && !this->state.hasLostPaths)
         report.callerAddress = settings.callers;
     report.peerAddress = settings.peers;
     report.failureDomain = settings.failureDomain;
@@ -232,10 +232,13 @@
 {
     const bool isReady = this->state.isReady();
     const bool isLeaving = this->state.leaving.has_value();
-    if (isReady == this->wasReady && isLeaving == this->wasLeaving)
+    const bool hasLostPaths = this->state.hasLostPaths;
+    if (isReady == this->wasReady && isLeaving == this->wasLeaving
+        && hasLostPaths == this->hadLostPaths)
         return;
     this->wasReady = isReady;
     this->wasLeaving = isLeaving;
+    this->hadLostPaths = hasLostPaths;
     this->raiseSequence(0);
 }
 
@@ -422,6 +425,15 @@
         this->reportHandler(report);
 }
 
+std::optional<Common::InstanceId> senderOf(const json::object &message)
+{
+    const json::array *reports = arrayOf(message, "reports");
+    if (!reports || reports->empty())
+        return std::nullopt;
+    const auto own = fromJson(reports->front());
+    return own ? std::optional(own->report.id) : std::nullopt;
+}
+
 void Gossip::handleLeaving(const json::array &endpoints)
 {
     for (const json::value &value : endpoints) {
--- a/Source/Core/Entry/Gossip.h
+++ b/Source/Core/Entry/Gossip.h
@@ -69,7 +69,11 @@
     // The state of the last report that was passed on.
     bool wasReady = false;
     bool wasLeaving = false;
+    bool hadLostPaths = false;
     std::optional<Common::Time> askedAllAt;
 };
 
+// Returns the instance that sent a datagram, by its own report.
+std::optional<Common::InstanceId> senderOf(const boost::json::object &message);
+
 } // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/PathWatch.cpp
+++ b/Source/Core/Entry/PathWatch.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace Tanagerbay::Entry {
 
@@ -23,12 +25,15 @@
 // Name of the member of a datagram that tells how long ago the sender had contact with an endpoint,
 // in milliseconds.
 constexpr const char *kContactAge = "endpointContactMs";
+// Name of the member that asks the receivers whether they reach endpoints.
+constexpr const char *kAsksForContact = "asksForEndpointContact";
 // An older contact is not told.
 constexpr Common::Milliseconds kMaxToldAge{2000};
 
 } // namespace
 
-PathWatch::PathWatch(State &state, Gossip &gossip) : state(state), gossip(gossip)
+PathWatch::PathWatch(State &state, Gossip &gossip, const StageOwner &stages)
+    : state(state), gossip(gossip), stages(stages)
 {
 }
 
@@ -40,10 +45,14 @@
             const auto &contactAt = this->health.lastContactAt;
             if (contactAt && now - *contactAt < kMaxToldAge)
                 message[kContactAge] = Common::toMilliseconds(now - *contactAt);
+            if (this->health.hasProbesFailed)
+                message[kAsksForContact] = true;
             // It accompanies each datagram, so that it leaves the room for news as it is.
             return false;
         },
         [this](const json::object &message) {
+            if (message.contains(kAsksForContact))
+                Routing::noteAsked(this->health);
             if (!message.contains(kContactAge))
                 return;
             const auto sender = senderOf(message);
@@ -71,13 +80,13 @@
 
 std::optional<Common::Time> PathWatch::waitingSince(Common::Time now)
 {
-    const bool isWaiting = std::any_of(
-        this->state.pools.begin(), this->state.pools.end(), [](const auto &entry) {
-            const std::vector<Routing::Endpoint> &endpoints = entry.second.endpoints;
-            return std::any_of(endpoints.begin(), endpoints.end(), [](const auto &endpoint) {
-                return endpoint.ownInFlight > 0;
-            });
-        });
+    const bool isWaiting
+        = this->stages.openPieces() > 0
+        || std::any_of(this->state.pools.begin(), this->state.pools.end(), [](const auto &entry) {
+               const std::vector<Routing::Endpoint> &endpoints = entry.second.endpoints;
+               return std::any_of(endpoints.begin(), endpoints.end(),
+                                  [](const auto &endpoint) { return endpoint.ownInFlight > 0; });
+           });
     if (!isWaiting)
         this->callsOpenSince.reset();
     else if (!this->callsOpenSince)
@@ -156,7 +165,7 @@
         Routing::noteUnreachable(this->health, id, startedAt);
     Routing::noteProbes(this->health, round->succeeded, round->failed.size(), clockNow());
     this->state.metrics.count(labelled("path_probe_rounds", "result",
-                                       round->succeeded > 0       ? "answered"
+                                       round->succeeded > 0        ? "answered"
                                            : round->failed.empty() ? "none"
                                                                    : "unanswered"));
     this->isProbing = false;
@@ -175,7 +184,7 @@
         line.milliseconds("lastContactMs", now - *this->health.lastContactAt);
     line.number("othersInContact", static_cast<std::int64_t>(this->health.otherContacts.size()));
     this->state.logState(line);
-    this->state.metrics.set("paths_lost", this->health.isLost ? 1 : 0);
+    this->state.metrics.gauges["paths_lost"] = this->health.isLost ? 1 : 0;
     // The others choose it as owner of queues and name it to callers no longer, or again.
     this->gossip.announce();
 }
--- a/Source/Core/Entry/PathWatch.h
+++ b/Source/Core/Entry/PathWatch.h
@@ -3,6 +3,7 @@
 
 #include "Common/DelayedAction.h"
 #include "Entry/Gossip.h"
+#include "Entry/StageOwner.h"
 #include "Routing/PathHealth.h"
 
 namespace Tanagerbay::Entry {
@@ -10,7 +11,7 @@
 class PathWatch
 {
 public:
-    PathWatch(State &state, Gossip &gossip);
+    PathWatch(State &state, Gossip &gossip, const StageOwner &stages);
 
     void start();
     // Records that an endpoint answered, over a new connection or over one that was open.
@@ -30,6 +31,7 @@
 
     State &state;
     Gossip &gossip;
+    const StageOwner &stages;
     Routing::PathHealth health;
     std::optional<Common::Time> callsOpenSince;
     bool isProbing = false;
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -165,6 +165,10 @@
     tl::expected<CallerRequest, std::string> (*readRequest)(const Http::Request &request);
     Http::Response (*writeRefusal)(const Refusal &refusal, std::string_view requestId);
     Http::Request (*writeCall)(const CallerRequest &request, const EndpointCall &call);
+    // Passes a caller's request on to another instance. `afterEvent` is the last event of its
+    // stream that the caller has got, if it has got one by now.
+    Http::Request (*writeForwarded)(const CallerRequest &request, Common::Duration timeLeft,
+                                    std::optional<std::uint64_t> afterEvent);
     EndpointResponseHead (*readResponseHead)(unsigned status, const Http::Headers &headers);
     // Returns the headers of an endpoint's response that are relayed to the caller.
     Http::Headers (*relayedHeaders)(const Http::Headers &headers);
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -41,9 +41,9 @@
 } // namespace
 
 RequestFlow::RequestFlow(const RequestDependencies &dependencies, Http::Exchange &exchange,
-                         CallerRequest callerRequest)
+                         CallerRequest callerRequest, RequestSource source)
     : dependencies(dependencies), state(dependencies.state), exchange(exchange),
-      request(std::move(callerRequest)), events(this->request.lastEvent),
+      request(std::move(callerRequest)), source(source), events(this->request.lastEvent),
       permitTimer(dependencies.state.context)
 {
 }
@@ -110,6 +110,10 @@
     this->callerGone = this->exchange.callerGone();
     if (!co_await this->admit())
         co_return;
+    if (this->mustForward() && co_await this->forward())
+        co_return;
+    if (!co_await this->admitResumption())
+        co_return;
     if (!this->route->stages.empty() && !co_await this->runStages())
         co_return;
     co_await this->sendUntilAnswered();
@@ -181,6 +185,11 @@
         co_await this->refuse(this->refusalForQuarantine(), "");
         co_return false;
     }
+    co_return true;
+}
+
+Http::Awaitable<bool> RequestFlow::admitResumption()
+{
     if (!this->isResumption())
         co_return true;
     const auto refusal = co_await this->findOrigin();
@@ -328,11 +337,16 @@
 
 Http::Awaitable<void> RequestFlow::sendUntilAnswered()
 {
-    this->state.budgets[this->service].noteFirstSend(clockNow());
     bool hasRepeatedStages = false;
+    bool isFirstSendNoted = false;
     // The request has waited for a permit and is the next one to be sent.
     bool hasTurn = false;
     while (true) {
+        // The paths may have been lost while the stages ran or a send failed.
+        if (this->mustForward() && co_await this->forward())
+            co_return;
+        if (!std::exchange(isFirstSendNoted, true))
+            this->state.budgets[this->service].noteFirstSend(clockNow());
         Common::Time now = clockNow();
         const auto chosen = this->chooseEndpoint(now);
         const bool mustQueue = chosen && !hasTurn && this->mustQueueForPermit(*chosen, now);
@@ -492,6 +506,8 @@
         line.text("route", this->route->name).text("service", this->service);
         line.milliseconds("objectiveMs", this->route->objective);
     }
+    if (!this->forwardedTo.empty())
+        line.text("forwardedTo", this->forwardedTo.value);
     if (!this->sentTo.endpoint.empty())
         line.text("endpoint", this->sentTo.endpoint.value)
             .text("version", this->sentTo.version)
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -6,6 +6,7 @@
 #include "Entry/CrashWatch.h"
 #include "Entry/EndpointDiscovery.h"
 #include "Entry/LimitWatch.h"
+#include "Entry/PathWatch.h"
 #include "Entry/StageRun.h"
 #include "Entry/StreamRegistry.h"
 #include "Http/Server.h"
@@ -27,6 +28,14 @@
     CrashWatch &crashWatch;
     StreamRegistry &streams;
     LimitWatch &limits;
+    PathWatch &paths;
+};
+
+// Who sent a request to this instance.
+enum class RequestSource {
+    Caller,
+    // Another instance, which could not send it to an endpoint.
+    Instance,
 };
 
 // Removes itself from the list of open requests when it is destroyed.
@@ -37,7 +46,7 @@
 {
 public:
     RequestFlow(const RequestDependencies &dependencies, Http::Exchange &exchange,
-                CallerRequest request);
+                CallerRequest request, RequestSource source);
 
     // Serves the request until it is answered, refused or abandoned by its caller.
     Http::Awaitable<void> run();
@@ -81,6 +90,15 @@
     };
 
     Http::Awaitable<bool> admit();
+    // Finds out where a stream that is taken up again began. Returns false if the request was
+    // refused.
+    Http::Awaitable<bool> admitResumption();
+    // Whether another instance must go on with the request, since this one reaches no endpoint.
+    bool mustForward() const;
+    // Passes the request on. Returns false if nobody took it, so that it has certainly not run.
+    Http::Awaitable<bool> forward();
+    Http::Awaitable<SendResult> sendToInstance(const Membership::Member &instance);
+    Http::CallOptions forwardOptions(Common::Time now);
     Http::Awaitable<std::optional<Refusal>> checkRoute();
     std::optional<RefusalReason> findRouteAndWorkspace();
     // Whether the request takes up a stream that an earlier attempt of its caller began.
@@ -138,6 +156,9 @@
     std::string_view retryDenialReason(Serving::SendOutcome outcome, Common::Time now);
     bool takeFromRetryBudget(Common::Time now);
     Http::Awaitable<SendResult> sendTo(const Routing::Endpoint &endpoint);
+    // Relays the answer of an endpoint, or of an instance that has passed one on.
+    Http::Awaitable<SendResult> relayAnswer(Http::ResponseStream &stream,
+                                            const EndpointResponseHead &answer);
     Http::CallOptions callOptions(Common::Time now);
     // Returns until when the endpoint may make no progress. `progressAt` is when the request was
     // sent or its last event arrived.
@@ -210,6 +231,8 @@
     bool isHeldBackByQuarantine();
     // Cancels whatever the request waits for.
     void endEarly(EarlyEnd reason);
+    // Records that an endpoint has begun to answer, and so was not crashed by the request.
+    void noteAnswerBegun();
     // Whether the answer of the endpoint where the request is has begun.
     bool hasAnswerBegun() const;
     Common::Duration timeLeft(Common::Time now) const;
@@ -218,6 +241,9 @@
     State &state;
     Http::Exchange &exchange;
     CallerRequest request;
+    RequestSource source;
+    // The instance that goes on with the request; empty while this one does.
+    Common::InstanceId forwardedTo;
     // The catalog version used for the whole request.
     Catalog::CatalogPtr catalog;
     const Catalog::Route *route = nullptr;
--- a/Source/Core/Entry/RequestForward.cpp
+++ b/Source/Core/Entry/RequestForward.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr Common::Milliseconds kConnectTimeout{250};
-// Instances that are asked to serve one request. Another is asked only if the one before has
-// certainly not sent it.
+// Instances that are asked to serve one request. Another is asked if the one before has certainly
+// not sent it, or if the request may be repeated.
 constexpr std::size_t kMaxInstances = 2;
 constexpr unsigned kStatusTooManyRequests = 429;
 constexpr unsigned kStatusUnavailable = 503;
@@ -46,10 +46,11 @@
                                   this->state.settings.forwarding.port};
     this->forwardedTo = instance.report.id;
     this->lastPhase = Serving::RequestPhase::Sent;
-    Http::Request request
-        = this->state.dialect.writeForwarded(this->request, this->timeLeft(now));
-    auto opened = co_await this->state.client.open(address, std::move(request),
-                                                   this->forwardOptions(now));
+    Http::Request request = this->state.dialect.writeForwarded(
+        this->request, this->timeLeft(now),
+        this->events.eventCount() > 0 ? this->events.lastEvent() : std::nullopt);
+    auto opened
+        = co_await this->state.client.open(address, std::move(request), this->forwardOptions(now));
     SendResult result;
     if (!opened) {
         const Http::CallError &error = opened.error();
@@ -102,7 +103,8 @@
         Serving::noteOutcome(this->attempts, last.outcome);
         const bool isCertainlyNotRun
             = last.outcome == SendOutcome::NotSent || last.outcome == SendOutcome::NotRun;
-        if (!isCertainlyNotRun || this->exchange.started())
+        if (!isCertainlyNotRun
+            && !(this->attempts.repeatable && this->takeFromRetryBudget(clockNow())))
             break;
         this->call = Http::CallHandle();
     }
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -199,14 +199,17 @@
         result.isTurnedBack = this->isTurnedBack;
         result.connectionLost = error.written && error.failure == Http::CallFailure::ConnectionLost;
         result.detail = std::string(Common::nameOf(error.failure)) + ": " + error.message;
-        report.end = error.failure == Http::CallFailure::ConnectFailed
-            ? Routing::CallEnd::Unreachable
-            : Routing::CallEnd::Failed;
+        const bool isUnreachable = error.failure == Http::CallFailure::ConnectFailed;
+        // A fault of the network may also let connections be made that lead nowhere.
+        if (isUnreachable || error.failure == Http::CallFailure::ConnectionLost)
+            this->dependencies.paths.noteUnreachable(endpoint.id);
+        report.end = isUnreachable ? Routing::CallEnd::Unreachable : Routing::CallEnd::Failed;
     } else {
         const unsigned status = opened->status();
         const EndpointResponseHead answer
             = this->state.dialect.readResponseHead(status, opened->headers());
         this->applyResponseHead(endpoint, answer, startedAt);
+        this->dependencies.paths.noteAnswer(!opened->reusedConnection());
         const bool isForThisRequest = answer.requestId == this->request.id;
         // Without a request ID, a response is only attributed to this request on a new connection,
         // where no late response to an earlier request can arrive.
@@ -217,13 +220,8 @@
         } else if (!isForThisRequest) {
             opened->close();
             result.detail = "the response is for another request";
-        } else if (isSuccess(status) && (!answer.isSigned || answer.isEncoded)) {
-            opened->close();
-            result.detail = "the response is unsigned or encoded";
-        } else if (isSuccess(status) && this->isStream()) {
-            result = co_await this->relayEventStream(*opened);
         } else {
-            result = co_await this->relayBufferedResponse(*opened, answer);
+            result = co_await this->relayAnswer(*opened, answer);
         }
         const bool hasSucceeded = result.isAnswered && isSuccess(status);
         report.end = hasSucceeded ? Routing::CallEnd::Succeeded : Routing::CallEnd::Failed;
@@ -242,6 +240,27 @@
     co_return result;
 }
 
+void RequestFlow::noteAnswerBegun()
+{
+    // The answer of another instance may be its own refusal.
+    if (this->forwardedTo.empty())
+        this->dependencies.crashWatch.noteAnswerBegun(this->traits);
+}
+
+Http::Awaitable<RequestFlow::SendResult>
+RequestFlow::relayAnswer(Http::ResponseStream &stream, const EndpointResponseHead &answer)
+{
+    if (isSuccess(answer.status) && (!answer.isSigned || answer.isEncoded)) {
+        stream.close();
+        SendResult result;
+        result.detail = "the response is unsigned or encoded";
+        co_return result;
+    }
+    if (isSuccess(answer.status) && this->isStream())
+        co_return co_await this->relayEventStream(stream);
+    co_return co_await this->relayBufferedResponse(stream, answer);
+}
+
 void RequestFlow::noteConnectionLost(const Routing::Endpoint &endpoint)
 {
     const Routing::Pool &pool = this->state.poolOf(this->service);
@@ -301,7 +320,7 @@
         result.detail = "the response body is incomplete: " + body.error().message;
         co_return result;
     }
-    this->dependencies.crashWatch.noteAnswerBegun(this->traits);
+    this->noteAnswerBegun();
     response.body = std::move(*body);
     if (answer.status >= kFirstServerErrorStatus) {
         result.outcome = SendOutcome::EndpointFailed;
@@ -323,7 +342,9 @@
         co_return true;
     if (!this->firstEventAt) {
         this->firstEventAt = clockNow();
-        this->noteStreamBegun();
+        // The other instance has recorded where it began.
+        if (this->forwardedTo.empty())
+            this->noteStreamBegun();
         // The first event shows that the engine has read its inputs.
         if (this->stageRun)
             this->stageRun->releaseAll();
@@ -396,7 +417,7 @@
         }
         if (!wasAnswerBegun && this->hasAnswerBegun()) {
             wasAnswerBegun = true;
-            this->dependencies.crashWatch.noteAnswerBegun(this->traits);
+            this->noteAnswerBegun();
         }
         if (!co_await this->relayReadyEvents(headers, status)) {
             this->callerGone = true;
--- a/Source/Core/Entry/Settings.cpp
+++ b/Source/Core/Entry/Settings.cpp
@@ -71,6 +71,9 @@
     ObjectReader reader(value, std::move(path), faults);
     settings.peers.ip = settings.callers.ip;
     settings.peers.port = static_cast<std::uint16_t>(reader.integer("port", 1, kMaxPort));
+    settings.forwarding.ip = settings.callers.ip;
+    settings.forwarding.port
+        = static_cast<std::uint16_t>(reader.integer("forwardPort", 0, kMaxPort, 0));
     settings.connectFrom = reader.text("connectFrom", "");
     Common::Address from;
     if (!settings.connectFrom.empty() && !Common::parseAddress(settings.connectFrom + ":1", from))
--- a/Source/Core/Entry/Settings.h
+++ b/Source/Core/Entry/Settings.h
@@ -36,6 +36,9 @@
     // IP address from which connections to endpoints, instances and the store are made; empty if
     // the system chooses it.
     std::string connectFrom;
+    // Where other instances send requests that they cannot send to endpoints. All instances use the
+    // same port; unset if requests are not passed on.
+    Common::Address forwarding;
     // Where the metrics are served.
     Common::Address metrics;
     // IP addresses of seed instances. Heartbeats are also sent to them, because other instances may
--- a/Source/Core/Entry/StageHandOver.cpp
+++ b/Source/Core/Entry/StageHandOver.cpp
@@ -41,10 +41,17 @@
 StageClient::Owner StageClient::ownerOf(const std::string &service, Common::Time now) const
 {
     std::vector<Staging::OwnerCandidate> candidates;
+    std::vector<Staging::OwnerCandidate> reaching;
     for (const auto &[id, member] : this->state.members.byId) {
-        if (this->isOwnerCandidate(member, now))
-            candidates.push_back({id, member.report.strength});
+        if (!this->isOwnerCandidate(member, now))
+            continue;
+        candidates.push_back({id, member.report.strength});
+        // An instance without an address for callers reaches no endpoint, or is not ready.
+        if (member.report.callerAddress.isSet())
+            reaching.push_back(candidates.back());
     }
+    if (!reaching.empty())
+        candidates = std::move(reaching);
     const Common::InstanceId owner = Staging::chooseOwner(service, candidates);
     if (owner.empty())
         return {this->state.settings.instance, this->state.settings.peers};
--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -245,6 +245,11 @@
     this->responseHandler = std::move(action);
 }
 
+void StageOwner::onPath(std::function<void(const Common::EndpointId &, bool)> action)
+{
+    this->pathHandler = std::move(action);
+}
+
 std::size_t StageOwner::openPieces() const
 {
     std::size_t open = 0;
@@ -352,6 +357,10 @@
     std::int64_t noRoom = 0;
     std::int64_t inputsGone = 0;
     Queue &queue = this->queues[service];
+    const bool isUnreachable
+        = !answer && answer.error().failure == Http::CallFailure::ConnectFailed;
+    if (this->pathHandler && (answer || isUnreachable))
+        this->pathHandler(call.endpoint.id, answer.has_value());
     if (!answer) {
         const auto fault = isTurnedBack ? Staging::CallFault::Refused
             : answer.error().written    ? Staging::CallFault::Lost
--- a/Source/Core/Entry/StageOwner.h
+++ b/Source/Core/Entry/StageOwner.h
@@ -47,6 +47,9 @@
     void onLimit(
         std::function<void(const Routing::Endpoint &, const EndpointResponseHead &, Common::Time)>
             action);
+    // Sets the handler that is called for each stage call that was answered, or to whose endpoint
+    // no connection could be made.
+    void onPath(std::function<void(const Common::EndpointId &, bool isAnswered)> action);
     // Number of pieces that are waiting or in a call, over all services.
     std::size_t openPieces() const;
 
@@ -82,6 +85,7 @@
     std::function<void(const Routing::Endpoint &, const EndpointResponseHead &)> responseHandler;
     std::function<void(const Routing::Endpoint &, const EndpointResponseHead &, Common::Time)>
         limitHandler;
+    std::function<void(const Common::EndpointId &, bool)> pathHandler;
     std::map<std::string, Queue> queues;
 };
 
--- a/Source/Core/Entry/State.h
+++ b/Source/Core/Entry/State.h
@@ -56,6 +56,8 @@
     bool instancesWereListed = false;
     // Set once the process has received a termination signal.
     std::optional<Serving::GracefulShutdown> leaving;
+    // Whether this instance reaches no endpoint, while others do.
+    bool hasLostPaths = false;
     std::size_t requestsInProgress = 0;
     // Bytes of responses that are kept until they are complete.
     std::size_t heldResponseBytes = 0;
