--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -308,8 +308,8 @@
     dump["instance"] = this->state.settings.instance.value;
     dump["leaving"] = this->state.leaving.has_value();
     dump["catalogVersion"] = this->state.catalog ? this->state.catalog->version : 0;
-    dump["hasLostPaths"] = this->state.hasLostPaths;
     dump["requestsInProgress"] = this->state.requestsInProgress;
+    dump["hasLostPaths"] = this->state.hasLostPaths;
     dump["isReader"] = this->relay.isReader();
     dump["openPieces"] = this->stageOwner.openPieces();
     dump["streamOrigins"] = this->streams.size();
