Quarantine: Try what may be sound after the same time again

Cause: in the first whole run of the tests on, the sound request of twoDeadlyRequests_atThreeEndpoints_areHeldBackAndTheSoundOneIsServed was not served within 10 s. It had been at more than three endpoints that ended, and each further crash doubled the delay of its trial. And the test asked one instance only, while a trial takes place at one of the seven. Change: the delay does not double for what another suspicion explains too; the number of trials stays bounded.

--- a/Source/Core/Quarantine/Verdict.cpp
+++ b/Source/Core/Quarantine/Verdict.cpp
@@ -16,7 +16,7 @@
 // Delay of the first trial after the last crash; doubles with each further crash.
 constexpr std::chrono::seconds kFirstTrialDelay{60};
 constexpr std::size_t kMaxDoublings = 5;
-// The same for what may have been there by chance. The delay of each differs, up to twice as much,
+// Delay for what may have been there by chance. That of each differs, up to twice as much,
 // so that one is not lost in the trial of another.
 constexpr Common::Milliseconds kDoubtfulTrialDelay{5000};
 constexpr std::uint64_t kDelaySteps = 64;
@@ -159,13 +159,13 @@
     const Trait first = suspicion.traits.front();
     if (isContent(first) && suspicion.crashCount >= kMaxContentCrashes)
         return suspicion.lastCrashAt + kRetention;
-    const std::size_t doublings = std::min(suspicion.crashCount - kMinCrashes, kMaxDoublings);
-    Common::Duration delay = kFirstTrialDelay;
     if (suspicion.isDoubtful) {
-        delay = std::chrono::duration_cast<Common::Duration>(kDoubtfulTrialDelay
-                                                             * (1 + delayFraction(first)));
+        return suspicion.lastCrashAt
+            + std::chrono::duration_cast<Common::Duration>(kDoubtfulTrialDelay
+                                                           * (1 + delayFraction(first)));
     }
-    return suspicion.lastCrashAt + delay * (1 << doublings);
+    const std::size_t doublings = std::min(suspicion.crashCount - kMinCrashes, kMaxDoublings);
+    return suspicion.lastCrashAt + kFirstTrialDelay * (1 << doublings);
 }
 
 } // namespace Tanagerbay::Quarantine
