Quarantine: Pass acquittals of contents on only where they matter

Cause: found by reading. Since each request has a content, an endpoint that ends with many requests accuses as many contents, nearly all of them once, and the acquittal of each would go to all instances and displace those of the parts that many requests share. Change: the acquittal of a content is passed on once two crashes accuse it; what is known by then is passed on with the second. Result: two unit cases, one for what is kept back and one for what must not get lost.

--- a/Source/Core/Quarantine/CrashEvidence.cpp
+++ b/Source/Core/Quarantine/CrashEvidence.cpp
@@ -15,6 +15,10 @@
 constexpr Common::Milliseconds kAcquittalReach{1000};
 // Acquittals of one trait are passed on at most this often.
 constexpr Common::Milliseconds kAcquittalInterval{250};
+// Crashes that accuse a content before its acquittals are passed on. Nearly all contents are
+// accused once, when an endpoint ends with many requests, and their acquittals would displace those
+// of parts.
+constexpr std::ptrdiff_t kMinContentAccusations = 2;
 // An acquittal without a crash is kept this long: the report of the crash may arrive later.
 constexpr Common::Milliseconds kAcquittalMemory{10'000};
 constexpr std::size_t kMaxAcquittals = 4096;
@@ -79,13 +83,25 @@
         && !isAcquittedSince(evidence, trait, accused->second);
 }
 
+// Whether other instances need to know of acquittals of the trait.
+bool mustPassOn(const Evidence &evidence, Trait trait)
+{
+    if (!isContent(trait))
+        return true;
+    const auto accusations = std::count_if(
+        evidence.crashes.begin(), evidence.crashes.end(),
+        [trait](const auto &entry) { return contains(entry.second.suspects, trait); });
+    return accusations >= kMinContentAccusations;
+}
+
 void raiseAcquittal(Evidence &evidence, const Acquittal &acquittal, News &news)
 {
     const auto found = evidence.acquittals.find(acquittal.trait);
     const bool isKnown = found != evidence.acquittals.end();
     if (!isKnown && evidence.acquittals.size() >= kMaxAcquittals)
         return;
-    const bool isNews = !isKnown || acquittal.at >= found->second + kAcquittalInterval;
+    const bool isNews = (!isKnown || acquittal.at >= found->second + kAcquittalInterval)
+        && mustPassOn(evidence, acquittal.trait);
     Common::Time &latest = evidence.acquittals[acquittal.trait];
     latest = isKnown ? std::max(latest, acquittal.at) : acquittal.at;
     if (isNews)
@@ -136,6 +152,10 @@
     for (const Trait trait : news.crashes.front().suspects) {
         if (const auto answeredAt = lastAnswerAt(evidence.answers, trait))
             raiseAcquittal(evidence, {trait, *answeredAt}, news);
+        // It may not have been passed on before.
+        const auto kept = evidence.acquittals.find(trait);
+        if (isContent(trait) && kept != evidence.acquittals.end() && mustPassOn(evidence, trait))
+            news.acquittals.push_back({trait, kept->second});
     }
     return news;
 }
--- a/Source/UnitTests/Quarantine/ContentVerdictTest.cpp
+++ b/Source/UnitTests/Quarantine/ContentVerdictTest.cpp
@@ -129,6 +129,25 @@
     BOOST_TEST(quarantined(this->evidence, this->now).empty());
 }
 
+// Guards against acquittals of all requests that were at an endpoint when it ended, which displace
+// those of the parts that many requests share.
+BOOST_AUTO_TEST_CASE(contentAccusedOnce_isAnswered_nothingIsPassedOn)
+{
+    this->crash({kSoundContent});
+    BOOST_TEST(noteAnswerBegun(this->evidence, {kSoundContent}, this->now).acquittals.empty());
+}
+
+// Guards against an acquittal that other instances never learn of.
+BOOST_AUTO_TEST_CASE(contentAnsweredBetweenTwoCrashes_acquittalIsPassedOnWithTheSecond)
+{
+    this->crash({kSoundContent});
+    this->answer({kSoundContent});
+    this->wait(Common::Milliseconds(5000));
+    const News news = mergeCrash(this->evidence, this->nextCrash({kSoundContent}), this->now);
+    BOOST_REQUIRE(news.acquittals.size() == 1u);
+    BOOST_TEST(news.acquittals.front().trait == kSoundContent);
+}
+
 BOOST_AUTO_TEST_CASE(requestWithTwoSuspicions_waitsForTheLaterTrial)
 {
     for (int i = 0; i < 3; ++i)
