Quarantine: Ask for evidence that was missed in a short cut

Cause: found by reading. News of crashes is passed on a bounded number of times. An instance that is cut off from the others for less than the two seconds after which they count as failed does not ask anybody afterwards, and goes on sending what all others hold back. Change: datagrams carry a digest of what their sender holds back. An instance whose digest differs from all that it gets for a second asks for all evidence, every five seconds at most. Not tested with processes.

--- a/Source/Core/Entry/CrashWatch.cpp
+++ b/Source/Core/Entry/CrashWatch.cpp
@@ -1,6 +1,7 @@
 #include "Entry/CrashWatch.h"
 
 #include "Common/Hash.h"
+#include "Entry/PeerMesh.h"
 #include "Http/ListenerProbe.h"
 
 #include <algorithm>
@@ -24,6 +25,8 @@
 constexpr std::chrono::seconds kTrialTimeout{60};
 constexpr std::chrono::seconds kExpiryInterval{10};
 constexpr std::size_t kMaxNames = 512;
+// Name of the member of a datagram that shows what its sender holds back.
+constexpr const char *kVerdictDigest = "heldBack";
 
 } // namespace
 
@@ -36,11 +39,14 @@
 {
     this->gossip.onDatagram(
         [this](json::object &message, std::uint32_t repeats) {
+            if (const std::uint64_t digest = Quarantine::digestOf(this->suspicions); digest != 0)
+                message[kVerdictDigest] = digest;
             return attach(this->exchange, message, repeats, clockNow());
         },
         [this](const json::object &message) {
             const Common::Time now = clockNow();
             this->apply(readEvidence(message, now), now);
+            this->compareVerdicts(message, now);
         });
     this->gossip.onAllReports([this](json::object &message) {
         attachAll(Quarantine::allEvidence(this->evidence), message, clockNow());
@@ -118,6 +124,18 @@
         this->spread(Quarantine::mergeCrash(this->evidence, crash, now));
 }
 
+void CrashWatch::compareVerdicts(const json::object &message, Common::Time now)
+{
+    // What another instance answers with all that it knows comes without a digest.
+    const auto sender = message.contains("probe") ? senderOf(message) : std::nullopt;
+    if (!sender
+        || !Quarantine::mustAsk(this->comparison, Quarantine::digestOf(this->suspicions),
+                                numberOf(message, kVerdictDigest), now))
+        return;
+    this->state.metrics.count("quarantine_evidence_asked_for");
+    this->gossip.askForAll(*sender);
+}
+
 void CrashWatch::spread(const Quarantine::News &news)
 {
     if (news.crashes.empty() && news.acquittals.empty())
--- a/Source/Core/Entry/CrashWatch.h
+++ b/Source/Core/Entry/CrashWatch.h
@@ -5,7 +5,7 @@
 #include "Common/DelayedAction.h"
 #include "Entry/EvidenceExchange.h"
 #include "Entry/Gossip.h"
-#include "Quarantine/Verdict.h"
+#include "Quarantine/VerdictDigest.h"
 
 #include <set>
 
@@ -43,6 +43,8 @@
     Http::Awaitable<void> findCause(Quarantine::Process process, Common::Address address);
     void recordCrash(const Quarantine::Process &process, const Loss &loss);
     void apply(const Quarantine::News &news, Common::Time now);
+    // Asks for evidence that this instance has missed, if the datagram shows any.
+    void compareVerdicts(const boost::json::object &message, Common::Time now);
     // Passes news on, and decides again soon.
     void spread(const Quarantine::News &news);
     void decide();
@@ -57,6 +59,7 @@
     Quarantine::Evidence evidence;
     EvidenceExchange exchange;
     std::vector<Quarantine::Suspicion> suspicions;
+    Quarantine::DigestComparison comparison;
     std::map<Quarantine::Process, Loss> losses;
     // When this instance last began a trial of a suspicion with these traits.
     std::map<std::vector<Quarantine::Trait>, Common::Time> trials;
--- a/Source/Core/Entry/Gossip.cpp
+++ b/Source/Core/Entry/Gossip.cpp
@@ -317,6 +317,13 @@
     this->askAllHandler(peer);
 }
 
+void Gossip::askForAll(const Common::InstanceId &instance)
+{
+    const auto found = this->state.members.byId.find(instance);
+    if (found != this->state.members.byId.end())
+        this->askAll(found->second.report.peerAddress, kAskReturnedInterval);
+}
+
 json::object Gossip::allReports()
 {
     this->noteOwnState();
--- a/Source/Core/Entry/Gossip.h
+++ b/Source/Core/Entry/Gossip.h
@@ -18,6 +18,8 @@
     void announce();
     // Checks at once whether an instance is alive, since it has not answered otherwise.
     void check(const Common::InstanceId &instance);
+    // Asks an instance for all that it knows.
+    void askForAll(const Common::InstanceId &instance);
     // Sets the handler that asks another instance for all that it knows.
     void onAskAll(std::function<void(const Common::Address &)> action);
     // All that this instance knows of the others and has from them, and the reverse.
