Entry: Relay a failure that another instance answered with

A request that was passed on and failed at its endpoints was passed on to a second instance if it may be repeated, although the first had already sent it as often as its route allows; so it ran at more endpoints. And after no instance could be reached, the request went on here as if another one had it: neither the origin of its stream nor its answer was recorded. Change: a second instance is asked within the retry budget only if the first gave no answer; the name of the instance is dropped when the request goes on here. Result: endpointsFail_requestIsPassedOn_reachesNoMoreEndpointsThanItsRouteAllows, 3 endpoints before and 2 after; LostPaths passes, 7 cases. The second fault has no test.

--- a/Source/Core/Entry/RequestForward.cpp
+++ b/Source/Core/Entry/RequestForward.cpp
@@ -103,8 +103,9 @@
         Serving::noteOutcome(this->attempts, last.outcome);
         const bool isCertainlyNotRun
             = last.outcome == SendOutcome::NotSent || last.outcome == SendOutcome::NotRun;
-        if (!isCertainlyNotRun
-            && !(this->attempts.repeatable && this->takeFromRetryBudget(clockNow())))
+        // A failure that the other instance has answered with follows its own repeated sends.
+        const bool mayRepeat = !last.failure && this->attempts.repeatable;
+        if (!isCertainlyNotRun && !(mayRepeat && this->takeFromRetryBudget(clockNow())))
             break;
         this->call = Http::CallHandle();
     }
@@ -113,6 +114,7 @@
     // Nobody has sent the request. An endpoint may be reached from here by now.
     if (!last.failure && !this->attempts.mayHaveRun && !this->callerGone && !this->earlyEnd) {
         this->call = Http::CallHandle();
+        this->forwardedTo = {};
         co_return false;
     }
     const Serving::NextStep step
