--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -41,11 +41,13 @@
     std::atomic<int> slowRuns{0};
     // Handles reads within its limit; more than that it would not have to accept.
     Worker *limitedWorker = nullptr;
-    Worker limited(deployment.workerIp(), "i-limited", "records", "1.0", [&](const WorkerCall &call) {
-        record.write("i-limited runs " + call.request.header("Attempt-Id"));
-        sleepFor(15);
-        return sendAll(call.fd, fullResponse(call, 200, "record", limitedWorker->limitHeader()));
-    });
+    Worker limited(
+        deployment.workerIp(), "i-limited", "records", "1.0", [&](const WorkerCall &call) {
+            record.write("i-limited runs " + call.request.header("Attempt-Id"));
+            sleepFor(15);
+            return sendAll(call.fd,
+                           fullResponse(call, 200, "record", limitedWorker->limitHeader()));
+        });
     limitedWorker = &limited;
     limited.statedLimit = 2;
     Worker sound(deployment.workerIp(), "i-sound", "reports", "1.0", [&](const WorkerCall &call) {
@@ -58,10 +60,11 @@
     sound.slots = 16;
     deployment.store.put(
         "op", "config",
-        configJson(3,
-                   routeJson("records", "idempotent", R"("service":"records")", 1500, 150, 2) + ","
-                       + routeJson("reports", "idempotent", R"("service":"reports")", 4000, 1500, 1),
-                   R"({"name":"records"},{"name":"reports"})"));
+        configJson(
+            3,
+            routeJson("records", "idempotent", R"("service":"records")", 1500, 150, 2) + ","
+                + routeJson("reports", "idempotent", R"("service":"reports")", 4000, 1500, 1),
+            R"({"name":"records"},{"name":"reports"})"));
     deployment.list(limited);
     deployment.list(sound);
     deployment.startEntries(1);
@@ -96,7 +99,7 @@
             outcomes[i].isAnswered = response.isComplete;
             outcomes[i].wasClosed = !response.isComplete && !response.hasTimedOut;
             record.write("bystander " + attempt + " gets "
-                         + (response.isComplete ? std::to_string(response.status)
+                         + (response.isComplete         ? std::to_string(response.status)
                                 : outcomes[i].wasClosed ? "a closed connection"
                                                         : "nothing"));
         });
@@ -132,7 +135,8 @@
     record.write(std::to_string(slowRuns) + " requests of bystanders ran, " + std::to_string(lost)
                  + " of their connections were closed without an answer");
     const std::string log = entry.log();
-    record.write("end of its output: " + log.substr(log.size() - std::min<std::size_t>(log.size(), 400)));
+    record.write("end of its output: "
+                 + log.substr(log.size() - std::min<std::size_t>(log.size(), 400)));
     if (slowRuns < kBystanders)
         deployment.end(kNotRun);
     deployment.end(lost > kMaxLost ? kBroken : kHeld);
--- a/review/standin/Net.h
+++ b/review/standin/Net.h
@@ -102,8 +102,7 @@
 {
     std::size_t sent = 0;
     while (sent < bytes.size()) {
-        const ssize_t count
-            = ::send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        const ssize_t count = ::send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
         if (count <= 0)
             return false;
         sent += static_cast<std::size_t>(count);
@@ -297,8 +296,7 @@
     const std::string length = response.header("Content-Length");
     if (!length.empty())
         return end(reader.exactly(std::stoul(length), response.body, deadline));
-    while (reader.fill(deadline)) {
-    }
+    while (reader.fill(deadline)) { }
     response.body = reader.buffer;
     return end(!reader.hasTimedOut && !reader.wasReset);
 }
--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -76,7 +76,8 @@
     std::size_t at = target.find('?');
     while (at != std::string::npos) {
         const std::size_t end = target.find('&', at + 1);
-        const std::string pair = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
+        const std::string pair
+            = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
         if (pair.rfind(name + "=", 0) == 0)
             return pair.substr(name.size() + 1);
         at = end;
@@ -106,8 +107,7 @@
 class Store
 {
 public:
-    explicit Store(const std::string &ip)
-        : listener({ip, 0}, [this](int fd) { this->serve(fd); })
+    explicit Store(const std::string &ip) : listener({ip, 0}, [this](int fd) { this->serve(fd); })
     {
     }
 
@@ -189,8 +189,8 @@
     std::string feed(const Request &request)
     {
         const std::string table = queryValue(request.target, "table");
-        const std::uint64_t after = std::strtoull(queryValue(request.target, "after").c_str(),
-                                                  nullptr, 10);
+        const std::uint64_t after
+            = std::strtoull(queryValue(request.target, "after").c_str(), nullptr, 10);
         const int waitMs = std::atoi(queryValue(request.target, "wait_ms").c_str());
         const auto until = Clock::now() + Milliseconds(waitMs);
         std::unique_lock lock(this->mutex);
@@ -275,6 +275,8 @@
     const Request &request;
     std::string workerId;
     std::string version;
+    // What the worker keeps for this connection.
+    std::string &kept;
 };
 
 // A worker. `answer` writes the response to a request and returns whether the connection stays
@@ -298,8 +300,8 @@
         return R"({"service":")" + this->service + R"(","address":")"
             + this->listener.address.text() + R"(","zone":"zone-a","version":")" + this->version
             + R"(","slots":)" + std::to_string(this->slots) + R"(,"state":")" + state
-            + R"(","cold_left_ms":0,"sequence":)" + std::to_string(++this->sequence)
-            + R"(,"born":)" + std::to_string(this->born) + "}";
+            + R"(","cold_left_ms":0,"sequence":)" + std::to_string(++this->sequence) + R"(,"born":)"
+            + std::to_string(this->born) + "}";
     }
 
     // The process ends.
@@ -331,6 +333,7 @@
     void serve(int fd)
     {
         Reader reader(fd);
+        std::string kept;
         while (true) {
             Request request;
             if (!readRequest(reader, request, Clock::now() + Milliseconds(120'000)))
@@ -343,8 +346,9 @@
                 ownBorn = this->born;
             }
             if (request.target == "/v1/report") {
-                const std::string body = R"({"stage":"both","models":[],"busy":false,"sequence":1,)"
-                    R"("waiting":0,"running":0,"kv_used":0,"kv_total":90000,"handles":0,"born":)"
+                const std::string body
+                    = R"({"stage":"both","models":[],"busy":false,"sequence":1,)"
+                      R"("waiting":0,"running":0,"kv_used":0,"kv_total":90000,"handles":0,"born":)"
                     + std::to_string(ownBorn) + "}";
                 if (!sendAll(fd, jsonResponse(200, body, this->limitHeader())))
                     return;
@@ -353,13 +357,13 @@
             // Another worker may have had this address before.
             const std::string expected = request.header("Expect-Instance");
             if (!expected.empty() && expected != this->id) {
-                const std::string head = "Not-Executed: 1\r\nAttempt-Id: "
-                    + request.header("Attempt-Id") + "\r\n";
+                const std::string head
+                    = "Not-Executed: 1\r\nAttempt-Id: " + request.header("Attempt-Id") + "\r\n";
                 if (!sendAll(fd, jsonResponse(421, "{}", head)))
                     return;
                 continue;
             }
-            if (!this->answer({fd, request, this->id, ownVersion})) {
+            if (!this->answer({fd, request, this->id, ownVersion, kept})) {
                 this->listener.forget(fd);
                 return;
             }
@@ -434,8 +438,8 @@
     {
         std::string seedList;
         for (const std::string &seed : seeds)
-            seedList += (seedList.empty() ? "\"" : ",\"") + seed + ":" + std::to_string(ports.control)
-                + "\"";
+            seedList += (seedList.empty() ? "\"" : ",\"") + seed + ":"
+                + std::to_string(ports.control) + "\"";
         const auto at = [&](int port) { return "\"" + ip + ":" + std::to_string(port) + "\""; };
         // The form of platform/settings.json.template, with the bounds of the small sites.
         std::ofstream(this->settingsPath())
@@ -638,9 +642,9 @@
         const std::vector<std::string> seeds(ips.begin(), ips.begin() + std::min(count, 3));
         for (int i = 0; i < count; ++i) {
             const std::string zone = std::string("zone-") + static_cast<char>('a' + i % 3);
-            this->entries.push_back(std::make_unique<Entry>(
-                this->root, this->folder, "front-" + std::to_string(i + 1), ips[i], zone, ports,
-                this->store.address(), seeds));
+            this->entries.push_back(
+                std::make_unique<Entry>(this->root, this->folder, "front-" + std::to_string(i + 1),
+                                        ips[i], zone, ports, this->store.address(), seeds));
         }
     }
 
