Entry: Log how answers end and which process began a stream

The log could not tell whether a stream that lacks events ended as its framing says or with its connection, nor which process wrote its first event. send-ended and request-ended now name the framing, the process of the send and the process that began the stream. No logic has changed.

--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -208,6 +208,13 @@
     Http::Awaitable<void> refuse(Refusal refusal, std::string_view detail);
     Http::Awaitable<void> endUnanswered(Serving::NextStep step, SendResult last);
     void recordEnd(std::string_view outcome, std::string_view detail);
+    // Records the end of a send that brought no complete answer. `denialReason` tells why there is
+    // no other one; empty if there is.
+    void recordSendEnd(const Routing::Endpoint &endpoint, const SendResult &sent,
+                       std::string_view denialReason);
+    // Adds what marks the end of the last answer, and the process that wrote a stream's first
+    // event.
+    void addEvidence(LogLine &line) const;
     // Empty if the route needs no API key.
     Common::WorkspaceId workspaceId() const;
     bool isStream() const;
@@ -278,6 +285,8 @@
     std::optional<Common::Time> stagedAt;
     // The endpoint process of the last send.
     Serving::StreamOrigin sentTo;
+    // What marks the end of the last answer.
+    std::optional<Http::BodyFraming> lastFraming;
     // The endpoint process that began the stream, by this request or the one that it takes up.
     std::optional<Serving::StreamOrigin> origin;
     // If set, only endpoints that run this software version may be sent the request.
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -180,6 +180,7 @@
                     endpoint.incarnation, startedAt,        this->deadline};
     this->lastPhase = Serving::RequestPhase::Sent;
     this->eventsBeforeSend = this->events.eventCount();
+    this->lastFraming.reset();
 
     SendResult result;
     // Ends with this function, so `stageRun` is valid when the action runs.
@@ -250,6 +251,7 @@
 Http::Awaitable<RequestFlow::SendResult>
 RequestFlow::relayAnswer(Http::ResponseStream &stream, const EndpointResponseHead &answer)
 {
+    this->lastFraming = stream.framing();
     if (isSuccess(answer.status) && (!answer.isSigned || answer.isEncoded)) {
         stream.close();
         SendResult result;
@@ -391,7 +393,8 @@
         }
         // The end of the connection alone does not tell an endpoint that has nothing to say from
         // one that crashed as it began.
-        if (bytes->empty() && stream.endsWithConnection() && !this->hasAnswerBegun()) {
+        if (bytes->empty() && stream.framing() == Http::BodyFraming::Connection
+            && !this->hasAnswerBegun()) {
             result.connectionLost = true;
             result.detail = "stream ended with its connection, without an event";
             break;
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -476,9 +476,11 @@
     return this->state->reused;
 }
 
-bool ResponseStream::endsWithConnection() const
+BodyFraming ResponseStream::framing() const
 {
-    return this->state->parser.need_eof();
+    if (this->state->parser.need_eof())
+        return BodyFraming::Connection;
+    return this->state->parser.chunked() ? BodyFraming::Chunks : BodyFraming::Length;
 }
 
 Headers ResponseStream::headers() const
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -16,6 +16,15 @@
 
 enum class CallFailure { ConnectFailed, Timeout, ConnectionLost, BadReply, Cancelled };
 
+// What marks the end of a body.
+enum class BodyFraming {
+    Length,
+    Chunks,
+    // The body ends with its connection. An endpoint that is killed ends its connections in the
+    // same way.
+    Connection,
+};
+
 } // namespace Tanagerbay::Http
 
 template <>
@@ -31,6 +40,17 @@
     }};
 };
 
+template <>
+struct Tanagerbay::Common::EnumNames<Tanagerbay::Http::BodyFraming>
+{
+    using Framing = Http::BodyFraming;
+    static constexpr NameTable<Framing, 3> table = {{
+        {Framing::Length, "length"},
+        {Framing::Chunks, "chunks"},
+        {Framing::Connection, "connection"},
+    }};
+};
+
 namespace Tanagerbay::Http {
 
 struct CallError
@@ -120,8 +140,7 @@
     Headers headers() const;
     // Whether the request was sent over a connection that had served an earlier request.
     bool reusedConnection() const;
-    // Whether the body has no length, so that only the end of its connection ends it.
-    bool endsWithConnection() const;
+    BodyFraming framing() const;
     // Returns the next bytes of the body, or an empty view once the complete body has been read.
     // The view is valid until the next read.
     Awaitable<CallResult<std::string_view>> read(Common::Time deadline);
