Entry: Ask whether the process still runs whose answer ended with its connection

Cause: the end of a connection was taken for the end of the answer. The kernel ends the connections of a killed process in order as long as no bytes wait unread there, so that the reader of an answer without a length and without chunks cannot tell a killed process from one that has written all. The class of fault: the absence of an error is taken for a statement of success.

An answer that ends with its connection now counts as complete only if the endpoint, asked after that end, states the start time that its process had before. A dead process answers nothing, one that replaced it states another time. Silence counts as broken off: a stream goes on elsewhere after its last event, a plain answer is sent elsewhere or its outcome is unknown, never a refusal. Events are relayed at once as before. Answers with a length or chunks cost no question, and an answer of another instance without framing is never complete. A continued stream may now end without an event, if its process is confirmed: nothing may be left to send.

--- /dev/null
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -0,0 +1,62 @@
+// Decides whether an answer that ended with its connection is complete. The system ends the
+// connections of a killed process in the same way as those of a process that has written all.
+#include "Entry/ProcessQuestion.h"
+#include "Entry/RequestFlow.h"
+
+#include <algorithm>
+
+namespace Tanagerbay::Entry {
+
+namespace {
+
+// How long an endpoint may take to tell that it still is the process that wrote the answer, if the
+// request can be sent elsewhere, and if it cannot.
+constexpr Common::Milliseconds kConfirmationTimeout{100};
+constexpr Common::Milliseconds kLastConfirmationTimeout{1500};
+
+} // namespace
+
+Http::Awaitable<std::string> RequestFlow::faultAtEnd(const Http::ResponseStream &stream,
+                                                     const Routing::Endpoint *endpoint)
+{
+    if (stream.framing() != Http::BodyFraming::Connection)
+        co_return "";
+    // Instances always frame what they relay.
+    if (!endpoint)
+        co_return "the answer of another instance ended with its connection";
+    const Common::Time now = clockNow();
+    // The answer would be late if the question waited for its permit.
+    this->takePermit(endpoint->id, 1, now);
+    Http::CallOptions options;
+    options.handle = &this->call;
+    options.deadline
+        = std::min(this->deadline,
+                   now
+                       + (this->mayLeaveSilentEndpoint(now) ? kConfirmationTimeout
+                                                            : kLastConfirmationTimeout));
+    options.connectTimeout = kLastConfirmationTimeout;
+    // A repetition would be another request to an endpoint that may limit them.
+    options.freshConnection = this->hasPermit;
+    const ProcessReply reply = co_await askForProcess(this->state, *endpoint, options);
+    if (reply.head)
+        this->applyResponseHead(*endpoint, *reply.head, now);
+    this->state.metrics.count(labelled("end_checks", "result", Common::nameOf(reply.answer)));
+    if (reply.answer == ProcessAnswer::Same)
+        co_return "";
+    co_return "the answer ended with its connection, its process: "
+        + std::string(Common::nameOf(reply.answer));
+}
+
+Http::Awaitable<std::string> RequestFlow::faultAtStreamEnd(const Http::ResponseStream &stream,
+                                                           const Routing::Endpoint *endpoint)
+{
+    if (this->events.hasPartialEvent())
+        co_return "stream ended within an event";
+    // A stream that goes on may have nothing left to send.
+    if (stream.framing() == Http::BodyFraming::Connection && !this->hasAnswerBegun()
+        && !this->events.lastEvent())
+        co_return "stream ended with its connection, without an event";
+    co_return co_await this->faultAtEnd(stream, endpoint);
+}
+
+} // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -159,9 +159,17 @@
     std::string_view retryDenialReason(Serving::SendOutcome outcome, Common::Time now);
     bool takeFromRetryBudget(Common::Time now);
     Http::Awaitable<SendResult> sendTo(const Routing::Endpoint &endpoint);
-    // Relays the answer of an endpoint, or of an instance that has passed one on.
+    // Relays the answer of an endpoint, or of an instance that has passed one on: `endpoint` is
+    // null then.
     Http::Awaitable<SendResult> relayAnswer(Http::ResponseStream &stream,
-                                            const EndpointResponseHead &answer);
+                                            const EndpointResponseHead &answer,
+                                            const Routing::Endpoint *endpoint);
+    // Returns why a body that has been read to its end is not complete; empty if it is. If it ended
+    // with its connection, the endpoint is asked whether the process that wrote it still runs.
+    Http::Awaitable<std::string> faultAtEnd(const Http::ResponseStream &stream,
+                                            const Routing::Endpoint *endpoint);
+    Http::Awaitable<std::string> faultAtStreamEnd(const Http::ResponseStream &stream,
+                                                  const Routing::Endpoint *endpoint);
     Http::CallOptions callOptions(Common::Time now);
     // Returns until when the endpoint may make no progress. `progressAt` is when the request was
     // sent or its last event arrived.
@@ -200,8 +208,10 @@
     Http::Awaitable<SendResult> readNotRunResponse(Http::ResponseStream &stream, unsigned status,
                                                    bool isForThisRequest);
     Http::Awaitable<SendResult> relayBufferedResponse(Http::ResponseStream &stream,
-                                                      const EndpointResponseHead &answer);
-    Http::Awaitable<SendResult> relayEventStream(Http::ResponseStream &stream);
+                                                      const EndpointResponseHead &answer,
+                                                      const Routing::Endpoint *endpoint);
+    Http::Awaitable<SendResult> relayEventStream(Http::ResponseStream &stream,
+                                                 const Routing::Endpoint *endpoint);
     Http::Awaitable<bool> relayReadyEvents(const Http::Headers &headers, unsigned status);
     // Reads the complete body.
     Http::Awaitable<Http::CallResult<std::string>> readBody(Http::ResponseStream &stream);
--- a/Source/Core/Entry/RequestForward.cpp
+++ b/Source/Core/Entry/RequestForward.cpp
@@ -67,7 +67,7 @@
     }
     const bool isRefused = !answer.isSigned
         && (answer.status == kStatusUnavailable || answer.status == kStatusTooManyRequests);
-    result = co_await this->relayAnswer(*opened, answer);
+    result = co_await this->relayAnswer(*opened, answer, nullptr);
     if (isRefused && result.failure)
         result.outcome = SendOutcome::NotRun;
     co_return result;
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -222,7 +222,7 @@
             opened->close();
             result.detail = "the response is for another request";
         } else {
-            result = co_await this->relayAnswer(*opened, answer);
+            result = co_await this->relayAnswer(*opened, answer, &endpoint);
         }
         const bool hasSucceeded = result.isAnswered && isSuccess(status);
         report.end = hasSucceeded ? Routing::CallEnd::Succeeded : Routing::CallEnd::Failed;
@@ -249,7 +249,8 @@
 }
 
 Http::Awaitable<RequestFlow::SendResult>
-RequestFlow::relayAnswer(Http::ResponseStream &stream, const EndpointResponseHead &answer)
+RequestFlow::relayAnswer(Http::ResponseStream &stream, const EndpointResponseHead &answer,
+                         const Routing::Endpoint *endpoint)
 {
     this->lastFraming = stream.framing();
     if (isSuccess(answer.status) && (!answer.isSigned || answer.isEncoded)) {
@@ -259,8 +260,8 @@
         co_return result;
     }
     if (isSuccess(answer.status) && this->isStream())
-        co_return co_await this->relayEventStream(stream);
-    co_return co_await this->relayBufferedResponse(stream, answer);
+        co_return co_await this->relayEventStream(stream, endpoint);
+    co_return co_await this->relayBufferedResponse(stream, answer, endpoint);
 }
 
 void RequestFlow::noteConnectionLost(const Routing::Endpoint &endpoint)
@@ -310,7 +311,8 @@
 }
 
 Http::Awaitable<RequestFlow::SendResult>
-RequestFlow::relayBufferedResponse(Http::ResponseStream &stream, const EndpointResponseHead &answer)
+RequestFlow::relayBufferedResponse(Http::ResponseStream &stream, const EndpointResponseHead &answer,
+                                   const Routing::Endpoint *endpoint)
 {
     SendResult result;
     Http::Response response;
@@ -322,6 +324,10 @@
         result.detail = "the response body is incomplete: " + body.error().message;
         co_return result;
     }
+    result.detail = co_await this->faultAtEnd(stream, endpoint);
+    result.connectionLost = !result.detail.empty();
+    if (result.connectionLost)
+        co_return result;
     this->noteAnswerBegun();
     response.body = std::move(*body);
     if (answer.status >= kFirstServerErrorStatus) {
@@ -362,7 +368,8 @@
     co_return co_await this->exchange.writeChunk(ready);
 }
 
-Http::Awaitable<RequestFlow::SendResult> RequestFlow::relayEventStream(Http::ResponseStream &stream)
+Http::Awaitable<RequestFlow::SendResult>
+RequestFlow::relayEventStream(Http::ResponseStream &stream, const Routing::Endpoint *endpoint)
 {
     SendResult result;
     const Http::Headers headers = stream.headers();
@@ -386,20 +393,11 @@
                 + (wait.hasTimedOut ? "no progress" : bytes.error().message);
             break;
         }
-        if (bytes->empty() && this->events.hasPartialEvent()) {
-            result.connectionLost = true;
-            result.detail = "stream ended within an event";
-            break;
-        }
-        // The end of the connection alone does not tell an endpoint that has nothing to say from
-        // one that crashed as it began.
-        if (bytes->empty() && stream.framing() == Http::BodyFraming::Connection
-            && !this->hasAnswerBegun()) {
-            result.connectionLost = true;
-            result.detail = "stream ended with its connection, without an event";
-            break;
-        }
         if (bytes->empty()) {
+            result.detail = co_await this->faultAtStreamEnd(stream, endpoint);
+            result.connectionLost = !result.detail.empty();
+            if (result.connectionLost)
+                break;
             result.isAnswered = true;
             if (!this->exchange.started()) {
                 // A stream without events is a complete response.
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -1,5 +1,6 @@
 // A stream may go on only at the software version that wrote its first event: within one answer,
 // and when its caller takes it up again with another request, at whatever instance.
+#include "Entry/ProcessQuestion.h"
 #include "Entry/RequestFlow.h"
 
 #include <algorithm>
@@ -15,7 +16,6 @@
 // An endpoint that does not say within this time which process it is is not sent the rest of a
 // stream.
 constexpr Common::Milliseconds kProcessAnswerTimeout{250};
-constexpr std::size_t kMaxProcessAnswerBytes = 1 << 20;
 
 bool leadsTo(const Catalog::Route &route, const std::string &service)
 {
@@ -101,26 +101,14 @@
     const Common::Time askedAt = clockNow();
     Http::CallOptions options;
     options.deadline = askedAt + kProcessAnswerTimeout;
+    options.connectTimeout = kProcessAnswerTimeout;
     // A repetition would be another request to an endpoint that may limit them.
     options.freshConnection = this->hasPermit;
-    options.connectTimeout = kProcessAnswerTimeout;
-    options.maxBodyBytes = kMaxProcessAnswerBytes;
-    Http::Request question = this->state.dialect.writeProcessQuestion();
-    const auto answer
-        = co_await this->state.client.call(endpoint.address, std::move(question), options);
-    if (!answer) {
-        this->state.metrics.count(labelled("process_checks", "result", "unanswered"));
-        co_return false;
-    }
-    this->applyResponseHead(
-        endpoint, this->state.dialect.readResponseHead(answer->status, answer->headers), askedAt);
-    const auto startTime = this->state.dialect.readProcessAnswer(answer->body);
-    const bool isListed = !startTime || *startTime == endpoint.incarnation;
-    this->state.metrics.count(labelled("process_checks", "result",
-                                       !startTime     ? "unstated"
-                                           : isListed ? "listed"
-                                                      : "other"));
-    co_return isListed;
+    const ProcessReply reply = co_await askForProcess(this->state, endpoint, options);
+    if (reply.head)
+        this->applyResponseHead(endpoint, *reply.head, askedAt);
+    this->state.metrics.count(labelled("process_checks", "result", Common::nameOf(reply.answer)));
+    co_return reply.answer == ProcessAnswer::Same || reply.answer == ProcessAnswer::Unstated;
 }
 
 bool RequestFlow::isVersionListed() const
