Http: Read what is left before a connection is closed behind its last answer

Callers lost answers that were complete: what a caller had sent behind its request, such as another request that crossed the close, made the kernel reset the connection, and a reset drops what the caller has not received yet. Of an answer of 1,000,000 bytes to a slow caller 4,033 arrived.

The connection now ends its side and reads on for half a second at most, or until the caller ends, as it did after refusals only. The buffer for this is smaller, since many connections may close at once. Class of fault: an end that discards what the peer has not taken.

--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -3,6 +3,7 @@
 #include "Common/Clock.h"
 
 #include <algorithm>
+#include <array>
 
 #include <sys/socket.h>
 
@@ -26,8 +27,9 @@
 
 using Parser = http::request_parser<http::string_body>;
 
-// Limits on the input that is discarded after a request was rejected before it was read completely.
+// Limits on the input that is discarded after the last response of a connection.
 constexpr std::size_t kMaxDrainedBytes = 4 << 20;
+constexpr std::size_t kDrainReadBytes = 2048;
 constexpr Common::Milliseconds kMaxDrainDuration{500};
 
 // Raises a count while it exists.
@@ -186,6 +188,7 @@
 Awaitable<void> Connection::refuse()
 {
     co_await this->reject(503, "overloaded", "the connection limit is reached");
+    co_await this->drainInput();
     this->stream.close();
 }
 
@@ -207,12 +210,12 @@
                                   const std::atomic<bool> &accepting)
 {
     while (accepting) {
+        this->answered = false;
+        this->headWritten = false;
         // In the condition of a loop, GCC 12 evaluates what is awaited before the other operands.
         const bool isRead = co_await this->readRequest();
         if (!isRead)
             break;
-        this->answered = false;
-        this->headWritten = false;
         // The request may have waited in the socket buffer until after its caller disconnected.
         this->gone = this->isPeerClosed();
         this->watchCaller();
@@ -222,6 +225,8 @@
         if (!this->answered || !this->keepAlive)
             break;
     }
+    if (this->answered)
+        co_await this->drainInput();
     beast::error_code ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     this->stream.close();
@@ -332,14 +337,13 @@
     this->keepAlive = false;
     Response response = jsonResponse(status, errorBody(code, message));
     co_await this->respond(std::move(response));
-    co_await this->drainInput();
 }
 
 Awaitable<void> Connection::drainInput()
 {
     beast::error_code error;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, error);
-    std::vector<char> discarded(16 << 10);
+    std::array<char, kDrainReadBytes> discarded;
     this->deadline.moveTo(clockNow() + kMaxDrainDuration);
     std::size_t total = 0;
     while (!error && total < kMaxDrainedBytes) {
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -235,6 +235,40 @@
     BOOST_TEST(read(refused).empty());
 }
 
+// Guards against an answer that a slow caller loses: bytes that wait unread when the connection is
+// closed make the kernel reset it, and drop what the caller has not received yet.
+BOOST_AUTO_TEST_CASE(lastAnswer_callerHasSentMoreAndReadsSlowly_arrivesWhole)
+{
+    constexpr std::size_t kBodyBytes = 1'000'000;
+    constexpr int kReceiveBuffer = 4096;
+    std::atomic<bool> answered{false};
+    this->start([&](Http::Exchange &exchange) -> Http::Awaitable<void> {
+        Http::Response response;
+        response.status = 200;
+        if (exchange.request().method == "POST")
+            response.body = std::string(kBodyBytes, 'x');
+        co_await exchange.respond(std::move(response));
+        answered = exchange.request().method == "POST";
+    });
+    BOOST_TEST(this->read().find("HTTP/1.1 200") == 0u);
+    tcp::socket slow(this->clientContext);
+    slow.open(tcp::v4());
+    slow.set_option(asio::socket_base::receive_buffer_size(kReceiveBuffer));
+    this->connect(slow);
+    send(slow, "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    BOOST_REQUIRE(eventually([&] { return answered.load(); }));
+    // By then the server has ended the connection.
+    std::this_thread::sleep_for(Common::Milliseconds(50));
+    send(slow, kRequest);
+    std::this_thread::sleep_for(Common::Milliseconds(50));
+    std::string received;
+    for (std::string bytes = read(slow); !bytes.empty(); bytes = read(slow))
+        received += bytes;
+    const std::size_t head = received.find("\r\n\r\n");
+    BOOST_REQUIRE(head != std::string::npos);
+    BOOST_TEST(received.size() - head - 4 == kBodyBytes);
+}
+
 BOOST_AUTO_TEST_CASE(closeAll_requestInProgress_runsItsCallerGoneAction)
 {
     std::atomic<bool> handlerStarted{false};
