Http: Notice callers that leave behind bytes that wait unread

Work went on for callers that had left: a caller that sent any byte behind its request, such as a line break or a pipelined request, was never seen to leave. The connection waited once for the socket to become readable, and peeked at the first byte, behind which the end was not visible.

While bytes wait unread, the connection now checks every 100 ms whether the caller has ended its side (POLLRDHUP). Without such bytes nothing changes.

Server/callerSendsMoreThanItsRequest_thenDisconnects_isReportedAsGone failed before.

--- a/Source/Core/Common/DelayedAction.h
+++ b/Source/Core/Common/DelayedAction.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -14,6 +15,9 @@
 class DelayedAction
 {
 public:
+    explicit DelayedAction(const boost::asio::any_io_executor &executor) : timer(executor)
+    {
+    }
     explicit DelayedAction(boost::asio::io_context &context) : timer(context)
     {
     }
@@ -35,6 +39,12 @@
             });
     }
 
+    void cancel()
+    {
+        this->pending.reset();
+        this->timer.cancel();
+    }
+
 private:
     boost::asio::steady_timer timer;
     std::shared_ptr<std::function<void()>> pending;
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -31,6 +32,10 @@
 constexpr std::size_t kMaxDrainedBytes = 4 << 20;
 constexpr std::size_t kDrainReadBytes = 2048;
 constexpr Common::Milliseconds kMaxDrainDuration{500};
+// Line breaks before a request that are ignored.
+constexpr std::size_t kMaxLineBreaks = 8;
+// How soon a disconnect is noticed behind bytes that wait unread.
+constexpr Common::Milliseconds kCallerCheckInterval{100};
 
 // Raises a count while it exists.
 class CountGuard
@@ -73,7 +78,7 @@
     : stream(std::move(socket)),
       deadline(this->stream.get_executor(), [this] { this->cancelSocket(); }), options(options),
       closeAfterAnswers(closeAfterAnswers), requestsBeingRead(requestsBeingRead),
-      context(contextIndex)
+      context(contextIndex), callerCheck(this->stream.get_executor())
 {
     beast::error_code ignored;
     this->stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -218,10 +223,13 @@
             break;
         // The request may have waited in the socket buffer until after its caller disconnected.
         this->gone = this->isPeerClosed();
+        this->isHandling = true;
         this->watchCaller();
         co_await this->handle(handler, onFault);
+        this->isHandling = false;
         this->callerGoneAction = nullptr;
         this->stopWatching.emit(asio::cancellation_type::all);
+        this->callerCheck.cancel();
         if (!this->answered || !this->keepAlive)
             break;
     }
@@ -372,17 +380,31 @@
         tcp::socket::wait_read,
         asio::bind_cancellation_slot(this->stopWatching.slot(),
                                      [self = this->shared_from_this()](beast::error_code error) {
-                                         if (!error && self->isPeerClosed())
-                                             self->markCallerGone();
+                                         if (!error)
+                                             self->checkCaller();
                                      }));
 }
 
+void Connection::checkCaller()
+{
+    if (!this->isHandling)
+        return;
+    if (this->isPeerClosed())
+        this->markCallerGone();
+    else
+        this->callerCheck.start(kCallerCheckInterval, [this] { this->checkCaller(); });
+}
+
 bool Connection::isPeerClosed()
 {
+    const int socket = this->stream.socket().native_handle();
     char byte = 0;
-    const auto count
-        = ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    const auto count = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count <= 0)
+        return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    // Bytes that wait unread hide the end behind them.
+    ::pollfd end{socket, POLLRDHUP, 0};
+    return ::poll(&end, 1, 0) > 0;
 }
 
 void Connection::markCallerGone()
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -1,6 +1,7 @@
 // Server side of one connection: reads its requests one after another and writes the responses.
 #pragma once
 
+#include "Common/DelayedAction.h"
 #include "Http/LazyDeadline.h"
 #include "Http/Server.h"
 
@@ -75,6 +76,9 @@
     // Detects a disconnect of the caller while its request is handled.
     void watchCaller();
     bool isPeerClosed();
+    // Checks whether the caller has disconnected, now and from time to time: while bytes wait
+    // unread, the socket stays readable, and waiting for that tells nothing.
+    void checkCaller();
     void markCallerGone();
     void cancelSocket();
 
@@ -96,7 +100,9 @@
     bool headWritten = false;
     bool gone = false;
     bool isIdle = false;
+    bool isHandling = false;
     std::function<void()> callerGoneAction;
+    Common::DelayedAction callerCheck;
     boost::asio::cancellation_signal stopWatching;
 };
 
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -269,6 +269,31 @@
     BOOST_TEST(received.size() - head - 4 == kBodyBytes);
 }
 
+// Guards against work for a caller that has left: after bytes behind its request, its disconnect
+// was not seen.
+BOOST_AUTO_TEST_CASE(callerSendsMoreThanItsRequest_thenDisconnects_isReportedAsGone)
+{
+    std::atomic<bool> handlerStarted{false};
+    std::atomic<bool> isGone{false};
+    this->start([&](Http::Exchange &exchange) -> Http::Awaitable<void> {
+        auto timer = std::make_shared<asio::steady_timer>(this->context, Common::Time::max());
+        exchange.onCallerGone([&isGone, timer] {
+            isGone = true;
+            timer->cancel();
+        });
+        handlerStarted = true;
+        boost::system::error_code error;
+        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, error));
+    });
+    BOOST_REQUIRE(eventually([&] { return handlerStarted.load(); }));
+    send(this->socket, kRequest);
+    // By then the server has seen these bytes.
+    std::this_thread::sleep_for(Common::Milliseconds(50));
+    this->socket.close();
+    BOOST_TEST(eventually([&] { return isGone.load(); }));
+    this->server->closeAll();
+}
+
 BOOST_AUTO_TEST_CASE(closeAll_requestInProgress_runsItsCallerGoneAction)
 {
     std::atomic<bool> handlerStarted{false};
