Http: Ignore line breaks before a request

Callers got a second response, a 400, and lost their connection: some send a line break behind a body, and it was read as the beginning of the next request. RFC 9112, 2.2 asks a server to ignore an empty line there. A lone line break also counted as a request that is being read, for which a shutdown waits.

Server/lineBreaksFollowARequest_nextRequest_isTheNextOneAnswered failed before. Server/lineBreaksWithoutEnd_areRejected passed before and after.

--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -266,14 +266,9 @@
 Awaitable<bool> Connection::readRequest()
 {
     beast::error_code error;
-    if (this->buffer.size() == 0) {
-        this->idleSince = clockNow();
-        this->idleUntil = this->idleSince + this->options.idleTimeout;
-        this->deadline.moveTo(this->idleUntil);
-        co_await this->readFirstByte(error);
-        if (error)
-            co_return false;
-    }
+    co_await this->awaitRequest(error);
+    if (error)
+        co_return false;
     // Until the handler begins, which follows in the same turn of the executor.
     const CountGuard reading(this->requestsBeingRead);
     // The limits may have changed during the wait.
@@ -304,6 +299,33 @@
     co_return true;
 }
 
+Awaitable<void> Connection::awaitRequest(beast::error_code &error)
+{
+    std::size_t lineBreaks = this->dropLineBreaks();
+    while (this->buffer.size() == 0 && lineBreaks <= kMaxLineBreaks) {
+        this->idleSince = clockNow();
+        this->idleUntil = this->idleSince + this->options.idleTimeout;
+        this->deadline.moveTo(this->idleUntil);
+        co_await this->readFirstByte(error);
+        if (error)
+            co_return;
+        lineBreaks += this->dropLineBreaks();
+    }
+}
+
+std::size_t Connection::dropLineBreaks()
+{
+    std::size_t count = 0;
+    while (this->buffer.size() > 0 && count <= kMaxLineBreaks) {
+        const char first = *static_cast<const char *>(this->buffer.data().data());
+        if (first != '\r' && first != '\n')
+            break;
+        this->buffer.consume(1);
+        count += first == '\n' ? 1 : 0;
+    }
+    return count;
+}
+
 Awaitable<void> Connection::readFirstByte(beast::error_code &error)
 {
     this->isIdle = true;
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -294,6 +294,34 @@
     this->server->closeAll();
 }
 
+// Guards against a second response to one request: old callers send a line break behind a body.
+BOOST_AUTO_TEST_CASE(lineBreaksFollowARequest_nextRequest_isTheNextOneAnswered)
+{
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    send(this->socket, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab\r\n");
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    BOOST_TEST(this->server->requestsBeingRead() == 0u);
+    send(this->socket, "\r");
+    std::this_thread::sleep_for(Common::Milliseconds(20));
+    send(this->socket, std::string("\n") + kRequest);
+    const std::string next = this->read();
+    BOOST_TEST(next.find("HTTP/1.1 200") == 0u);
+    BOOST_TEST(next.find("done") != std::string::npos);
+}
+
+// Guards against line breaks without end that keep a connection and its reader busy.
+BOOST_AUTO_TEST_CASE(lineBreaksWithoutEnd_areRejected)
+{
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    std::string lines;
+    for (int i = 0; i < 100; ++i)
+        lines += "\r\n";
+    send(this->socket, lines);
+    BOOST_TEST(this->read().find("HTTP/1.1 400") == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(closeAll_requestInProgress_runsItsCallerGoneAction)
 {
     std::atomic<bool> handlerStarted{false};
