Http: Refuse callers at once when no file descriptor is left

One descriptor is now held back. It is given up to accept the next caller, who is refused as not run, and taken again; if that fails, accepting pauses for 50 ms. `accepts_failed` counts the failures, and `accept-failed` lines name the reason.

Server/descriptorsAreUsedUp_callersConnect_areRefusedWithoutSpinning failed before.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -88,6 +88,10 @@
     server->onHandlerFault([this](std::string_view fault) {
         this->state.log.write(LogLine("handler-failed").text("fault", fault), clockNow());
     });
+    server->onAcceptFault([this](std::string_view fault) {
+        this->state.metrics.count("accepts_failed");
+        this->state.log.write(LogLine("accept-failed").text("fault", fault), clockNow());
+    });
     return server;
 }
 
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -211,7 +211,7 @@
         this->deadline.moveTo(this->idleUntil);
 }
 
-Awaitable<void> Connection::serve(const Handler &handler, const HandlerFaultAction &onFault,
+Awaitable<void> Connection::serve(const Handler &handler, const FaultAction &onFault,
                                   const std::atomic<bool> &accepting)
 {
     while (accepting) {
@@ -240,7 +240,7 @@
     this->stream.close();
 }
 
-Awaitable<void> Connection::handle(const Handler &handler, const HandlerFaultAction &onFault)
+Awaitable<void> Connection::handle(const Handler &handler, const FaultAction &onFault)
 {
     std::string fault;
     try {
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -42,7 +42,7 @@
     Awaitable<bool> endStream() override;
 
     // Serves requests until the connection ends or the server stops accepting.
-    Awaitable<void> serve(const Handler &handler, const HandlerFaultAction &onFault,
+    Awaitable<void> serve(const Handler &handler, const FaultAction &onFault,
                           const std::atomic<bool> &accepting);
     // Answers that the connection limit is reached, instead of serving requests.
     Awaitable<void> refuse();
@@ -58,7 +58,7 @@
 
     // Runs the handler. If it throws, the caller gets an error response if possible, and the
     // connection is to be closed.
-    Awaitable<void> handle(const Handler &handler, const HandlerFaultAction &onFault);
+    Awaitable<void> handle(const Handler &handler, const FaultAction &onFault);
     // Reads the next request. Returns false if the connection has ended or the request was
     // rejected; a request that exceeds a limit gets its error response here.
     Awaitable<bool> readRequest();
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -1,6 +1,7 @@
 #include "Http/Server.h"
 
 #include "Http/Connection.h"
+#include "Http/SpareDescriptor.h"
 
 #include <set>
 
@@ -9,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 
@@ -23,7 +25,8 @@
     std::vector<asio::io_context *> contexts;
     ServerOptions options;
     Handler handler;
-    HandlerFaultAction handlerFaultAction;
+    FaultAction handlerFaultAction;
+    FaultAction acceptFaultAction;
     std::shared_ptr<tcp::acceptor> acceptor;
     std::atomic<bool> accepting{true};
     std::atomic<std::size_t> connectionCount{0};
@@ -38,6 +41,9 @@
 
 namespace {
 
+// Pause after a connection could not be accepted, not even to refuse it.
+constexpr Common::Milliseconds kAcceptRetryDelay{50};
+
 template <typename State>
 Awaitable<void> serveConnection(std::shared_ptr<State> state, tcp::socket socket,
                                 std::size_t contextIndex)
@@ -68,6 +74,8 @@
 Awaitable<void> acceptLoop(std::shared_ptr<State> state, std::shared_ptr<tcp::acceptor> acceptor)
 {
     std::size_t nextIndex = 0;
+    SpareDescriptor spare;
+    asio::steady_timer pause(*state->contexts.front());
     while (state->accepting) {
         const std::size_t index = nextIndex++ % state->contexts.size();
         asio::io_context &context = *state->contexts[index];
@@ -76,9 +84,19 @@
             context, asio::redirect_error(asio::use_awaitable, error));
         if (error == asio::error::operation_aborted)
             break;
-        if (error)
+        if (error) {
+            if (state->acceptFaultAction)
+                state->acceptFaultAction(error.message());
+            // The next caller takes the place of the spare descriptor and is refused.
+            if (spare.release())
+                continue;
+            pause.expires_after(kAcceptRetryDelay);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            spare.restore();
             continue;
-        if (state->connectionCount.load() >= state->options.maxConnections) {
+        }
+        const bool hasDescriptors = spare.restore();
+        if (!hasDescriptors || state->connectionCount.load() >= state->options.maxConnections) {
             asio::co_spawn(context, refuseConnection(state, std::move(socket), index),
                            asio::detached);
             continue;
@@ -123,11 +141,16 @@
     this->state->acceptor.reset();
 }
 
-void Server::onHandlerFault(HandlerFaultAction action)
+void Server::onHandlerFault(FaultAction action)
 {
     this->state->handlerFaultAction = std::move(action);
 }
 
+void Server::onAcceptFault(FaultAction action)
+{
+    this->state->acceptFaultAction = std::move(action);
+}
+
 std::string Server::start()
 {
     const ServerOptions &options = this->state->options;
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -60,8 +60,8 @@
 // A handler must respond exactly once. If it returns without a complete response, the connection is
 // closed.
 using Handler = std::function<Awaitable<void>(Exchange &)>;
-// Reports an exception of a handler.
-using HandlerFaultAction = std::function<void(std::string_view fault)>;
+// Reports a fault, such as an exception of a handler.
+using FaultAction = std::function<void(std::string_view fault)>;
 
 class Server
 {
@@ -72,7 +72,10 @@
 
     // A handler that throws ends only its own request, whose caller gets an error response if none
     // has begun. Sets the action that reports it; called before `start`.
-    void onHandlerFault(HandlerFaultAction action);
+    void onHandlerFault(FaultAction action);
+    // Sets the action that reports a connection that could not be accepted, on the first context;
+    // called before `start`. If descriptors are missing, the callers that wait are refused.
+    void onAcceptFault(FaultAction action);
     // Starts to listen; may be called again after `stopAccepting`. Returns an empty text, or the
     // reason of the failure.
     std::string start();
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -10,7 +10,10 @@
 #include <stdexcept>
 #include <thread>
 
+#include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -48,6 +51,7 @@
         this->options.address = {"127.0.0.1", 0};
         this->server = std::make_unique<Http::Server>(
             std::vector<asio::io_context *>{&this->context}, this->options, std::move(handler));
+        this->server->onAcceptFault(this->onAcceptFault);
         BOOST_REQUIRE_EQUAL(this->server->start(), "");
         this->thread = std::thread([this] { this->context.run(); });
         this->connect(this->socket);
@@ -106,6 +110,7 @@
     }
 
     Http::ServerOptions options;
+    Http::FaultAction onAcceptFault;
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard;
     std::unique_ptr<Http::Server> server;
@@ -114,6 +119,36 @@
     tcp::socket socket{this->clientContext};
 };
 
+// Leaves the process a few descriptors, and uses them up; the destructor gives them back.
+class DescriptorLimit
+{
+public:
+    explicit DescriptorLimit(int left)
+    {
+        ::getrlimit(RLIMIT_NOFILE, &this->before);
+        const int highest = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+        this->used.push_back(highest);
+        ::rlimit lowered = this->before;
+        lowered.rlim_cur = static_cast<::rlim_t>(highest + 1 + left);
+        ::setrlimit(RLIMIT_NOFILE, &lowered);
+        for (int next = ::open("/dev/null", O_RDONLY | O_CLOEXEC); next >= 0;
+             next = ::open("/dev/null", O_RDONLY | O_CLOEXEC))
+            this->used.push_back(next);
+    }
+    ~DescriptorLimit()
+    {
+        for (const int descriptor : this->used)
+            ::close(descriptor);
+        ::setrlimit(RLIMIT_NOFILE, &this->before);
+    }
+    DescriptorLimit(const DescriptorLimit &) = delete;
+    DescriptorLimit &operator=(const DescriptorLimit &) = delete;
+
+private:
+    ::rlimit before{};
+    std::vector<int> used;
+};
+
 Http::Awaitable<void> answer(Http::Exchange &exchange)
 {
     Http::Response response;
@@ -322,6 +357,38 @@
     BOOST_TEST(this->read().find("HTTP/1.1 400") == 0u);
 }
 
+// Guards against a server that uses a whole core, and serves nobody in time, while it has no
+// descriptor left: a failed accept was repeated at once.
+BOOST_AUTO_TEST_CASE(descriptorsAreUsedUp_callersConnect_areRefusedWithoutSpinning)
+{
+    constexpr std::size_t kCallers = 3;
+    constexpr std::size_t kMaxFaults = 100;
+    std::atomic<std::size_t> faults{0};
+    this->onAcceptFault = [&faults](std::string_view) { ++faults; };
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    std::vector<tcp::socket> callers;
+    for (std::size_t i = 0; i < kCallers; ++i) {
+        callers.emplace_back(this->clientContext);
+        callers.back().open(tcp::v4());
+    }
+    {
+        const DescriptorLimit limit(0);
+        for (tcp::socket &caller : callers)
+            this->connect(caller);
+        for (tcp::socket &caller : callers) {
+            BOOST_TEST(read(caller).find("HTTP/1.1 503") == 0u);
+            caller.shutdown(tcp::socket::shutdown_both);
+        }
+        BOOST_TEST(faults > 0u);
+        BOOST_TEST(faults <= kMaxFaults);
+    }
+    tcp::socket next(this->clientContext);
+    this->connect(next);
+    send(next, kRequest);
+    BOOST_TEST(read(next).find("done") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(closeAll_requestInProgress_runsItsCallerGoneAction)
 {
     std::atomic<bool> handlerStarted{false};
