--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -3,7 +3,9 @@
 #include "Common/Clock.h"
 
 #include <algorithm>
+#include <array>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -26,9 +28,14 @@
 
 using Parser = http::request_parser<http::string_body>;
 
-// Limits on the input that is discarded after a request was rejected before it was read completely.
+// Limits on the input that is discarded after the last response of a connection.
 constexpr std::size_t kMaxDrainedBytes = 4 << 20;
+constexpr std::size_t kDrainReadBytes = 2048;
 constexpr Common::Milliseconds kMaxDrainDuration{500};
+// Line breaks before a request that are ignored.
+constexpr std::size_t kMaxLineBreaks = 8;
+// How soon a disconnect is noticed behind bytes that wait unread.
+constexpr Common::Milliseconds kCallerCheckInterval{100};
 
 // Raises a count while it exists.
 class CountGuard
@@ -71,7 +78,7 @@
     : stream(std::move(socket)),
       deadline(this->stream.get_executor(), [this] { this->cancelSocket(); }), options(options),
       closeAfterAnswers(closeAfterAnswers), requestsBeingRead(requestsBeingRead),
-      context(contextIndex)
+      context(contextIndex), callerCheck(this->stream.get_executor())
 {
     beast::error_code ignored;
     this->stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -186,6 +193,7 @@
 Awaitable<void> Connection::refuse()
 {
     co_await this->reject(503, "overloaded", "the connection limit is reached");
+    co_await this->drainInput();
     this->stream.close();
 }
 
@@ -203,31 +211,36 @@
         this->deadline.moveTo(this->idleUntil);
 }
 
-Awaitable<void> Connection::serve(const Handler &handler, const HandlerFaultAction &onFault,
+Awaitable<void> Connection::serve(const Handler &handler, const FaultAction &onFault,
                                   const std::atomic<bool> &accepting)
 {
     while (accepting) {
+        this->answered = false;
+        this->headWritten = false;
         // In the condition of a loop, GCC 12 evaluates what is awaited before the other operands.
         const bool isRead = co_await this->readRequest();
         if (!isRead)
             break;
-        this->answered = false;
-        this->headWritten = false;
         // The request may have waited in the socket buffer until after its caller disconnected.
         this->gone = this->isPeerClosed();
+        this->isHandling = true;
         this->watchCaller();
         co_await this->handle(handler, onFault);
+        this->isHandling = false;
         this->callerGoneAction = nullptr;
         this->stopWatching.emit(asio::cancellation_type::all);
+        this->callerCheck.cancel();
         if (!this->answered || !this->keepAlive)
             break;
     }
+    if (this->answered)
+        co_await this->drainInput();
     beast::error_code ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     this->stream.close();
 }
 
-Awaitable<void> Connection::handle(const Handler &handler, const HandlerFaultAction &onFault)
+Awaitable<void> Connection::handle(const Handler &handler, const FaultAction &onFault)
 {
     std::string fault;
     try {
@@ -253,14 +266,9 @@
 Awaitable<bool> Connection::readRequest()
 {
     beast::error_code error;
-    if (this->buffer.size() == 0) {
-        this->idleSince = clockNow();
-        this->idleUntil = this->idleSince + this->options.idleTimeout;
-        this->deadline.moveTo(this->idleUntil);
-        co_await this->readFirstByte(error);
-        if (error)
-            co_return false;
-    }
+    co_await this->awaitRequest(error);
+    if (error)
+        co_return false;
     // Until the handler begins, which follows in the same turn of the executor.
     const CountGuard reading(this->requestsBeingRead);
     // The limits may have changed during the wait.
@@ -291,6 +299,33 @@
     co_return true;
 }
 
+Awaitable<void> Connection::awaitRequest(beast::error_code &error)
+{
+    std::size_t lineBreaks = this->dropLineBreaks();
+    while (this->buffer.size() == 0 && lineBreaks <= kMaxLineBreaks) {
+        this->idleSince = clockNow();
+        this->idleUntil = this->idleSince + this->options.idleTimeout;
+        this->deadline.moveTo(this->idleUntil);
+        co_await this->readFirstByte(error);
+        if (error)
+            co_return;
+        lineBreaks += this->dropLineBreaks();
+    }
+}
+
+std::size_t Connection::dropLineBreaks()
+{
+    std::size_t count = 0;
+    while (this->buffer.size() > 0 && count <= kMaxLineBreaks) {
+        const char first = *static_cast<const char *>(this->buffer.data().data());
+        if (first != '\r' && first != '\n')
+            break;
+        this->buffer.consume(1);
+        count += first == '\n' ? 1 : 0;
+    }
+    return count;
+}
+
 Awaitable<void> Connection::readFirstByte(beast::error_code &error)
 {
     this->isIdle = true;
@@ -332,14 +367,13 @@
     this->keepAlive = false;
     Response response = jsonResponse(status, errorBody(code, message));
     co_await this->respond(std::move(response));
-    co_await this->drainInput();
 }
 
 Awaitable<void> Connection::drainInput()
 {
     beast::error_code error;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, error);
-    std::vector<char> discarded(16 << 10);
+    std::array<char, kDrainReadBytes> discarded;
     this->deadline.moveTo(clockNow() + kMaxDrainDuration);
     std::size_t total = 0;
     while (!error && total < kMaxDrainedBytes) {
@@ -368,17 +402,31 @@
         tcp::socket::wait_read,
         asio::bind_cancellation_slot(this->stopWatching.slot(),
                                      [self = this->shared_from_this()](beast::error_code error) {
-                                         if (!error && self->isPeerClosed())
-                                             self->markCallerGone();
+                                         if (!error)
+                                             self->checkCaller();
                                      }));
 }
 
+void Connection::checkCaller()
+{
+    if (!this->isHandling)
+        return;
+    if (this->isPeerClosed())
+        this->markCallerGone();
+    else
+        this->callerCheck.start(kCallerCheckInterval, [this] { this->checkCaller(); });
+}
+
 bool Connection::isPeerClosed()
 {
+    const int socket = this->stream.socket().native_handle();
     char byte = 0;
-    const auto count
-        = ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    const auto count = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count <= 0)
+        return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    // Bytes that wait unread hide the end behind them.
+    ::pollfd end{socket, POLLRDHUP, 0};
+    return ::poll(&end, 1, 0) > 0;
 }
 
 void Connection::markCallerGone()
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -1,6 +1,7 @@
 // Server side of one connection: reads its requests one after another and writes the responses.
 #pragma once
 
+#include "Common/DelayedAction.h"
 #include "Http/LazyDeadline.h"
 #include "Http/Server.h"
 
@@ -41,7 +42,7 @@
     Awaitable<bool> endStream() override;
 
     // Serves requests until the connection ends or the server stops accepting.
-    Awaitable<void> serve(const Handler &handler, const HandlerFaultAction &onFault,
+    Awaitable<void> serve(const Handler &handler, const FaultAction &onFault,
                           const std::atomic<bool> &accepting);
     // Answers that the connection limit is reached, instead of serving requests.
     Awaitable<void> refuse();
@@ -57,11 +58,16 @@
 
     // Runs the handler. If it throws, the caller gets an error response if possible, and the
     // connection is to be closed.
-    Awaitable<void> handle(const Handler &handler, const HandlerFaultAction &onFault);
+    Awaitable<void> handle(const Handler &handler, const FaultAction &onFault);
     // Reads the next request. Returns false if the connection has ended or the request was
     // rejected; a request that exceeds a limit gets its error response here.
     Awaitable<bool> readRequest();
     Awaitable<void> readFirstByte(boost::beast::error_code &error);
+    // Waits for the next request and reads its first byte. Line breaks before it are ignored (RFC
+    // 9112, 2.2).
+    Awaitable<void> awaitRequest(boost::beast::error_code &error);
+    // Removes line breaks at the beginning of the buffer. Returns how many.
+    std::size_t dropLineBreaks();
     Awaitable<void> writeContinue(boost::beast::error_code &error);
     Awaitable<void> rejectReadError(boost::beast::error_code error);
     Awaitable<void> reject(unsigned status, std::string_view code, std::string_view message);
@@ -75,6 +81,9 @@
     // Detects a disconnect of the caller while its request is handled.
     void watchCaller();
     bool isPeerClosed();
+    // Checks whether the caller has disconnected, now and from time to time: while bytes wait
+    // unread, the socket stays readable, and waiting for that tells nothing.
+    void checkCaller();
     void markCallerGone();
     void cancelSocket();
 
@@ -96,7 +105,9 @@
     bool headWritten = false;
     bool gone = false;
     bool isIdle = false;
+    bool isHandling = false;
     std::function<void()> callerGoneAction;
+    Common::DelayedAction callerCheck;
     boost::asio::cancellation_signal stopWatching;
 };
 
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -10,7 +10,10 @@
 #include <stdexcept>
 #include <thread>
 
+#include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -48,6 +51,7 @@
         this->options.address = {"127.0.0.1", 0};
         this->server = std::make_unique<Http::Server>(
             std::vector<asio::io_context *>{&this->context}, this->options, std::move(handler));
+        this->server->onAcceptFault(this->onAcceptFault);
         BOOST_REQUIRE_EQUAL(this->server->start(), "");
         this->thread = std::thread([this] { this->context.run(); });
         this->connect(this->socket);
@@ -106,6 +110,7 @@
     }
 
     Http::ServerOptions options;
+    Http::FaultAction onAcceptFault;
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard;
     std::unique_ptr<Http::Server> server;
@@ -114,6 +119,36 @@
     tcp::socket socket{this->clientContext};
 };
 
+// Leaves the process a few descriptors, and uses them up; the destructor gives them back.
+class DescriptorLimit
+{
+public:
+    explicit DescriptorLimit(int left)
+    {
+        ::getrlimit(RLIMIT_NOFILE, &this->before);
+        const int highest = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+        this->used.push_back(highest);
+        ::rlimit lowered = this->before;
+        lowered.rlim_cur = static_cast<::rlim_t>(highest + 1 + left);
+        ::setrlimit(RLIMIT_NOFILE, &lowered);
+        for (int next = ::open("/dev/null", O_RDONLY | O_CLOEXEC); next >= 0;
+             next = ::open("/dev/null", O_RDONLY | O_CLOEXEC))
+            this->used.push_back(next);
+    }
+    ~DescriptorLimit()
+    {
+        for (const int descriptor : this->used)
+            ::close(descriptor);
+        ::setrlimit(RLIMIT_NOFILE, &this->before);
+    }
+    DescriptorLimit(const DescriptorLimit &) = delete;
+    DescriptorLimit &operator=(const DescriptorLimit &) = delete;
+
+private:
+    ::rlimit before{};
+    std::vector<int> used;
+};
+
 Http::Awaitable<void> answer(Http::Exchange &exchange)
 {
     Http::Response response;
@@ -235,6 +270,125 @@
     BOOST_TEST(read(refused).empty());
 }
 
+// Guards against an answer that a slow caller loses: bytes that wait unread when the connection is
+// closed make the kernel reset it, and drop what the caller has not received yet.
+BOOST_AUTO_TEST_CASE(lastAnswer_callerHasSentMoreAndReadsSlowly_arrivesWhole)
+{
+    constexpr std::size_t kBodyBytes = 1'000'000;
+    constexpr int kReceiveBuffer = 4096;
+    std::atomic<bool> answered{false};
+    this->start([&](Http::Exchange &exchange) -> Http::Awaitable<void> {
+        Http::Response response;
+        response.status = 200;
+        if (exchange.request().method == "POST")
+            response.body = std::string(kBodyBytes, 'x');
+        co_await exchange.respond(std::move(response));
+        answered = exchange.request().method == "POST";
+    });
+    BOOST_TEST(this->read().find("HTTP/1.1 200") == 0u);
+    tcp::socket slow(this->clientContext);
+    slow.open(tcp::v4());
+    slow.set_option(asio::socket_base::receive_buffer_size(kReceiveBuffer));
+    this->connect(slow);
+    send(slow, "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    BOOST_REQUIRE(eventually([&] { return answered.load(); }));
+    // By then the server has ended the connection.
+    std::this_thread::sleep_for(Common::Milliseconds(50));
+    send(slow, kRequest);
+    std::this_thread::sleep_for(Common::Milliseconds(50));
+    std::string received;
+    for (std::string bytes = read(slow); !bytes.empty(); bytes = read(slow))
+        received += bytes;
+    const std::size_t head = received.find("\r\n\r\n");
+    BOOST_REQUIRE(head != std::string::npos);
+    BOOST_TEST(received.size() - head - 4 == kBodyBytes);
+}
+
+// Guards against work for a caller that has left: after bytes behind its request, its disconnect
+// was not seen.
+BOOST_AUTO_TEST_CASE(callerSendsMoreThanItsRequest_thenDisconnects_isReportedAsGone)
+{
+    std::atomic<bool> handlerStarted{false};
+    std::atomic<bool> isGone{false};
+    this->start([&](Http::Exchange &exchange) -> Http::Awaitable<void> {
+        auto timer = std::make_shared<asio::steady_timer>(this->context, Common::Time::max());
+        exchange.onCallerGone([&isGone, timer] {
+            isGone = true;
+            timer->cancel();
+        });
+        handlerStarted = true;
+        boost::system::error_code error;
+        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, error));
+    });
+    BOOST_REQUIRE(eventually([&] { return handlerStarted.load(); }));
+    send(this->socket, kRequest);
+    // By then the server has seen these bytes.
+    std::this_thread::sleep_for(Common::Milliseconds(50));
+    this->socket.close();
+    BOOST_TEST(eventually([&] { return isGone.load(); }));
+    this->server->closeAll();
+}
+
+// Guards against a second response to one request: old callers send a line break behind a body.
+BOOST_AUTO_TEST_CASE(lineBreaksFollowARequest_nextRequest_isTheNextOneAnswered)
+{
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    send(this->socket, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab\r\n");
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    BOOST_TEST(this->server->requestsBeingRead() == 0u);
+    send(this->socket, "\r");
+    std::this_thread::sleep_for(Common::Milliseconds(20));
+    send(this->socket, std::string("\n") + kRequest);
+    const std::string next = this->read();
+    BOOST_TEST(next.find("HTTP/1.1 200") == 0u);
+    BOOST_TEST(next.find("done") != std::string::npos);
+}
+
+// Guards against line breaks without end that keep a connection and its reader busy.
+BOOST_AUTO_TEST_CASE(lineBreaksWithoutEnd_areRejected)
+{
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    std::string lines;
+    for (int i = 0; i < 100; ++i)
+        lines += "\r\n";
+    send(this->socket, lines);
+    BOOST_TEST(this->read().find("HTTP/1.1 400") == 0u);
+}
+
+// Guards against a server that uses a whole core, and serves nobody in time, while it has no
+// descriptor left: a failed accept was repeated at once.
+BOOST_AUTO_TEST_CASE(descriptorsAreUsedUp_callersConnect_areRefusedWithoutSpinning)
+{
+    constexpr std::size_t kCallers = 3;
+    constexpr std::size_t kMaxFaults = 100;
+    std::atomic<std::size_t> faults{0};
+    this->onAcceptFault = [&faults](std::string_view) { ++faults; };
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    std::vector<tcp::socket> callers;
+    for (std::size_t i = 0; i < kCallers; ++i) {
+        callers.emplace_back(this->clientContext);
+        callers.back().open(tcp::v4());
+    }
+    {
+        const DescriptorLimit limit(0);
+        for (tcp::socket &caller : callers)
+            this->connect(caller);
+        for (tcp::socket &caller : callers) {
+            BOOST_TEST(read(caller).find("HTTP/1.1 503") == 0u);
+            caller.shutdown(tcp::socket::shutdown_both);
+        }
+        BOOST_TEST(faults > 0u);
+        BOOST_TEST(faults <= kMaxFaults);
+    }
+    tcp::socket next(this->clientContext);
+    this->connect(next);
+    send(next, kRequest);
+    BOOST_TEST(read(next).find("done") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(closeAll_requestInProgress_runsItsCallerGoneAction)
 {
     std::atomic<bool> handlerStarted{false};
