Entry: Take a stream's version from the process behind its connection

Cause: a row was taken for a process. The origin of a stream was the row known when its request was sent. The question for the process before a stream goes on was asked on any connection, and the request could go out on another one.

A connection belongs to one process for its whole life. The process is now asked for its start time on the connection that will bring the stream, once, before the first request of a stream that may be resumed. The version is that of the row with the same start time; until there is one, the stream goes on nowhere, and a take-up is refused as not run. A stream goes on only on a connection whose process is listed with its version. Origins name whether the process itself has stated its start time; what is known of such ones is not forgotten with a restart. Messages between instances get two members at their end; instances of earlier releases ignore them.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -110,8 +110,19 @@
         && found->second.listed.entry.incarnation == incarnation;
 }
 
+std::optional<std::string> EndpointDiscovery::versionOf(const Common::EndpointId &id,
+                                                        std::uint64_t incarnation) const
+{
+    const auto found = this->list.known.find(id);
+    if (found == this->list.known.end() || found->second.listed.entry.incarnation != incarnation)
+        return std::nullopt;
+    return found->second.listed.entry.version;
+}
+
 bool EndpointDiscovery::hasConfirmed(const Serving::StreamOrigin &origin) const
 {
+    if (origin.isStated)
+        return origin.isVersionKnown;
     return this->confirmedAt && *this->confirmedAt > origin.sentAt
         && this->listsProcess(origin.endpoint, origin.incarnation);
 }
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -38,6 +38,9 @@
     std::uint64_t epoch() const;
     // Whether the list shows this process of the endpoint.
     bool listsProcess(const Common::EndpointId &id, std::uint64_t incarnation) const;
+    // Returns the software version of a process. Returns nothing if the list does not show it.
+    std::optional<std::string> versionOf(const Common::EndpointId &id,
+                                         std::uint64_t incarnation) const;
     // Whether a reading that began after the stream was sent still showed the process that is taken
     // for its origin.
     bool hasConfirmed(const Serving::StreamOrigin &origin) const;
--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -37,7 +37,9 @@
     options.connectTimeout = kLastConfirmationTimeout;
     // A repetition would be another request to an endpoint that may limit them.
     options.freshConnection = this->hasPermit;
-    const ProcessReply reply = co_await askForProcess(this->state, *endpoint, options);
+    Routing::Endpoint writer = *endpoint;
+    writer.incarnation = this->sentTo.incarnation;
+    const ProcessReply reply = co_await askForProcess(this->state, std::move(writer), options);
     if (reply.head)
         this->applyResponseHead(*endpoint, *reply.head, now);
     this->state.metrics.count(labelled("end_checks", "result", Common::nameOf(reply.answer)));
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -348,6 +348,7 @@
             co_return;
         if (!std::exchange(isFirstSendNoted, true))
             this->state.budgets[this->service].noteFirstSend(clockNow());
+        this->learnVersion();
         Common::Time now = clockNow();
         const auto chosen = this->chooseEndpoint(now);
         const bool mustQueue = chosen && !hasTurn && this->mustQueueForPermit(*chosen, now);
@@ -384,18 +385,8 @@
             continue;
         const Routing::Endpoint endpoint = pool.endpoints[*currentChoice];
         this->triedEndpoints.push_back(endpoint.id);
-        // The question for the endpoint's process is a request to it too.
-        this->takePermit(endpoint.id, this->requiredVersion ? 2 : 1, clockNow());
+        this->takePermit(endpoint.id, 1, clockNow());
         hasTurn = false;
-        if (this->requiredVersion) {
-            const bool isListed = co_await this->isListedProcess(endpoint);
-            if (this->callerGone || this->earlyEnd) {
-                co_await this->endUnanswered(NextStep::Refuse, SendResult());
-                co_return;
-            }
-            if (!isListed)
-                continue;
-        }
         SendResult sent = co_await this->sendTo(endpoint);
         if (sent.isAnswered)
             co_return;
@@ -403,6 +394,11 @@
             co_await this->endUnanswered(NextStep::Fail, std::move(sent));
             co_return;
         }
+        if (sent.isOtherProcess && !this->earlyEnd) {
+            this->recordSendEnd(endpoint, sent, "");
+            this->call = Http::CallHandle();
+            continue;
+        }
         if (sent.isTurnedBack && !this->earlyEnd) {
             this->triedEndpoints.pop_back();
             this->call = Http::CallHandle();
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -90,6 +90,9 @@
         std::string detail;
         // Nothing was sent, since the endpoint had stated a limit after it was chosen.
         bool isTurnedBack = false;
+        // Nothing was sent, since the process behind the connection is not one that may go on with
+        // the stream, or has not said which one it is.
+        bool isOtherProcess = false;
     };
 
     Http::Awaitable<bool> admit();
@@ -112,9 +115,15 @@
     void noteResumption(std::string_view result);
     // Records which endpoint wrote the first event, before the caller gets it.
     void noteStreamBegun();
-    // Asks the endpoint whether it still is the process that the list names, since the list is
-    // outdated for some time after a restart. Returns false also if it does not answer.
-    Http::Awaitable<bool> isListedProcess(Routing::Endpoint endpoint);
+    // Makes the send of a stream ask for the process behind its connection, since the list is
+    // outdated for some time after a restart.
+    void addPeerQuestion(Http::CallOptions &options, const Routing::Endpoint &endpoint);
+    // Whether this process may be sent the request.
+    bool mayGoOnAt(const Common::EndpointId &endpoint, std::uint64_t process) const;
+    // Records which process was sent the request.
+    void notePeer(std::uint64_t process);
+    // Looks the version of the process up that began the stream, if it was not listed at that time.
+    void learnVersion();
     // Whether an endpoint that is not leaving runs the version that the request requires.
     bool isVersionListed() const;
     // Why no endpoint can be chosen.
@@ -301,8 +310,10 @@
     std::optional<Serving::StreamOrigin> origin;
     // If set, only endpoints that run this software version may be sent the request.
     std::optional<std::string> requiredVersion;
-    // The process that began the stream may have been another one than `origin` tells.
+    // The process that began the stream may have been another one than `origin` tells, or its
+    // version is not known.
     bool isVersionUncertain = false;
+    bool isOtherProcess = false;
     // `Responding` follows from the exchange and is never stored here.
     Serving::RequestPhase lastPhase = Serving::RequestPhase::Admission;
 };
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -70,6 +70,9 @@
 
 bool RequestFlow::couldResumeElsewhere(Common::Time now)
 {
+    this->learnVersion();
+    if (this->isVersionUncertain)
+        return false;
     const auto isOther = [&](const Routing::Endpoint &endpoint) {
         return Routing::isEligible(endpoint, now)
             && Routing::hasVersion(endpoint, this->requiredVersion)
@@ -190,6 +193,10 @@
     Http::CallOptions options = this->callOptions(startedAt);
     this->isTurnedBack = false;
     options.beforeFirstByte = [this, &endpoint] { return this->maySendNow(endpoint.id); };
+    this->isOtherProcess = false;
+    if (this->isStream() && endpoint.incarnation != 0
+        && (this->route->resumable || this->requiredVersion))
+        this->addPeerQuestion(options, endpoint);
     auto opened = co_await this->state.client.open(
         endpoint.address, this->state.dialect.writeCall(this->request, call), std::move(options));
     Routing::CallReport report;
@@ -198,6 +205,7 @@
         const Http::CallError &error = opened.error();
         result.outcome = error.written ? SendOutcome::Unknown : SendOutcome::NotSent;
         result.isTurnedBack = this->isTurnedBack;
+        result.isOtherProcess = this->isOtherProcess || error.isPeerUnknown;
         result.connectionLost = error.written && error.failure == Http::CallFailure::ConnectionLost;
         result.detail = std::string(Common::nameOf(error.failure)) + ": " + error.message;
         const bool isUnreachable = error.failure == Http::CallFailure::ConnectFailed;
@@ -206,6 +214,8 @@
             this->dependencies.paths.noteUnreachable(endpoint.id);
         report.end = isUnreachable ? Routing::CallEnd::Unreachable : Routing::CallEnd::Failed;
     } else {
+        if (const auto process = opened->peerProcess())
+            this->notePeer(*process);
         const unsigned status = opened->status();
         const EndpointResponseHead answer
             = this->state.dialect.readResponseHead(status, opened->headers());
@@ -235,7 +245,8 @@
         report.pace = report.duration / static_cast<std::int64_t>(this->events.eventCount());
     else if (!this->isStream())
         report.pace = report.duration;
-    if (this->callerGone || result.isTurnedBack || (this->earlyEnd && !result.isAnswered))
+    if (this->callerGone || result.isTurnedBack || result.isOtherProcess
+        || (this->earlyEnd && !result.isAnswered))
         report.end = Routing::CallEnd::Cancelled;
     Routing::endCall(this->state.poolOf(this->service), report, now);
     co_return result;
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -1,6 +1,5 @@
 // A stream may go on only at the software version that wrote its first event: within one answer,
 // and when its caller takes it up again with another request, at whatever instance.
-#include "Entry/ProcessQuestion.h"
 #include "Entry/RequestFlow.h"
 
 #include <algorithm>
@@ -13,8 +12,7 @@
 // another instance may know where the stream began.
 constexpr Common::Milliseconds kRetryAfterResumption{300};
 
-// An endpoint that does not say within this time which process it is is not sent the rest of a
-// stream.
+// An endpoint that does not say within this time which process it is is not sent a stream.
 constexpr Common::Milliseconds kProcessAnswerTimeout{250};
 
 bool leadsTo(const Catalog::Route &route, const std::string &service)
@@ -58,6 +56,11 @@
             co_return Refusal{RefusalReason::VersionGone, true, kRetryAfterResumption};
         }
         this->service = this->origin->service;
+        this->learnVersion();
+        if (!this->origin->isVersionKnown) {
+            this->noteResumption("version-not-listed");
+            co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
+        }
         this->requiredVersion = this->origin->version;
         this->noteResumption("known");
         co_return std::nullopt;
@@ -80,6 +83,7 @@
     if (!this->origin)
         this->origin = this->sentTo;
     this->requiredVersion = this->origin->version;
+    this->isVersionUncertain = !this->origin->isVersionKnown;
     // A caller may also name this attempt when it takes the stream up again.
     Serving::StreamOrigin known = *this->origin;
     known.expiresAt = Serving::originExpiry(this->deadline, clockNow());
@@ -89,26 +93,67 @@
 void RequestFlow::noteRestarted(const Common::EndpointId &endpoint, std::uint64_t incarnation,
                                 Common::Time since)
 {
-    if (this->origin && this->origin->endpoint == endpoint
+    if (this->origin && !this->origin->isStated && this->origin->endpoint == endpoint
         && this->origin->incarnation == incarnation && this->origin->sentAt >= since)
         this->isVersionUncertain = true;
 }
 
-Http::Awaitable<bool> RequestFlow::isListedProcess(Routing::Endpoint endpoint)
+void RequestFlow::addPeerQuestion(Http::CallOptions &options, const Routing::Endpoint &endpoint)
 {
-    if (endpoint.incarnation == 0)
-        co_return true;
     const Common::Time askedAt = clockNow();
-    Http::CallOptions options;
-    options.deadline = askedAt + kProcessAnswerTimeout;
-    options.connectTimeout = kProcessAnswerTimeout;
-    // A repetition would be another request to an endpoint that may limit them.
-    options.freshConnection = this->hasPermit;
-    const ProcessReply reply = co_await askForProcess(this->state, endpoint, options);
-    if (reply.head)
-        this->applyResponseHead(endpoint, *reply.head, askedAt);
-    this->state.metrics.count(labelled("process_checks", "result", Common::nameOf(reply.answer)));
-    co_return reply.answer == ProcessAnswer::Same || reply.answer == ProcessAnswer::Unstated;
+    options.peerQuestion.emplace();
+    options.peerQuestion->request = this->state.dialect.writeProcessQuestion();
+    options.peerQuestion->timeout = kProcessAnswerTimeout;
+    // The question is a request to the endpoint too.
+    options.peerQuestion->beforeAsking = [this, &endpoint] {
+        if (!this->maySendNow(endpoint.id))
+            return false;
+        if (this->hasPermit)
+            this->takePermit(endpoint.id, 1, clockNow());
+        return true;
+    };
+    options.peerQuestion->read = [this, &endpoint, askedAt](const Http::Response &response) {
+        this->applyResponseHead(
+            endpoint, this->state.dialect.readResponseHead(response.status, response.headers),
+            askedAt);
+        const auto process = this->state.dialect.readProcessAnswer(response.body);
+        this->state.metrics.count(
+            labelled("process_questions", "result", process ? "stated" : "unstated"));
+        return process;
+    };
+    options.acceptPeer = [this, &endpoint](std::uint64_t process) {
+        this->isOtherProcess = !this->mayGoOnAt(endpoint.id, process);
+        return !this->isOtherProcess;
+    };
+}
+
+bool RequestFlow::mayGoOnAt(const Common::EndpointId &endpoint, std::uint64_t process) const
+{
+    return !this->requiredVersion
+        || this->dependencies.endpoints.versionOf(endpoint, process) == this->requiredVersion;
+}
+
+void RequestFlow::notePeer(std::uint64_t process)
+{
+    const auto version = this->dependencies.endpoints.versionOf(this->sentTo.endpoint, process);
+    this->sentTo.incarnation = process;
+    this->sentTo.isStated = true;
+    this->sentTo.isVersionKnown = version.has_value();
+    this->sentTo.version = version.value_or("");
+}
+
+void RequestFlow::learnVersion()
+{
+    if (!this->origin || this->origin->isVersionKnown)
+        return;
+    const auto version
+        = this->dependencies.endpoints.versionOf(this->origin->endpoint, this->origin->incarnation);
+    if (!version)
+        return;
+    this->origin->version = *version;
+    this->origin->isVersionKnown = true;
+    this->requiredVersion = version;
+    this->isVersionUncertain = false;
 }
 
 bool RequestFlow::isVersionListed() const
--- a/Source/Core/Entry/StreamMessages.cpp
+++ b/Source/Core/Entry/StreamMessages.cpp
@@ -23,7 +23,11 @@
     Endpoint,
     Incarnation,
     SentAgeMs,
-    OriginFieldCount
+    OriginFieldCount,
+    // Instances of earlier releases do not send the fields from here on.
+    IsStated = OriginFieldCount,
+    IsVersionKnown,
+    AllFieldCount
 };
 
 std::optional<std::uint64_t> unsignedOf(const json::value &value)
@@ -72,6 +76,11 @@
     origin.endpoint = Common::EndpointId(*endpoint);
     origin.incarnation = *incarnation;
     origin.sentAt = now - *age;
+    if (fields.size() >= AllFieldCount) {
+        origin.isStated = fields[IsStated].is_bool() && fields[IsStated].get_bool();
+        origin.isVersionKnown
+            = fields[IsVersionKnown].is_bool() && fields[IsVersionKnown].get_bool();
+    }
     return true;
 }
 
@@ -89,6 +98,8 @@
         fields.emplace_back(origin.endpoint.value);
         fields.emplace_back(origin.incarnation);
         fields.emplace_back(ageMs(origin.sentAt, now));
+        fields.emplace_back(origin.isStated);
+        fields.emplace_back(origin.isVersionKnown);
     }
     return fields;
 }
--- a/Source/Core/Entry/StreamRecorder.cpp
+++ b/Source/Core/Entry/StreamRecorder.cpp
@@ -62,7 +62,7 @@
 
 void StreamRecorder::noteBegun(const std::string &attempt, const Serving::StreamOrigin &origin)
 {
-    if (!this->services.contains(origin.service))
+    if (!this->services.contains(origin.service) || !origin.isVersionKnown)
         return;
     std::vector<StreamRecord> records;
     records.push_back({attempt, origin, this->endpoints.hasConfirmed(origin)});
@@ -146,7 +146,7 @@
 void StreamRecorder::holdOrigins(const std::set<std::string> &added)
 {
     for (const auto &[attempt, origin] : this->origins.byAttempt) {
-        if (!added.contains(origin.service))
+        if (!added.contains(origin.service) || !origin.isVersionKnown)
             continue;
         // The first holder of an origin records it, so that this is done once. An instance that is
         // leaving has no rank, and may be the last one that knows.
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -59,6 +59,9 @@
     // if the peer announced no idle time-out.
     std::optional<Common::Time> reuseDeadline;
     bool reused = false;
+    bool wasPeerAsked = false;
+    // Start time of the process behind the connection, which it keeps for its whole life.
+    std::optional<std::uint64_t> peerProcess;
     // Set while the request is still being written. The reply may arrive before that has finished.
     bool writing = false;
     std::shared_ptr<std::set<ClientConnection *>> active;
@@ -108,6 +111,7 @@
     CallHandle *handle = nullptr;
     std::size_t maxIdleConnections = 0;
     bool reused = false;
+    std::optional<std::uint64_t> peerProcess;
     // The complete reply has to be accepted before its connection is released.
     bool isHeldUntilAccepted = false;
 };
@@ -115,6 +119,10 @@
 namespace {
 
 constexpr std::uint32_t kMaxReplyHeaderBytes = 32 << 10;
+constexpr std::uint64_t kMaxPeerAnswerBytes = 1 << 20;
+// New connections on which the peer is asked. One that closes each of them after its answer is sent
+// the request without a question.
+constexpr int kMaxPeerQuestions = 2;
 // Share of the idle time-out announced in `Keep-Alive` during which a connection is reused.
 constexpr double kReusableIdleTimeShare = 0.5;
 
@@ -288,6 +296,48 @@
     }
 }
 
+Awaitable<std::optional<CallError>>
+Client::askPeer(ConnectionPtr connection, const Address &address, const CallOptions &options)
+{
+    const PeerQuestion &question = *options.peerQuestion;
+    beast::tcp_stream &tcpStream = connection->stream;
+    Request request = question.request;
+    const BeastRequest message = toBeast(address, std::move(request));
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(kMaxPeerAnswerBytes);
+    parser.header_limit(kMaxReplyHeaderBytes);
+    beast::error_code error;
+    connection->deadline.moveTo(
+        std::min<Common::Time>(options.deadline, Common::clockNow() + question.timeout));
+    if (options.handle)
+        options.handle->abort = [&tcpStream] { tcpStream.cancel(); };
+    co_await http::async_write(tcpStream, message,
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (!error)
+        co_await http::async_read(tcpStream, connection->buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+    if (options.handle)
+        options.handle->abort = nullptr;
+    if (!error && options.handle && options.handle->isCancelled())
+        error = asio::error::operation_aborted;
+    // An end of the connection does not tell whether the answer is complete.
+    if (!error && parser.need_eof())
+        error = http::error::partial_message;
+    if (error)
+        co_return errorOf(error, *connection, false, options.handle);
+    Response response;
+    response.status = parser.get().result_int();
+    for (const auto &field : parser.get())
+        response.headers.fields.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+    response.body = std::move(parser.get().body());
+    connection->wasPeerAsked = true;
+    connection->peerProcess = question.read(response);
+    if (!parser.get().keep_alive() || connection->buffer.size() != 0)
+        connection->stream.close();
+    co_return std::nullopt;
+}
+
 Awaitable<CallResult<ResponseStream>> Client::open(Address address, Request request,
                                                    CallOptions options)
 {
@@ -295,6 +345,7 @@
     bool fresh = options.freshConnection;
     // Whether an earlier connection has carried the request.
     bool written = false;
+    int questions = 0;
     while (true) {
         if (this->pool->closed || (options.handle && options.handle->isCancelled()))
             co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "cancelled"});
@@ -314,6 +365,31 @@
             if (this->pool->closed)
                 co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "cancelled"});
         }
+        const bool mustAsk
+            = options.peerQuestion && !connection->wasPeerAsked && questions < kMaxPeerQuestions;
+        if (mustAsk) {
+            ++questions;
+            if (options.peerQuestion->beforeAsking && !options.peerQuestion->beforeAsking())
+                co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "abandoned"});
+            auto failed = co_await askPeer(connection, address, options);
+            const bool isStale
+                = failed && connection->reused && failed->failure == CallFailure::ConnectionLost;
+            if (isStale || (!failed && !connection->stream.socket().is_open())) {
+                fresh = true;
+                continue;
+            }
+            if (failed) {
+                failed->written = written;
+                failed->isPeerUnknown = true;
+                co_return tl::unexpected(std::move(*failed));
+            }
+        }
+        if (options.acceptPeer && connection->peerProcess
+            && !options.acceptPeer(*connection->peerProcess)) {
+            this->pool->release(address, std::move(connection), options.maxIdleConnections);
+            co_return tl::unexpected(
+                CallError{CallFailure::Cancelled, written, "the process was not accepted"});
+        }
         if (options.beforeFirstByte && !options.beforeFirstByte())
             co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "abandoned"});
 
@@ -322,6 +398,7 @@
         ResponseStream::State &state = *stream.state;
         state.connection = std::move(connection);
         state.reused = state.connection->reused;
+        state.peerProcess = state.connection->peerProcess;
         state.parser.body_limit(options.maxBodyBytes);
         state.parser.header_limit(kMaxReplyHeaderBytes);
         state.pool = this->pool;
@@ -483,6 +560,11 @@
     return this->state->parser.chunked() ? BodyFraming::Chunks : BodyFraming::Length;
 }
 
+std::optional<std::uint64_t> ResponseStream::peerProcess() const
+{
+    return this->state->peerProcess;
+}
+
 Headers ResponseStream::headers() const
 {
     Headers headers;
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -59,6 +60,8 @@
     // False only if no byte of the request was passed to the operating system.
     bool written = false;
     std::string message;
+    // Whether the peer did not answer the question which process it is. The request was not sent.
+    bool isPeerUnknown = false;
 };
 
 // Cancels one call; used on the thread that runs it. A call registers its abort function here while
@@ -96,6 +99,17 @@
     Reject,
 };
 
+// Asked once on each connection, before the first request that needs to know the process behind it.
+struct PeerQuestion
+{
+    Request request;
+    // Runs before the question is written. If it returns false, the call ends as cancelled.
+    std::function<bool()> beforeAsking;
+    // Returns the start time of the process, or nothing if the reply does not state it.
+    std::function<std::optional<std::uint64_t>(const Response &)> read;
+    Common::Milliseconds timeout{0};
+};
+
 struct CallOptions
 {
     Common::Time deadline;
@@ -111,6 +125,10 @@
     // the reply.
     std::size_t maxIdleConnections = 64;
     CallHandle *handle = nullptr;
+    std::optional<PeerQuestion> peerQuestion;
+    // Runs with the answer to the question, if the peer has stated one. If it returns false, the
+    // call ends as cancelled, nothing is written, and the connection stays usable.
+    std::function<bool(std::uint64_t)> acceptPeer;
     // Runs immediately before the first byte is written. If it returns false, the call ends as
     // cancelled and nothing is written.
     std::function<bool()> beforeFirstByte;
@@ -141,6 +159,8 @@
     // Whether the request was sent over a connection that had served an earlier request.
     bool reusedConnection() const;
     BodyFraming framing() const;
+    // Start time of the process behind the connection. Unset if it was not asked, or did not tell.
+    std::optional<std::uint64_t> peerProcess() const;
     // Returns the next bytes of the body, or an empty view once the complete body has been read.
     // The view is valid until the next read.
     Awaitable<CallResult<std::string_view>> read(Common::Time deadline);
@@ -179,6 +199,11 @@
 private:
     friend class ResponseStream;
     struct Pool;
+    // Asks which process is behind the connection. Returns the reason why it did not answer. The
+    // connection is closed if the answer closes it.
+    static Awaitable<std::optional<CallError>> askPeer(std::shared_ptr<ClientConnection> connection,
+                                                       const Address &address,
+                                                       const CallOptions &options);
     std::shared_ptr<Pool> pool;
 };
 
--- a/Source/Core/Serving/StreamOrigins.cpp
+++ b/Source/Core/Serving/StreamOrigins.cpp
@@ -38,6 +38,8 @@
 
 bool isUncertain(const StreamOrigins &origins, const StreamOrigin &origin)
 {
+    if (origin.isStated)
+        return false;
     const auto replaced = origins.replaced.find({origin.endpoint, origin.incarnation});
     return replaced != origins.replaced.end() && origin.sentAt >= replaced->second.since;
 }
--- a/Source/Core/Serving/StreamOrigins.h
+++ b/Source/Core/Serving/StreamOrigins.h
@@ -21,7 +21,7 @@
 struct StreamOrigin
 {
     std::string service;
-    // Version of the software that the process runs.
+    // Version of the software that the process runs, unless it is not known.
     std::string version;
     Common::EndpointId endpoint;
     // Start time of the process; zero if not known.
@@ -30,6 +30,11 @@
     Common::Time sentAt;
     // Until when callers may take the stream up again.
     Common::Time expiresAt;
+    // Whether the process stated `incarnation` on the connection that brought the stream. Otherwise
+    // it is what the list named when the request was sent, which may have been outdated.
+    bool isStated = false;
+    // Not set if the list has not named the process yet. The stream goes on nowhere until it does.
+    bool isVersionKnown = true;
 };
 
 // An endpoint's process that was replaced by one with another version. What was sent to it at
--- a/Source/UnitTests/Entry/StreamMessagesTest.cpp
+++ b/Source/UnitTests/Entry/StreamMessagesTest.cpp
@@ -51,6 +51,28 @@
     }
 }
 
+// Guards against a process that has stated its start time being taken for one that has not.
+BOOST_AUTO_TEST_CASE(origin_statedByItsProcess_isTheSame)
+{
+    this->message.kind = StreamMessageKind::Began;
+    this->message.origin.isStated = true;
+    this->message.origin.isVersionKnown = false;
+    const auto read = this->sent(this->message);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->origin.isStated);
+    BOOST_TEST(!read->origin.isVersionKnown);
+}
+
+// Instances of earlier releases do not send these members.
+BOOST_AUTO_TEST_CASE(origin_ofAnEarlierRelease_isReadAsListed)
+{
+    const auto read = readStreamMessage(
+        boost::json::parse(R"(["began",0,"a",9000,"app","v1","e1",17,2000])"), this->now);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(!read->origin.isStated);
+    BOOST_TEST(read->origin.isVersionKnown);
+}
+
 BOOST_AUTO_TEST_CASE(question_writtenAndRead_isTheSame)
 {
     this->message.kind = StreamMessageKind::Find;
--- a/Source/UnitTests/Serving/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Serving/StreamOriginsTest.cpp
@@ -121,6 +121,18 @@
     BOOST_TEST(this->versionOf("next") == "v2");
 }
 
+// Guards against forgetting where a stream began although the process itself has said so.
+BOOST_AUTO_TEST_CASE(forget_restartedEndpoint_keepsWhatItsProcessHasStated)
+{
+    StreamOrigin stated = this->origin("v1", 100);
+    stated.isStated = true;
+    addOrigin(this->origins, "before", stated, this->now);
+    forgetOrigins(this->origins, Common::EndpointId("e1"), 7, this->now, this->now);
+    addOrigin(this->origins, "after", stated, this->now);
+    BOOST_TEST(this->versionOf("before") == "v1");
+    BOOST_TEST(this->versionOf("after") == "v1");
+}
+
 BOOST_AUTO_TEST_CASE(restarts_old_areForgotten)
 {
     forgetOrigins(this->origins, Common::EndpointId("e1"), 7, this->now, this->now);
