Http: Do not take the end of a connection for the end of a reply

Callers of the own interface could get the first part of a service's reply as the whole. For an at-most-once call the part was also written to the ledger and given to each repetition. A checkpoint could be read in part: the first digits of a number are a number. A request that crashes its engines after the heads of their answers reached all of them instead of two. No such case was reported; all four were found by reading every reader of responses.

The system ends the connections of a killed process in order, and a body without a length and without chunks ends with its connection.

Http::CallOptions::requiresFraming makes a call fail as a lost connection if its reply is not framed. Stage calls, at-most-once calls, reads of objects and the commands set it, since nobody can be asked at the own interface whether the process still runs. Endpoints there have to frame their replies; the stand-ins do (Http/Connection), and the errors name what was missing. An engine that ends its connection without framing before its first token counts as lost before its answer.

The commands have no test of their own.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -366,6 +366,11 @@
     auto opened = co_await this->open(std::move(address), std::move(request), options);
     if (!opened)
         co_return tl::unexpected(opened.error());
+    if (options.requiresFraming && opened->framing() == BodyFraming::Connection) {
+        opened->close();
+        co_return tl::unexpected(CallError{CallFailure::ConnectionLost, true,
+                                           "the reply has neither a length nor chunks"});
+    }
     Response response;
     response.status = opened->status();
     response.headers = opened->headers();
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -107,6 +107,9 @@
     // lost before any reply arrived.
     bool repeatable = true;
     std::size_t maxBodyBytes = 64 << 20;
+    // For `call`: a reply whose body ends with its connection fails as a lost connection. Readers
+    // that cannot tell a part of a body from the whole set this.
+    bool requiresFraming = false;
     // Maximum number of idle connections to the address. Beyond it, the connection is closed after
     // the reply.
     std::size_t maxIdleConnections = 64;
--- a/Source/Core/Node/Generation.cpp
+++ b/Source/Core/Node/Generation.cpp
@@ -198,6 +198,9 @@
         co_return segment;
     }
     this->scope.shared.counters.add(Counter::RepliesTruncated);
+    // The connections of an engine that was killed end in this way too.
+    segment.isLostBeforeAnswer = segment.problem.empty() && this->reader->tokenCount() == 0
+        && reply.framing() == Http::BodyFraming::Connection;
     if (segment.problem.empty())
         segment.problem = "the engine's stream ended without a terminal event";
     co_return segment;
--- a/Source/Core/Node/OnceCall.cpp
+++ b/Source/Core/Node/OnceCall.cpp
@@ -193,6 +193,7 @@
     options.deadline = this->scope.deadline;
     options.freshConnection = true;
     options.repeatable = false;
+    options.requiresFraming = true;
     options.beforeFirstByte
         = [this] { return !this->scope.mustEnd && Once::maySend(this->attempt, clockNow()); };
     options.acceptHead = attemptTagCheck(this->scope.shared, tag);
@@ -268,7 +269,7 @@
     const bool timedOut = failure.failure == Http::CallFailure::Timeout;
     return {timedOut ? ErrorCode::DeadlineExceeded : ErrorCode::EndpointFailed,
             "the call was sent but no valid reply was received: "
-                + std::string(Common::nameOf(failure.failure)),
+                + std::string(Common::nameOf(failure.failure)) + ": " + failure.message,
             Ran::Maybe};
 }
 
--- a/Source/Core/Node/StageCall.cpp
+++ b/Source/Core/Node/StageCall.cpp
@@ -136,6 +136,7 @@
                           call.body};
     Http::CallOptions options;
     options.deadline = call.deadline;
+    options.requiresFraming = true;
     scope.shared.counters.add(Counter::StageAttempts);
     asio::co_spawn(scope.worker.context,
                    runAttempt(scope.worker, scope.shared, call.pool, attemptSet, attempt,
@@ -194,7 +195,8 @@
         if (result && result->status == 200 && !accepted) {
             evaluation.problem = "the reply belongs to no open attempt";
         } else if (!result) {
-            evaluation.problem = std::string(Common::nameOf(result.error().failure));
+            evaluation.problem = std::string(Common::nameOf(result.error().failure)) + ": "
+                + result.error().message;
             if (result.error().failure == Http::CallFailure::ConnectionLost)
                 scope.shared.counters.add(Counter::RepliesTruncated);
         } else if (result->status < 500) {
--- a/Source/Core/Storage/ObjectStore.cpp
+++ b/Source/Core/Storage/ObjectStore.cpp
@@ -16,6 +16,8 @@
     Http::Request request{std::move(method), "/v1/objects/" + name, {}, std::move(body)};
     Http::CallOptions options;
     options.deadline = Common::clockNow() + this->callTimeout;
+    // Writes are confirmed by their status.
+    options.requiresFraming = request.method == "GET";
     co_return co_await this->client.call(this->address, std::move(request), options);
 }
 
--- a/Source/Tanagerbay/Support.cpp
+++ b/Source/Tanagerbay/Support.cpp
@@ -139,6 +139,7 @@
         Http::CallOptions options;
         options.deadline = Common::clockNow() + timeout;
         options.connectTimeout = timeout;
+        options.requiresFraming = true;
         result = co_await client.call(address, std::move(request), options);
     };
     asio::co_spawn(context, call(), asio::detached);
--- a/Source/UnitTests/Http/ClientTest.cpp
+++ b/Source/UnitTests/Http/ClientTest.cpp
@@ -1,6 +1,7 @@
 #include "Http/Client.h"
 #include "Common/Clock.h"
 #include "Http/Server.h"
+#include "UnitTests/Http/RawServer.h"
 
 #include <array>
 #include <optional>
@@ -60,6 +61,25 @@
         return error;
     }
 
+    // Calls a server that ends the connection after these bytes, and requires framing.
+    Http::CallResult<Http::Response> callForFramedReply(const std::string &bytes)
+    {
+        Tests::RawServer server([&bytes](const auto &) { return bytes; });
+        Http::CallResult<Http::Response> result = tl::unexpected(Http::CallError{});
+        const auto run = [&]() -> Http::Awaitable<void> {
+            Http::CallOptions options;
+            options.deadline = Common::clockNow() + kServedCallTimeout;
+            options.requiresFraming = true;
+            Http::Request request{"POST", "/x", {}, "body"};
+            result = co_await this->client.call(server.address(), std::move(request),
+                                                std::move(options));
+        };
+        asio::co_spawn(this->context, run(), asio::detached);
+        this->context.run();
+        this->context.restart();
+        return result;
+    }
+
     // Returns the number of bytes that the client has sent over its only connection.
     std::size_t receivedBytes()
     {
@@ -162,4 +182,37 @@
     BOOST_TEST(last.error().written);
 }
 
+// Guards against a part of a body that is taken for the whole, since the system ends the
+// connections of a killed process in order.
+BOOST_AUTO_TEST_CASE(call_requiresFramingAndBodyEndsWithItsConnection_isLost)
+{
+    for (const char *bytes :
+         {"HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+          "HTTP/1.0 500 Failed\r\n\r\npart"}) {
+        const auto reply = this->callForFramedReply(bytes);
+        BOOST_REQUIRE(!reply);
+        BOOST_TEST(Common::nameOf(reply.error().failure) == "connection lost");
+        BOOST_TEST(reply.error().written);
+    }
+}
+
+// Guards against replies without a body, or with a complete one, that count as lost.
+BOOST_AUTO_TEST_CASE(call_requiresFramingAndReplyIsFramed_isAnswered)
+{
+    for (const char *bytes : {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "4\r\nbody\r\n0\r\n\r\n"}) {
+        const auto reply = this->callForFramedReply(bytes);
+        BOOST_REQUIRE(reply);
+        BOOST_TEST(reply->body == "body");
+    }
+    for (const char *bytes :
+         {"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 304 Not Modified\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}) {
+        const auto reply = this->callForFramedReply(bytes);
+        BOOST_REQUIRE(reply);
+        BOOST_TEST(reply->body == "");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
