Entry: Know a process that has stated itself before the request

An endpoint's statement is now remembered. A process that had stated its start time before the request was sent, and states it again after the end of the answer, has run all the while and has written all. The first answer of a restarted process may still be doubted, once at each instance.

EndsOfAnswers/unframedOnceOnlyResponses_listShowsTheFormerProcess_areCompleteFromTheSecondOn.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -119,6 +119,22 @@
     return found->second.listed.entry.version;
 }
 
+void EndpointDiscovery::noteStated(const Common::EndpointId &id, std::uint64_t incarnation,
+                                   Common::Time at)
+{
+    const auto [entry, added] = this->stated.try_emplace(id, StatedProcess{incarnation, at});
+    if (!added && entry->second.incarnation != incarnation)
+        entry->second = {incarnation, at};
+}
+
+bool EndpointDiscovery::hadStated(const Common::EndpointId &id, std::uint64_t incarnation,
+                                  Common::Time time) const
+{
+    const auto found = this->stated.find(id);
+    return found != this->stated.end() && found->second.incarnation == incarnation
+        && found->second.at <= time;
+}
+
 bool EndpointDiscovery::hasConfirmed(const Serving::StreamOrigin &origin) const
 {
     if (origin.isStated)
@@ -312,6 +328,8 @@
     for (const auto &[service, pool] : this->state.pools)
         entries[service];
     const Common::Time now = clockNow();
+    std::erase_if(this->stated,
+                  [this](const auto &entry) { return !this->list.known.contains(entry.first); });
     for (const auto &[service, listed] : entries) {
         Routing::Pool &pool = this->state.poolOf(service);
         Routing::noteVersions(this->state.versions, service, pool, now);
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -41,6 +41,12 @@
     // Returns the software version of a process. Returns nothing if the list does not show it.
     std::optional<std::string> versionOf(const Common::EndpointId &id,
                                          std::uint64_t incarnation) const;
+    // Records that an endpoint's process has stated its start time.
+    void noteStated(const Common::EndpointId &id, std::uint64_t incarnation, Common::Time at);
+    // Whether this process of the endpoint had stated its start time at `time` or before, and no
+    // other one has since.
+    bool hadStated(const Common::EndpointId &id, std::uint64_t incarnation,
+                   Common::Time time) const;
     // Whether a reading that began after the stream was sent still showed the process that is taken
     // for its origin.
     bool hasConfirmed(const Serving::StreamOrigin &origin) const;
@@ -75,7 +81,15 @@
     StageOwner &stages;
     Store &store;
     StoreRelay &relay;
+    // The process that an endpoint was last, by its own statement, and since when it has said so.
+    struct StatedProcess
+    {
+        std::uint64_t incarnation = 0;
+        Common::Time at;
+    };
+
     EndpointList list;
+    std::map<Common::EndpointId, StatedProcess> stated;
     ReportedEndpoints reported;
     StorePosition reportedPosition;
     // When the last reading began that the list is based on, by this instance or a reader.
--- a/Source/Core/Entry/ProcessQuestion.cpp
+++ b/Source/Core/Entry/ProcessQuestion.cpp
@@ -19,12 +19,12 @@
     if (!response)
         co_return reply;
     reply.head = state.dialect.readResponseHead(response->status, response->headers);
-    const auto startTime = state.dialect.readProcessAnswer(response->body);
-    if (!startTime)
+    reply.startTime = state.dialect.readProcessAnswer(response->body);
+    if (!reply.startTime)
         reply.answer = ProcessAnswer::Unstated;
     else
         reply.answer
-            = *startTime == endpoint.incarnation ? ProcessAnswer::Same : ProcessAnswer::Other;
+            = *reply.startTime == endpoint.incarnation ? ProcessAnswer::Same : ProcessAnswer::Other;
     co_return reply;
 }
 
--- a/Source/Core/Entry/ProcessQuestion.h
+++ b/Source/Core/Entry/ProcessQuestion.h
@@ -35,6 +35,8 @@
 struct ProcessReply
 {
     ProcessAnswer answer = ProcessAnswer::Unanswered;
+    // Start time of the process; unset if it was not stated.
+    std::optional<std::uint64_t> startTime;
     // Unset if the endpoint has not answered.
     std::optional<EndpointResponseHead> head;
 };
--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -42,8 +42,14 @@
     const ProcessReply reply = co_await askForProcess(this->state, std::move(writer), options);
     if (reply.head)
         this->applyResponseHead(*endpoint, *reply.head, now);
+    // The list may not show yet that the endpoint was restarted before the request was sent.
+    EndpointDiscovery &endpoints = this->dependencies.endpoints;
+    const bool hasRunSince = reply.startTime
+        && endpoints.hadStated(endpoint->id, *reply.startTime, this->sentTo.sentAt);
+    if (reply.startTime)
+        endpoints.noteStated(endpoint->id, *reply.startTime, clockNow());
     this->state.metrics.count(labelled("end_checks", "result", Common::nameOf(reply.answer)));
-    if (reply.answer == ProcessAnswer::Same)
+    if (reply.answer == ProcessAnswer::Same || hasRunSince)
         co_return "";
     co_return "the answer ended with its connection, its process: "
         + std::string(Common::nameOf(reply.answer));
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -136,6 +136,7 @@
 void RequestFlow::notePeer(std::uint64_t process)
 {
     const auto version = this->dependencies.endpoints.versionOf(this->sentTo.endpoint, process);
+    this->dependencies.endpoints.noteStated(this->sentTo.endpoint, process, clockNow());
     this->sentTo.incarnation = process;
     this->sentTo.isStated = true;
     this->sentTo.isVersionKnown = version.has_value();
