Review: Add a rig of real worker processes

Change: review/rig plays worker processes that are killed by SIGKILL and started again under their id or a new one, with answers that end with their connection, joined and split segments, second answers, a silent second, and callers that are slow, pipeline, leave, close half or send a line break behind a body, for two sites, against any build. The stand-ins take a port, a start time and a program of their own for it.

--- a/review/build.sh
+++ b/review/build.sh
@@ -9,3 +9,5 @@
     echo "building case $number"
     g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "build/case-$number" "$source"
 done
+echo "building the rig"
+g++ -std=c++20 -O1 -Wall -Wextra -pthread -o build/rig rig/rig.cpp
--- a/review/standin/Net.h
+++ b/review/standin/Net.h
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -154,8 +155,10 @@
             this->hasTimedOut = true;
             return false;
         }
+        if (this->pauseMs > 0)
+            sleepFor(this->pauseMs);
         char bytes[16384];
-        const ssize_t count = ::recv(this->fd, bytes, sizeof(bytes), 0);
+        const ssize_t count = ::recv(this->fd, bytes, std::min(this->readSize, sizeof(bytes)), 0);
         this->wasReset = count < 0;
         if (count <= 0)
             return false;
@@ -224,6 +227,9 @@
 
     int fd;
     std::string buffer;
+    // A slow reader waits before each read and takes few bytes at a time.
+    int pauseMs = 0;
+    std::size_t readSize = 16384;
     bool hasTimedOut = false;
     bool wasReset = false;
 };
--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -15,6 +15,7 @@
 #include <random>
 #include <sstream>
 
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 
@@ -286,10 +287,11 @@
 public:
     using Answer = std::function<bool(const WorkerCall &)>;
 
+    // A port of 0 lets the system choose one; `born` is the start time in Unix milliseconds.
     Worker(const std::string &ip, std::string id, std::string service, std::string version,
-           Answer answer)
-        : id(std::move(id)), service(std::move(service)), version(std::move(version)),
-          answer(std::move(answer)), listener({ip, 0}, [this](int fd) { this->serve(fd); })
+           Answer answer, int port = 0, std::uint64_t born = 1'700'000'000'000)
+        : id(std::move(id)), service(std::move(service)), version(std::move(version)), born(born),
+          answer(std::move(answer)), listener({ip, port}, [this](int fd) { this->serve(fd); })
     {
     }
 
@@ -304,6 +306,11 @@
             + std::to_string(this->born) + "}";
     }
 
+    bool isListening() const
+    {
+        return this->listener.isListening();
+    }
+
     // The process ends.
     void crash()
     {
@@ -383,7 +390,7 @@
 
 private:
     std::string version;
-    std::uint64_t born = 1'700'000'000'000;
+    std::uint64_t born;
     std::uint64_t sequence = 0;
     Answer answer;
     std::mutex mutex;
@@ -416,6 +423,15 @@
     return size + bytes + "\r\n";
 }
 
+// How the processes of the system are started.
+struct Launch
+{
+    // Path of the program under test, absolute or from the root of the repository.
+    std::string program = "target/tanagerbay";
+    // Most open files of a process; zero leaves the limit of the machine.
+    int openFiles = 0;
+};
+
 // A process of the system, started with the command of the deploy file.
 class Entry
 {
@@ -433,8 +449,8 @@
 
     Entry(const std::string &root, const std::string &folder, const std::string &name,
           const std::string &ip, const std::string &zone, const Ports &ports, const Address &store,
-          const std::vector<std::string> &seeds)
-        : root(root), folder(folder), name(name), ip(ip), ports(ports)
+          const std::vector<std::string> &seeds, Launch launch)
+        : root(root), folder(folder), name(name), ip(ip), ports(ports), launch(std::move(launch))
     {
         std::string seedList;
         for (const std::string &seed : seeds)
@@ -478,8 +494,14 @@
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
         ::putenv(const_cast<char *>(variable.c_str()));
-        ::execl("target/tanagerbay", "target/tanagerbay", "serve", "--settings-variable",
-                "TANAGERBAY_BOOT", static_cast<char *>(nullptr));
+        if (this->launch.openFiles > 0) {
+            const auto most = static_cast<rlim_t>(this->launch.openFiles);
+            const rlimit limit{most, most};
+            ::setrlimit(RLIMIT_NOFILE, &limit);
+        }
+        const char *program = this->launch.program.c_str();
+        ::execl(program, program, "serve", "--settings-variable", "TANAGERBAY_BOOT",
+                static_cast<char *>(nullptr));
         ::_exit(127);
     }
 
@@ -554,6 +576,7 @@
     const std::string name;
     const std::string ip;
     const Ports ports;
+    const Launch launch;
 
 private:
     static std::size_t count(const std::string &text, const std::string &pattern)
@@ -642,9 +665,9 @@
         const std::vector<std::string> seeds(ips.begin(), ips.begin() + std::min(count, 3));
         for (int i = 0; i < count; ++i) {
             const std::string zone = std::string("zone-") + static_cast<char>('a' + i % 3);
-            this->entries.push_back(
-                std::make_unique<Entry>(this->root, this->folder, "front-" + std::to_string(i + 1),
-                                        ips[i], zone, ports, this->store.address(), seeds));
+            this->entries.push_back(std::make_unique<Entry>(
+                this->root, this->folder, "front-" + std::to_string(i + 1), ips[i], zone, ports,
+                this->store.address(), seeds, this->launch));
         }
     }
 
@@ -684,6 +707,7 @@
     std::string root;
     std::string folder;
     std::string prefix;
+    Launch launch;
     Store store;
     std::vector<std::unique_ptr<Entry>> entries;
     std::atomic<unsigned> attempts{0};
