Review: Print manners, take-ups and second answers in the rig

Cause: a run didn't show whether the behaviours had occurred, and a stream of two versions over take-ups was listed with its first attempt only.

Change: both are printed; some workers start again behind a cut from the store.

--- a/review/rig/Callers.h
+++ b/review/rig/Callers.h
@@ -86,6 +86,7 @@
     }
 
     std::vector<Outcome> outcomes;
+    std::atomic<int> failedConnects{0};
 
 private:
     const Kind &choose(Random &random, bool isStream)
@@ -125,6 +126,7 @@
     {
         Connection connection;
         if (!connection.open(this->front(random))) {
+            ++this->failedConnects;
             sleepFor(50);
             return;
         }
@@ -171,8 +173,9 @@
             outcome.attempt = attempts[i];
             outcome.isKept = connection.answers > 0;
             outcome.isHalfClosed = isHalfClosed;
-            outcome.manner = std::string(isSlow ? "slow " : "") + (isPipelined ? "pipelined " : "")
-                + (hasLineBreak ? "line break " : "") + (isHalfClosed ? "half-closed" : "");
+            outcome.manner = std::string(isSlow ? "slow," : "") + (isPipelined ? "pipelined," : "")
+                + (hasLineBreak ? "line break," : "") + (isHalfClosed ? "half-closed," : "")
+                + (outcome.isKept ? "kept" : "new");
             // A response that announced the close ends what was sent behind it.
             if (!isOpen) {
                 outcome.result = hasTimedOut ? Result::TimedOut : Result::NoAnswer;
@@ -227,6 +230,7 @@
         Connection connection;
         for (int take = 0; take < 4 && Clock::now() < deadline; ++take) {
             if (connection.fd < 0 && !connection.open(this->front(random))) {
+                ++this->failedConnects;
                 sleepFor(50);
                 continue;
             }
@@ -238,8 +242,10 @@
             outcome.stream = stream;
             outcome.attempt = take == 0 ? stream : this->deployment.nextAttempt();
             outcome.isKept = connection.answers > 0;
-            outcome.manner = std::string(isSlow ? "slow " : "")
-                + (take > 0 ? "taken up after " + std::to_string(last) : "");
+            outcome.manner = std::string(isSlow ? "slow," : "") + (leaves ? "leaves," : "")
+                + (take > 0             ? "taken up"
+                       : outcome.isKept ? "kept"
+                                        : "new");
             const std::string more = firstAttempt.empty() ? ""
                                                           : "Resumes: " + firstAttempt
                     + "\r\nLast-Event-Id: " + std::to_string(last) + "\r\n";
--- a/review/rig/Fleet.h
+++ b/review/rig/Fleet.h
@@ -241,7 +241,9 @@
             if (happens(random, 0.5))
                 member.address.port = freePort({member.address.ip});
         }
-        const int rowDelayMs = between(random, 0, 600);
+        // Some are cut off from the store as they start, so that it shows the process before.
+        const int rowDelayMs
+            = happens(random, 0.15) ? between(random, 2000, 5000) : between(random, 0, 600);
         if (!this->begin(member))
             return;
         member.nextRowAt = Clock::now() + Milliseconds(rowDelayMs);
--- a/review/rig/Verdict.h
+++ b/review/rig/Verdict.h
@@ -16,6 +16,10 @@
     {
         std::ifstream runs(fleet.runs());
         for (std::string line; std::getline(runs, line);) {
+            if (line.rfind("#", 0) == 0) {
+                ++this->secondAnswers;
+                continue;
+            }
             std::istringstream words(line);
             std::string attempt;
             Run run;
@@ -35,7 +39,7 @@
             this->judge(outcome);
         for (const auto &[stream, seen] : this->streams) {
             if (seen.versions.size() > 1 && !seen.isMixedInAnswer)
-                this->add("ORDER versions over take-ups", stream, "", "two versions");
+                this->add("ORDER versions over take-ups", stream, seen.kind, "", seen.attempts);
             ++this->streamsOf[seen.kind];
             this->wholeStreamsOf[seen.kind] += seen.isWhole ? 1 : 0;
         }
@@ -80,17 +84,20 @@
     {
         std::string kind;
         std::set<std::string> versions;
+        std::vector<std::string> attempts;
         bool isMixedInAnswer = false;
         bool isWhole = false;
     };
 
     void add(const std::string &rule, const std::string &attempt, const std::string &manner,
-             const std::string &text)
+             const std::string &text, const std::vector<std::string> &attempts)
     {
         ++this->rules[rule];
         this->cases << rule << ": " << attempt << " " << manner << " " << text << "\n";
-        for (const Run &run : this->runs[attempt])
-            this->cases << "    ran: " << run.line << "\n";
+        for (const std::string &each : attempts) {
+            for (const Run &run : this->runs[each])
+                this->cases << "    ran: " << run.line << "\n";
+        }
     }
 
     void judge(const Outcome &outcome)
@@ -101,8 +108,14 @@
             = !ran.empty() && this->fleet.isSoundUntil(ran.back().process, outcome.endedAt);
         Counts &counts = this->counts[outcome.kind->name];
         ++counts.sent;
+        std::istringstream manners(outcome.manner);
+        for (std::string manner; std::getline(manners, manner, ',');) {
+            ++this->manners[manner].first;
+            this->manners[manner].second += outcome.result == Result::Whole ? 1 : 0;
+        }
         const auto report = [&](const std::string &rule, const std::string &text) {
-            this->add(rule, outcome.attempt, outcome.kind->name + " " + outcome.manner, text);
+            this->add(rule, outcome.attempt, outcome.kind->name + " " + outcome.manner, text,
+                      {outcome.attempt});
         };
         switch (outcome.result) {
         case Result::Whole:
@@ -158,6 +171,7 @@
             return;
         Stream &stream = this->streams[outcome.stream];
         stream.kind = outcome.kind->name;
+        stream.attempts.push_back(outcome.attempt);
         stream.versions.insert(outcome.versions.begin(), outcome.versions.end());
         stream.isMixedInAnswer = stream.isMixedInAnswer || outcome.versions.size() > 1;
         stream.isWhole = stream.isWhole || outcome.result == Result::Whole;
@@ -191,7 +205,10 @@
               "PROMISE", "400 for a sound request", "half-closed without an answer"})
             std::cout << std::left << std::setw(33) << rule << std::right << std::setw(10)
                       << this->rules[rule] << "\n";
-        std::cout << "workers killed: " << this->fleet.killCount() << "\n";
+        for (const auto &[manner, numbers] : this->manners)
+            std::cout << manner << ": " << numbers.first << ", whole " << numbers.second << "\n";
+        std::cout << "second answers: " << this->secondAnswers
+                  << ", workers killed: " << this->fleet.killCount() << "\n";
     }
 
     Fleet &fleet;
@@ -203,7 +220,10 @@
     std::map<std::string, int> streamsOf;
     std::map<std::string, int> wholeStreamsOf;
     std::map<std::string, int> rules;
+    // Requests sent and answered whole, by manner of the caller.
+    std::map<std::string, std::pair<int, int>> manners;
     int wholeCount = 0;
+    int secondAnswers = 0;
 };
 
 } // namespace Review
--- a/review/rig/WorkerProcess.h
+++ b/review/rig/WorkerProcess.h
@@ -157,6 +157,9 @@
         // A faulty worker sends an answer twice: right behind the first one, or late, where the
         // next answer is expected.
         if (this->isFaulty && !(this->framing == Framing::Unframed) && happens(random, 0.03)) {
+            const std::string note = "# second answer " + attempt + "\n";
+            if (::write(this->runs, note.data(), note.size()) < 0)
+                return false;
             const std::string again = head + (isChunked ? chunkOf(body) + "0\r\n\r\n" : body);
             if (happens(random, 0.5))
                 call.kept = again;
--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -62,6 +62,7 @@
         for (std::thread &trouble : troubles)
             trouble.join();
         code = Verdict(fleet, site, deployment.folder).judge(callers.outcomes);
+        std::cout << "connects that failed: " << callers.failedConnects << "\n";
         if (numberFrom("STOPS") > 0)
             std::cout << "processes that ended late: " << late << "\n";
         for (const auto &entry : deployment.entries) {
