Review: Count answers that only look whole apart

Cause: the column of whole answers held those that break ORDER or MIXED, so that two builds could not be compared by it.

Change: a column of its own.

--- a/review/rig/Verdict.h
+++ b/review/rig/Verdict.h
@@ -69,6 +69,7 @@
     {
         int sent = 0;
         int whole = 0;
+        int broken = 0;
         int cut = 0;
         int cutSound = 0;
         int refused = 0;
@@ -106,12 +107,15 @@
         // Passed on to a worker that lived until the caller read the end of its answer.
         const bool isSound
             = !ran.empty() && this->fleet.isSoundUntil(ran.back().process, outcome.endedAt);
+        const bool isBroken
+            = !outcome.mixed.empty() || !outcome.lacks.empty() || !outcome.disorder.empty();
+        const bool isWhole = outcome.result == Result::Whole && !isBroken;
         Counts &counts = this->counts[outcome.kind->name];
         ++counts.sent;
         std::istringstream manners(outcome.manner);
         for (std::string manner; std::getline(manners, manner, ',');) {
             ++this->manners[manner].first;
-            this->manners[manner].second += outcome.result == Result::Whole ? 1 : 0;
+            this->manners[manner].second += isWhole ? 1 : 0;
         }
         const auto report = [&](const std::string &rule, const std::string &text) {
             this->add(rule, outcome.attempt, outcome.kind->name + " " + outcome.manner, text,
@@ -119,8 +123,9 @@
         };
         switch (outcome.result) {
         case Result::Whole:
-            ++counts.whole;
-            ++this->wholeCount;
+            // An answer that only looks whole counts as a case of its rule.
+            ++(isWhole ? counts.whole : counts.broken);
+            this->wholeCount += isWhole ? 1 : 0;
             break;
         case Result::Cut:
             ++counts.cut;
@@ -174,23 +179,24 @@
         stream.attempts.push_back(outcome.attempt);
         stream.versions.insert(outcome.versions.begin(), outcome.versions.end());
         stream.isMixedInAnswer = stream.isMixedInAnswer || outcome.versions.size() > 1;
-        stream.isWhole = stream.isWhole || outcome.result == Result::Whole;
+        stream.isWhole = stream.isWhole || isWhole;
     }
 
     void print()
     {
         std::cout << std::left << std::setw(18) << "kind" << std::setw(15) << "" << std::right;
-        for (const char *column : {"sent", "whole", "cut", "(sound)", "refused", "(sound)",
-                                   "no answer", "(sound)", "timed out", "left"})
+        for (const char *column : {"sent", "whole", "broken", "cut", "(sound)", "refused",
+                                   "(sound)", "no answer", "(sound)", "timed out", "left"})
             std::cout << std::setw(10) << column;
         std::cout << "\n";
         for (const Kind &kind : this->site.kinds) {
             const Counts &counts = this->counts[kind.name];
             std::cout << std::left << std::setw(18) << kind.name << std::setw(15) << kind.kindName()
                       << std::right;
-            for (const int number : {counts.sent, counts.whole, counts.cut, counts.cutSound,
-                                     counts.refused, counts.refusedSound, counts.noAnswer,
-                                     counts.noAnswerSound, counts.timedOut, counts.left})
+            for (const int number :
+                 {counts.sent, counts.whole, counts.broken, counts.cut, counts.cutSound,
+                  counts.refused, counts.refusedSound, counts.noAnswer, counts.noAnswerSound,
+                  counts.timedOut, counts.left})
                 std::cout << std::setw(10) << number;
             for (const auto &[status, count] : counts.statuses)
                 std::cout << "  " << status << ": " << count;
