Serving: Answer what has arrived when a leaving instance closes

The soak reports requests cut that were sent in the last 500 ms of the grace period. An instance closes its port and its idle connections 500 ms before the end of the soak's grace period.

Cause: the close discarded what the kernel had received by then. Connections that waited to be accepted were reset with the acceptor; one that had just been accepted was closed unread; a read of a kept connection was cancelled although bytes waited. The check for the exit followed in the same turn, so that nothing could be read afterwards either. How much is lost depends on how late the event loop is at the close: a punctual one discards almost nothing.

The close now accepts the connections that wait, serves a new connection at least once, and leaves idle connections alone on which bytes wait. The exit follows at least one interval of 50 ms after the close, also if the instance closes as it is idle. An instance that closes in time exits no later than before, except for these 50 ms when it has no request left.

Server/closeIdle_requestWaitsOnKeptConnection and closeIdle_requestsWaitOnNewConnections fail before (6 failed checks) and pass now.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -407,15 +407,22 @@
             co_await this->store->removeInstance(this->state.settings.instance);
         },
         asio::detached);
-    do {
+    bool isClosed = false;
+    bool exits = false;
+    while (!exits) {
         co_await this->state.sleepFor(kDrainPollInterval);
         // Before the check for the exit, also if this instance is far behind.
         this->endRequestsForShutdown(clockNow());
-        if (!Serving::mayRead(*this->state.leaving, clockNow())) {
+        const Common::Time now = clockNow();
+        const bool mayExit = Serving::mayExit(*this->state.leaving, this->shutdownActivity(), now);
+        // Requests that arrived before the close are answered in the interval that follows it.
+        exits = mayExit && isClosed;
+        if (mayExit || !Serving::mayRead(*this->state.leaving, now)) {
+            isClosed = true;
             for (Http::Server *server : this->requestServers())
                 server->closeIdle();
         }
-    } while (!Serving::mayExit(*this->state.leaving, this->shutdownActivity(), clockNow()));
+    }
     this->state.context.stop();
 }
 
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -191,7 +191,9 @@
 
 void Connection::closeIfIdle()
 {
-    if (this->isIdle)
+    // Bytes that have arrived were sent before the end of the connection.
+    beast::error_code error;
+    if (this->isIdle && this->stream.socket().available(error) == 0)
         this->cancelSocket();
 }
 
@@ -206,7 +208,8 @@
 Awaitable<void> Connection::serve(const Handler &handler, const HandlerFaultAction &onFault,
                                   const std::atomic<bool> &accepting)
 {
-    while (accepting) {
+    // A connection that was accepted shortly before the end may hold a request already.
+    do {
         // In the condition of a loop, GCC 12 evaluates what is awaited before the other operands.
         const bool isRead = co_await this->readRequest();
         if (!isRead)
@@ -221,7 +224,7 @@
         this->stopWatching.emit(asio::cancellation_type::all);
         if (!this->answered || !this->keepAlive)
             break;
-    }
+    } while (accepting);
     beast::error_code ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     this->stream.close();
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -40,14 +40,15 @@
     Awaitable<bool> writeChunk(std::string_view bytes) override;
     Awaitable<bool> endStream() override;
 
-    // Serves requests until the connection ends or the server stops accepting.
+    // Serves requests until the connection ends or, after the first one, the server stops
+    // accepting.
     Awaitable<void> serve(const Handler &handler, const HandlerFaultAction &onFault,
                           const std::atomic<bool> &accepting);
     // Answers that the connection limit is reached, instead of serving requests.
     Awaitable<void> refuse();
     // Closes the connection and reports the caller as gone to the request in progress.
     void disconnect();
-    // Closes the connection if it waits for its next request.
+    // Closes the connection if it waits for its next request and no byte of it has arrived.
     void closeIfIdle();
     // Lets the connection wait for its next request as long as the options say now.
     void applyIdleTimeout();
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -32,6 +32,8 @@
     // Open connections by context; each set is used on its context's thread only. The references
     // are weak, since this state may outlive the contexts and a connection must not.
     std::vector<std::set<std::weak_ptr<Connection>, std::owner_less<>>> openByContext;
+    // The context of the next connection.
+    std::size_t nextIndex = 0;
     std::atomic<bool> closing{false};
     std::atomic<bool> closeAfterAnswers{false};
 };
@@ -64,12 +66,45 @@
     co_await connection->refuse();
 }
 
+template <typename State>
+std::size_t nextContextIndex(State &state)
+{
+    return state.nextIndex++ % state.contexts.size();
+}
+
+// Serves a connection, or refuses it if there are too many.
+template <typename State>
+void beginConnection(const std::shared_ptr<State> &state, tcp::socket socket, std::size_t index)
+{
+    asio::io_context &context = *state->contexts[index];
+    if (state->connectionCount.load() >= state->options.maxConnections) {
+        asio::co_spawn(context, refuseConnection(state, std::move(socket), index), asio::detached);
+        return;
+    }
+    state->connectionCount.fetch_add(1);
+    asio::co_spawn(context, serveConnection(state, std::move(socket), index), asio::detached);
+}
+
+// Accepts the connections that wait. An end of the acceptor resets them, with their requests.
+template <typename State>
+void acceptWaiting(const std::shared_ptr<State> &state, tcp::acceptor &acceptor)
+{
+    beast::error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        const std::size_t index = nextContextIndex(*state);
+        tcp::socket socket(*state->contexts[index]);
+        acceptor.accept(socket, error);
+        if (!error)
+            beginConnection(state, std::move(socket), index);
+    }
+}
+
 template <typename State>
 Awaitable<void> acceptLoop(std::shared_ptr<State> state, std::shared_ptr<tcp::acceptor> acceptor)
 {
-    std::size_t nextIndex = 0;
     while (state->accepting) {
-        const std::size_t index = nextIndex++ % state->contexts.size();
+        const std::size_t index = nextContextIndex(*state);
         asio::io_context &context = *state->contexts[index];
         beast::error_code error;
         tcp::socket socket = co_await acceptor->async_accept(
@@ -78,13 +113,7 @@
             break;
         if (error)
             continue;
-        if (state->connectionCount.load() >= state->options.maxConnections) {
-            asio::co_spawn(context, refuseConnection(state, std::move(socket), index),
-                           asio::detached);
-            continue;
-        }
-        state->connectionCount.fetch_add(1);
-        asio::co_spawn(context, serveConnection(state, std::move(socket), index), asio::detached);
+        beginConnection(state, std::move(socket), index);
     }
 }
 
@@ -184,6 +213,11 @@
 
 void Server::closeIdle()
 {
+    if (this->state->accepting)
+        asio::post(*this->state->contexts.front(),
+                   [state = this->state, acceptor = this->state->acceptor] {
+                       acceptWaiting(state, *acceptor);
+                   });
     this->stopAccepting();
     forEachConnection(this->state, &Connection::closeIfIdle);
 }
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -82,7 +82,8 @@
     // connections are still accepted.
     void closeAfterAnswers();
     // Closes the listener and the connections that wait for their next request. Requests that have
-    // been read in part are still read and answered.
+    // arrived, even in part or on connections that wait to be accepted, are still read and
+    // answered.
     void closeIdle();
     // Applies the body and header size limits and the idle, request and body time-outs of `limits`
     // to requests that are read from now on, also on open connections. A connection that waits for
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -10,6 +10,8 @@
 #include <stdexcept>
 #include <thread>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -29,6 +31,7 @@
 
 // Receive time-out of the client; a test whose read exceeds it fails.
 constexpr int kMaxWaitSeconds = 10;
+constexpr int kWaitingCallers = 5;
 constexpr const char *kRequest = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
 
 struct ServerFixture
@@ -94,17 +97,32 @@
         return {bytes.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0))};
     }
 
-    // Applies the options in the thread of the server.
-    void applyOptions()
+    // Waits until the kernel of the server has received all bytes of a client.
+    static void waitUntilReceived(tcp::socket &client)
+    {
+        BOOST_REQUIRE(eventually([&] {
+            int unsent = 0;
+            return ::ioctl(client.native_handle(), SIOCOUTQ, &unsent) == 0 && unsent == 0;
+        }));
+    }
+
+    // Runs an action in the thread of the server, which serves nothing meanwhile.
+    void runInServerThread(const std::function<void()> &action)
     {
         std::promise<void> done;
         asio::post(this->context, [&] {
-            this->server->applyLimits(this->options);
+            action();
             done.set_value();
         });
         done.get_future().wait();
     }
 
+    // Applies the options in the thread of the server.
+    void applyOptions()
+    {
+        this->runInServerThread([this] { this->server->applyLimits(this->options); });
+    }
+
     Http::ServerOptions options;
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard;
@@ -151,6 +169,41 @@
     BOOST_TEST(read(slow).empty());
 }
 
+// Guards against an instance that runs late during its shutdown, and closes a connection whose
+// request has arrived.
+BOOST_AUTO_TEST_CASE(closeIdle_requestWaitsOnKeptConnection_isAnswered)
+{
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    this->runInServerThread([this] {
+        send(this->socket, kRequest);
+        waitUntilReceived(this->socket);
+        this->server->closeIdle();
+    });
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    BOOST_TEST(this->read().empty());
+}
+
+// The same for connections that wait to be accepted.
+BOOST_AUTO_TEST_CASE(closeIdle_requestsWaitOnNewConnections_areAnswered)
+{
+    this->start(answer);
+    BOOST_TEST(this->read().find("done") != std::string::npos);
+    std::vector<tcp::socket> callers;
+    this->runInServerThread([&] {
+        for (int i = 0; i < kWaitingCallers; ++i) {
+            this->connect(callers.emplace_back(this->clientContext));
+            send(callers.back(), kRequest);
+            waitUntilReceived(callers.back());
+        }
+        this->server->closeIdle();
+    });
+    for (tcp::socket &caller : callers) {
+        BOOST_TEST(read(caller).find("done") != std::string::npos);
+        BOOST_TEST(read(caller).empty());
+    }
+}
+
 // Guards against a limit from before a change that is enforced on connections which are kept open.
 BOOST_AUTO_TEST_CASE(applyLimits_connectionIsKept_nextRequestMeetsTheNewLimit)
 {
