Entry: Log how late the event loop of a leaving instance is

Whether an instance that exits too late, or cuts requests at its exit, got no processor or was busy itself could not be told from its log. loop-late is logged at once when a wait of the shutdown ends 50 ms or more after its time, with the processor time used in that interval.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,6 +22,8 @@
 constexpr Common::Milliseconds kDirectoryTtl{2000};
 constexpr std::size_t kMaxDirectoryEntries = 64;
 constexpr Common::Milliseconds kDrainPollInterval{50};
+// Delays of the event loop during a shutdown that are logged.
+constexpr Common::Milliseconds kLoggedDelay{50};
 // Log lines are buffered for at most this long.
 constexpr Common::Milliseconds kHousekeepingInterval{250};
 constexpr Common::Milliseconds kIdleConnectionTimeout{8000};
@@ -57,6 +60,15 @@
     std::size_t &inProgress;
 };
 
+// Processor time that this thread has used.
+Common::Duration threadProcessorTime()
+{
+    ::timespec used{};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return std::chrono::duration_cast<Common::Duration>(std::chrono::seconds(used.tv_sec)
+                                                        + std::chrono::nanoseconds(used.tv_nsec));
+}
+
 } // namespace
 
 EntryInstance::EntryInstance(Settings settings, const Platform &platform, Reload reload)
@@ -410,7 +422,10 @@
     bool isClosed = false;
     bool exits = false;
     while (!exits) {
+        const Common::Time dueAt = clockNow() + kDrainPollInterval;
+        const Common::Duration processorTime = threadProcessorTime();
         co_await this->state.sleepFor(kDrainPollInterval);
+        this->logDelay(clockNow() - dueAt, threadProcessorTime() - processorTime);
         // Before the check for the exit, also if this instance is far behind.
         this->endRequestsForShutdown(clockNow());
         const Common::Time now = clockNow();
@@ -426,6 +441,16 @@
     this->state.context.stop();
 }
 
+// Little processor time within a long delay tells a process that was not run, or that waited in a
+// call, from one that was busy itself.
+void EntryInstance::logDelay(Common::Duration delay, Common::Duration processorTime)
+{
+    if (delay >= kLoggedDelay)
+        this->state.logState(LogLine("loop-late")
+                                 .milliseconds("lateMs", delay)
+                                 .milliseconds("processorMs", processorTime));
+}
+
 Serving::ShutdownActivity EntryInstance::shutdownActivity() const
 {
     const auto begun = static_cast<std::size_t>(std::count_if(
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -38,6 +38,8 @@
     std::vector<Http::Server *> requestServers() const;
     Http::Awaitable<void> watchSignals();
     Http::Awaitable<void> leave();
+    // Logs by how much the event loop of a leaving instance was late, if that is much.
+    void logDelay(Common::Duration delay, Common::Duration processorTime);
     Serving::ShutdownActivity shutdownActivity() const;
     // Ends the requests that could not be answered any more before the process exits.
     void endRequestsForShutdown(Common::Time now);
