--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -199,7 +199,9 @@
 
 void Connection::closeIfIdle()
 {
-    if (this->isIdle)
+    // Bytes that have arrived were sent before the end of the connection.
+    beast::error_code error;
+    if (this->isIdle && this->stream.socket().available(error) == 0)
         this->cancelSocket();
 }
 
@@ -214,7 +216,8 @@
 Awaitable<void> Connection::serve(const Handler &handler, const FaultAction &onFault,
                                   const std::atomic<bool> &accepting)
 {
-    while (accepting) {
+    // A connection that was accepted shortly before the end may hold a request already.
+    do {
         this->answered = false;
         this->headWritten = false;
         // In the condition of a loop, GCC 12 evaluates what is awaited before the other operands.
@@ -232,7 +235,7 @@
         this->callerCheck.cancel();
         if (!this->answered || !this->keepAlive)
             break;
-    }
+    } while (accepting);
     // Behind an answer that kept the connection, a request may be on its way: it must not be read.
     if (this->answered && !this->keepAlive)
         co_await this->drainInput();
