Http: Answer requests that arrived before the close between two requests of a connection

The connection now goes on while bytes wait that no request has taken; each answer says by then that the connection closes.

Entry: a worker whose process ends before it answers the question for its process does not count as one that could not be reached, of which a request tries three: only silence costs time.

--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -92,7 +92,7 @@
         // Nothing was sent, since the endpoint had stated a limit after it was chosen.
         bool isTurnedBack = false;
         // Nothing was sent, since the process behind the connection is not one that may go on with
-        // the stream.
+        // the stream, or ended before it said which one it is.
         bool isOtherProcess = false;
     };
 
@@ -318,6 +318,8 @@
     // version is not known.
     bool isVersionUncertain = false;
     bool isOtherProcess = false;
+    // The endpoint has not answered the question for its process yet.
+    bool isAskingPeer = false;
     // `Responding` follows from the exchange and is never stored here.
     Serving::RequestPhase lastPhase = Serving::RequestPhase::Admission;
 };
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -194,6 +194,7 @@
     this->isTurnedBack = false;
     options.beforeFirstByte = [this, &endpoint] { return this->maySendNow(endpoint.id); };
     this->isOtherProcess = false;
+    this->isAskingPeer = false;
     if (this->isStream() && endpoint.incarnation != 0
         && (this->route->resumable || this->requiredVersion))
         this->addPeerQuestion(options, endpoint);
@@ -205,7 +206,9 @@
         const Http::CallError &error = opened.error();
         result.outcome = error.written ? SendOutcome::Unknown : SendOutcome::NotSent;
         result.isTurnedBack = this->isTurnedBack;
-        result.isOtherProcess = this->isOtherProcess;
+        // A process that has ended costs no time, so that any number of them may be asked.
+        result.isOtherProcess = this->isOtherProcess
+            || (this->isAskingPeer && error.failure == Http::CallFailure::ConnectionLost);
         result.connectionLost = error.written && error.failure == Http::CallFailure::ConnectionLost;
         result.detail = std::string(Common::nameOf(error.failure)) + ": " + error.message;
         const bool isUnreachable = error.failure == Http::CallFailure::ConnectFailed;
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -114,9 +114,11 @@
             return false;
         if (this->hasPermit)
             this->takePermit(endpoint.id, 1, clockNow());
+        this->isAskingPeer = true;
         return true;
     };
     options.peerQuestion->read = [this, &endpoint, askedAt](const Http::Response &response) {
+        this->isAskingPeer = false;
         this->applyResponseHead(
             endpoint, this->state.dialect.readResponseHead(response.status, response.headers),
             askedAt);
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -200,11 +200,16 @@
 void Connection::closeIfIdle()
 {
     // Bytes that have arrived were sent before the end of the connection.
-    beast::error_code error;
-    if (this->isIdle && this->stream.socket().available(error) == 0)
+    if (this->isIdle && !this->hasInput())
         this->cancelSocket();
 }
 
+bool Connection::hasInput()
+{
+    beast::error_code error;
+    return this->buffer.size() > 0 || this->stream.socket().available(error) > 0;
+}
+
 void Connection::applyIdleTimeout()
 {
     // Callers may still rely on a longer time-out from before.
@@ -235,7 +240,7 @@
         this->callerCheck.cancel();
         if (!this->answered || !this->keepAlive)
             break;
-    } while (accepting);
+    } while (accepting || this->hasInput());
     // Behind an answer that kept the connection, a request may be on its way: it must not be read.
     if (this->answered && !this->keepAlive)
         co_await this->drainInput();
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -41,8 +41,8 @@
     Awaitable<bool> writeChunk(std::string_view bytes) override;
     Awaitable<bool> endStream() override;
 
-    // Serves requests until the connection ends or, after the first one, the server stops
-    // accepting.
+    // Serves requests until the connection ends. Once the server has stopped accepting, only those
+    // that have arrived.
     Awaitable<void> serve(const Handler &handler, const FaultAction &onFault,
                           const std::atomic<bool> &accepting);
     // Answers that the connection limit is reached, instead of serving requests.
@@ -82,6 +82,8 @@
     // Detects a disconnect of the caller while its request is handled.
     void watchCaller();
     bool isPeerClosed();
+    // Whether the caller has sent bytes that no request has taken.
+    bool hasInput();
     // Checks whether the caller has disconnected, now and from time to time: while bytes wait
     // unread, the socket stays readable, and waiting for that tells nothing.
     void checkCaller();
