--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -147,7 +147,7 @@
         const int highest = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
         this->used.push_back(highest);
         ::rlimit lowered = this->before;
-        lowered.rlim_cur = static_cast<::rlim_t>(highest + 1 + left);
+        lowered.rlim_cur = static_cast<::rlim_t>(highest) + 1 + static_cast<::rlim_t>(left);
         ::setrlimit(RLIMIT_NOFILE, &lowered);
         for (int next = ::open("/dev/null", O_RDONLY | O_CLOEXEC); next >= 0;
              next = ::open("/dev/null", O_RDONLY | O_CLOEXEC))
