Http: Tell apart how the body of an answer ended

Cause: an end was an empty read, and each reader had to remember to ask for the framing beside it; a stream that this side had closed read like one that had ended.

Change: 'read' returns bytes or a 'BodyEnd': whole, or closed by the peer in order. A reset is an error as before, and so is a read behind our own close. A reader that treats an end as bytes does not compile. 'send-ended' and 'request-ended' tell 'end' and 'requestWritten'. No decision changes: a reset that the writer takes is still read as closed.

--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -16,10 +16,10 @@
 
 } // namespace
 
-Http::Awaitable<std::string> RequestFlow::faultAtEnd(const Http::ResponseStream &stream,
+Http::Awaitable<std::string> RequestFlow::faultAtEnd(Http::BodyEnd end,
                                                      const Routing::Endpoint *endpoint)
 {
-    if (stream.framing() != Http::BodyFraming::Connection)
+    if (end == Http::BodyEnd::Whole)
         co_return "";
     // Instances always frame what they relay.
     if (!endpoint)
@@ -67,16 +67,15 @@
     co_return hasRunSince ? ProcessAnswer::Same : reply.answer;
 }
 
-Http::Awaitable<std::string> RequestFlow::faultAtStreamEnd(const Http::ResponseStream &stream,
+Http::Awaitable<std::string> RequestFlow::faultAtStreamEnd(Http::BodyEnd end,
                                                            const Routing::Endpoint *endpoint)
 {
     if (this->events.hasPartialEvent())
         co_return "stream ended within an event";
     // A stream that goes on may have nothing left to send.
-    if (stream.framing() == Http::BodyFraming::Connection && !this->hasAnswerBegun()
-        && !this->events.lastEvent())
+    if (end == Http::BodyEnd::Closed && !this->hasAnswerBegun() && !this->events.lastEvent())
         co_return "stream ended with its connection, without an event";
-    co_return co_await this->faultAtEnd(stream, endpoint);
+    co_return co_await this->faultAtEnd(end, endpoint);
 }
 
 } // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -176,12 +176,11 @@
                                             const Routing::Endpoint *endpoint);
     // Returns why a body that has been read to its end is not complete; empty if it is. If it ended
     // with its connection, the endpoint is asked whether the process that wrote it still runs.
-    Http::Awaitable<std::string> faultAtEnd(const Http::ResponseStream &stream,
-                                            const Routing::Endpoint *endpoint);
+    Http::Awaitable<std::string> faultAtEnd(Http::BodyEnd end, const Routing::Endpoint *endpoint);
     // Asks whether the process that wrote the last answer still runs.
     Http::Awaitable<ProcessAnswer> confirmWriter(const Routing::Endpoint *endpoint,
                                                  Common::Time until);
-    Http::Awaitable<std::string> faultAtStreamEnd(const Http::ResponseStream &stream,
+    Http::Awaitable<std::string> faultAtStreamEnd(Http::BodyEnd end,
                                                   const Routing::Endpoint *endpoint);
     Http::CallOptions callOptions(Common::Time now);
     // Returns until when the endpoint may make no progress. `progressAt` is when the request was
@@ -226,8 +225,15 @@
     Http::Awaitable<SendResult> relayEventStream(Http::ResponseStream &stream,
                                                  const Routing::Endpoint *endpoint);
     Http::Awaitable<bool> relayReadyEvents(const Http::Headers &headers, unsigned status);
-    // Reads the complete body.
-    Http::Awaitable<Http::CallResult<std::string>> readBody(Http::ResponseStream &stream);
+    // A body that has been read to its end.
+    struct Body
+    {
+        std::string bytes;
+        Http::BodyEnd end = Http::BodyEnd::Whole;
+    };
+    Http::Awaitable<Http::CallResult<Body>> readBody(Http::ResponseStream &stream);
+    // Records how the last answer ended.
+    void noteEnd(const Http::ResponseStream &stream, Http::BodyEnd end);
     Http::Awaitable<void> refuse(Refusal refusal, std::string_view detail);
     Http::Awaitable<void> endUnanswered(Serving::NextStep step, SendResult last);
     void recordEnd(std::string_view outcome, std::string_view detail);
@@ -310,6 +316,10 @@
     Serving::StreamOrigin sentTo;
     // What marks the end of the last answer.
     std::optional<Http::BodyFraming> lastFraming;
+    // How it ended; unset if it did not.
+    std::optional<Http::BodyEnd> lastEnd;
+    // Whether the endpoint could have received the whole request by then.
+    bool wasLastRequestWritten = false;
     // The endpoint process that began the stream, by this request or the one that it takes up.
     std::optional<Serving::StreamOrigin> origin;
     // If set, only endpoints that run this software version may be sent the request.
--- a/Source/Core/Entry/RequestLog.cpp
+++ b/Source/Core/Entry/RequestLog.cpp
@@ -7,6 +7,9 @@
 {
     if (this->lastFraming)
         line.text("framing", Common::nameOf(*this->lastFraming));
+    if (this->lastEnd)
+        line.text("end", Common::nameOf(*this->lastEnd))
+            .flag("requestWritten", this->wasLastRequestWritten);
     if (this->sentTo.incarnation != 0)
         line.number("process", static_cast<std::int64_t>(this->sentTo.incarnation));
     if (this->origin) {
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -268,6 +268,7 @@
                          const Routing::Endpoint *endpoint)
 {
     this->lastFraming = stream.framing();
+    this->lastEnd.reset();
     if (isSuccess(answer.status) && (!answer.isSigned || answer.isEncoded)) {
         stream.close();
         SendResult result;
@@ -291,23 +292,27 @@
                                                traitNamesOf(this->request, this->workspaceId()));
 }
 
-Http::Awaitable<Http::CallResult<std::string>> RequestFlow::readBody(Http::ResponseStream &stream)
+Http::Awaitable<Http::CallResult<RequestFlow::Body>>
+RequestFlow::readBody(Http::ResponseStream &stream)
 {
-    std::string body;
+    Body body;
     HeldBytes held(this->state.heldResponseBytes);
     while (true) {
-        const auto bytes = co_await stream.read(this->deadline);
-        if (!bytes)
-            co_return tl::unexpected(bytes.error());
-        if (bytes->empty())
+        const auto part = co_await stream.read(this->deadline);
+        if (!part)
+            co_return tl::unexpected(part.error());
+        if (const auto *end = std::get_if<Http::BodyEnd>(&*part)) {
+            body.end = *end;
             co_return body;
-        if (body.size() + bytes->size() > kMaxResponseBytes
+        }
+        const auto *bytes = std::get_if<std::string_view>(&*part);
+        if (body.bytes.size() + bytes->size() > kMaxResponseBytes
             || !held.add(bytes->size(), kMaxHeldResponseBytes)) {
             stream.close();
             co_return tl::unexpected(
                 Http::CallError{Http::CallFailure::BadReply, true, "the response is too large"});
         }
-        body.append(*bytes);
+        body.bytes.append(*bytes);
     }
 }
 
@@ -325,6 +330,12 @@
     co_return result;
 }
 
+void RequestFlow::noteEnd(const Http::ResponseStream &stream, Http::BodyEnd end)
+{
+    this->lastEnd = end;
+    this->wasLastRequestWritten = stream.isRequestWritten();
+}
+
 Http::Awaitable<RequestFlow::SendResult>
 RequestFlow::relayBufferedResponse(Http::ResponseStream &stream, const EndpointResponseHead &answer,
                                    const Routing::Endpoint *endpoint)
@@ -339,12 +350,13 @@
         result.detail = "the response body is incomplete: " + body.error().message;
         co_return result;
     }
-    result.detail = co_await this->faultAtEnd(stream, endpoint);
+    this->noteEnd(stream, body->end);
+    result.detail = co_await this->faultAtEnd(body->end, endpoint);
     result.connectionLost = !result.detail.empty();
     if (result.connectionLost)
         co_return result;
     this->noteAnswerBegun();
-    response.body = std::move(*body);
+    response.body = std::move(body->bytes);
     if (answer.status >= kFirstServerErrorStatus) {
         result.outcome = SendOutcome::EndpointFailed;
         result.detail = "status " + std::to_string(answer.status);
@@ -400,16 +412,17 @@
         wait.isReading = true;
         const Common::Time readUntil
             = wait.isWatched ? this->deadline : this->sendDeadline(wait.progressAt, clockNow());
-        const auto bytes = co_await stream.read(readUntil);
+        const auto part = co_await stream.read(readUntil);
         wait.isReading = false;
-        if (!bytes) {
-            result.connectionLost = bytes.error().failure == Http::CallFailure::ConnectionLost;
+        if (!part) {
+            result.connectionLost = part.error().failure == Http::CallFailure::ConnectionLost;
             result.detail = "stream interrupted: "
-                + (wait.hasTimedOut ? "no progress" : bytes.error().message);
+                + (wait.hasTimedOut ? "no progress" : part.error().message);
             break;
         }
-        if (bytes->empty()) {
-            result.detail = co_await this->faultAtStreamEnd(stream, endpoint);
+        if (const auto *end = std::get_if<Http::BodyEnd>(&*part)) {
+            this->noteEnd(stream, *end);
+            result.detail = co_await this->faultAtStreamEnd(*end, endpoint);
             result.connectionLost = !result.detail.empty();
             if (result.connectionLost)
                 break;
@@ -425,7 +438,7 @@
             co_return result;
         }
         const std::uint64_t eventsBefore = this->events.eventCount();
-        const Serving::SequenceFault fault = this->events.feed(*bytes);
+        const Serving::SequenceFault fault = this->events.feed(std::get<std::string_view>(*part));
         if (!wasAnswerBegun && this->hasAnswerBegun()) {
             wasAnswerBegun = true;
             this->noteAnswerBegun();
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -62,7 +62,7 @@
     bool wasPeerAsked = false;
     // Start time of the process behind the connection, which it keeps for its whole life.
     std::optional<std::uint64_t> peerProcess;
-    // Set while the request is still being written. The reply may arrive before that has finished.
+    // Set until the request has been written completely. The reply may arrive before that.
     bool writing = false;
     std::shared_ptr<std::set<ClientConnection *>> active;
 };
@@ -98,8 +98,10 @@
     // the stream is closed explicitly.
     void closeConnection()
     {
-        if (this->connection)
-            this->connection->stream.close();
+        if (!this->connection)
+            return;
+        this->wasRequestWritten = !this->connection->writing;
+        this->connection->stream.close();
         this->connection.reset();
     }
 
@@ -114,6 +116,9 @@
     std::optional<std::uint64_t> peerProcess;
     // The complete reply has to be accepted before its connection is released.
     bool isHeldUntilAccepted = false;
+    std::optional<BodyEnd> end;
+    // What `writing` of the connection told when it was closed.
+    bool wasRequestWritten = false;
 };
 
 namespace {
@@ -466,9 +471,10 @@
         const auto bytes = co_await opened->read(options.deadline);
         if (!bytes)
             co_return tl::unexpected(bytes.error());
-        if (bytes->empty())
+        if (const auto *part = std::get_if<std::string_view>(&*bytes))
+            response.body.append(*part);
+        else
             break;
-        response.body.append(*bytes);
     }
     if (options.acceptReply) {
         const ReplyUse use = options.acceptReply(response);
@@ -501,11 +507,14 @@
     return {found->value().data(), found->value().size()};
 }
 
-Awaitable<CallResult<std::string_view>> ResponseStream::read(Common::Time deadline)
+Awaitable<CallResult<BodyPart>> ResponseStream::read(Common::Time deadline)
 {
     State &state = *this->state;
+    if (state.end)
+        co_return BodyPart(*state.end);
     if (!state.connection)
-        co_return std::string_view();
+        co_return tl::unexpected(
+            CallError{CallFailure::Cancelled, true, "the stream was closed before its end"});
     auto &body = state.parser.get().body();
     beast::tcp_stream &tcpStream = state.connection->stream;
     state.connection->deadline.moveTo(deadline);
@@ -537,11 +546,20 @@
         state.closeConnection();
         co_return tl::unexpected(std::move(failed));
     }
-    if (count == 0 && !state.isHeldUntilAccepted) {
+    if (count > 0)
+        co_return BodyPart(std::string_view(state.bytes.data(), count));
+    state.end = state.parser.need_eof() ? BodyEnd::Closed : BodyEnd::Whole;
+    if (!state.isHeldUntilAccepted) {
         this->release();
         state.closeConnection();
     }
-    co_return std::string_view(state.bytes.data(), count);
+    co_return BodyPart(*state.end);
+}
+
+bool ResponseStream::isRequestWritten() const
+{
+    return this->state->connection ? !this->state->connection->writing
+                                   : this->state->wasRequestWritten;
 }
 
 void ResponseStream::release()
@@ -553,6 +571,7 @@
     if (idleTimeout)
         state.connection->reuseDeadline = Common::clockNow()
             + std::chrono::duration_cast<Common::Duration>(*idleTimeout * kReusableIdleTimeShare);
+    state.wasRequestWritten = !state.connection->writing;
     state.pool->release(state.address, std::move(state.connection), state.maxIdleConnections);
     state.connection.reset();
 }
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <tl/expected.hpp>
@@ -26,6 +27,16 @@
     Connection,
 };
 
+// How a body ended. A reset is no end but a `ConnectionLost`, and one that this side cut off a
+// `Cancelled` or `Timeout`.
+enum class BodyEnd {
+    // After its length, or after its last chunk.
+    Whole,
+    // With its connection, which the peer closed in order. That is also how the system closes the
+    // connections of a process that was killed in the middle of the body.
+    Closed,
+};
+
 } // namespace Tanagerbay::Http
 
 template <>
@@ -41,6 +52,13 @@
     }};
 };
 
+template <>
+struct Tanagerbay::Common::EnumNames<Tanagerbay::Http::BodyEnd>
+{
+    using End = Http::BodyEnd;
+    static constexpr NameTable<End, 2> table = {{{End::Whole, "whole"}, {End::Closed, "closed"}}};
+};
+
 template <>
 struct Tanagerbay::Common::EnumNames<Tanagerbay::Http::BodyFraming>
 {
@@ -146,6 +164,9 @@
 template <typename T>
 using CallResult = tl::expected<T, CallError>;
 
+// The next bytes of a body, or its end.
+using BodyPart = std::variant<std::string_view, BodyEnd>;
+
 struct ClientConnection;
 
 // A response whose body is read incrementally.
@@ -165,9 +186,11 @@
     BodyFraming framing() const;
     // Start time of the process behind the connection. Unset if it was not asked, or did not tell.
     std::optional<std::uint64_t> peerProcess() const;
-    // Returns the next bytes of the body, or an empty view once the complete body has been read.
-    // The view is valid until the next read.
-    Awaitable<CallResult<std::string_view>> read(Common::Time deadline);
+    // Whether the request was handed to the system completely.
+    bool isRequestWritten() const;
+    // Returns the next bytes of the body, which are valid until the next read, or how it ended.
+    // Once it has ended, further reads return the same.
+    Awaitable<CallResult<BodyPart>> read(Common::Time deadline);
     // Closes the connection. The endpoint sees a disconnect by its caller.
     void close();
 
--- a/Source/Core/Node/Generation.cpp
+++ b/Source/Core/Node/Generation.cpp
@@ -143,10 +143,11 @@
 Http::Awaitable<Segment> Relay::readSegment(Http::ResponseStream &reply, Segment segment)
 {
     std::string outgoing;
+    std::optional<Http::BodyEnd> end;
     while (true) {
         const bool hadToken = this->reader->tokenCount() > 0;
         const std::uint64_t forwardedBefore = this->reader->forwardedCount();
-        const auto bytes = co_await reply.read(this->nextReadDeadline(clockNow()));
+        const auto part = co_await reply.read(this->nextReadDeadline(clockNow()));
         const Common::Time now = clockNow();
         if (this->scope.callerGone) {
             segment.end = SegmentEnd::CallerGone;
@@ -156,21 +157,23 @@
             segment.end = SegmentEnd::DrainTimedOut;
             co_return segment;
         }
-        if (!bytes) {
-            segment.problem = std::string(Common::nameOf(bytes.error().failure));
+        if (!part) {
+            segment.problem = std::string(Common::nameOf(part.error().failure));
             segment.isLostBeforeAnswer
-                = !hadToken && bytes.error().failure == Http::CallFailure::ConnectionLost;
+                = !hadToken && part.error().failure == Http::CallFailure::ConnectionLost;
             segment.end
                 = now >= this->run.deadline ? SegmentEnd::DeadlineExceeded : SegmentEnd::Broken;
             co_return segment;
         }
-        if (bytes->empty())
+        if (const auto *ended = std::get_if<Http::BodyEnd>(&*part)) {
+            end = *ended;
             break;
+        }
         outgoing.clear();
         if (this->streamIdChanged && this->scope.exchange.started())
             Http::appendEvent(outgoing, {"", std::string(Wire::kMovedEvent), this->streamId});
         this->streamIdChanged = false;
-        const bool hasMore = this->reader->process(*bytes, outgoing);
+        const bool hasMore = this->reader->process(std::get<std::string_view>(*part), outgoing);
         this->scope.shared.counters.add(Counter::TokensDelivered,
                                         this->reader->forwardedCount() - forwardedBefore);
         if (!hadToken && this->reader->tokenCount() > 0) {
@@ -200,7 +203,7 @@
     this->scope.shared.counters.add(Counter::RepliesTruncated);
     // The connections of an engine that was killed end in this way too.
     segment.isLostBeforeAnswer = segment.problem.empty() && this->reader->tokenCount() == 0
-        && reply.framing() == Http::BodyFraming::Connection;
+        && end == Http::BodyEnd::Closed;
     if (segment.problem.empty())
         segment.problem = "the engine's stream ended without a terminal event";
     co_return segment;
--- a/Source/Load/Caller.cpp
+++ b/Source/Load/Caller.cpp
@@ -138,10 +138,11 @@
     this->tokens.clear();
     this->record.tokenGapsMs.clear();
     while (true) {
-        const auto bytes = co_await reply.read(this->receiveDeadline);
-        if (!bytes)
-            co_return this->classifyCallError(bytes.error());
-        if (bytes->empty()) {
+        const auto part = co_await reply.read(this->receiveDeadline);
+        if (!part)
+            co_return this->classifyCallError(part.error());
+        const auto *bytes = std::get_if<std::string_view>(&*part);
+        if (!bytes) {
             // The body ended without the terminal event, so the stream is known to be truncated.
             AttemptResult result;
             result.code = "cut stream";
@@ -190,10 +191,11 @@
 {
     std::string body;
     while (true) {
-        const auto bytes = co_await reply.read(this->receiveDeadline);
+        const auto part = co_await reply.read(this->receiveDeadline);
+        if (!part)
+            co_return this->classifyCallError(part.error());
+        const auto *bytes = std::get_if<std::string_view>(&*part);
         if (!bytes)
-            co_return this->classifyCallError(bytes.error());
-        if (bytes->empty())
             break;
         body.append(*bytes);
     }
--- a/Source/UnitTests/Node/InstanceFixture.cpp
+++ b/Source/UnitTests/Node/InstanceFixture.cpp
@@ -274,8 +274,9 @@
         reply.headers = stream->headers();
         bool isInterrupted = false;
         while (true) {
-            const auto bytes = co_await stream->read(options.deadline);
-            if (!bytes || bytes->empty())
+            const auto part = co_await stream->read(options.deadline);
+            const auto *bytes = part ? std::get_if<std::string_view>(&*part) : nullptr;
+            if (!bytes)
                 co_return;
             reply.body.append(*bytes);
             if (isInterrupted || reply.body.find(until) == std::string::npos)
