Http: Do not take a reset for the end of a body

Callers saw streams that look complete and lack their last events (ORDER), and short bodies as successes (MIXED), of workers that live on: they answer without a length before they have read a long request, and reset the connection later.

Cause: the system reports a reset once. The request is written while the answer is read, and a write that is still in progress takes the error; the next read then says end of file. The process behind the connection lives, so that the question whether it still runs says yes.

Change: a body that ends with its connection before the request was written is lost. A statement that the request was not run stands in the head, so that it holds although its connection ends.

--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -323,7 +323,9 @@
     constexpr unsigned kConflict = 409;
     SendResult result;
     const auto body = co_await this->readBody(stream);
-    const bool isCertain = body.has_value() && isForThisRequest;
+    // The statement stands in the head.
+    const bool isStated = body || body.error().failure == Http::CallFailure::ConnectionLost;
+    const bool isCertain = isStated && isForThisRequest;
     result.outcome = isCertain ? SendOutcome::NotRun : SendOutcome::Unknown;
     result.inputsGone = isCertain && status == kConflict;
     result.detail = "not run, status " + std::to_string(status);
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -548,6 +548,13 @@
     }
     if (count > 0)
         co_return BodyPart(std::string_view(state.bytes.data(), count));
+    // The system reports a reset once. A write that was in progress takes it, and the read sees an
+    // end in order.
+    if (state.parser.need_eof() && state.connection->writing) {
+        state.closeConnection();
+        co_return tl::unexpected(CallError{CallFailure::ConnectionLost, true,
+                                           "the connection ended before the request was written"});
+    }
     state.end = state.parser.need_eof() ? BodyEnd::Closed : BodyEnd::Whole;
     if (!state.isHeldUntilAccepted) {
         this->release();
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -189,7 +189,8 @@
     // Whether the request was handed to the system completely.
     bool isRequestWritten() const;
     // Returns the next bytes of the body, which are valid until the next read, or how it ended.
-    // Once it has ended, further reads return the same.
+    // Once it has ended, further reads return the same. A body that ends with its connection is
+    // lost if that happens before the request was written.
     Awaitable<CallResult<BodyPart>> read(Common::Time deadline);
     // Closes the connection. The endpoint sees a disconnect by its caller.
     void close();
--- a/Source/UnitTests/Http/ClientTest.cpp
+++ b/Source/UnitTests/Http/ClientTest.cpp
@@ -80,6 +80,44 @@
         return result;
     }
 
+    // Calls a server that reads nothing of a long request, and answers with a part of a body. It
+    // resets the connection once the part has arrived. Returns what the client reads after it.
+    std::optional<Http::CallError> readAfterReset()
+    {
+        // More than the buffers of both sides take.
+        constexpr std::size_t kBodyBytes = 32 << 20;
+        this->listener.set_option(asio::socket_base::receive_buffer_size(4096));
+        std::optional<Http::CallError> error;
+        tcp::socket peer(this->context);
+        const auto resetPeer = [&peer] {
+            peer.set_option(asio::socket_base::linger(true, 0));
+            peer.close();
+        };
+        const auto run = [&]() -> Http::Awaitable<void> {
+            Http::CallOptions options;
+            options.deadline = Common::clockNow() + kServedCallTimeout;
+            Http::Request request{"POST", "/x", {}, std::string(kBodyBytes, 'b')};
+            const Common::Address address{"127.0.0.1", this->listener.local_endpoint().port()};
+            auto opened = co_await this->client.open(address, std::move(request), options);
+            if (!opened)
+                co_return;
+            const auto part = co_await opened->read(options.deadline);
+            if (!part)
+                co_return;
+            // Both the write and the next read are in progress then.
+            asio::post(this->context, resetPeer);
+            const auto rest = co_await opened->read(options.deadline);
+            error = rest ? std::nullopt : std::optional(rest.error());
+        };
+        const std::string reply = "HTTP/1.1 200 OK\r\n\r\npart";
+        this->listener.async_accept(peer, [&](const auto &) {
+            asio::async_write(peer, asio::buffer(reply), [](const auto &, std::size_t) {});
+        });
+        asio::co_spawn(this->context, run(), asio::detached);
+        this->context.run();
+        return error;
+    }
+
     // Returns the number of bytes that the client has sent over its only connection.
     std::size_t receivedBytes()
     {
@@ -196,6 +234,15 @@
     }
 }
 
+// Guards against a reset that is taken for the end of a body: the system reports it once, here to
+// the write of the request, which is still in progress.
+BOOST_AUTO_TEST_CASE(read_isResetWhileTheRequestIsWritten_isLost)
+{
+    const auto error = this->readAfterReset();
+    BOOST_REQUIRE(error);
+    BOOST_TEST((error->failure == Http::CallFailure::ConnectionLost));
+}
+
 // Guards against replies without a body, or with a complete one, that count as lost.
 BOOST_AUTO_TEST_CASE(call_requiresFramingAndReplyIsFramed_isAnswered)
 {
