Entry: Do not answer into a stream that has begun

Callers saw a stream followed by bytes that are no chunk: the head of another answer.

Cause: an endpoint that is to go on with a stream may answer with a status below 500 (a 404, say, of a restarted service). Such an answer was relayed as the answer to the request, whether or not the first events were out; only statuses from 500 on were kept back.

Change: behind the first event, any other answer is a failure of that endpoint, and the stream goes on or is cut. Connection::respond writes no second head, whoever asks for it.

Evidence: stream_nextWorkerAnswersWithAnotherStatus_endsAfterItsEvents failed before (the raw bytes held the 404) and passes now.

--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -359,7 +359,8 @@
         co_return result;
     this->noteAnswerBegun();
     response.body = std::move(body->bytes);
-    if (answer.status >= kFirstServerErrorStatus) {
+    // A response cannot become part of a stream that has begun.
+    if (answer.status >= kFirstServerErrorStatus || this->exchange.started()) {
         result.outcome = SendOutcome::EndpointFailed;
         result.detail = "status " + std::to_string(answer.status);
         result.failure = std::move(response);
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -123,6 +123,9 @@
 
 Awaitable<bool> Connection::respond(Response response)
 {
+    // A second head would become part of the body. Unanswered, the connection is closed.
+    if (this->headWritten)
+        co_return false;
     http::response<http::string_body> message{static_cast<http::status>(response.status), 11};
     for (const Header &field : response.headers.fields)
         addField(message, field);
