Entry: Ask another endpoint what follows a stream without framing

Callers saw streams that look complete and lack their last events (ORDER), of workers that live on and break a stream off between two events: a program that closes a connection ends it in order, which is also how a stream without length and chunks ends. The question whether the process still runs says yes.

Cause: whether such an end is one cannot be told by who asks the connection or the process.

Change: a stream that may be resumed is asked for after its last event, at another endpoint of its version. One that has nothing left to send confirms the end; one that sends more has saved the tail. Such doubts may use half of the retry budget; a stream beyond that, one that may not be resumed and a plain answer end as before.

Weighed: cutting each such stream costs callers a request each, and those that may run once the whole answer.

Evidence: unframedStream_livingWorkerBreaksOff_goesOnAtAnotherWorker failed before (2 of 4 events, complete) and passes now; the cases beside it guard the price. unframedStream_processRunsOn_- isCompleteAndRunsOnce asked that a sound stream reaches one worker only. That is given up here for streams that may be resumed; its successor asks that no event is made twice, that the second worker is asked once and after the last event, and still one run for /draft.

--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -13,6 +13,8 @@
 // request can be sent elsewhere, and if it cannot.
 constexpr Common::Milliseconds kConfirmationTimeout{100};
 constexpr Common::Milliseconds kLastConfirmationTimeout{1500};
+// Part of the retry budget that doubted ends may use up. The rest is left for failed sends.
+constexpr double kBudgetPartForDoubts = 0.5;
 
 } // namespace
 
@@ -67,6 +69,28 @@
     co_return hasRunSince ? ProcessAnswer::Same : reply.answer;
 }
 
+bool RequestFlow::mayAskForRest()
+{
+    const Common::Time now = clockNow();
+    const Serving::FleetBudgetLimits limits
+        = Serving::partOf(this->state.settings.bounds.extraSends, kBudgetPartForDoubts);
+    // Without an event, this endpoint has confirmed the end of the one before.
+    return this->route->resumable && this->hasAnswerBegun() && !this->callerGone && !this->earlyEnd
+        && this->mayLeaveSilentEndpoint(now)
+        && this->state.budgets[this->service].hasExtraSend(limits,
+                                                           this->state.liveInstanceCount(now), now);
+}
+
+Http::Awaitable<bool> RequestFlow::endAtDoubtfulEnd()
+{
+    if (!this->doubtfulEnd || *this->doubtfulEnd != this->events.eventCount() || this->callerGone)
+        co_return false;
+    this->state.metrics.count(labelled("doubtful_ends", "result", "unconfirmed"));
+    co_await this->exchange.endStream();
+    this->recordEnd("answered", "stream, its end is not confirmed");
+    co_return true;
+}
+
 Http::Awaitable<std::string> RequestFlow::faultAtStreamEnd(Http::BodyEnd end,
                                                            const Routing::Endpoint *endpoint)
 {
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -438,6 +438,9 @@
         this->recordEnd("caller-gone", last.detail);
         co_return;
     }
+    const bool hasEnded = co_await this->endAtDoubtfulEnd();
+    if (hasEnded)
+        co_return;
     if (this->exchange.started()) {
         // Close the connection without the end of the stream, so that the caller can tell that the
         // stream is truncated.
@@ -469,6 +472,9 @@
 
 Http::Awaitable<void> RequestFlow::refuse(Refusal refusal, std::string_view detail)
 {
+    const bool hasEnded = co_await this->endAtDoubtfulEnd();
+    if (hasEnded)
+        co_return;
     this->recordEnd(Common::nameOf(refusal.reason), detail);
     // Once a stream has started, an error response would become part of the stream's body. The
     // connection is closed instead.
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -91,6 +91,8 @@
         std::string detail;
         // Nothing was sent, since the endpoint had stated a limit after it was chosen.
         bool isTurnedBack = false;
+        // The answer ended in order, and another endpoint is asked for what may follow.
+        bool hasDoubtfulEnd = false;
         // Nothing was sent, since the process behind the connection is not one that may go on with
         // the stream, or ended before it said which one it is.
         bool isOtherProcess = false;
@@ -177,6 +179,12 @@
     // Returns why a body that has been read to its end is not complete; empty if it is. If it ended
     // with its connection, the endpoint is asked whether the process that wrote it still runs.
     Http::Awaitable<std::string> faultAtEnd(Http::BodyEnd end, const Routing::Endpoint *endpoint);
+    // Whether another endpoint is to be asked what follows the last event of a stream that ended
+    // with its connection.
+    bool mayAskForRest();
+    // Ends a stream whose end was doubted, and that no endpoint has gone on with. Returns false if
+    // there is no such end.
+    Http::Awaitable<bool> endAtDoubtfulEnd();
     // Asks whether the process that wrote the last answer still runs.
     Http::Awaitable<ProcessAnswer> confirmWriter(const Routing::Endpoint *endpoint,
                                                  Common::Time until);
@@ -316,6 +324,8 @@
     Serving::StreamOrigin sentTo;
     // What marks the end of the last answer.
     std::optional<Http::BodyFraming> lastFraming;
+    // Number of events at an end in order that was doubted.
+    std::optional<std::uint64_t> doubtfulEnd;
     // How it ended; unset if it did not.
     std::optional<Http::BodyEnd> lastEnd;
     // Whether the endpoint could have received the whole request by then.
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -238,7 +238,7 @@
         } else {
             result = co_await this->relayAnswer(*opened, answer, &endpoint);
         }
-        const bool hasSucceeded = result.isAnswered && isSuccess(status);
+        const bool hasSucceeded = (result.isAnswered || result.hasDoubtfulEnd) && isSuccess(status);
         report.end = hasSucceeded ? Routing::CallEnd::Succeeded : Routing::CallEnd::Failed;
     }
     if (result.connectionLost && !this->callerGone && !this->earlyEnd)
@@ -429,6 +429,16 @@
             result.connectionLost = !result.detail.empty();
             if (result.connectionLost)
                 break;
+            if (*end == Http::BodyEnd::Closed && this->mayAskForRest()) {
+                this->doubtfulEnd = this->events.eventCount();
+                result.hasDoubtfulEnd = true;
+                result.detail = "stream ended with its connection";
+                break;
+            }
+            if (this->doubtfulEnd)
+                this->state.metrics.count(labelled(
+                    "doubtful_ends", "result",
+                    *this->doubtfulEnd == this->events.eventCount() ? "confirmed" : "went on"));
             result.isAnswered = true;
             if (!this->exchange.started()) {
                 // A stream without events is a complete response.
--- a/Source/Core/Serving/FleetBudget.cpp
+++ b/Source/Core/Serving/FleetBudget.cpp
@@ -16,6 +16,11 @@
 
 } // namespace
 
+FleetBudgetLimits partOf(const FleetBudgetLimits &limits, double part)
+{
+    return {limits.ratio * part, limits.slack * part, limits.window};
+}
+
 FleetBudget::Slot &FleetBudget::slotAt(Common::Time now)
 {
     if (this->slots.empty() || now - this->slots.back().begin >= kSlotDuration)
--- a/Source/Core/Serving/FleetBudget.h
+++ b/Source/Core/Serving/FleetBudget.h
@@ -19,6 +19,9 @@
     Common::Duration window{0};
 };
 
+// Returns the limits of a part of the budget.
+FleetBudgetLimits partOf(const FleetBudgetLimits &limits, double part);
+
 // Counts sends in time slots, so that the memory does not grow with the load.
 class FleetBudget
 {
