Entry: Log the first event of a stream and which ends were doubted

Result: feed_streamBeginsLate_firstEventIsKnown, EventSequence, FleetBudget, HttpClient and EndsOfAnswers pass.

--- a/Source/Core/Entry/RequestLog.cpp
+++ b/Source/Core/Entry/RequestLog.cpp
@@ -10,6 +10,8 @@
     if (this->lastEnd)
         line.text("end", Common::nameOf(*this->lastEnd))
             .flag("requestWritten", this->wasLastRequestWritten);
+    if (const auto first = this->events.firstEvent())
+        line.number("firstEvent", static_cast<std::int64_t>(*first));
     if (this->sentTo.incarnation != 0)
         line.number("process", static_cast<std::int64_t>(this->sentTo.incarnation));
     if (this->origin) {
@@ -34,6 +36,7 @@
         .flag("repeatable", this->attempts.repeatable)
         .flag("another", denialReason.empty())
         .flag("begun", this->events.eventCount() > 0)
+        .flag("hasDoubtfulEnd", sent.hasDoubtfulEnd)
         .text("promptParts", this->sharedPartNames())
         .text("against", denialReason)
         .milliseconds("leftMs", this->timeLeft(now));
--- a/Source/Core/Serving/EventSequence.cpp
+++ b/Source/Core/Serving/EventSequence.cpp
@@ -59,6 +59,8 @@
     const auto number = eventNumber(event);
     if (!number || (this->last && *number != *this->last + 1))
         return false;
+    if (!this->first)
+        this->first = number;
     this->last = number;
     ++this->count;
     return true;
@@ -102,6 +104,11 @@
     this->searched = 0;
 }
 
+std::optional<std::uint64_t> EventSequence::firstEvent() const
+{
+    return this->first;
+}
+
 std::optional<std::uint64_t> EventSequence::lastEvent() const
 {
     return this->last;
--- a/Source/Core/Serving/EventSequence.h
+++ b/Source/Core/Serving/EventSequence.h
@@ -30,6 +30,8 @@
     bool hasPartialEvent() const;
     // Discards the partial event after its endpoint has failed.
     void discardPartialEvent();
+    // Number of the first event that was fed.
+    std::optional<std::uint64_t> firstEvent() const;
     std::optional<std::uint64_t> lastEvent() const;
     std::uint64_t eventCount() const;
 
@@ -40,6 +42,7 @@
     std::string partial;
     // Offset in `partial` before which no event ends.
     std::size_t searched = 0;
+    std::optional<std::uint64_t> first;
     std::optional<std::uint64_t> last;
     std::uint64_t count = 0;
 };
--- a/Source/UnitTests/Serving/EventSequenceTest.cpp
+++ b/Source/UnitTests/Serving/EventSequenceTest.cpp
@@ -34,6 +34,18 @@
     BOOST_TEST(!this->events.hasPartialEvent());
 }
 
+// Guards against a log that cannot tell whether the head of a stream is missing.
+BOOST_AUTO_TEST_CASE(feed_streamBeginsLate_firstEventIsKnown)
+{
+    BOOST_TEST(!this->events.firstEvent());
+    BOOST_TEST((this->events.feed(event(3) + event(4)) == SequenceFault::None));
+    BOOST_TEST(this->events.firstEvent().value_or(0) == 3u);
+    EventSequence resumed(4);
+    BOOST_TEST(!resumed.firstEvent());
+    BOOST_TEST((resumed.feed(event(5)) == SequenceFault::None));
+    BOOST_TEST(resumed.firstEvent().value_or(0) == 5u);
+}
+
 // Guards against an event without end that is kept and searched again with each read.
 BOOST_AUTO_TEST_CASE(feed_eventWithoutEnd_isTooLong)
 {
