Entry: Believe the end of a doubted stream only as long as nobody shows more

Callers saw, of living workers that end streams without framing in order: - a stream that looks complete and lacks its last events (ORDER), although the worker that was asked what follows had written the number of the next event before it broke off; - the same where a stream was broken off by a reset, or taken up by its caller, and the next worker ended its answer before its first event; - a whole stream that they abandoned, since the worker that was asked was silent: the stream was held open until its deadline.

Cause: a doubt was settled by complete events only; an answer without events confirmed the end even where none had been doubted; and nothing limited a doubt's duration.

Change: the line with the number of the next event settles a doubt. An end without events is doubted too unless it answers a doubt; a caller that takes a stream up gets the head of that answer if nobody can tell. A doubt lasts at most half the time after which callers leave (EarlyEnd::Doubt ends stages, waits for a limit and the call). The end of an answer is decided in RequestEnd.cpp.

Waits for a limit and stages within a doubt have no test of their own.

--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -15,6 +15,8 @@
 constexpr Common::Milliseconds kLastConfirmationTimeout{1500};
 // Part of the retry budget that doubted ends may use up. The rest is left for failed sends.
 constexpr double kBudgetPartForDoubts = 0.5;
+// Part of the time after which callers abandon a stream that a doubt about its end may take.
+constexpr int kDoubtDivisor = 2;
 
 } // namespace
 
@@ -74,23 +76,88 @@
     const Common::Time now = clockNow();
     const Serving::FleetBudgetLimits limits
         = Serving::partOf(this->state.settings.bounds.extraSends, kBudgetPartForDoubts);
-    // Without an event, this endpoint has confirmed the end of the one before.
-    return this->route->resumable && this->hasAnswerBegun() && !this->callerGone && !this->earlyEnd
-        && this->mayLeaveSilentEndpoint(now)
+    // An endpoint that ends its answer without an event confirms an end that was doubted, but not
+    // a stream that was broken off.
+    return this->route->resumable && this->events.lastEvent() && !this->doubtfulEnd
+        && !this->callerGone && !this->earlyEnd && this->mayLeaveSilentEndpoint(now)
         && this->state.budgets[this->service].hasExtraSend(limits,
                                                            this->state.liveInstanceCount(now), now);
 }
 
+bool RequestFlow::isEndInDoubt() const
+{
+    return this->doubtfulEnd && this->doubtfulEnd->eventCount == this->events.eventCount()
+        && !this->events.hasBegunNextEvent();
+}
+
+void RequestFlow::beginDoubt(Http::Response head)
+{
+    this->doubtfulEnd = DoubtfulEnd{this->events.eventCount(), std::move(head)};
+    // The caller has what may be the whole stream, and would abandon it.
+    this->doubtTimer.start(this->abandonTimeout() / kDoubtDivisor, [this] {
+        if (this->isEndInDoubt())
+            this->endEarly(EarlyEnd::Doubt);
+    });
+}
+
+void RequestFlow::settleDoubt()
+{
+    if (!this->doubtfulEnd || this->isEndInDoubt())
+        return;
+    this->state.metrics.count(labelled("doubtful_ends", "result", "went on"));
+    this->doubtfulEnd.reset();
+    this->doubtTimer.cancel();
+}
+
+Http::Awaitable<void> RequestFlow::completeStream(Http::Response head)
+{
+    // A stream without events is a complete response.
+    if (this->exchange.started())
+        co_await this->exchange.endStream();
+    else
+        co_await this->exchange.respond(std::move(head));
+}
+
 Http::Awaitable<bool> RequestFlow::endAtDoubtfulEnd()
 {
-    if (!this->doubtfulEnd || *this->doubtfulEnd != this->events.eventCount() || this->callerGone)
+    if (!this->isEndInDoubt() || this->callerGone)
         co_return false;
     this->state.metrics.count(labelled("doubtful_ends", "result", "unconfirmed"));
-    co_await this->exchange.endStream();
+    Http::Response head = std::move(this->doubtfulEnd->head);
+    co_await this->completeStream(std::move(head));
     this->recordEnd("answered", "stream, its end is not confirmed");
     co_return true;
 }
 
+Http::Awaitable<RequestFlow::SendResult>
+RequestFlow::relayStreamEnd(Http::ResponseStream &stream, Http::BodyEnd end,
+                            const Routing::Endpoint *endpoint)
+{
+    SendResult result;
+    this->noteEnd(stream, end);
+    Http::Response head;
+    head.status = stream.status();
+    head.headers = this->state.dialect.relayedHeaders(stream.headers());
+    result.detail = co_await this->faultAtStreamEnd(end, endpoint);
+    result.connectionLost = !result.detail.empty();
+    if (result.connectionLost)
+        co_return result;
+    this->settleDoubt();
+    result.hasDoubtfulEnd = end == Http::BodyEnd::Closed && this->mayAskForRest();
+    if (result.hasDoubtfulEnd) {
+        this->beginDoubt(std::move(head));
+        result.detail = "stream ended with its connection";
+        co_return result;
+    }
+    if (this->doubtfulEnd)
+        this->state.metrics.count(labelled("doubtful_ends", "result", "confirmed"));
+    this->doubtTimer.cancel();
+    result.isAnswered = true;
+    co_await this->completeStream(std::move(head));
+    this->recordEnd(this->callerGone ? "caller-gone" : "answered", "stream");
+    co_return result;
+}
+
 Http::Awaitable<std::string> RequestFlow::faultAtStreamEnd(Http::BodyEnd end,
                                                            const Routing::Endpoint *endpoint)
 {
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -44,7 +44,7 @@
                          CallerRequest callerRequest, RequestSource source)
     : dependencies(dependencies), state(dependencies.state), exchange(exchange),
       request(std::move(callerRequest)), source(source), events(this->request.lastEvent),
-      permitTimer(dependencies.state.context)
+      permitTimer(dependencies.state.context), doubtTimer(dependencies.state.context)
 {
 }
 
@@ -205,14 +205,19 @@
     co_return true;
 }
 
-Common::Time RequestFlow::expectedAbandonAt() const
+Common::Duration RequestFlow::abandonTimeout() const
 {
-    Common::Duration abandonTimeout = std::max<Common::Duration>(
+    const Common::Duration timeout = std::max<Common::Duration>(
         kMinAbandonTimeout, this->route->objective * kAbandonTimeoutObjectives);
-    if (this->route->eventGapObjective)
-        abandonTimeout = std::max<Common::Duration>(
-            abandonTimeout, *this->route->eventGapObjective * kAbandonTimeoutGaps);
-    return std::min(this->deadline, this->request.receivedAt + abandonTimeout);
+    if (!this->route->eventGapObjective)
+        return timeout;
+    return std::max<Common::Duration>(timeout,
+                                      *this->route->eventGapObjective * kAbandonTimeoutGaps);
+}
+
+Common::Time RequestFlow::expectedAbandonAt() const
+{
+    return std::min(this->deadline, this->request.receivedAt + this->abandonTimeout());
 }
 
 StagePlan RequestFlow::makeStagePlan(const Routing::Endpoint &endpoint) const
@@ -325,7 +330,7 @@
 std::string_view RequestFlow::retryDenialReason(SendOutcome outcome, Common::Time now)
 {
     if (this->earlyEnd)
-        return this->earlyEnd == EarlyEnd::Shutdown ? "shutdown" : "quarantine";
+        return this->earlyEndName();
     if (!Serving::mayTryAnother(this->attempts, outcome, now))
         return "attempts";
     if (!this->chooseSoonest(now))
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -71,7 +71,12 @@
 
 private:
     // Why a request in progress gets its final answer at once.
-    enum class EarlyEnd { Shutdown, Quarantine };
+    enum class EarlyEnd {
+        Shutdown,
+        Quarantine,
+        // A doubt about the end of a stream has taken too long.
+        Doubt,
+    };
 
     // Result of one send to an endpoint.
     // No aggregate, since it is passed to coroutines by value. See Tools/check-awaited-temporaries.
@@ -137,6 +142,8 @@
     // Returns when the caller is expected to give up: at the deadline, or earlier on a stream that
     // delivers no event.
     Common::Time expectedAbandonAt() const;
+    // Time without an event after which callers abandon a stream.
+    Common::Duration abandonTimeout() const;
     // Returns a retry delay with random jitter, so that refused callers do not retry at once.
     Common::Duration retryAfterWithJitter();
     // Returns the retry delay of a request that finds no endpoint to be sent to.
@@ -182,6 +189,17 @@
     // Whether another endpoint is to be asked what follows the last event of a stream that ended
     // with its connection.
     bool mayAskForRest();
+    // Whether the end of the stream was doubted, and no endpoint has shown since that more follows.
+    bool isEndInDoubt() const;
+    // Doubts the end of the stream, for a limited time. `head` is that of the answer so far.
+    void beginDoubt(Http::Response head);
+    // Ends the doubt if an endpoint has shown that more follows.
+    void settleDoubt();
+    // Ends the caller's stream as complete; `head` is used if it has not begun.
+    Http::Awaitable<void> completeStream(Http::Response head);
+    // Relays the end of an answer, unless it is doubted or a fault.
+    Http::Awaitable<SendResult> relayStreamEnd(Http::ResponseStream &stream, Http::BodyEnd end,
+                                               const Routing::Endpoint *endpoint);
     // Ends a stream whose end was doubted, and that no endpoint has gone on with. Returns false if
     // there is no such end.
     Http::Awaitable<bool> endAtDoubtfulEnd();
@@ -276,6 +294,8 @@
     // Returns whether the request must not be sent now, because it would crash its endpoint. May
     // make it the one request that is sent nevertheless.
     bool isHeldBackByQuarantine();
+    // Why there is no other send; the request must have been ended early.
+    std::string_view earlyEndName() const;
     // Cancels whatever the request waits for.
     void endEarly(EarlyEnd reason);
     // Records that an endpoint has begun to answer, and so was not crashed by the request.
@@ -324,8 +344,15 @@
     Serving::StreamOrigin sentTo;
     // What marks the end of the last answer.
     std::optional<Http::BodyFraming> lastFraming;
-    // Number of events at an end in order that was doubted.
-    std::optional<std::uint64_t> doubtfulEnd;
+    // An end in order that was doubted.
+    struct DoubtfulEnd
+    {
+        std::uint64_t eventCount = 0;
+        // Of the answer that ended there.
+        Http::Response head;
+    };
+    std::optional<DoubtfulEnd> doubtfulEnd;
+    Common::DelayedAction doubtTimer;
     // How it ended; unset if it did not.
     std::optional<Http::BodyEnd> lastEnd;
     // Whether the endpoint could have received the whole request by then.
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -424,31 +424,10 @@
             break;
         }
         if (const auto *end = std::get_if<Http::BodyEnd>(&*part)) {
-            this->noteEnd(stream, *end);
-            result.detail = co_await this->faultAtStreamEnd(*end, endpoint);
-            result.connectionLost = !result.detail.empty();
-            if (result.connectionLost)
-                break;
-            if (*end == Http::BodyEnd::Closed && this->mayAskForRest()) {
-                this->doubtfulEnd = this->events.eventCount();
-                result.hasDoubtfulEnd = true;
-                result.detail = "stream ended with its connection";
-                break;
-            }
-            if (this->doubtfulEnd)
-                this->state.metrics.count(labelled(
-                    "doubtful_ends", "result",
-                    *this->doubtfulEnd == this->events.eventCount() ? "confirmed" : "went on"));
-            result.isAnswered = true;
-            if (!this->exchange.started()) {
-                // A stream without events is a complete response.
-                Http::Response empty{status, this->state.dialect.relayedHeaders(headers), ""};
-                co_await this->exchange.respond(std::move(empty));
-            } else {
-                co_await this->exchange.endStream();
-            }
-            this->recordEnd(this->callerGone ? "caller-gone" : "answered", "stream");
-            co_return result;
+            result = co_await this->relayStreamEnd(stream, *end, endpoint);
+            if (result.isAnswered)
+                co_return result;
+            break;
         }
         const std::uint64_t eventsBefore = this->events.eventCount();
         const Serving::SequenceFault fault = this->events.feed(std::get<std::string_view>(*part));
@@ -472,6 +451,7 @@
         if (this->events.eventCount() > eventsBefore)
             wait.progressAt = clockNow();
     }
+    this->settleDoubt();
     stream.close();
     this->events.discardPartialEvent();
     co_return result;
--- a/Source/Core/Entry/RequestShutdown.cpp
+++ b/Source/Core/Entry/RequestShutdown.cpp
@@ -45,6 +45,19 @@
     this->endEarly(EarlyEnd::Quarantine);
 }
 
+std::string_view RequestFlow::earlyEndName() const
+{
+    switch (*this->earlyEnd) {
+    case EarlyEnd::Shutdown:
+        return "shutdown";
+    case EarlyEnd::Quarantine:
+        return "quarantine";
+    case EarlyEnd::Doubt:
+        return "doubt";
+    }
+    return "";
+}
+
 void RequestFlow::endEarly(EarlyEnd reason)
 {
     this->earlyEnd = reason;
--- a/Source/Core/Serving/EventSequence.cpp
+++ b/Source/Core/Serving/EventSequence.cpp
@@ -98,6 +98,14 @@
     return !this->partial.empty();
 }
 
+bool EventSequence::hasBegunNextEvent() const
+{
+    const std::size_t lineEnd = this->partial.rfind('\n');
+    if (lineEnd == std::string::npos || !this->last)
+        return false;
+    return eventNumber(std::string_view(this->partial).substr(0, lineEnd)) == *this->last + 1;
+}
+
 void EventSequence::discardPartialEvent()
 {
     this->partial.clear();
--- a/Source/Core/Serving/EventSequence.h
+++ b/Source/Core/Serving/EventSequence.h
@@ -28,6 +28,8 @@
     // Returns the complete events that have not been taken yet, and removes them.
     std::string takeReady();
     bool hasPartialEvent() const;
+    // Whether the partial event is the next one, as its complete lines tell.
+    bool hasBegunNextEvent() const;
     // Discards the partial event after its endpoint has failed.
     void discardPartialEvent();
     // Number of the first event that was fed.
--- a/Source/UnitTests/Serving/EventSequenceTest.cpp
+++ b/Source/UnitTests/Serving/EventSequenceTest.cpp
@@ -117,4 +117,22 @@
     BOOST_TEST(this->events.lastEvent().value() == 1u);
 }
 
+// Guards against a number that is taken for another one, since its line has arrived in part.
+BOOST_AUTO_TEST_CASE(hasBegunNextEvent_partialEvent_isToldByItsCompleteLines)
+{
+    EventSequence resumed(1);
+    for (const auto &[bytes, hasBegun] : std::vector<std::pair<std::string, bool>>{
+             {"", false},
+             {"id: 2", false},
+             {"id: 2\n", true},
+             {"weight-versions: 2\nid: 2\nda", true},
+             {"id: 3\nda", false},
+             {"no event", false},
+         }) {
+        BOOST_TEST((resumed.feed(bytes) == SequenceFault::None));
+        BOOST_TEST(resumed.hasBegunNextEvent() == hasBegun, bytes);
+        resumed.discardPartialEvent();
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
