Entry: Let the store's order decide which process of an endpoint is the last

Cause: of two entries of an id, the one with the later start time counted. A process that starts after its clock went back states an earlier one than the process before, so that its entries were dropped as outdated for as long as it ran: version, address and leaving stayed those of the process before. Likewise after its entry had been dropped (60 s), and a report that it has gone did not remove what a follower knew.

Change: readings and reports are applied in the order of the store's versions already. So start times are compared only where that order says nothing: entries of a reading of the full state, with what was last listed in another epoch. What the store lists as changed was written in its epoch. The sequence of one process, which depends on no clock, is compared as before, as a write that got no response may be applied late. Processes that state the same start time are told apart by address and version. A report of a drop names start time and sequence of the same process; before, the sequence could be that of the next one.

Not settled: (1) After a return from a copy that lists the process before, that one counts until the living one writes again, if the clock went back between them; before, for good. (2) Of two processes with the same start time, version and address, the second is ignored until its sequence passes that of the first, which is at most as long as the step; if the first announced that it leaves, the second is not used. (3) A write of the process before that the store applies late counts until the next one of the living process.

Tests: eight cases of EndpointLists and EndpointChangeLogs are new. Six failed before: restart_earlierStartTime_..., restart_sameStartTimeAndOtherVersion_..., droppedEndpoint_startsAgain..., dropReported_processOfEarlierStartTimeHasGone_isDropped, dropReported_nextProcessStatesEarlierStartTime_isUsed and changesOf_restartedAndDroppedBetweenReports_...; the other two need the epoch. Two cases asked for the comparison of start times without saying that the store had returned from a copy (earlierProcess_isListedAfterTheRestart_isIgnored, dropReported_laterProcessIsKnown_isKept).

--- a/Source/Core/Entry/EndpointChanges.cpp
+++ b/Source/Core/Entry/EndpointChanges.cpp
@@ -32,9 +32,11 @@
         if (list.known.contains(entry.first))
             return false;
         const auto found = list.dropped.find(entry.first);
-        const std::uint64_t sequence
-            = found == list.dropped.end() ? last.sequence : found->second.sequence;
-        changes.dropped.push_back({entry.first, last.entry.incarnation, sequence});
+        if (found == list.dropped.end())
+            changes.dropped.push_back({entry.first, last.entry.incarnation, last.sequence});
+        else
+            changes.dropped.push_back(
+                {entry.first, found->second.incarnation, found->second.sequence});
         return true;
     });
     for (const auto &[id, known] : list.known) {
--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -237,12 +237,13 @@
     this->noteConfirmed(report.endpointsReadAt);
     if (use == ChangesUse::Known)
         return;
+    this->list.epoch = report.changes->to.epoch;
     for (const DroppedEntry &entry : report.changes->dropped) {
         if (dropReported(this->list, entry.id, entry.incarnation, entry.sequence, now))
             this->noteDropped(entry.id, now);
     }
     for (const ListedEndpoint &listed : report.changes->listed)
-        this->noteListed(listed, now);
+        this->noteListed(listed, EntrySource::Change, now);
     this->position = report.changes->to;
     this->relay.setPosition(this->position);
     this->applyExpirations(now);
@@ -258,12 +259,13 @@
     this->changed = true;
 }
 
-void EndpointDiscovery::noteListed(const ListedEndpoint &listed, Common::Time now)
+void EndpointDiscovery::noteListed(const ListedEndpoint &listed, EntrySource source,
+                                   Common::Time now)
 {
     const auto known = this->list.known.find(listed.entry.id);
     const Routing::EndpointEntry before
         = known == this->list.known.end() ? listed.entry : known->second.listed.entry;
-    const EntryChange change = applyEntry(this->list, listed);
+    const EntryChange change = applyEntry(this->list, listed, source);
     if (change == EntryChange::Outdated)
         this->state.metrics.count("endpoint_entries_outdated");
     if (change != EntryChange::Changed)
@@ -283,6 +285,8 @@
 
 void EndpointDiscovery::applyReading(const EndpointsUpdate &reading, Common::Time now)
 {
+    this->list.epoch = this->position.epoch;
+    const EntrySource source = reading.isComplete ? EntrySource::FullState : EntrySource::Change;
     if (reading.isComplete) {
         std::set<Common::EndpointId> present;
         for (const ListedEndpoint &listed : reading.present)
@@ -302,7 +306,7 @@
         this->changed = dropInvalid(this->list, id) || this->changed;
     }
     for (const ListedEndpoint &listed : reading.present)
-        this->noteListed(listed, now);
+        this->noteListed(listed, source, now);
     this->applyExpirations(now);
 }
 
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -71,7 +71,7 @@
     Common::Duration delayAfterFault();
     void noteFault(StoreFault fault, Common::Time now);
     void applyReading(const EndpointsUpdate &reading, Common::Time now);
-    void noteListed(const ListedEndpoint &listed, Common::Time now);
+    void noteListed(const ListedEndpoint &listed, EntrySource source, Common::Time now);
     void noteDropped(const Common::EndpointId &id, Common::Time now);
     void drop(const Common::EndpointId &id, Common::Time now);
     void applyExpirations(Common::Time now);
--- a/Source/Core/Entry/EndpointList.cpp
+++ b/Source/Core/Entry/EndpointList.cpp
@@ -11,44 +11,55 @@
 constexpr Common::Milliseconds kDroppedMemory{60'000};
 
 // Whether the entry was written before the one with this incarnation and sequence. Processes that
-// name no start time, or write no sequence, cannot be compared.
-bool isOlder(const ListedEndpoint &entry, std::uint64_t incarnation, std::uint64_t sequence)
+// name no start time, or write no sequence, cannot be compared. Two processes are compared only if
+// the store's order is not known; one process's write may be applied late, behind a later one.
+bool isOlder(const ListedEndpoint &entry, std::uint64_t incarnation, std::uint64_t sequence,
+             bool isOrderKnown)
 {
     const std::uint64_t own = entry.entry.incarnation;
     if (own == 0 || incarnation == 0)
         return false;
     if (own != incarnation)
-        return own < incarnation;
+        return !isOrderKnown && own < incarnation;
     return entry.sequence != 0 && sequence != 0 && entry.sequence < sequence;
 }
 
 bool isSameProcess(const ListedEndpoint &a, const ListedEndpoint &b)
 {
     // A process whose start time is not known is told from the next one by its version only.
-    const bool mayBeOther = a.entry.incarnation == 0 && a.entry.version != b.entry.version;
+    // Two may state the same start time, if the clock went back in between. An entry that is passed
+    // on by an instance of an earlier release states no version.
+    const bool isVersionStated = !a.entry.version.empty() && !b.entry.version.empty();
+    const bool mayBeOther
+        = (a.entry.incarnation == 0 || isVersionStated) && a.entry.version != b.entry.version;
     return a.entry.incarnation == b.entry.incarnation && a.entry.address == b.entry.address
         && !mayBeOther;
 }
 
 } // namespace
 
-EntryChange applyEntry(EndpointList &list, const ListedEndpoint &entry)
+EntryChange applyEntry(EndpointList &list, const ListedEndpoint &entry, EntrySource source)
 {
+    const auto isOrderKnown = [&list, source](std::uint64_t knownEpoch) {
+        return source == EntrySource::Change || knownEpoch == list.epoch;
+    };
     const auto gone = list.dropped.find(entry.entry.id);
     if (gone != list.dropped.end()) {
         // Only an entry written after the drop shows that the process lives.
         const DroppedEndpoint &last = gone->second;
         const bool isSame = entry.entry.incarnation != 0 && entry.sequence != 0
             && entry.entry.incarnation == last.incarnation && entry.sequence == last.sequence;
-        if (isSame || isOlder(entry, last.incarnation, last.sequence))
+        if (isSame || isOlder(entry, last.incarnation, last.sequence, isOrderKnown(last.epoch)))
             return EntryChange::Outdated;
         list.dropped.erase(gone);
     }
     const auto [found, added] = list.known.try_emplace(entry.entry.id);
     KnownEndpoint &known = found->second;
-    if (!added && isOlder(entry, known.listed.entry.incarnation, known.listed.sequence))
-        return EntryChange::Outdated;
     const bool sameProcess = !added && isSameProcess(known.listed, entry);
+    const bool isLater = !sameProcess && isOrderKnown(known.epoch);
+    if (!added && !isLater
+        && isOlder(entry, known.listed.entry.incarnation, known.listed.sequence, false))
+        return EntryChange::Outdated;
     const bool isUnchanged = sameProcess && known.listed.service == entry.service
         && known.listed.entry.state == entry.entry.state
         && (entry.entry.version.empty() || known.listed.entry.version == entry.entry.version);
@@ -59,6 +70,7 @@
         = entry.entry.version.empty() ? known.listed.entry.version : entry.entry.version;
     known.listed = entry;
     known.listed.entry.version = version;
+    known.epoch = list.epoch;
     known.removeAt.reset();
     // A process that leaves does not come back; one without a start time may be another process.
     if (entry.entry.state == Routing::EndpointState::Leaving && entry.entry.incarnation != 0)
@@ -78,7 +90,7 @@
         return false;
     }
     const ListedEndpoint &listed = found->second.listed;
-    list.dropped[id] = {listed.entry.incarnation, listed.sequence, now};
+    list.dropped[id] = {listed.entry.incarnation, listed.sequence, now, list.epoch};
     list.known.erase(found);
     return true;
 }
@@ -89,13 +101,18 @@
     const auto found = list.known.find(id);
     if (found == list.known.end()) {
         if (incarnation != 0)
-            list.dropped[id] = {incarnation, sequence, now};
+            list.dropped[id] = {incarnation, sequence, now, list.epoch};
         return false;
     }
     const ListedEndpoint &listed = found->second.listed;
-    if (incarnation != 0 && listed.entry.incarnation > incarnation)
+    const std::uint64_t known = listed.entry.incarnation;
+    if (found->second.epoch != list.epoch && incarnation != 0 && known > incarnation)
         return false;
-    list.dropped[id] = {listed.entry.incarnation, std::max(listed.sequence, sequence), now};
+    // The report's entry is the later one. A report without one names the last that is known.
+    DroppedEndpoint last{incarnation, sequence, now, list.epoch};
+    if (incarnation == 0 || incarnation == known)
+        last = {known, std::max(listed.sequence, sequence), now, list.epoch};
+    list.dropped[id] = last;
     list.known.erase(found);
     return true;
 }
--- a/Source/Core/Entry/EndpointList.h
+++ b/Source/Core/Entry/EndpointList.h
@@ -1,6 +1,10 @@
 // What an instance knows about the endpoints: their entries in the store, what they said about
-// themselves in answers, and what other instances passed on. The store may return from an older
-// copy, so an entry is compared with what is known before it is applied.
+// themselves in answers, and what other instances passed on.
+//
+// Within an epoch of the store, the store's order tells which entry of an endpoint is later. Start
+// times do not: a process that starts after its clock went back states an earlier one than the
+// process before. They are compared only with entries from an older copy of the store, whose order
+// against what was known before is lost.
 #pragma once
 
 #include "Entry/Ports.h"
@@ -10,6 +14,8 @@
 struct KnownEndpoint
 {
     ListedEndpoint listed;
+    // Epoch of the store in which the entry was last listed.
+    std::uint64_t epoch = 0;
     // The endpoint's process has announced that it leaves; this never ends with that process.
     bool hasAnnouncedLeaving = false;
     // When the entry is removed. Set if the store dropped it shortly after an outage of the store.
@@ -25,12 +31,15 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     Common::Time droppedAt;
+    std::uint64_t epoch = 0;
 };
 
 struct EndpointList
 {
     std::map<Common::EndpointId, KnownEndpoint> known;
     std::map<Common::EndpointId, DroppedEndpoint> dropped;
+    // Epoch of the store to which the entries belong that are applied.
+    std::uint64_t epoch = 0;
 };
 
 enum class EntryChange {
@@ -41,16 +50,25 @@
     Outdated,
 };
 
-// Applies an entry that the store lists.
-EntryChange applyEntry(EndpointList &list, const ListedEndpoint &entry);
+enum class EntrySource {
+    // Written in the list's epoch, after all that is known of the endpoint.
+    Change,
+    // Listed by a reading of the full state. May come from the copy with which the epoch began.
+    FullState,
+};
+
+// Applies an entry that the store lists. `list.epoch` is the epoch of the reading.
+EntryChange applyEntry(EndpointList &list, const ListedEndpoint &entry,
+                       EntrySource source = EntrySource::Change);
 
 // Drops an endpoint that the store no longer lists, or schedules that for `removeAt`. Returns
 // whether it was dropped at once.
 bool dropEndpoint(EndpointList &list, const Common::EndpointId &id,
                   std::optional<Common::Time> removeAt, Common::Time now);
 
-// Drops an endpoint that a reader of the store reported as no longer listed, unless a later process
-// is known. `incarnation` and `sequence` are those of its last entry. Returns whether it was known.
+// Drops an endpoint that a reader of the store reported as no longer listed in the list's epoch,
+// unless a later process is known from an earlier epoch. `incarnation` and `sequence` are those of
+// its last entry. Returns whether it was known.
 bool dropReported(EndpointList &list, const Common::EndpointId &id, std::uint64_t incarnation,
                   std::uint64_t sequence, Common::Time now);
 
--- a/Source/UnitTests/Entry/EndpointChangesTest.cpp
+++ b/Source/UnitTests/Entry/EndpointChangesTest.cpp
@@ -72,15 +72,53 @@
     BOOST_TEST((applyEntry(this->list, entry("e1", 41)) == EntryChange::Changed));
 }
 
-BOOST_AUTO_TEST_CASE(dropReported_laterProcessIsKnown_isKept)
+// The later process may not have written yet since the store returned from an older copy.
+BOOST_AUTO_TEST_CASE(dropReported_laterProcessIsKnownOfAnEarlierEpoch_isKept)
 {
     ListedEndpoint later = entry("e1", 1);
     later.entry.incarnation = 8;
     applyEntry(this->list, later);
+    ++this->list.epoch;
     BOOST_TEST(!dropReported(this->list, Common::EndpointId("e1"), 7, 40, this->now));
     BOOST_TEST(this->list.known.size() == 1u);
 }
 
+// Guards against a follower that keeps an endpoint that has gone: of its processes, the last one
+// that the reader saw stated an earlier start time, because the clock had gone back.
+BOOST_AUTO_TEST_CASE(dropReported_processOfEarlierStartTimeHasGone_isDropped)
+{
+    ListedEndpoint known = entry("e1", 1);
+    known.entry.incarnation = 8;
+    applyEntry(this->list, known);
+    BOOST_TEST(dropReported(this->list, Common::EndpointId("e1"), 7, 3, this->now));
+    BOOST_TEST(this->list.known.empty());
+}
+
+// Guards against a follower that refuses a process whose clock had gone back before it started,
+// after a report that the process before has gone.
+BOOST_AUTO_TEST_CASE(dropReported_nextProcessStatesEarlierStartTime_isUsed)
+{
+    BOOST_TEST(!dropReported(this->list, Common::EndpointId("e1"), 8, 40, this->now));
+    BOOST_TEST((applyEntry(this->list, entry("e1", 1)) == EntryChange::Changed));
+    BOOST_TEST(this->list.known.size() == 1u);
+}
+
+// Guards against the start time of one process beside the sequence of another, where an endpoint
+// restarted and left between two reports.
+BOOST_AUTO_TEST_CASE(changesOf_restartedAndDroppedBetweenReports_namesTheLastProcess)
+{
+    applyEntry(this->list, entry("e1", 40));
+    changesOf(this->list, this->reported);
+    ListedEndpoint later = entry("e1", 2);
+    later.entry.incarnation = 9;
+    applyEntry(this->list, later);
+    dropEndpoint(this->list, Common::EndpointId("e1"), std::nullopt, this->now);
+    const EndpointChanges changes = changesOf(this->list, this->reported);
+    BOOST_REQUIRE(changes.dropped.size() == 1u);
+    BOOST_TEST(changes.dropped.front().incarnation == 9u);
+    BOOST_TEST(changes.dropped.front().sequence == 2u);
+}
+
 // A reader on a lossy link loses the store for a moment, while an endpoint leaves. The reader keeps
 // the entry for two seconds; its followers must not.
 BOOST_AUTO_TEST_CASE(mayReport_entryIsKeptAfterAnOutage_notUntilItIsDecided)
--- a/Source/UnitTests/Entry/EndpointListTest.cpp
+++ b/Source/UnitTests/Entry/EndpointListTest.cpp
@@ -34,6 +34,13 @@
         return applyEntry(this->list, listed);
     }
 
+    // Applies what the store lists after it has returned from an older copy.
+    EntryChange applyFromCopy(const ListedEndpoint &listed)
+    {
+        ++this->list.epoch;
+        return applyEntry(this->list, listed, EntrySource::FullState);
+    }
+
     bool isRouted() const
     {
         const auto entries = routingEntries(this->list);
@@ -143,11 +150,83 @@
     BOOST_TEST(this->isRouted());
 }
 
-BOOST_AUTO_TEST_CASE(earlierProcess_isListedAfterTheRestart_isIgnored)
+BOOST_AUTO_TEST_CASE(earlierProcess_isListedByAnOlderCopy_isIgnored)
 {
     this->apply(this->entry(8, 1));
-    BOOST_TEST((this->apply(this->entry(7, 90)) == EntryChange::Outdated));
+    BOOST_TEST((this->applyFromCopy(this->entry(7, 90)) == EntryChange::Outdated));
+    // Another reading of the same copy says nothing new.
+    BOOST_TEST((applyEntry(this->list, this->entry(7, 90), EntrySource::FullState)
+                == EntryChange::Outdated));
     BOOST_TEST(this->list.known.at(this->id).listed.entry.incarnation == 8u);
+    this->apply(this->entry(8, 2));
+    dropEndpoint(this->list, this->id, std::nullopt, this->now);
+    BOOST_TEST((this->applyFromCopy(this->entry(7, 90)) == EntryChange::Outdated));
+    BOOST_TEST(!this->isRouted());
+}
+
+// Guards against a process that stays ignored as one of an older copy, although it writes since the
+// store has returned: its clock went back before it started.
+BOOST_AUTO_TEST_CASE(olderCopy_processOfEarlierStartTimeWritesAgain_isUsed)
+{
+    this->apply(this->entry(8, 40));
+    BOOST_TEST((this->applyFromCopy(this->entry(7, 1)) == EntryChange::Outdated));
+    BOOST_TEST((this->apply(this->entry(7, 2)) == EntryChange::Changed));
+    BOOST_TEST(this->list.known.at(this->id).listed.entry.incarnation == 7u);
+    dropEndpoint(this->list, this->id, std::nullopt, this->now);
+    BOOST_TEST((this->applyFromCopy(this->entry(6, 1)) == EntryChange::Outdated));
+    BOOST_TEST((this->apply(this->entry(6, 2)) == EntryChange::Changed));
+}
+
+// Guards against a process that stays unlisted for as long as it runs, because its clock went back
+// before it started: its version, address and state would be those of the process before.
+BOOST_AUTO_TEST_CASE(restart_earlierStartTime_replacesVersionAddressAndState)
+{
+    ListedEndpoint before = this->entry(8, 40, EndpointState::Leaving);
+    before.entry.version = "v1";
+    this->apply(before);
+    ListedEndpoint after = this->entry(7, 1);
+    after.entry.version = "v2";
+    after.entry.address.port = 9001;
+    BOOST_TEST((this->apply(after) == EntryChange::Changed));
+    BOOST_TEST(this->isRouted());
+    const Routing::EndpointEntry routed = routingEntries(this->list).at("app").front();
+    BOOST_TEST(routed.incarnation == 7u);
+    BOOST_TEST(routed.version == "v2");
+    BOOST_TEST(routed.address.port == 9001);
+}
+
+// Guards against a version that stays that of the process before, where the clock went back by just
+// the time between two starts.
+BOOST_AUTO_TEST_CASE(restart_sameStartTimeAndOtherVersion_replacesVersionAndState)
+{
+    ListedEndpoint before = this->entry(7, 40, EndpointState::Leaving);
+    before.entry.version = "v1";
+    this->apply(before);
+    ListedEndpoint after = this->entry(7, 1);
+    after.entry.version = "v2";
+    BOOST_TEST((this->apply(after) == EntryChange::Changed));
+    BOOST_TEST(this->isRouted());
+    BOOST_TEST(routingEntries(this->list).at("app").front().version == "v2");
+}
+
+// Guards against a start time that is compared where a reading of the full state shows the restart:
+// the reading belongs to the epoch of what is known.
+BOOST_AUTO_TEST_CASE(restart_fullStateOfTheSameEpoch_isUsed)
+{
+    this->apply(this->entry(8, 40));
+    BOOST_TEST((applyEntry(this->list, this->entry(7, 1), EntrySource::FullState)
+                == EntryChange::Changed));
+    BOOST_TEST(this->list.known.at(this->id).listed.entry.incarnation == 7u);
+}
+
+// Guards against a process that is taken for one that has gone, because its clock went back before
+// it started.
+BOOST_AUTO_TEST_CASE(droppedEndpoint_startsAgainWithEarlierStartTime_isUsed)
+{
+    this->apply(this->entry(8, 40));
+    dropEndpoint(this->list, this->id, std::nullopt, this->now);
+    BOOST_TEST((this->apply(this->entry(7, 1)) == EntryChange::Changed));
+    BOOST_TEST(this->isRouted());
 }
 
 BOOST_AUTO_TEST_CASE(avoidedEndpoint_periodEnds_isRoutedAgain)
