Serving: Take no event with two numbers or a spoiled one

Callers saw a stream that is complete and lacks an event (ORDER), of a worker that spoils its bytes: a line break between two events got lost, and the two, ended by one blank line, were taken as one with the number of the first. If they are the last two, no number behind them contradicts; otherwise the caller already has them when the gap is seen.

Cause: EventSequence took the first 'id:' line of an event and of that line the digits it begins with, so that '2x', '2 3' and '2data: text' passed as 2 too.

Change: an event needs exactly one 'id:' line with nothing but a decimal number in it, as 'id: 2' or 'id:2'. What does not is out of sequence: a stream that may be resumed goes on elsewhere after the event before, another one is cut there.

--- a/Source/Core/Serving/EventSequence.cpp
+++ b/Source/Core/Serving/EventSequence.cpp
@@ -10,10 +10,13 @@
 
 namespace {
 
-// Returns the number in the event's `id:` line, or nothing where there is none.
+// Returns the number in the event's `id:` line, or nothing unless there is exactly one such line
+// and nothing but the number in it. A line break that got lost makes one event of two, and a byte
+// that got into the line makes a number that the caller reads differently.
 std::optional<std::uint64_t> eventNumber(std::string_view event)
 {
     constexpr std::string_view kField = "id:";
+    std::optional<std::uint64_t> number;
     std::size_t at = 0;
     while (at < event.size()) {
         const std::size_t end = std::min(event.find('\n', at), event.size());
@@ -22,14 +25,19 @@
         if (!line.starts_with(kField))
             continue;
         line.remove_prefix(kField.size());
-        while (!line.empty() && line.front() == ' ')
+        if (line.starts_with(' '))
             line.remove_prefix(1);
-        std::uint64_t number = 0;
-        const auto parsed = std::from_chars(line.data(), line.data() + line.size(), number);
-        if (parsed.ec == std::errc())
-            return number;
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        const bool hasLeadingZero = line.size() > 1 && line.starts_with('0');
+        std::uint64_t value = 0;
+        const auto parsed = std::from_chars(line.data(), line.data() + line.size(), value);
+        if (number || hasLeadingZero || parsed.ec != std::errc()
+            || parsed.ptr != line.data() + line.size())
+            return std::nullopt;
+        number = value;
     }
-    return std::nullopt;
+    return number;
 }
 
 // Returns the offset behind the first complete event from `from` on, including its blank line, or
--- a/Source/UnitTests/Serving/EventSequenceTest.cpp
+++ b/Source/UnitTests/Serving/EventSequenceTest.cpp
@@ -87,6 +87,31 @@
     BOOST_TEST((this->events.feed("data: text\n\n") == SequenceFault::OutOfSequence));
 }
 
+// Guards against an event that the caller misses (ORDER): a line break got lost, and two events
+// look like one that has the number of the first.
+BOOST_AUTO_TEST_CASE(feed_lineBreakBetweenTwoEventsIsLost_isOutOfSequence)
+{
+    const std::string merged = "id: 2\ndata: text\nid: 3\ndata: text\n\n";
+    BOOST_TEST((this->events.feed(event(1) + merged) == SequenceFault::OutOfSequence));
+    BOOST_TEST(this->events.takeReady() == event(1));
+    BOOST_TEST(this->events.lastEvent().value() == 1u);
+}
+
+// Guards against a number that the caller reads differently (ORDER): bytes got into its line.
+BOOST_AUTO_TEST_CASE(feed_numberWithOtherBytes_isOutOfSequence)
+{
+    for (const char *line : {"id: 2x", "id: 2 3", "id: 2data: text", "id: 02", "id:  2", "id: 2 ",
+                             "id: 2\r\r", "id: 2\rdata: text", "id: +2", "id: "}) {
+        BOOST_TEST_CONTEXT(line)
+        {
+            EventSequence sequence;
+            const std::string spoiled = std::string(line) + "\ndata: text\n\n";
+            BOOST_TEST((sequence.feed(event(1) + spoiled) == SequenceFault::OutOfSequence));
+            BOOST_TEST(sequence.takeReady() == event(1));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(feed_secondEndpointResumes_continuesWithoutThePartialEvent)
 {
     BOOST_TEST((this->events.feed(event(1) + "id: 2\nda") == SequenceFault::None));
