--- a/Source/Core/Serving/EventSequence.cpp
+++ b/Source/Core/Serving/EventSequence.cpp
@@ -83,6 +83,10 @@
     while (const std::size_t end
            = completeEventEnd(this->partial, std::max(begin, this->searched))) {
         const std::string_view event = std::string_view(this->partial).substr(begin, end - begin);
+        if (event.size() > Common::kMaxEventBytes) {
+            this->discardPartialEvent();
+            return SequenceFault::EventTooLong;
+        }
         if (!this->acceptEvent(event)) {
             this->discardPartialEvent();
             return SequenceFault::OutOfSequence;
@@ -92,8 +96,10 @@
     }
     this->partial.erase(0, begin);
     this->searched = this->partial.size() - std::min(this->partial.size(), kMaxEndBytes);
-    return this->partial.size() > Common::kMaxEventBytes ? SequenceFault::EventTooLong
-                                                         : SequenceFault::None;
+    if (this->partial.size() <= Common::kMaxEventBytes)
+        return SequenceFault::None;
+    this->discardPartialEvent();
+    return SequenceFault::EventTooLong;
 }
 
 std::string EventSequence::takeReady()
