--- a/review/rig/Callers.h
+++ b/review/rig/Callers.h
@@ -1,12 +1,21 @@
 // The callers of a run: what they send, and what they read.
 #pragma once
 
-#include "Plan.h"
+#include "Faults.h"
 
 namespace Review {
 
 enum class Result { Whole, Cut, Refused, NoAnswer, TimedOut, Left };
 
+// Events in a row that one run has made, in the order in which a caller has read them.
+struct Piece
+{
+    // The worker's id, its start time and the number of the run.
+    std::string run;
+    int first = 0;
+    int last = 0;
+};
+
 // One request and what its caller has read of the answer.
 struct Outcome
 {
@@ -23,7 +32,12 @@
     std::string lacks;
     std::string disorder;
     std::string mixed;
+    bool isCutShort = false;
     std::set<std::string> versions;
+    std::vector<Piece> pieces;
+    // The process that took the request, by its place.
+    std::size_t entry = 0;
+    Clock::time_point begunAt;
     Clock::time_point endedAt;
 };
 
@@ -32,11 +46,13 @@
     int fd = -1;
     Reader reader{-1};
     int answers = 0;
+    std::size_t entry = 0;
 
-    bool open(const Address &front)
+    bool open(const Deployment &deployment, std::size_t place)
     {
         this->close();
-        this->fd = connectTo(front);
+        this->entry = place;
+        this->fd = connectTo(deployment.entries[place]->front());
         this->reader = Reader(this->fd);
         this->answers = 0;
         return this->fd >= 0;
@@ -98,9 +114,9 @@
         }
     }
 
-    Address front(Random &random)
+    bool open(Connection &connection, Random &random)
     {
-        return this->deployment.entries[random() % this->deployment.entries.size()]->front();
+        return connection.open(this->deployment, random() % this->deployment.entries.size());
     }
 
     void note(Outcome outcome)
@@ -125,7 +141,7 @@
     void callPlain(Random &random)
     {
         Connection connection;
-        if (!connection.open(this->front(random))) {
+        if (!this->open(connection, random)) {
             ++this->failedConnects;
             sleepFor(50);
             return;
@@ -172,6 +188,8 @@
             outcome.kind = kind;
             outcome.attempt = attempts[i];
             outcome.isKept = connection.answers > 0;
+            outcome.entry = connection.entry;
+            outcome.begunAt = Clock::now();
             outcome.isHalfClosed = isHalfClosed;
             outcome.manner = std::string(isSlow ? "slow," : "") + (isPipelined ? "pipelined," : "")
                 + (hasLineBreak ? "line break," : "") + (isHalfClosed ? "half-closed," : "")
@@ -182,13 +200,15 @@
                 this->note(outcome);
                 continue;
             }
-            const Response response = readResponse(
-                connection.reader, Clock::now() + Milliseconds(kind->deadlineMs + 1500));
+            Response response = readResponse(connection.reader,
+                                             Clock::now() + Milliseconds(kind->deadlineMs + 1500));
+            Faults::putInto(response, random, kind->mayRunAgain);
             outcome.status = response.status;
             outcome.result = resultOf(response);
             hasTimedOut = response.hasTimedOut;
             if (outcome.result == Result::Whole)
                 outcome.mixed = whatIsMixed(response, attempts[i], sizes[i]);
+            outcome.isCutShort = outcome.mixed.ends_with(", cut short");
             this->note(outcome);
             ++connection.answers;
             isOpen = connection.isOpenAfter(response);
@@ -229,7 +249,7 @@
         std::string firstAttempt;
         Connection connection;
         for (int take = 0; take < 4 && Clock::now() < deadline; ++take) {
-            if (connection.fd < 0 && !connection.open(this->front(random))) {
+            if (connection.fd < 0 && !this->open(connection, random)) {
                 ++this->failedConnects;
                 sleepFor(50);
                 continue;
@@ -242,6 +262,8 @@
             outcome.stream = stream;
             outcome.attempt = take == 0 ? stream : this->deployment.nextAttempt();
             outcome.isKept = connection.answers > 0;
+            outcome.entry = connection.entry;
+            outcome.begunAt = Clock::now();
             outcome.manner = std::string(isSlow ? "slow," : "") + (leaves ? "leaves," : "")
                 + (take > 0             ? "taken up"
                        : outcome.isKept ? "kept"
@@ -261,8 +283,9 @@
             connection.reader.pauseMs = isSlow ? 30 : 0;
             connection.reader.readSize = isSlow ? 128 : 16384;
             const int readMs = leaves ? between(random, 50, 600) : leftMs + 1500;
-            const Response response
+            Response response
                 = readResponse(connection.reader, Clock::now() + Milliseconds(readMs));
+            Faults::putIntoStream(response, random);
             outcome.status = response.status;
             outcome.result = leaves && response.hasTimedOut ? Result::Left : resultOf(response);
             const bool hadEvents = last > 0;
@@ -294,9 +317,9 @@
     static void checkEvents(const Response &response, int count, int &last, Outcome &outcome)
     {
         std::size_t at = 0;
-        for (std::size_t end = 0; (end = response.body.find("\n\n", at)) != std::string::npos;
-             at = end + 2) {
-            const std::string event = response.body.substr(at, end - at);
+        for (std::size_t stop = 0; (stop = response.body.find("\n\n", at)) != std::string::npos;
+             at = stop + 2) {
+            const std::string event = response.body.substr(at, stop - at);
             const std::string data = "\ndata: made-by ";
             const std::size_t made = event.find(data);
             const int number = event.rfind("id: ", 0) == 0 ? std::atoi(event.c_str() + 4) : 0;
@@ -306,7 +329,12 @@
             }
             if (made != std::string::npos) {
                 const std::size_t version = made + data.size();
-                outcome.versions.insert(event.substr(version, event.find(' ', version) - version));
+                const std::size_t end = event.find(' ', version);
+                outcome.versions.insert(event.substr(version, end - version));
+                const std::string run = end == std::string::npos ? "" : event.substr(end + 1);
+                if (outcome.pieces.empty() || outcome.pieces.back().run != run)
+                    outcome.pieces.push_back({run, number, number});
+                outcome.pieces.back().last = number;
             }
             last = number > 0 ? number : last;
         }
--- a/review/rig/WorkerProcess.h
+++ b/review/rig/WorkerProcess.h
@@ -1,7 +1,7 @@
 // A worker as a process of its own, so that SIGKILL and the kernel end it.
 #pragma once
 
-#include "Plan.h"
+#include "Troubles.h"
 
 namespace Review {
 
@@ -77,23 +77,69 @@
     }
 
 private:
+    // An answer in the making. Its process, its number and its last event go into the file of runs.
+    struct Run
+    {
+        std::string attempt;
+        std::string name;
+        Spoil spoil;
+        int lastEvent = 0;
+    };
+
     bool answer(const WorkerCall &call)
     {
-        const std::string attempt = call.request.header("Attempt-Id");
         const Kind &kind = this->site.kindOf(call.request.target);
-        Random random(this->seed ^ std::hash<std::string>()(attempt));
+        Run run;
+        run.attempt = call.request.header("Attempt-Id");
+        run.name = this->id + "/" + this->born + "#" + std::to_string(++this->runCount);
+        Random random(this->seed ^ std::hash<std::string>()(run.attempt));
+        // Each run of a request has a fate of its own.
+        Random fate(this->seed ^ std::hash<std::string>()(run.attempt + run.name));
+        run.spoil = Spoil::chosen(fate);
         // One write call: the line is there even if the process is killed right after it.
-        const std::string line = attempt + " " + this->id + " " + this->born + " " + call.version
-            + " " + kind.name + " " + std::to_string(firstEventOf(call.request)) + "\n";
-        if (::write(this->runs, line.data(), line.size()) < 0)
+        const std::string line = run.attempt + " " + this->id + " " + this->born + " "
+            + call.version + " " + kind.name + " " + std::to_string(firstEventOf(call.request))
+            + " " + run.name + " " + textOf(this->framing);
+        if (!this->note(line) || (Troubles::strikes("twice", fate) && !this->note(line)))
             return this->close(call);
-        const bool isSent = kind.isStream ? this->sendStream(call, random)
-                                          : this->sendPlain(call, attempt, random);
-        if (!isSent || this->framing == Framing::Unframed)
+        const bool isSent = this->send(call, kind, random, fate, run);
+        const bool isSpoiled = run.spoil.what != Spoil::What::Nothing;
+        this->note("! " + run.name + " " + (isSent || isSpoiled ? run.spoil.text() : "caller-gone")
+                   + " " + std::to_string(run.lastEvent));
+        if (isSpoiled && run.spoil.isReset) {
+            resetConnection(call.fd);
+            return false;
+        }
+        if (!isSent || isSpoiled || this->framing == Framing::Unframed)
             return this->close(call);
         return true;
     }
 
+    bool send(const WorkerCall &call, const Kind &kind, Random &random, Random &fate, Run &run)
+    {
+        if (run.spoil.what == Spoil::What::Lost) {
+            sleepFor(between(random, 5, 200));
+            return true;
+        }
+        if (run.spoil.what == Spoil::What::Junk) {
+            sleepFor(between(random, 5, 60));
+            std::string junk(static_cast<std::size_t>(between(random, 1, 400)), 0);
+            for (char &byte : junk)
+                byte = static_cast<char>(random());
+            const bool isSent = sendAll(call.fd, junk);
+            sleepFor(run.spoil.delayMs);
+            return isSent;
+        }
+        return kind.isStream ? this->sendStream(call, random, fate, run)
+                             : this->sendPlain(call, run, random);
+    }
+
+    bool note(const std::string &text) const
+    {
+        const std::string line = text + "\n";
+        return ::write(this->runs, line.data(), line.size()) >= 0;
+    }
+
     bool close(const WorkerCall &call)
     {
         ::close(call.fd);
@@ -105,7 +151,26 @@
         return std::atoi(call.request.target.substr(call.request.target.rfind('/') + 1).c_str());
     }
 
-    bool sendStream(const WorkerCall &call, Random &random)
+    // Writes the first part of an event; the rest never comes.
+    bool writePart(SegmentWriter &writer, const std::string &event, const Run &run, Random &random)
+    {
+        const std::size_t size = 1 + random() % (event.size() - 1);
+        if (this->framing == Framing::Unframed)
+            return writer.write(event.substr(0, size));
+        if (!run.spoil.breaksChunk)
+            return writer.write(chunkOf(event.substr(0, size)));
+        const std::string chunk = chunkOf(event);
+        return writer.write(chunk.substr(0, 1 + random() % (chunk.size() - 1)));
+    }
+
+    bool breakOff(SegmentWriter &writer, const Run &run)
+    {
+        const bool isSent = writer.flush();
+        sleepFor(run.spoil.delayMs);
+        return isSent;
+    }
+
+    bool sendStream(const WorkerCall &call, Random &random, Random &fate, Run &run)
     {
         const bool isChunked = this->framing != Framing::Unframed;
         SegmentWriter writer(call.fd, random);
@@ -113,21 +178,39 @@
         if (!writer.write(streamHead(call) + (isChunked ? "Transfer-Encoding: chunked\r\n" : "")
                           + "\r\n"))
             return false;
-        const int count = numberOf(call);
+        const int first = firstEventOf(call.request);
+        const int wanted = numberOf(call);
+        const int count = Troubles::strikes("worker_tail", fate) ? wanted - 1 : wanted;
+        const int skipped = Troubles::strikes("worker_skip", fate) ? (first + wanted) / 2 : 0;
         const int intervalMs = between(random, 15, 40);
-        for (int i = firstEventOf(call.request); i <= count; ++i) {
+        const bool breaksOff = run.spoil.what == Spoil::What::BreakOff;
+        // The event that isn't sent any more; a chunked stream may lack its last chunk alone.
+        const int broken = first + static_cast<int>(run.spoil.at * (count - first + 2));
+        run.lastEvent = first - 1;
+        for (int i = first; i <= count; ++i) {
             const std::string event = "id: " + std::to_string(i) + "\ndata: made-by " + call.version
-                + " " + this->id + "/" + this->born + "\n\n";
+                + " " + run.name + "\n\n";
+            if (breaksOff && i == broken) {
+                return (!run.spoil.isInside || this->writePart(writer, event, run, random))
+                    && this->breakOff(writer, run);
+            }
+            if (i == skipped)
+                continue;
             if (isPeerGone(call.fd) || !writer.write(isChunked ? chunkOf(event) : event))
                 return false;
+            run.lastEvent = i;
             sleepFor(intervalMs);
         }
+        if (breaksOff) {
+            run.spoil.isInside = false;
+            return this->breakOff(writer, run);
+        }
         return (!isChunked || writer.write("0\r\n\r\n")) && writer.flush();
     }
 
-    bool sendPlain(const WorkerCall &call, const std::string &attempt, Random &random)
+    bool sendPlain(const WorkerCall &call, Run &run, Random &random)
     {
-        const std::string body = plainBody(attempt, this->id, numberOf(call));
+        const std::string body = plainBody(run.attempt, this->id, numberOf(call));
         std::string head = responseHead(call, 200, "Content-Type: text/plain\r\n");
         if (this->framing == Framing::Length)
             head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -142,14 +225,19 @@
         sleepFor(between(random, 5, 40));
         if (!writer.write(head))
             return false;
+        const bool breaksOff = run.spoil.what == Spoil::What::BreakOff;
+        const std::size_t size
+            = breaksOff ? static_cast<std::size_t>(run.spoil.at * body.size()) : body.size();
         constexpr std::size_t kParts = 3;
         const std::size_t partSize = body.size() / kParts + 1;
-        for (std::size_t at = 0; at < body.size(); at += partSize) {
-            const std::string part = body.substr(at, partSize);
+        for (std::size_t at = 0; at < size; at += partSize) {
+            const std::string part = body.substr(at, std::min(partSize, size - at));
             if (!writer.write(isChunked ? chunkOf(part) : part))
                 return false;
             sleepFor(between(random, 0, 40));
         }
+        if (breaksOff)
+            return this->breakOff(writer, run);
         if (isChunked && !writer.write("0\r\n\r\n"))
             return false;
         if (!writer.flush())
@@ -157,8 +245,7 @@
         // A faulty worker sends an answer twice: right behind the first one, or late, where the
         // next answer is expected.
         if (this->isFaulty && !(this->framing == Framing::Unframed) && happens(random, 0.03)) {
-            const std::string note = "# second answer " + attempt + "\n";
-            if (::write(this->runs, note.data(), note.size()) < 0)
+            if (!this->note("# second answer " + run.attempt))
                 return false;
             const std::string again = head + (isChunked ? chunkOf(body) + "0\r\n\r\n" : body);
             if (happens(random, 0.5))
@@ -176,6 +263,7 @@
     const std::uint64_t seed;
     const int runs;
     const Site &site;
+    std::atomic<int> runCount{0};
     Worker worker;
 };
 
--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -17,26 +17,6 @@
     return value ? std::atoi(value) : 0;
 }
 
-// Stops the processes of the system as planned, one after another, and starts them again.
-void stopInTurn(Deployment &deployment, Clock::time_point until, int &late)
-{
-    for (std::size_t i = 0; Clock::now() < until; ++i) {
-        Entry &entry = *deployment.entries[i % deployment.entries.size()];
-        entry.signal(SIGTERM);
-        deployment.record.write(entry.name + " is told to stop");
-        if (!entry.waitForEnd(8000)) {
-            ++late;
-            entry.signal(SIGKILL);
-            entry.waitForEnd(2000);
-        }
-        deployment.record.write(entry.name + " " + entry.ending());
-        entry.start();
-        for (int waitedMs = 0; waitedMs < 5000 && !entry.isReady(); waitedMs += 50)
-            sleepFor(50);
-        sleepFor(1000);
-    }
-}
-
 int play(const Site &site, std::uint64_t seed, int seconds, Deployment &deployment)
 {
     Fleet fleet(deployment, site, seed);
@@ -49,22 +29,23 @@
     if (deployment.waitUntilSettled(kModelWorkers + kPlainWorkers)) {
         const auto until = Clock::now() + std::chrono::seconds(seconds);
         Callers callers(deployment, site, seed, until);
-        int late = 0;
+        EntryTroubles entryTroubles(deployment, seed, until);
         std::vector<std::thread> troubles;
-        if (hasTrouble()) {
+        if (Troubles::has("srv_crash")) {
             troubles.emplace_back([&] { fleet.killInTurn(true, until); });
             troubles.emplace_back([&] { fleet.killInTurn(false, until); });
-            troubles.emplace_back([&] { fleet.silenceInTurn(until); });
         }
-        if (numberFrom("STOPS") > 0)
-            troubles.emplace_back([&] { stopInTurn(deployment, until, late); });
+        if (Troubles::has("silent"))
+            troubles.emplace_back([&] { fleet.silenceInTurn(until); });
+        entryTroubles.begin();
         callers.run(kStreamCallers, kPlainCallers);
         for (std::thread &trouble : troubles)
             trouble.join();
-        code = Verdict(fleet, site, deployment.folder).judge(callers.outcomes);
+        entryTroubles.join();
+        code = Verdict(fleet, entryTroubles, site, deployment).judge(callers.outcomes);
         std::cout << "connects that failed: " << callers.failedConnects << "\n";
-        if (numberFrom("STOPS") > 0)
-            std::cout << "processes that ended late: " << late << "\n";
+        if (Troubles::has("stops"))
+            std::cout << "processes that ended late: " << entryTroubles.endedLate << "\n";
         for (const auto &entry : deployment.entries) {
             if (!entry->isRunning())
                 std::cout << entry->name << " " << entry->ending() << "\n";
@@ -87,6 +68,10 @@
         std::cerr << "usage: rig PROGRAM SEED SECONDS SITE FOLDER\n";
         return kNotRun;
     }
+    if (!Troubles::areKnown()) {
+        std::cerr << "unknown trouble in " << Troubles::text() << "\n";
+        return kNotRun;
+    }
     const std::uint64_t seed = std::strtoull(arguments[2], nullptr, 10);
     const std::string folder = arguments[5];
     std::string record = folder + "/record.txt";
@@ -95,8 +80,8 @@
     Deployment deployment(static_cast<int>(places.size()), places.data());
     deployment.launch = {arguments[1], numberFrom("FILES")};
     const Site &site = WorkerProcess::siteNamed(arguments[4]);
-    std::cout << "site " << site.name << ", seed " << seed << ", " << arguments[3] << " s, program "
-              << arguments[1] << std::endl;
+    std::cout << "site " << site.name << ", seed " << seed << ", " << arguments[3]
+              << " s, troubles " << Troubles::text() << std::endl;
     const int code = play(site, seed, std::atoi(arguments[3]), deployment);
     std::cout << (code == kHeld         ? "held"
                       : code == kBroken ? "broken"
--- a/review/rig/run.sh
+++ b/review/rig/run.sh
@@ -1,12 +1,15 @@
 #!/usr/bin/env bash
 # Plays real worker processes, callers and a store against a build of the program.
 # Usage: run.sh PROGRAM SEED [SECONDS] [SITE]; without SITE both sites, one after another.
-# TROUBLE=0: no kills and no silence. STOPS=1: planned stops of the entries in turn. FILES=N: most
+# TROUBLES: list of srv_crash, garble, answer_lost, silent, node_kill, node_freeze, platform_down and
+# stops; without it srv_crash,silent. SHARE: percent of the answers that garble or answer_lost spoils
+# (15). UNFRAMED=0: no answer ends with its connection. FAULT: a fault put in by hand, see README.md.
+# TROUBLE=0: none of these. STOPS=1: stops as well. FILES=N: most
 # open files of an entry. KEEP=1: keep the logs of runs without a case too.
 # Exit code: 1 if ORDER, MIXED or TWICE has a case, 0 if none, 2 if a site could not run.
 set -euo pipefail
 if [ $# -lt 2 ]; then
-    sed -n 2,6p "$0" >&2
+    sed -n 2,9p "$0" >&2
     exit 2
 fi
 here=$(cd "$(dirname "$0")" && pwd)
--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -128,7 +128,8 @@
         this->change(table, key, "", true);
     }
 
-    // Calls that come from this address are not answered, as in a partition; empty for none.
+    // Calls that come from this address are not answered, as in a partition; empty for
+    // none, "*" for calls of all.
     void cutOff(const std::string &ip)
     {
         const std::lock_guard lock(this->mutex);
@@ -257,7 +258,7 @@
     bool isCutOff(const std::string &ip)
     {
         const std::lock_guard lock(this->mutex);
-        return this->cutIp == ip;
+        return this->cutIp == ip || this->cutIp == "*";
     }
 
     std::mutex mutex;
