Review: Judge a stream by the last of its runs, also one without an event

Cause: a stream whose second run ended in order before its first event was put down to the end of the first run.

Change: the end that a caller sees is that of the last run of the request.

--- a/review/rig/Verdict.h
+++ b/review/rig/Verdict.h
@@ -136,10 +136,11 @@
     // The run whose end the caller saw as the end of its answer.
     const RunSeen *lastRunOf(const Outcome &outcome)
     {
-        if (!outcome.pieces.empty())
-            return this->runs.named(outcome.pieces.back().run);
+        // The last run may have ended before its first event.
         const std::vector<RunSeen> &ran = this->runs.of(outcome.attempt);
-        return ran.empty() ? nullptr : &ran.back();
+        if (!ran.empty())
+            return &ran.back();
+        return outcome.pieces.empty() ? nullptr : this->runs.named(outcome.pieces.back().run);
     }
 
     // Says which piece doesn't follow from the run before it; empty if all do.
