Entry: Apply the findings of the review on doubted ends

Only a failed write counts now. - 'end' and 'requestWritten' of a send that got no answer were those of the send before, and a lost body had neither.

The new cases were not run against the code before.

--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -143,6 +143,12 @@
     if (result.connectionLost)
         co_return result;
     this->settleDoubt();
+    // Such an end confirms one that was doubted, but not that of an answer that was broken off.
+    const bool isBare = end == Http::BodyEnd::Closed && !this->hasAnswerBegun();
+    if (isBare && this->events.eventCount() > 0 && !this->doubtfulEnd) {
+        result.detail = "stream ended with its connection, without an event";
+        co_return result;
+    }
     result.hasDoubtfulEnd = end == Http::BodyEnd::Closed && this->mayAskForRest();
     if (result.hasDoubtfulEnd) {
         this->beginDoubt(std::move(head));
@@ -151,6 +157,8 @@
     }
     if (this->doubtfulEnd)
         this->state.metrics.count(labelled("doubtful_ends", "result", "confirmed"));
+    else if (end == Http::BodyEnd::Closed && this->route->resumable)
+        this->state.metrics.count(labelled("doubtful_ends", "result", "not asked"));
     this->doubtTimer.cancel();
     result.isAnswered = true;
     co_await this->completeStream(std::move(head));
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -258,8 +258,8 @@
         Http::BodyEnd end = Http::BodyEnd::Whole;
     };
     Http::Awaitable<Http::CallResult<Body>> readBody(Http::ResponseStream &stream);
-    // Records how the last answer ended.
-    void noteEnd(const Http::ResponseStream &stream, Http::BodyEnd end);
+    // Records how the last answer ended; no end if it was lost.
+    void noteEnd(const Http::ResponseStream &stream, std::optional<Http::BodyEnd> end);
     Http::Awaitable<void> refuse(Refusal refusal, std::string_view detail);
     Http::Awaitable<void> endUnanswered(Serving::NextStep step, SendResult last);
     void recordEnd(std::string_view outcome, std::string_view detail);
@@ -344,6 +344,10 @@
     Serving::StreamOrigin sentTo;
     // What marks the end of the last answer.
     std::optional<Http::BodyFraming> lastFraming;
+    // How it ended; unset if it was lost.
+    std::optional<Http::BodyEnd> lastEnd;
+    // Whether the whole request had been handed to the system by then.
+    bool wasLastRequestWritten = false;
     // An end in order that was doubted.
     struct DoubtfulEnd
     {
@@ -353,10 +357,6 @@
     };
     std::optional<DoubtfulEnd> doubtfulEnd;
     Common::DelayedAction doubtTimer;
-    // How it ended; unset if it did not.
-    std::optional<Http::BodyEnd> lastEnd;
-    // Whether the endpoint could have received the whole request by then.
-    bool wasLastRequestWritten = false;
     // The endpoint process that began the stream, by this request or the one that it takes up.
     std::optional<Serving::StreamOrigin> origin;
     // If set, only endpoints that run this software version may be sent the request.
--- a/Source/Core/Entry/RequestLog.cpp
+++ b/Source/Core/Entry/RequestLog.cpp
@@ -6,9 +6,8 @@
 void RequestFlow::addEvidence(LogLine &line) const
 {
     if (this->lastFraming)
-        line.text("framing", Common::nameOf(*this->lastFraming));
-    if (this->lastEnd)
-        line.text("end", Common::nameOf(*this->lastEnd))
+        line.text("framing", Common::nameOf(*this->lastFraming))
+            .text("end", this->lastEnd ? Common::nameOf(*this->lastEnd) : "lost")
             .flag("requestWritten", this->wasLastRequestWritten);
     if (const auto first = this->events.firstEvent())
         line.number("firstEvent", static_cast<std::int64_t>(*first));
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -184,6 +184,7 @@
     this->lastPhase = Serving::RequestPhase::Sent;
     this->eventsBeforeSend = this->events.eventCount();
     this->lastFraming.reset();
+    this->lastEnd.reset();
 
     SendResult result;
     // Ends with this function, so `stageRun` is valid when the action runs.
@@ -268,7 +269,6 @@
                          const Routing::Endpoint *endpoint)
 {
     this->lastFraming = stream.framing();
-    this->lastEnd.reset();
     if (isSuccess(answer.status) && (!answer.isSigned || answer.isEncoded)) {
         stream.close();
         SendResult result;
@@ -332,7 +332,7 @@
     co_return result;
 }
 
-void RequestFlow::noteEnd(const Http::ResponseStream &stream, Http::BodyEnd end)
+void RequestFlow::noteEnd(const Http::ResponseStream &stream, std::optional<Http::BodyEnd> end)
 {
     this->lastEnd = end;
     this->wasLastRequestWritten = stream.isRequestWritten();
@@ -348,6 +348,7 @@
     response.headers = this->state.dialect.relayedHeaders(stream.headers());
     auto body = co_await this->readBody(stream);
     if (!body) {
+        this->noteEnd(stream, std::nullopt);
         result.connectionLost = body.error().failure == Http::CallFailure::ConnectionLost;
         result.detail = "the response body is incomplete: " + body.error().message;
         co_return result;
@@ -418,6 +419,7 @@
         const auto part = co_await stream.read(readUntil);
         wait.isReading = false;
         if (!part) {
+            this->noteEnd(stream, std::nullopt);
             result.connectionLost = part.error().failure == Http::CallFailure::ConnectionLost;
             result.detail = "stream interrupted: "
                 + (wait.hasTimedOut ? "no progress" : part.error().message);
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -23,6 +23,14 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+// How far a request was handed to the system.
+enum class WriteState {
+    Pending,
+    Done,
+    // The write has taken the error that ended the connection.
+    Failed,
+};
+
 struct ClientConnection
 {
     explicit ClientConnection(const asio::any_io_executor &executor)
@@ -62,8 +70,8 @@
     bool wasPeerAsked = false;
     // Start time of the process behind the connection, which it keeps for its whole life.
     std::optional<std::uint64_t> peerProcess;
-    // Set until the request has been written completely. The reply may arrive before that.
-    bool writing = false;
+    // The reply may arrive before the request has been written.
+    WriteState write = WriteState::Done;
     std::shared_ptr<std::set<ClientConnection *>> active;
 };
 
@@ -100,7 +108,7 @@
     {
         if (!this->connection)
             return;
-        this->wasRequestWritten = !this->connection->writing;
+        this->write = this->connection->write;
         this->connection->stream.close();
         this->connection.reset();
     }
@@ -117,8 +125,8 @@
     // The complete reply has to be accepted before its connection is released.
     bool isHeldUntilAccepted = false;
     std::optional<BodyEnd> end;
-    // What `writing` of the connection told when it was closed.
-    bool wasRequestWritten = false;
+    // That of the connection, once it is closed or released.
+    WriteState write = WriteState::Pending;
 };
 
 namespace {
@@ -254,7 +262,7 @@
 {
     // Unread bytes after the reply belong to no request, and a request body that is still being
     // written would mix with the next request, so the connection is not reused in these cases.
-    if (connection->buffer.size() != 0 || connection->writing) {
+    if (connection->buffer.size() != 0 || connection->write != WriteState::Done) {
         connection->stream.close();
         return;
     }
@@ -428,11 +436,11 @@
         state.connection->deadline.moveTo(options.deadline);
         // The endpoint may reply before it has read the complete request, so the request is written
         // while the reply is read. If the write fails, the read fails too.
-        state.connection->writing = true;
+        state.connection->write = WriteState::Pending;
         http::async_write(
             tcpStream, *message,
             [message, connection = state.connection](beast::error_code failed, std::size_t) {
-                connection->writing = failed.failed();
+                connection->write = failed.failed() ? WriteState::Failed : WriteState::Done;
             });
         co_await http::async_read_header(tcpStream, state.connection->buffer, state.parser,
                                          asio::redirect_error(asio::use_awaitable, error));
@@ -550,10 +558,10 @@
         co_return BodyPart(std::string_view(state.bytes.data(), count));
     // The system reports a reset once. A write that was in progress takes it, and the read sees an
     // end in order.
-    if (state.parser.need_eof() && state.connection->writing) {
+    if (state.parser.need_eof() && state.connection->write == WriteState::Failed) {
         state.closeConnection();
         co_return tl::unexpected(CallError{CallFailure::ConnectionLost, true,
-                                           "the connection ended before the request was written"});
+                                           "the connection failed while the request was written"});
     }
     state.end = state.parser.need_eof() ? BodyEnd::Closed : BodyEnd::Whole;
     if (!state.isHeldUntilAccepted) {
@@ -565,8 +573,8 @@
 
 bool ResponseStream::isRequestWritten() const
 {
-    return this->state->connection ? !this->state->connection->writing
-                                   : this->state->wasRequestWritten;
+    const State &state = *this->state;
+    return (state.connection ? state.connection->write : state.write) == WriteState::Done;
 }
 
 void ResponseStream::release()
@@ -578,7 +586,7 @@
     if (idleTimeout)
         state.connection->reuseDeadline = Common::clockNow()
             + std::chrono::duration_cast<Common::Duration>(*idleTimeout * kReusableIdleTimeShare);
-    state.wasRequestWritten = !state.connection->writing;
+    state.write = state.connection->write;
     state.pool->release(state.address, std::move(state.connection), state.maxIdleConnections);
     state.connection.reset();
 }
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -190,7 +190,7 @@
     bool isRequestWritten() const;
     // Returns the next bytes of the body, which are valid until the next read, or how it ended.
     // Once it has ended, further reads return the same. A body that ends with its connection is
-    // lost if that happens before the request was written.
+    // lost if the write of the request has failed by then.
     Awaitable<CallResult<BodyPart>> read(Common::Time deadline);
     // Closes the connection. The endpoint sees a disconnect by its caller.
     void close();
--- a/Source/Core/Serving/Attempt.h
+++ b/Source/Core/Serving/Attempt.h
@@ -13,7 +13,7 @@
 enum class SendOutcome {
     // No byte was handed to the operating system.
     NotSent,
-    // The endpoint's answer is complete, belongs to the request and states that it did not run.
+    // The head of the endpoint's answer belongs to the request and states that it did not run.
     NotRun,
     // The endpoint ran the request and answered with a failure.
     EndpointFailed,
