Entry: Attribute an answer without an id only to the first request of a connection

Callers saw a 503 that says "not run" for a stream that runs: a promise that is not true, after which they send it again beside the run.

Cause: an answer without Attempt-Id was attributed to the stream on a new connection. Since the process is asked for on the stream's own connection, the stream is the second request there. If the question is refused (503, Not-Executed), nothing is known of the process, and the copy of that refusal, which a worker in trouble may send late, was read as the answer to the stream.

Change: Http::ResponseStream::isFirstOnConnection; a connection that has carried a question or any other request leaves such an answer unattributed: the outcome is unknown.

--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -225,10 +225,9 @@
         this->applyResponseHead(endpoint, answer, startedAt);
         this->dependencies.paths.noteAnswer(!opened->reusedConnection());
         const bool isForThisRequest = answer.requestId == this->request.id;
-        // Without a request ID, a response is only attributed to this request on a new connection,
-        // where no late response to an earlier request can arrive.
-        const bool isUnambiguous
-            = answer.requestId.empty() && !opened->reusedConnection() && !opened->peerProcess();
+        // Without a request ID, a response is only attributed to this request where no late
+        // response to an earlier one can arrive.
+        const bool isUnambiguous = answer.requestId.empty() && opened->isFirstOnConnection();
         if (answer.reportsNotRun || answer.isOtherEndpoint) {
             result = co_await this->readNotRunResponse(*opened, status,
                                                        isForThisRequest || isUnambiguous);
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -59,6 +60,9 @@
     // if the peer announced no idle time-out.
     std::optional<Common::Time> reuseDeadline;
     bool reused = false;
+    // Whether it has carried any request, a question included, so that the copy of an earlier reply
+    // may arrive.
+    bool hasCarriedRequest = false;
     bool wasPeerAsked = false;
     // Start time of the process behind the connection, which it keeps for its whole life.
     std::optional<std::uint64_t> peerProcess;
@@ -113,6 +117,7 @@
     CallHandle *handle = nullptr;
     std::size_t maxIdleConnections = 0;
     bool reused = false;
+    bool isFirstOnConnection = false;
     std::optional<std::uint64_t> peerProcess;
     // The complete reply has to be accepted before its connection is released.
     bool isHeldUntilAccepted = false;
@@ -306,6 +311,7 @@
 Client::askPeer(ConnectionPtr connection, const Address &address, const CallOptions &options)
 {
     const PeerQuestion &question = *options.peerQuestion;
+    connection->hasCarriedRequest = true;
     beast::tcp_stream &tcpStream = connection->stream;
     Request request = question.request;
     const BeastRequest message = toBeast(address, std::move(request));
@@ -413,6 +419,7 @@
         ResponseStream::State &state = *stream.state;
         state.connection = std::move(connection);
         state.reused = state.connection->reused;
+        state.isFirstOnConnection = !std::exchange(state.connection->hasCarriedRequest, true);
         state.peerProcess = state.connection->peerProcess;
         state.parser.body_limit(options.maxBodyBytes);
         state.parser.header_limit(kMaxReplyHeaderBytes);
@@ -594,6 +601,11 @@
     return this->state->reused;
 }
 
+bool ResponseStream::isFirstOnConnection() const
+{
+    return this->state->isFirstOnConnection;
+}
+
 BodyFraming ResponseStream::framing() const
 {
     if (this->state->parser.need_eof())
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -183,6 +183,9 @@
     Headers headers() const;
     // Whether the request was sent over a connection that had served an earlier request.
     bool reusedConnection() const;
+    // Whether nothing was sent over the connection before, no question for its peer either. Only
+    // then can the response be no copy of an earlier one.
+    bool isFirstOnConnection() const;
     BodyFraming framing() const;
     // Start time of the process behind the connection. Unset if it was not asked, or did not tell.
     std::optional<std::uint64_t> peerProcess() const;
--- a/Source/UnitTests/Http/PeerQuestionTest.cpp
+++ b/Source/UnitTests/Http/PeerQuestionTest.cpp
@@ -68,6 +68,7 @@
                 auto opened = co_await this->client.open(address, std::move(request), options);
                 if (opened) {
                     this->process = opened->peerProcess();
+                    this->isFirstOnConnection = opened->isFirstOnConnection();
                     co_await opened->read(options.deadline);
                     co_await opened->read(options.deadline);
                 } else {
@@ -92,6 +93,7 @@
     std::size_t requests = 0;
     std::optional<Http::CallError> error;
     std::optional<std::uint64_t> process;
+    bool isFirstOnConnection = true;
 };
 
 } // namespace
@@ -110,6 +112,14 @@
     BOOST_TEST(this->questions == 1u);
 }
 
+// Guards against the copy of an answer to the question that is taken for the answer to the request.
+BOOST_AUTO_TEST_CASE(peerWasAsked_requestIsNotTheFirstOnItsConnection)
+{
+    this->call();
+    BOOST_TEST(!this->error);
+    BOOST_TEST(!this->isFirstOnConnection);
+}
+
 // Guards against a request that reaches a process which must not get it.
 BOOST_AUTO_TEST_CASE(processIsNotAccepted_nothingIsSent_connectionIsUsedAgain)
 {
