Quarantine: Try a request soon that was beside different deadly ones

What callers saw: a sound request was refused as quarantined for a minute.

Cause: a content that may have been there by chance is tried 5 to 10 s after the last crash, but only if one other content explained all of its crashes. At three endpoints, the sound request was beside one deadly request at the first, beside both at the second and beside the other at the third: three crashes, none of the two explains more than two of them.

Change: it is enough that each of the crashes has another explanation. A deadly content whose crashes two sound ones cover between them is tried earlier too; that costs one endpoint, and what crashes alone in its trial is not doubtful afterwards.

Measured: the new unit test fails without the change (trial after 60 s).

--- a/Source/Core/Quarantine/Trait.h
+++ b/Source/Core/Quarantine/Trait.h
@@ -31,10 +31,10 @@
     return (trait & kContentBit) != 0;
 }
 
-// Whether both are contents that differ in their callers at most.
-constexpr bool isSameContent(Trait a, Trait b)
+// Contents that differ in their callers at most become the same.
+constexpr Trait withoutCaller(Trait trait)
 {
-    return isContent(a) && isContent(b) && a >> kCallerBits == b >> kCallerBits;
+    return isContent(trait) ? trait & ~kCallerMask : trait;
 }
 
 } // namespace Tanagerbay::Quarantine
--- a/Source/Core/Quarantine/Verdict.cpp
+++ b/Source/Core/Quarantine/Verdict.cpp
@@ -3,6 +3,7 @@
 #include "Common/Hash.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Tanagerbay::Quarantine {
 
@@ -86,22 +87,36 @@
     }
 }
 
+// Returns for each crash how many suspects would explain it. A content counts once, whoever its
+// callers are.
+std::vector<std::size_t> countExplanations(std::size_t crashCount, const Accusations &accusations)
+{
+    std::vector<std::set<Trait>> explanations(crashCount);
+    for (const auto &[trait, explained] : accusations) {
+        for (const std::size_t crash : explained)
+            explanations[crash].insert(withoutCaller(trait));
+    }
+    std::vector<std::size_t> counts;
+    for (const std::set<Trait> &each : explanations)
+        counts.push_back(each.size());
+    return counts;
+}
+
 // Each content counts by itself. Several are often in flight together, as they are sent again and
 // again to the few endpoints that are left, and more than one of them may be deadly.
 void addContentSuspicions(const std::vector<const Crash *> &crashes, const Accusations &accusations,
                           std::vector<Suspicion> &suspicions)
 {
+    const std::vector<std::size_t> explanations = countExplanations(crashes.size(), accusations);
     for (const auto &[trait, explained] : accusations) {
         if (!isContent(trait))
             continue;
         Suspicion suspicion = makeSuspicion(crashes, explained);
         suspicion.traits = {trait};
+        // A sound request may have been beside a different deadly one each time.
         suspicion.isDoubtful
-            = std::any_of(accusations.begin(), accusations.end(), [&](const auto &other) {
-                  return other.first != trait && !isSameContent(other.first, trait)
-                      && std::includes(other.second.begin(), other.second.end(), explained.begin(),
-                                       explained.end());
-              });
+            = std::all_of(explained.begin(), explained.end(),
+                          [&](std::size_t crash) { return explanations[crash] > 1; });
         suspicions.push_back(std::move(suspicion));
     }
 }
--- a/Source/Core/Quarantine/Verdict.h
+++ b/Source/Core/Quarantine/Verdict.h
@@ -19,8 +19,8 @@
     // Number of crashes that it explains.
     std::size_t crashCount = 0;
     Common::Time lastCrashAt;
-    // Whether something else that is quarantined also explains all of its crashes, so that it may
-    // have been there by chance.
+    // Whether each of its crashes is also explained by something else that is quarantined, so that
+    // it may have been there by chance.
     bool isDoubtful = false;
 
     bool operator==(const Suspicion &) const = default;
--- a/Source/UnitTests/Quarantine/ContentVerdictTest.cpp
+++ b/Source/UnitTests/Quarantine/ContentVerdictTest.cpp
@@ -82,6 +82,20 @@
     BOOST_TEST(this->isQuarantined({kDeadlyContent}));
 }
 
+// Guards against the same where no single deadly one was there each time.
+BOOST_AUTO_TEST_CASE(soundContentBesideSeveralDeadlyOnes_isTriedSoonAndServedAgain)
+{
+    this->crash({kDeadlyContent, kSoundContent});
+    this->crash({kSecondContent, kSoundContent});
+    this->crash({kDeadlyContent, kSoundContent});
+    this->crash({kDeadlyContent});
+    for (int i = 0; i < 2; ++i)
+        this->crash({kSecondContent});
+    BOOST_TEST((this->untilTrial(kSoundContent) <= std::chrono::seconds(10)));
+    BOOST_TEST((this->untilTrial(kDeadlyContent) > std::chrono::seconds(50)));
+    BOOST_TEST((this->untilTrial(kSecondContent) > std::chrono::seconds(50)));
+}
+
 BOOST_AUTO_TEST_CASE(deadlyContentWithoutCompany_isNotTriedSoon)
 {
     for (int i = 0; i < 3; ++i)
