Quarantine: Let the next request be the trial if one found no endpoint

What callers would see: requests with a content that is sound by now are refused as quarantined for a minute, although the trial is due.

Cause: an instance counts a trial as made when it admits the request. If no endpoint is there to send it to, nothing is found out, and the next trial waits for the time-out of the first, 60 s.

Change: a trial whose request was not sent is taken back. One that was sent still counts, whatever became of it, as its endpoint may yet crash.

--- a/Source/Core/Entry/CrashWatch.cpp
+++ b/Source/Core/Entry/CrashWatch.cpp
@@ -224,6 +224,11 @@
     return true;
 }
 
+void CrashWatch::cancelTrial(const std::vector<Quarantine::Trait> &suspicionTraits)
+{
+    this->trials.erase(suspicionTraits);
+}
+
 void CrashWatch::rememberNames(const std::vector<Quarantine::Trait> &traits,
                                const std::vector<std::string> &traitNames)
 {
--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -275,6 +275,7 @@
         RequestFlow flow(this->parts, exchange, std::move(*request), source);
         this->openRequests.push_back(flow);
         co_await flow.run();
+        flow.endTrial();
     } else {
         this->state.log.write(LogLine("request-invalid").text("fault", request.error()),
                               clockNow());
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -62,6 +62,8 @@
     bool isQuarantined() const;
     // Makes `run` answer the caller at once, without another send.
     void endForQuarantine();
+    // Called after `run`. Lets another request be the trial if this one was not sent.
+    void endTrial();
     // Takes note that an endpoint was restarted with another software version. A request that was
     // sent to it at `since` or later may have reached the new process.
     void noteRestarted(const Common::EndpointId &endpoint, std::uint64_t incarnation,
@@ -329,8 +331,9 @@
     bool callerGone = false;
     std::optional<EarlyEnd> earlyEnd;
     std::vector<Quarantine::Trait> traits;
-    // Whether the request is sent to find out whether it still crashes its endpoint.
-    bool isTrial = false;
+    // Traits of the suspicion that the request is sent for, to find out whether it still crashes
+    // its endpoint.
+    std::optional<std::vector<Quarantine::Trait>> trialOf;
     // Number of events that earlier endpoints have delivered.
     std::uint64_t eventsBeforeSend = 0;
     bool isEndRecorded = false;
--- a/Source/Core/Entry/RequestShutdown.cpp
+++ b/Source/Core/Entry/RequestShutdown.cpp
@@ -74,20 +74,28 @@
 
 bool RequestFlow::isQuarantined() const
 {
-    return !this->isTrial && !this->hasAnswerBegun() && !this->isEndRecorded
+    return !this->trialOf && !this->hasAnswerBegun() && !this->isEndRecorded
         && this->dependencies.crashWatch.find(this->traits);
 }
 
 bool RequestFlow::isHeldBackByQuarantine()
 {
     const Quarantine::Suspicion *suspicion = this->dependencies.crashWatch.find(this->traits);
-    if (!suspicion || this->isTrial)
+    if (!suspicion || this->trialOf)
         return false;
-    this->isTrial = this->dependencies.crashWatch.beginTrial(*suspicion);
+    if (!this->dependencies.crashWatch.beginTrial(*suspicion))
+        return true;
+    this->trialOf = suspicion->traits;
     // Its retries would crash further endpoints.
-    if (this->isTrial)
-        this->attempts.maxAttempts = this->attempts.reached + 1;
-    return !this->isTrial;
+    this->attempts.maxAttempts = this->attempts.reached + 1;
+    return false;
+}
+
+void RequestFlow::endTrial()
+{
+    const bool wasSent = !this->sentTo.endpoint.empty() || !this->forwardedTo.empty();
+    if (this->trialOf && !wasSent)
+        this->dependencies.crashWatch.cancelTrial(*this->trialOf);
 }
 
 Refusal RequestFlow::refusalForQuarantine() const
