Quarantine: Take a trial back that no endpoint has run

What callers would see: as in, a minute of refusals although the trial is due.

Cause (found by the review): a trial counted as made as soon as a send had begun, also if the connection was refused, the endpoint stated that it had not run the request, an earlier attempt had been sent before the trial began, or another instance refused the forwarded request.

Change: it is made once a send ends that an endpoint may have run.

Not tested: the forwarded trial, and one whose handler throws (it still waits for the time-out).

--- a/Source/Core/Entry/CrashWatch.h
+++ b/Source/Core/Entry/CrashWatch.h
@@ -28,7 +28,7 @@
     // Returns whether this instance sends the request although it is quarantined, as the only one
     // of all instances, to find out whether it still crashes its endpoint.
     bool beginTrial(const Quarantine::Suspicion &suspicion);
-    // Takes back a trial whose request was not sent, so that the next one may be the trial.
+    // Takes back a trial whose request was not run, so that the next one may be the trial.
     void cancelTrial(const std::vector<Quarantine::Trait> &suspicionTraits);
     // Returns the names of the traits as far as this instance knows them.
     std::string describe(const Quarantine::Suspicion &suspicion) const;
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -393,6 +393,7 @@
         this->takePermit(endpoint.id, 1, clockNow());
         hasTurn = false;
         SendResult sent = co_await this->sendTo(endpoint);
+        this->noteSend(sent);
         if (sent.isAnswered)
             co_return;
         if (this->callerGone) {
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -62,7 +62,7 @@
     bool isQuarantined() const;
     // Makes `run` answer the caller at once, without another send.
     void endForQuarantine();
-    // Called after `run`. Lets another request be the trial if this one was not sent.
+    // Called after `run`. Lets another request be the trial if no endpoint has run this one.
     void endTrial();
     // Takes note that an endpoint was restarted with another software version. A request that was
     // sent to it at `since` or later may have reached the new process.
@@ -296,6 +296,8 @@
     // Returns whether the request must not be sent now, because it would crash its endpoint. May
     // make it the one request that is sent nevertheless.
     bool isHeldBackByQuarantine();
+    // Records whether a send shows that a trial is made.
+    void noteSend(const SendResult &sent);
     // Why there is no other send; the request must have been ended early.
     std::string_view earlyEndName() const;
     // Cancels whatever the request waits for.
@@ -333,7 +335,9 @@
     std::vector<Quarantine::Trait> traits;
     // Traits of the suspicion that the request is sent for, to find out whether it still crashes
     // its endpoint.
-    std::optional<std::vector<Quarantine::Trait>> trialOf;
+    std::optional<std::vector<Quarantine::Trait>> trialTraits;
+    // Whether an endpoint may have run the request since.
+    bool isTrialMade = false;
     // Number of events that earlier endpoints have delivered.
     std::uint64_t eventsBeforeSend = 0;
     bool isEndRecorded = false;
--- a/Source/Core/Entry/RequestForward.cpp
+++ b/Source/Core/Entry/RequestForward.cpp
@@ -88,6 +88,7 @@
         const Common::InstanceId id = instance->report.id;
         asked.push_back(id);
         last = co_await this->sendToInstance(*instance);
+        this->noteSend(last);
         this->state.metrics.count(
             labelled("requests_forwarded", "outcome",
                      last.isAnswered ? "answered" : Common::nameOf(last.outcome)));
--- a/Source/Core/Entry/RequestShutdown.cpp
+++ b/Source/Core/Entry/RequestShutdown.cpp
@@ -74,28 +74,36 @@
 
 bool RequestFlow::isQuarantined() const
 {
-    return !this->trialOf && !this->hasAnswerBegun() && !this->isEndRecorded
+    return !this->trialTraits && !this->hasAnswerBegun() && !this->isEndRecorded
         && this->dependencies.crashWatch.find(this->traits);
 }
 
 bool RequestFlow::isHeldBackByQuarantine()
 {
     const Quarantine::Suspicion *suspicion = this->dependencies.crashWatch.find(this->traits);
-    if (!suspicion || this->trialOf)
+    if (!suspicion || this->trialTraits)
         return false;
     if (!this->dependencies.crashWatch.beginTrial(*suspicion))
         return true;
-    this->trialOf = suspicion->traits;
+    this->trialTraits = suspicion->traits;
     // Its retries would crash further endpoints.
     this->attempts.maxAttempts = this->attempts.reached + 1;
     return false;
 }
 
+void RequestFlow::noteSend(const SendResult &sent)
+{
+    // An endpoint that did not run the request has told nothing about it.
+    const bool wasRun = sent.outcome != Serving::SendOutcome::NotSent
+        && sent.outcome != Serving::SendOutcome::NotRun && !sent.isTurnedBack
+        && !sent.isOtherProcess;
+    this->isTrialMade = this->isTrialMade || (this->trialTraits && wasRun);
+}
+
 void RequestFlow::endTrial()
 {
-    const bool wasSent = !this->sentTo.endpoint.empty() || !this->forwardedTo.empty();
-    if (this->trialOf && !wasSent)
-        this->dependencies.crashWatch.cancelTrial(*this->trialOf);
+    if (this->trialTraits && !this->isTrialMade)
+        this->dependencies.crashWatch.cancelTrial(*this->trialTraits);
 }
 
 Refusal RequestFlow::refusalForQuarantine() const
