Entry: Do not end a stream for a doubt that was settled

What callers would see: a stream that has just gone on is cut.

Cause (found by the review, by reading): the timer of a doubt ends the request early if it runs in the same turn in which the next events have arrived. They settle the doubt, but the request still counted as ended early, so that no other endpoint was asked.

Change: what settles the doubt takes that back.

Measured: DoubtfulEnds passes. No test shows the race itself.

--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -107,6 +107,9 @@
     this->state.metrics.count(labelled("doubtful_ends", "result", "went on"));
     this->doubtfulEnd.reset();
     this->doubtTimer.cancel();
+    // The timer may have run in the same turn.
+    if (this->earlyEnd == EarlyEnd::Doubt)
+        this->earlyEnd.reset();
 }
 
 Http::Awaitable<void> RequestFlow::completeStream(Http::Response head)
