Entry: Cut a stream whose end nobody confirms

Callers got streams that looked complete and lacked their last events (ORDER): a living worker had ended an answer without framing in order between two events. Such an end was doubted, but believed if nobody could be asked (no attempt left, half of the retry budget used up) or if the question failed (the other worker silent, broken, or junk).

Cause: an end that nobody has confirmed was taken for one that is confirmed, with a list of conditions under which it was questioned.

Change: one rule. A stream that may be resumed looks complete only if its framing says so, if its events hold the most tokens that the request allows (the catalog names the tokens of an event), or if a second answer has ended after the same event. Otherwise the caller's connection is closed before the end of the stream, and the caller takes it up, which takes nothing from the retry budget. The instances that hold the origin of the stream are told of the doubted end, so that the answer to the next request is the second one: two instances that each see one end would cut the stream again and again. The reason why nobody was asked stands in the log (budget-of-doubts).

--- a/Source/Core/Catalog/Catalog.h
+++ b/Source/Core/Catalog/Catalog.h
@@ -96,6 +96,8 @@
 {
     std::uint32_t slots = 1;
     std::uint64_t memoryTokens = 0;
+    // Tokens of each event of a stream but the last, which may hold fewer.
+    std::uint32_t tokensPerEvent = 1;
 };
 
 struct Service
--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -71,30 +71,39 @@
     co_return hasRunSince ? ProcessAnswer::Same : reply.answer;
 }
 
-bool RequestFlow::mayAskForRest()
+bool RequestFlow::hasAllTokens() const
+{
+    // The number of the first event is not fixed, so that the events of a stream that is taken up
+    // cannot be counted.
+    const std::uint64_t maxTokens = this->request.prompt.maxTokensOut;
+    if (this->request.lastEvent || maxTokens == 0)
+        return false;
+    const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
+    const std::uint64_t perEvent = entry && entry->engine ? entry->engine->tokensPerEvent : 1;
+    const std::uint64_t maxEvents = (maxTokens - 1) / std::max<std::uint64_t>(perEvent, 1) + 1;
+    return this->events.eventCount() >= maxEvents;
+}
+
+bool RequestFlow::isDoubtAffordable(Common::Time now)
 {
-    const Common::Time now = clockNow();
     const Serving::FleetBudgetLimits limits
         = Serving::partOf(this->state.settings.bounds.extraSends, kBudgetPartForDoubts);
-    // An endpoint that ends its answer without an event confirms an end that was doubted, but not
-    // a stream that was broken off.
-    return this->route->resumable && this->events.lastEvent() && !this->doubtfulEnd
-        && !this->callerGone && !this->earlyEnd && this->mayLeaveSilentEndpoint(now)
-        && this->state.budgets[this->service].hasExtraSend(limits,
+    return this->state.budgets[this->service].hasExtraSend(limits,
                                                            this->state.liveInstanceCount(now), now);
 }
 
 bool RequestFlow::isEndInDoubt() const
 {
-    return this->doubtfulEnd && this->doubtfulEnd->eventCount == this->events.eventCount()
+    return this->doubtedEnd && this->doubtedEnd == this->events.lastEvent()
         && !this->events.hasBegunNextEvent();
 }
 
-void RequestFlow::beginDoubt(Http::Response head)
+void RequestFlow::beginDoubt(Common::Time endedAt)
 {
-    this->doubtfulEnd = DoubtfulEnd{this->events.eventCount(), std::move(head)};
-    // The caller has what may be the whole stream, and would abandon it.
-    this->doubtTimer.start(this->abandonTimeout() / kDoubtDivisor, [this] {
+    this->doubtedEnd = this->events.lastEvent();
+    // The caller has what may be the whole stream, and would abandon it rather than take it up.
+    const Common::Duration elapsed = clockNow() - endedAt;
+    this->doubtTimer.start(this->abandonTimeout() / kDoubtDivisor - elapsed, [this] {
         if (this->isEndInDoubt())
             this->endEarly(EarlyEnd::Doubt);
     });
@@ -102,69 +111,63 @@
 
 void RequestFlow::settleDoubt()
 {
-    if (!this->doubtfulEnd || this->isEndInDoubt())
+    if (!this->doubtedEnd || this->isEndInDoubt())
         return;
     this->state.metrics.count(labelled("doubtful_ends", "result", "went on"));
-    this->doubtfulEnd.reset();
+    this->doubtedEnd.reset();
     this->doubtTimer.cancel();
     // The timer may have run in the same turn.
     if (this->earlyEnd == EarlyEnd::Doubt)
         this->earlyEnd.reset();
 }
 
-Http::Awaitable<void> RequestFlow::completeStream(Http::Response head)
-{
-    // A stream without events is a complete response.
-    if (this->exchange.started())
-        co_await this->exchange.endStream();
-    else
-        co_await this->exchange.respond(std::move(head));
-}
-
-Http::Awaitable<bool> RequestFlow::endAtDoubtfulEnd()
+void RequestFlow::noteUnconfirmedEnd()
 {
-    if (!this->isEndInDoubt() || this->callerGone)
-        co_return false;
+    if (!this->isEndInDoubt())
+        return;
     this->state.metrics.count(labelled("doubtful_ends", "result", "unconfirmed"));
-    Http::Response head = std::move(this->doubtfulEnd->head);
-    co_await this->completeStream(std::move(head));
-    this->recordEnd("answered", "stream, its end is not confirmed");
-    co_return true;
+    // Without an origin there is one version only, so that it is that of the last endpoint.
+    Serving::StreamOrigin known = this->origin.value_or(this->sentTo);
+    known.doubtedEnd = this->doubtedEnd;
+    known.expiresAt = Serving::originExpiry(this->deadline, clockNow());
+    this->dependencies.streams.noteDoubtedEnd(
+        this->isResumption() ? this->request.resumedAttempt : this->request.id, known);
 }
 
 Http::Awaitable<RequestFlow::SendResult>
 RequestFlow::relayStreamEnd(Http::ResponseStream &stream, Http::BodyEnd end,
                             const Routing::Endpoint *endpoint)
 {
+    const Common::Time endedAt = clockNow();
     SendResult result;
     this->noteEnd(stream, end);
-    Http::Response head;
-    head.status = stream.status();
-    head.headers = this->state.dialect.relayedHeaders(stream.headers());
     result.detail = co_await this->faultAtStreamEnd(end, endpoint);
     result.connectionLost = !result.detail.empty();
     if (result.connectionLost)
         co_return result;
     this->settleDoubt();
-    // Such an end confirms one that was doubted, but not that of an answer that was broken off.
-    const bool isBare = end == Http::BodyEnd::Closed && !this->hasAnswerBegun();
-    if (isBare && this->events.eventCount() > 0 && !this->doubtfulEnd) {
-        result.detail = "stream ended with its connection, without an event";
+    const bool isDoubted = this->isEndInDoubt();
+    const bool isClosed = end == Http::BodyEnd::Closed && !this->hasAllTokens();
+    if (isClosed && this->route->resumable && !isDoubted) {
+        this->beginDoubt(endedAt);
+        result.hasDoubtfulEnd = true;
+        result.detail = "the end of the stream is not confirmed";
         co_return result;
     }
-    result.hasDoubtfulEnd = end == Http::BodyEnd::Closed && this->mayAskForRest();
-    if (result.hasDoubtfulEnd) {
-        this->beginDoubt(std::move(head));
-        result.detail = "stream ended with its connection";
-        co_return result;
-    }
-    if (this->doubtfulEnd)
+    if (isDoubted)
         this->state.metrics.count(labelled("doubtful_ends", "result", "confirmed"));
-    else if (end == Http::BodyEnd::Closed && this->route->resumable)
-        this->state.metrics.count(labelled("doubtful_ends", "result", "not asked"));
+    else if (isClosed)
+        this->state.metrics.count(labelled("doubtful_ends", "result", "believed"));
     this->doubtTimer.cancel();
     result.isAnswered = true;
-    co_await this->completeStream(std::move(head));
+    Http::Response head;
+    head.status = stream.status();
+    head.headers = this->state.dialect.relayedHeaders(stream.headers());
+    // A stream without events is a complete response.
+    if (this->exchange.started())
+        co_await this->exchange.endStream();
+    else
+        co_await this->exchange.respond(std::move(head));
     this->recordEnd(this->callerGone ? "caller-gone" : "answered", "stream");
     co_return result;
 }
@@ -177,6 +180,8 @@
     // A stream that goes on may have nothing left to send.
     if (end == Http::BodyEnd::Closed && !this->hasAnswerBegun() && !this->events.lastEvent())
         co_return "stream ended with its connection, without an event";
+    if (this->hasAllTokens())
+        co_return "";
     co_return co_await this->faultAtEnd(end, endpoint);
 }
 
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -327,16 +327,18 @@
     return taken;
 }
 
-std::string_view RequestFlow::retryDenialReason(SendOutcome outcome, Common::Time now)
+std::string_view RequestFlow::retryDenialReason(const SendResult &last, Common::Time now)
 {
     if (this->earlyEnd)
         return this->earlyEndName();
-    if (!Serving::mayTryAnother(this->attempts, outcome, now))
+    if (!Serving::mayTryAnother(this->attempts, last.outcome, now))
         return "attempts";
     if (!this->chooseSoonest(now))
         return Common::nameOf(this->reasonNoEndpoint());
+    if (last.hasDoubtfulEnd && !this->isDoubtAffordable(now))
+        return "budget-of-doubts";
     // A failed connection attempt added no load to the service, so it needs no retry budget.
-    if (outcome != SendOutcome::NotSent && !this->takeFromRetryBudget(now))
+    if (last.outcome != SendOutcome::NotSent && !this->takeFromRetryBudget(now))
         return "budget";
     return {};
 }
@@ -425,7 +427,7 @@
         }
         now = clockNow();
         Serving::noteOutcome(this->attempts, sent.outcome);
-        const std::string_view denialReason = this->retryDenialReason(sent.outcome, now);
+        const std::string_view denialReason = this->retryDenialReason(sent, now);
         const bool canRetry = denialReason.empty();
         const NextStep step = Serving::nextStep(this->attempts, sent.outcome, canRetry);
         this->recordSendEnd(endpoint, sent, denialReason);
@@ -444,10 +446,8 @@
         this->recordEnd("caller-gone", last.detail);
         co_return;
     }
-    const bool hasEnded = co_await this->endAtDoubtfulEnd();
-    if (hasEnded)
-        co_return;
     if (this->exchange.started()) {
+        this->noteUnconfirmedEnd();
         // Close the connection without the end of the stream, so that the caller can tell that the
         // stream is truncated.
         this->recordEnd("cut", last.detail);
@@ -478,9 +478,7 @@
 
 Http::Awaitable<void> RequestFlow::refuse(Refusal refusal, std::string_view detail)
 {
-    const bool hasEnded = co_await this->endAtDoubtfulEnd();
-    if (hasEnded)
-        co_return;
+    this->noteUnconfirmedEnd();
     this->recordEnd(Common::nameOf(refusal.reason), detail);
     // Once a stream has started, an error response would become part of the stream's body. The
     // connection is closed instead.
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -98,7 +98,7 @@
         std::string detail;
         // Nothing was sent, since the endpoint had stated a limit after it was chosen.
         bool isTurnedBack = false;
-        // The answer ended in order, and another endpoint is asked for what may follow.
+        // The stream's answer ended in order without framing, and nobody has confirmed its end.
         bool hasDoubtfulEnd = false;
         // Nothing was sent, since the process behind the connection is not one that may go on with
         // the stream, or ended before it said which one it is.
@@ -177,7 +177,7 @@
     std::optional<std::size_t> chooseEndpoint(Common::Time now);
     // Returns why a request must not be retried on another endpoint; empty if it may be. Consumes
     // one extra send of the service's retry budget if the retry needs it.
-    std::string_view retryDenialReason(Serving::SendOutcome outcome, Common::Time now);
+    std::string_view retryDenialReason(const SendResult &last, Common::Time now);
     bool takeFromRetryBudget(Common::Time now);
     Http::Awaitable<SendResult> sendTo(const Routing::Endpoint &endpoint);
     // Relays the answer of an endpoint, or of an instance that has passed one on: `endpoint` is
@@ -188,23 +188,23 @@
     // Returns why a body that has been read to its end is not complete; empty if it is. If it ended
     // with its connection, the endpoint is asked whether the process that wrote it still runs.
     Http::Awaitable<std::string> faultAtEnd(Http::BodyEnd end, const Routing::Endpoint *endpoint);
-    // Whether another endpoint is to be asked what follows the last event of a stream that ended
-    // with its connection.
-    bool mayAskForRest();
-    // Whether the end of the stream was doubted, and no endpoint has shown since that more follows.
+    // Whether the events since the beginning of the stream hold the most tokens that it may have.
+    bool hasAllTokens() const;
+    // Whether the part of the retry budget that is meant for doubted ends has room.
+    bool isDoubtAffordable(Common::Time now);
+    // Whether a stream without framing has ended in order after its last event, by an answer to
+    // this request or to one that it resumes, and no endpoint has shown since that more follows.
     bool isEndInDoubt() const;
-    // Doubts the end of the stream, for a limited time. `head` is that of the answer so far.
-    void beginDoubt(Http::Response head);
+    // Doubts the end of the stream, for a limited time since `endedAt`.
+    void beginDoubt(Common::Time endedAt);
     // Ends the doubt if an endpoint has shown that more follows.
     void settleDoubt();
-    // Ends the caller's stream as complete; `head` is used if it has not begun.
-    Http::Awaitable<void> completeStream(Http::Response head);
+    // Tells other instances of an end that nobody has confirmed, before the caller learns that its
+    // stream is not complete. It may take the stream up anywhere.
+    void noteUnconfirmedEnd();
     // Relays the end of an answer, unless it is doubted or a fault.
     Http::Awaitable<SendResult> relayStreamEnd(Http::ResponseStream &stream, Http::BodyEnd end,
                                                const Routing::Endpoint *endpoint);
-    // Ends a stream whose end was doubted, and that no endpoint has gone on with. Returns false if
-    // there is no such end.
-    Http::Awaitable<bool> endAtDoubtfulEnd();
     // Asks whether the process that wrote the last answer still runs.
     Http::Awaitable<ProcessAnswer> confirmWriter(const Routing::Endpoint *endpoint,
                                                  Common::Time until);
@@ -355,14 +355,8 @@
     std::optional<Http::BodyEnd> lastEnd;
     // Whether the whole request had been handed to the system by then.
     bool wasLastRequestWritten = false;
-    // An end in order that was doubted.
-    struct DoubtfulEnd
-    {
-        std::uint64_t eventCount = 0;
-        // Of the answer that ended there.
-        Http::Response head;
-    };
-    std::optional<DoubtfulEnd> doubtfulEnd;
+    // Number of the event after which an answer without framing ended in order.
+    std::optional<std::uint64_t> doubtedEnd;
     Common::DelayedAction doubtTimer;
     // The endpoint process that began the stream, by this request or the one that it takes up.
     std::optional<Serving::StreamOrigin> origin;
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -64,6 +64,8 @@
             co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
         }
         this->requiredVersion = this->origin->version;
+        if (this->origin->doubtedEnd == this->request.lastEvent)
+            this->doubtedEnd = this->origin->doubtedEnd;
         this->noteResumption("known");
         co_return std::nullopt;
     }
--- a/Source/Core/Entry/StreamMessages.cpp
+++ b/Source/Core/Entry/StreamMessages.cpp
@@ -29,6 +29,9 @@
     // Instances of earlier releases do not send the fields from here on.
     IsStated = OriginFieldCount,
     IsVersionKnown,
+    VersionFieldCount,
+    // Null if the end of the stream is not doubted.
+    DoubtedEnd = VersionFieldCount,
     AllFieldCount
 };
 
@@ -78,13 +81,15 @@
     origin.endpoint = Common::EndpointId(*endpoint);
     origin.incarnation = *incarnation;
     origin.sentAt = now - *age;
-    if (fields.size() >= AllFieldCount) {
+    if (fields.size() >= VersionFieldCount) {
         origin.isStated = fields[IsStated].is_bool() && fields[IsStated].get_bool();
         origin.isVersionKnown
             = fields[IsVersionKnown].is_bool() && fields[IsVersionKnown].get_bool();
         if (!origin.isVersionKnown)
             origin.version.clear();
     }
+    if (fields.size() >= AllFieldCount)
+        origin.doubtedEnd = unsignedOf(fields[DoubtedEnd]);
     return true;
 }
 
@@ -105,6 +110,10 @@
         fields.emplace_back(ageMs(origin.sentAt, now));
         fields.emplace_back(origin.isStated);
         fields.emplace_back(origin.isVersionKnown);
+        if (origin.doubtedEnd)
+            fields.emplace_back(*origin.doubtedEnd);
+        else
+            fields.emplace_back(nullptr);
     }
     return fields;
 }
--- a/Source/Core/Entry/StreamRegistry.cpp
+++ b/Source/Core/Entry/StreamRegistry.cpp
@@ -72,18 +72,28 @@
     this->recorder.noteVersions(clockNow());
 }
 
-void StreamRegistry::noteBegun(const std::string &attempt, const Serving::StreamOrigin &origin)
+void StreamRegistry::share(const std::string &key, const Serving::StreamOrigin &origin)
 {
     const Common::Time now = clockNow();
-    const std::string key = keyOf(attempt);
     Serving::addOrigin(this->origins, key, origin, now);
     const StreamMessage message{StreamMessageKind::Began, 0, key, origin};
     for (const Membership::Member *holder :
          Membership::holdersOf(this->state.members, key, kHolders, false, now))
         this->send(holder->report.peerAddress, message);
+}
+
+void StreamRegistry::noteBegun(const std::string &attempt, const Serving::StreamOrigin &origin)
+{
+    const std::string key = keyOf(attempt);
+    this->share(key, origin);
     this->recorder.noteBegun(key, origin);
 }
 
+void StreamRegistry::noteDoubtedEnd(const std::string &attempt, const Serving::StreamOrigin &origin)
+{
+    this->share(keyOf(attempt), origin);
+}
+
 bool StreamRegistry::isWaiting(const Search &search) const
 {
     const Common::Time now = clockNow();
--- a/Source/Core/Entry/StreamRegistry.h
+++ b/Source/Core/Entry/StreamRegistry.h
@@ -22,6 +22,9 @@
     // Records where a stream began. To be called before its first event is passed on, so that the
     // instances that are told learn of it even if this one ends right after.
     void noteBegun(const std::string &attempt, const Serving::StreamOrigin &origin);
+    // Records that the stream of an attempt ended in order after an event, and that nobody has
+    // confirmed this end.
+    void noteDoubtedEnd(const std::string &attempt, const Serving::StreamOrigin &origin);
     // Returns where the stream began that the attempt brought, from this instance's memory or that
     // of others, which may hold what the store kept. Returns nothing if none of them knows.
     // `neededUntil` is until when the stream may be taken up once more.
@@ -50,6 +53,8 @@
     };
 
     void handle(const StreamMessage &message, const Common::Address &sender);
+    // Adds the origin here and at the instances that hold the attempt.
+    void share(const std::string &key, const Serving::StreamOrigin &origin);
     void send(const Common::Address &to, const StreamMessage &message);
     // Whether an instance that is believed to be up has not answered, or this one is about to know
     // more.
--- a/Source/Core/Serving/StreamOrigins.cpp
+++ b/Source/Core/Serving/StreamOrigins.cpp
@@ -64,6 +64,8 @@
             known.version = origin.version;
             known.isVersionKnown = true;
         }
+        if (origin.doubtedEnd)
+            known.doubtedEnd = origin.doubtedEnd;
         extend(origins, entry, origin.expiresAt);
         return;
     }
--- a/Source/Core/Serving/StreamOrigins.h
+++ b/Source/Core/Serving/StreamOrigins.h
@@ -35,6 +35,9 @@
     bool isStated = false;
     // Not set if the list has not named the process yet. The stream goes on nowhere until it does.
     bool isVersionKnown = true;
+    // Number of the event after which an answer without framing ended in order, if nobody has
+    // confirmed that the stream ends there.
+    std::optional<std::uint64_t> doubtedEnd = {};
 };
 
 // An endpoint's process that was replaced by one with another version. What was sent to it at
@@ -67,7 +70,7 @@
 bool isUncertain(const StreamOrigins &origins, const StreamOrigin &origin);
 
 // Adds the origin of a stream, unless it is uncertain. The first event has one origin only, so that
-// a known entry is kept and only its expiry is extended.
+// of a known entry only the expiry is extended and a doubted end is noted.
 void addOrigin(StreamOrigins &origins, const std::string &attempt, const StreamOrigin &origin,
                Common::Time now);
 
--- a/Source/UnitTests/Entry/StreamMessagesTest.cpp
+++ b/Source/UnitTests/Entry/StreamMessagesTest.cpp
@@ -51,6 +51,26 @@
     }
 }
 
+// Guards against a doubted end that other instances do not learn of, and against one that an
+// instance of an earlier release makes up, since it does not send the field.
+BOOST_AUTO_TEST_CASE(origin_doubtedEnd_isReadIfItWasSent)
+{
+    for (const std::optional<std::uint64_t> end :
+         {std::optional<std::uint64_t>(), std::optional<std::uint64_t>(0),
+          std::optional<std::uint64_t>(28)}) {
+        this->message.origin.doubtedEnd = end;
+        const auto read = this->sent(this->message);
+        BOOST_REQUIRE(read.has_value());
+        BOOST_TEST((read->origin.doubtedEnd == end));
+    }
+    boost::json::array earlier = toJson(this->message, this->now);
+    earlier.pop_back();
+    const auto read = readStreamMessage(earlier, this->now);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(!read->origin.doubtedEnd);
+    BOOST_TEST(read->origin.isVersionKnown);
+}
+
 // Guards against a process that has stated its start time being taken for one that has not.
 BOOST_AUTO_TEST_CASE(origin_statedByItsProcess_isTheSame)
 {
--- a/Source/UnitTests/Serving/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Serving/StreamOriginsTest.cpp
@@ -67,6 +67,21 @@
     BOOST_TEST(this->versionOf("a") == "v1");
 }
 
+// Guards against a doubted end that is forgotten, or confused with that of an earlier try.
+BOOST_AUTO_TEST_CASE(origin_addedAgainWithADoubtedEnd_theLastDoubtIsKept)
+{
+    addOrigin(this->origins, "a", this->origin("v1", 10), this->now);
+    for (const std::uint64_t event : {4u, 9u}) {
+        StreamOrigin doubted = this->origin("v1", 10);
+        doubted.doubtedEnd = event;
+        addOrigin(this->origins, "a", doubted, this->now);
+    }
+    addOrigin(this->origins, "a", this->origin("v1", 10), this->now);
+    const StreamOrigin *found = findOrigin(this->origins, "a", this->now, this->now);
+    BOOST_REQUIRE(found);
+    BOOST_TEST(found->doubtedEnd.value_or(0) == 9u);
+}
+
 // Guards against look-ups of invented attempts that displace streams.
 BOOST_AUTO_TEST_CASE(find_inventedAttempts_displaceNothing)
 {
