Review: Let streams of the rig end before their most tokens

Cause: each request of the rig stated just the tokens that its stream has, so that the number alone told whether a stream is whole.

Change: half of the streams state 20 tokens more than they have, and UNFRAMED=all lets all model workers end their streams with the connection.

--- a/review/rig/Callers.h
+++ b/review/rig/Callers.h
@@ -247,6 +247,8 @@
         const bool leaves = happens(random, 0.05);
         // Without a draw, so that the seeds play what they have played before.
         const bool isHalfClosed = count % 16 == 0;
+        // Half of the streams end before they have as many tokens as their request allows.
+        const int mostTokens = count % 2 == 0 ? count : count + 20;
         const auto deadline = Clock::now() + Milliseconds(kind.deadlineMs);
         int last = 0;
         std::string firstAttempt;
@@ -281,7 +283,7 @@
             sendAll(connection.fd,
                     requestText("POST", "/" + kind.name + "/" + std::to_string(count),
                                 outcome.attempt, leftMs,
-                                "Model: m\r\nToken-Count: 500," + std::to_string(count)
+                                "Model: m\r\nToken-Count: 500," + std::to_string(mostTokens)
                                     + "\r\nPrompt-Prefix: " + part + ":300," + outcome.attempt
                                     + ":200\r\n" + more,
                                 std::string(1400, 'p')));
--- a/review/rig/Fleet.h
+++ b/review/rig/Fleet.h
@@ -23,7 +23,7 @@
             member.slots = isModel ? 64 : 6;
             // Half of the workers end their answers with their connection.
             const int half = (isModel ? kModelWorkers : kPlainWorkers) / 2;
-            if (place < half && Troubles::hasUnframed())
+            if ((place < half && Troubles::hasUnframed()) || (isModel && Troubles::areAllUnframed()))
                 member.framing = Framing::Unframed;
             else if (isModel || place == half)
                 member.framing = Framing::Chunked;
--- a/review/rig/Troubles.h
+++ b/review/rig/Troubles.h
@@ -49,6 +49,12 @@
         return variable("UNFRAMED") != "0";
     }
 
+    // All streams end with their connection if the variable says `all`.
+    static bool areAllUnframed()
+    {
+        return variable("UNFRAMED") == "all";
+    }
+
     // Whether this fault is put in, here and now.
     static bool strikes(const std::string &fault, Random &random)
     {
--- a/review/rig/run.sh
+++ b/review/rig/run.sh
@@ -3,7 +3,7 @@
 # Usage: run.sh PROGRAM SEED [SECONDS] [SITE]; without SITE both sites, one after another.
 # TROUBLES: list of srv_crash, garble, answer_lost, silent, node_kill, node_freeze, platform_down and
 # stops; without it srv_crash,silent. SHARE: percent of the answers that garble or answer_lost spoils
-# (15). UNFRAMED=0: no answer ends with its connection. FAULT: a fault put in by hand, see README.md.
+# (15). UNFRAMED=0: no answer ends with its connection; UNFRAMED=all: all streams do. FAULT: a fault put in by hand, see README.md.
 # TROUBLE=0: none of these. STOPS=1: stops as well. FILES=N: most open files of an entry. KEEP=1: keep
 # the logs of runs without a case too.
 # Exit code: 1 if ORDER, MIXED or TWICE has a case, 0 if none, 2 if a site could not run.
