Entry: Let a leaving instance confirm ends with the whole retry budget

Callers of an instance that was told to stop would get whole streams cut (LOST): doubts about ends take from half of the retry budget only, so that a stream whose end nobody confirms is cut although a question would do.

Cause: the half is kept for sends that fail later; a leaving instance has few of them, and cuts whatever it does not end in time.

Change: the whole budget is open to doubts while the instance is leaving.

Result: doubtfulEnd_instanceIsToldToStop_* fails without the change (the stream is cut) and passes with it.

--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -86,8 +86,10 @@
 
 bool RequestFlow::isDoubtAffordable(Common::Time now)
 {
+    // A leaving instance cuts what it does not end in time, and sends little else.
+    const double part = this->state.leaving ? 1 : kBudgetPartForDoubts;
     const Serving::FleetBudgetLimits limits
-        = Serving::partOf(this->state.settings.bounds.extraSends, kBudgetPartForDoubts);
+        = Serving::partOf(this->state.settings.bounds.extraSends, part);
     return this->state.budgets[this->service].hasExtraSend(limits,
                                                            this->state.liveInstanceCount(now), now);
 }
