Platform: Take an announced close for a hint with framed answers only

Callers of requests with stages were refused, although all workers were sound: a stage worker that answers without framing announces the close of its connection, and was avoided for 1.5 s.

--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -147,7 +147,8 @@
     bool isOtherEndpoint = false;
     // Whether the body has a content encoding, although the request did not accept any.
     bool isEncoded = false;
-    // The endpoint may be leaving, or only closes this connection.
+    // The endpoint closes a connection that it could keep, as one that is leaving does. An answer
+    // without framing always ends with its connection.
     bool closesConnection = false;
     // The endpoint states that it is leaving.
     bool announcesLeaving = false;
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -221,11 +221,8 @@
         if (const auto process = opened->peerProcess())
             this->notePeer(*process);
         const unsigned status = opened->status();
-        EndpointResponseHead answer
+        const EndpointResponseHead answer
             = this->state.dialect.readResponseHead(status, opened->headers());
-        // Such an answer ends with its connection, whether its endpoint is leaving or not.
-        if (opened->framing() == Http::BodyFraming::Connection)
-            answer.closesConnection = false;
         this->applyResponseHead(endpoint, answer, startedAt);
         this->dependencies.paths.noteAnswer(!opened->reusedConnection());
         const bool isForThisRequest = answer.requestId == this->request.id;
@@ -455,6 +452,7 @@
         if (this->events.eventCount() > eventsBefore)
             wait.progressAt = clockNow();
     }
+    this->noteBegunEvents();
     this->settleDoubt();
     stream.close();
     this->events.discardPartialEvent();
