Entry: Do not confirm an end before an event that had begun

Callers could still get streams that look complete and lack events (ORDER), found by the review: an answer had begun event 3 and broken off, and two later ends behind event 2 confirmed each other, within a request or over several. The doubt was noted, the evidence against it was not.

Same class, also by the review: take-ups that name no attempt shared one note, so that one confirmed another's end; more events than the tokens allow counted as all tokens; the worker that ended a stream confirmed its own end; an end whose request failed otherwise, or whose caller had left, was not noted.

Change: the origin of a stream holds the number of the last event that any answer has begun, and the endpoint that ended in order. An end before such an event neither begins nor confirms a doubt. A take-up goes to another endpoint than the one in doubt, if there is one. Nothing is noted or looked up without a name. All tokens means exactly as many events as hold them.

--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -81,7 +81,23 @@
     const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
     const std::uint64_t perEvent = entry && entry->engine ? entry->engine->tokensPerEvent : 1;
     const std::uint64_t maxEvents = (maxTokens - 1) / std::max<std::uint64_t>(perEvent, 1) + 1;
-    return this->events.eventCount() >= maxEvents;
+    // More events than that show that the endpoint's events hold fewer tokens.
+    return this->events.eventCount() == maxEvents && !this->hasLaterEventBegun();
+}
+
+void RequestFlow::noteBegunEvents()
+{
+    const auto last = this->events.lastEvent();
+    if (!last)
+        return;
+    const std::uint64_t begun = *last + (this->events.hasBegunNextEvent() ? 1 : 0);
+    this->lastBegunEvent = std::max(this->lastBegunEvent, begun);
+}
+
+bool RequestFlow::hasLaterEventBegun() const
+{
+    return this->lastBegunEvent > this->events.lastEvent().value_or(0)
+        || this->events.hasBegunNextEvent();
 }
 
 bool RequestFlow::isDoubtAffordable(Common::Time now)
@@ -97,12 +113,13 @@
 bool RequestFlow::isEndInDoubt() const
 {
     return this->doubtedEnd && this->doubtedEnd == this->events.lastEvent()
-        && !this->events.hasBegunNextEvent();
+        && !this->hasLaterEventBegun();
 }
 
 void RequestFlow::beginDoubt(Common::Time endedAt)
 {
     this->doubtedEnd = this->events.lastEvent();
+    this->doubtedEndpoint = this->sentTo.endpoint;
     // The caller has what may be the whole stream, and would abandon it rather than take it up.
     const Common::Duration elapsed = clockNow() - endedAt;
     this->doubtTimer.start(this->abandonTimeout() / kDoubtDivisor - elapsed, [this] {
@@ -123,16 +140,36 @@
         this->earlyEnd.reset();
 }
 
-void RequestFlow::noteUnconfirmedEnd()
+void RequestFlow::preferOtherThanDoubted()
 {
-    if (!this->isEndInDoubt())
+    const std::vector<Routing::Endpoint> &endpoints = this->state.poolOf(this->service).endpoints;
+    const Common::Time now = clockNow();
+    const bool hasOther = std::any_of(
+        endpoints.begin(), endpoints.end(), [this, now](const Routing::Endpoint &each) {
+            return each.id != this->doubtedEndpoint && Routing::isEligible(each, now)
+                && Routing::hasVersion(each, this->requiredVersion);
+        });
+    if (hasOther)
+        this->triedEndpoints.push_back(this->doubtedEndpoint);
+}
+
+void RequestFlow::noteIncompleteStream()
+{
+    if (!this->route || !this->route->resumable || std::exchange(this->isIncompleteNoted, true))
         return;
-    this->state.metrics.count(labelled("doubtful_ends", "result", "unconfirmed"));
-    // Without an origin there is one version only, so that it is that of the last endpoint.
+    // Without an origin there is one version only, which any endpoint of the service runs.
     Serving::StreamOrigin known = this->origin.value_or(this->sentTo);
-    known.doubtedEnd = this->doubtedEnd;
+    const bool hasNewDoubt = this->isEndInDoubt() && this->doubtedEnd != known.doubtedEnd;
+    if (!hasNewDoubt && this->lastBegunEvent <= known.lastBegunEvent)
+        return;
+    if (hasNewDoubt) {
+        this->state.metrics.count(labelled("doubtful_ends", "result", "unconfirmed"));
+        known.doubtedEnd = this->doubtedEnd;
+        known.doubtedEndpoint = this->doubtedEndpoint;
+    }
+    known.lastBegunEvent = this->lastBegunEvent;
     known.expiresAt = Serving::originExpiry(this->deadline, clockNow());
-    this->dependencies.streams.noteDoubtedEnd(
+    this->dependencies.streams.noteIncomplete(
         this->isResumption() ? this->request.resumedAttempt : this->request.id, known);
 }
 
@@ -143,22 +180,27 @@
     const Common::Time endedAt = clockNow();
     SendResult result;
     this->noteEnd(stream, end);
+    this->noteBegunEvents();
     result.detail = co_await this->faultAtStreamEnd(end, endpoint);
     result.connectionLost = !result.detail.empty();
     if (result.connectionLost)
         co_return result;
     this->settleDoubt();
-    const bool isDoubted = this->isEndInDoubt();
-    const bool isClosed = end == Http::BodyEnd::Closed && !this->hasAllTokens();
-    if (isClosed && this->route->resumable && !isDoubted) {
+    const bool isConfirmation = this->isEndInDoubt();
+    const bool isUnproven = end == Http::BodyEnd::Closed && !this->hasAllTokens();
+    if (isUnproven && this->route->resumable && this->hasLaterEventBegun()) {
+        result.detail = "stream ended before an event that another answer had begun";
+        co_return result;
+    }
+    if (isUnproven && this->route->resumable && !isConfirmation) {
         this->beginDoubt(endedAt);
         result.hasDoubtfulEnd = true;
         result.detail = "the end of the stream is not confirmed";
         co_return result;
     }
-    if (isDoubted)
+    if (isConfirmation)
         this->state.metrics.count(labelled("doubtful_ends", "result", "confirmed"));
-    else if (isClosed)
+    else if (isUnproven)
         this->state.metrics.count(labelled("doubtful_ends", "result", "believed"));
     this->doubtTimer.cancel();
     result.isAnswered = true;
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -442,12 +442,12 @@
 
 Http::Awaitable<void> RequestFlow::endUnanswered(NextStep step, SendResult last)
 {
+    this->noteIncompleteStream();
     if (this->callerGone) {
         this->recordEnd("caller-gone", last.detail);
         co_return;
     }
     if (this->exchange.started()) {
-        this->noteUnconfirmedEnd();
         // Close the connection without the end of the stream, so that the caller can tell that the
         // stream is truncated.
         this->recordEnd("cut", last.detail);
@@ -478,7 +478,7 @@
 
 Http::Awaitable<void> RequestFlow::refuse(Refusal refusal, std::string_view detail)
 {
-    this->noteUnconfirmedEnd();
+    this->noteIncompleteStream();
     this->recordEnd(Common::nameOf(refusal.reason), detail);
     // Once a stream has started, an error response would become part of the stream's body. The
     // connection is closed instead.
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -199,9 +199,16 @@
     void beginDoubt(Common::Time endedAt);
     // Ends the doubt if an endpoint has shown that more follows.
     void settleDoubt();
-    // Tells other instances of an end that nobody has confirmed, before the caller learns that its
-    // stream is not complete. It may take the stream up anywhere.
-    void noteUnconfirmedEnd();
+    // Tells other instances what is known of the end of a stream that is not complete, before the
+    // caller learns of it. It may take the stream up anywhere.
+    void noteIncompleteStream();
+    // Makes another endpoint than the one that ended the stream confirm the end, if there is one.
+    void preferOtherThanDoubted();
+    // Records which events the answers have begun so far.
+    void noteBegunEvents();
+    // Whether an answer has begun an event after the last whole one, so that the stream does not end
+    // there.
+    bool hasLaterEventBegun() const;
     // Relays the end of an answer, unless it is doubted or a fault.
     Http::Awaitable<SendResult> relayStreamEnd(Http::ResponseStream &stream, Http::BodyEnd end,
                                                const Routing::Endpoint *endpoint);
@@ -357,6 +364,11 @@
     bool wasLastRequestWritten = false;
     // Number of the event after which an answer without framing ended in order.
     std::optional<std::uint64_t> doubtedEnd;
+    // The endpoint that wrote this answer.
+    Common::EndpointId doubtedEndpoint;
+    // Number of the last event that any answer of the stream has begun.
+    std::uint64_t lastBegunEvent = 0;
+    bool isIncompleteNoted = false;
     Common::DelayedAction doubtTimer;
     // The endpoint process that began the stream, by this request or the one that it takes up.
     std::optional<Serving::StreamOrigin> origin;
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -64,8 +64,12 @@
             co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
         }
         this->requiredVersion = this->origin->version;
-        if (this->origin->doubtedEnd == this->request.lastEvent)
+        this->lastBegunEvent = this->origin->lastBegunEvent;
+        if (this->origin->doubtedEnd == this->request.lastEvent) {
             this->doubtedEnd = this->origin->doubtedEnd;
+            this->doubtedEndpoint = this->origin->doubtedEndpoint;
+            this->preferOtherThanDoubted();
+        }
         this->noteResumption("known");
         co_return std::nullopt;
     }
@@ -90,6 +94,7 @@
     this->isVersionUncertain = !this->origin->isVersionKnown;
     // A caller may also name this attempt when it takes the stream up again.
     Serving::StreamOrigin known = *this->origin;
+    known.doubtedEnd.reset();
     known.expiresAt = Serving::originExpiry(this->deadline, clockNow());
     this->dependencies.streams.noteBegun(this->request.id, known);
 }
--- a/Source/Core/Entry/StreamMessages.cpp
+++ b/Source/Core/Entry/StreamMessages.cpp
@@ -32,6 +32,8 @@
     VersionFieldCount,
     // Null if the end of the stream is not doubted.
     DoubtedEnd = VersionFieldCount,
+    DoubtedEndpoint,
+    LastBegunEvent,
     AllFieldCount
 };
 
@@ -88,8 +90,11 @@
         if (!origin.isVersionKnown)
             origin.version.clear();
     }
-    if (fields.size() >= AllFieldCount)
+    if (fields.size() >= AllFieldCount) {
         origin.doubtedEnd = unsignedOf(fields[DoubtedEnd]);
+        origin.doubtedEndpoint = Common::EndpointId(textOf(fields[DoubtedEndpoint]).value_or(""));
+        origin.lastBegunEvent = unsignedOf(fields[LastBegunEvent]).value_or(0);
+    }
     return true;
 }
 
@@ -114,6 +119,8 @@
             fields.emplace_back(*origin.doubtedEnd);
         else
             fields.emplace_back(nullptr);
+        fields.emplace_back(origin.doubtedEndpoint.value);
+        fields.emplace_back(origin.lastBegunEvent);
     }
     return fields;
 }
--- a/Source/Core/Entry/StreamRegistry.cpp
+++ b/Source/Core/Entry/StreamRegistry.cpp
@@ -89,9 +89,11 @@
     this->recorder.noteBegun(key, origin);
 }
 
-void StreamRegistry::noteDoubtedEnd(const std::string &attempt, const Serving::StreamOrigin &origin)
+void StreamRegistry::noteIncomplete(const std::string &attempt, const Serving::StreamOrigin &origin)
 {
-    this->share(keyOf(attempt), origin);
+    // A caller need not name the attempt that it resumes.
+    if (!attempt.empty())
+        this->share(keyOf(attempt), origin);
 }
 
 bool StreamRegistry::isWaiting(const Search &search) const
@@ -111,10 +113,10 @@
 {
     const Common::Time now = clockNow();
     const std::string key = keyOf(attempt);
-    if (const auto *origin = Serving::findOrigin(this->origins, key, neededUntil, now))
-        co_return *origin;
     if (key.empty())
         co_return std::nullopt;
+    if (const auto *origin = Serving::findOrigin(this->origins, key, neededUntil, now))
+        co_return *origin;
     Search search(this->state.context);
     search.attempt = key;
     search.neededUntil = neededUntil;
--- a/Source/Core/Entry/StreamRegistry.h
+++ b/Source/Core/Entry/StreamRegistry.h
@@ -22,9 +22,8 @@
     // Records where a stream began. To be called before its first event is passed on, so that the
     // instances that are told learn of it even if this one ends right after.
     void noteBegun(const std::string &attempt, const Serving::StreamOrigin &origin);
-    // Records that the stream of an attempt ended in order after an event, and that nobody has
-    // confirmed this end.
-    void noteDoubtedEnd(const std::string &attempt, const Serving::StreamOrigin &origin);
+    // Records what is known of the end of an attempt's stream that is not complete.
+    void noteIncomplete(const std::string &attempt, const Serving::StreamOrigin &origin);
     // Returns where the stream began that the attempt brought, from this instance's memory or that
     // of others, which may hold what the store kept. Returns nothing if none of them knows.
     // `neededUntil` is until when the stream may be taken up once more.
--- a/Source/Core/Serving/StreamOrigins.cpp
+++ b/Source/Core/Serving/StreamOrigins.cpp
@@ -64,8 +64,11 @@
             known.version = origin.version;
             known.isVersionKnown = true;
         }
-        if (origin.doubtedEnd)
+        if (origin.doubtedEnd) {
             known.doubtedEnd = origin.doubtedEnd;
+            known.doubtedEndpoint = origin.doubtedEndpoint;
+        }
+        known.lastBegunEvent = std::max(known.lastBegunEvent, origin.lastBegunEvent);
         extend(origins, entry, origin.expiresAt);
         return;
     }
--- a/Source/Core/Serving/StreamOrigins.h
+++ b/Source/Core/Serving/StreamOrigins.h
@@ -38,6 +38,10 @@
     // Number of the event after which an answer without framing ended in order, if nobody has
     // confirmed that the stream ends there.
     std::optional<std::uint64_t> doubtedEnd = {};
+    // The endpoint that wrote this answer.
+    Common::EndpointId doubtedEndpoint = {};
+    // Number of the last event that any answer has begun, as far as it was told.
+    std::uint64_t lastBegunEvent = 0;
 };
 
 // An endpoint's process that was replaced by one with another version. What was sent to it at
@@ -70,7 +74,7 @@
 bool isUncertain(const StreamOrigins &origins, const StreamOrigin &origin);
 
 // Adds the origin of a stream, unless it is uncertain. The first event has one origin only, so that
-// of a known entry only the expiry is extended and a doubted end is noted.
+// of a known entry only the expiry is extended and what is known of the end is noted.
 void addOrigin(StreamOrigins &origins, const std::string &attempt, const StreamOrigin &origin,
                Common::Time now);
 
