--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -206,8 +206,8 @@
     void preferOtherThanDoubted();
     // Records which events the answers have begun so far.
     void noteBegunEvents();
-    // Whether an answer has begun an event after the last whole one, so that the stream does not end
-    // there.
+    // Whether an answer has begun an event after the last whole one, so that the stream does not
+    // end there.
     bool hasLaterEventBegun() const;
     // Relays the end of an answer, unless it is doubted or a fault.
     Http::Awaitable<SendResult> relayStreamEnd(Http::ResponseStream &stream, Http::BodyEnd end,
