Serving: Reject new streams that do not begin with their first event

What callers saw: streams from event 2 on, framed and ended well (ORDER).

Cause: EventSequence took any number as the first one of a new stream, so that a worker that loses the beginning of an answer was contradicted by nothing.

Change: a new stream begins with event 1, and what goes on after event N with N + 1. Anything else is a spoiled answer: nothing of it is relayed, another endpoint is asked from the start. The weighed alternative, the number that a service's streams have shown, believes the first stream after each start. The log line's field firstEvent went: a stream that begins late now has a fault of its own, and a metric.

The test of firstEvent() is replaced by a stricter one: such a stream is a fault rather than a number in the log.

--- a/Source/Core/Entry/RequestLog.cpp
+++ b/Source/Core/Entry/RequestLog.cpp
@@ -9,8 +9,6 @@
         line.text("framing", Common::nameOf(*this->lastFraming))
             .text("end", this->lastEnd ? Common::nameOf(*this->lastEnd) : "lost")
             .flag("requestWritten", this->wasLastRequestWritten);
-    if (const auto first = this->events.firstEvent())
-        line.number("firstEvent", static_cast<std::int64_t>(*first));
     if (this->sentTo.incarnation != 0)
         line.number("process", static_cast<std::int64_t>(this->sentTo.incarnation));
     if (this->origin) {
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -443,9 +443,8 @@
         // The events before the fault are relayed: whoever goes on with the stream begins after
         // them.
         if (fault != Serving::SequenceFault::None) {
-            result.detail = fault == Serving::SequenceFault::EventTooLong
-                ? "stream event without end"
-                : "stream events out of order";
+            result.detail = "stream spoiled: " + std::string(Common::nameOf(fault));
+            this->state.metrics.count(labelled("spoiled_streams", "fault", Common::nameOf(fault)));
             break;
         }
         // The caller may have taken its time to read the events.
--- a/Source/Core/Entry/Settings.cpp
+++ b/Source/Core/Entry/Settings.cpp
@@ -105,6 +105,9 @@
         = static_cast<std::size_t>(reader.integer("mostConnections", 1, 1'000'000, 3000));
     settings.cores = reader.number("cores", 0, kMaxCores, 0.0);
     settings.linkMbps = reader.number("linkMbps", 0, kMaxMbps, 0.0);
+    constexpr std::int64_t kMaxFirstEvent = 1'000'000;
+    settings.firstEvent = static_cast<std::uint64_t>(
+        reader.integer("firstEvent", 0, kMaxFirstEvent, Serving::kFirstEventNumber));
     static const boost::json::value kEmpty = boost::json::object();
     const auto section = [&reader](std::string_view key) -> const boost::json::value & {
         const boost::json::value *member = reader.member(key);
--- a/Source/Core/Entry/Settings.h
+++ b/Source/Core/Entry/Settings.h
@@ -5,6 +5,7 @@
 #include "Common/Ids.h"
 #include "Common/JsonReader.h"
 #include "Common/Time.h"
+#include "Serving/EventSequence.h"
 #include "Serving/FleetBudget.h"
 
 namespace Tanagerbay::Entry {
@@ -50,6 +51,8 @@
     // unknown.
     double cores = 0;
     double linkMbps = 0;
+    // Number of the first event of each stream.
+    std::uint64_t firstEvent = Serving::kFirstEventNumber;
     Bounds bounds;
 };
 
--- a/Source/Core/Serving/EventSequence.cpp
+++ b/Source/Core/Serving/EventSequence.cpp
@@ -58,20 +58,21 @@
 
 } // namespace
 
-EventSequence::EventSequence(std::optional<std::uint64_t> lastEvent) : last(lastEvent)
+EventSequence::EventSequence(std::optional<std::uint64_t> lastEvent, std::uint64_t firstNumber)
+    : firstNumber(firstNumber), last(lastEvent)
 {
 }
 
-bool EventSequence::acceptEvent(std::string_view event)
+SequenceFault EventSequence::acceptEvent(std::string_view event)
 {
     const auto number = eventNumber(event);
-    if (!number || (this->last && *number != *this->last + 1))
-        return false;
-    if (!this->first)
-        this->first = number;
+    if (!number)
+        return SequenceFault::OutOfSequence;
+    if (*number != this->nextEvent())
+        return this->last ? SequenceFault::OutOfSequence : SequenceFault::NotTheBeginning;
     this->last = number;
     ++this->count;
-    return true;
+    return SequenceFault::None;
 }
 
 SequenceFault EventSequence::feed(std::string_view bytes)
@@ -87,9 +88,9 @@
             this->discardPartialEvent();
             return SequenceFault::EventTooLong;
         }
-        if (!this->acceptEvent(event)) {
+        if (const SequenceFault fault = this->acceptEvent(event); fault != SequenceFault::None) {
             this->discardPartialEvent();
-            return SequenceFault::OutOfSequence;
+            return fault;
         }
         this->ready.append(event);
         begin = end;
@@ -115,9 +116,9 @@
 bool EventSequence::hasBegunNextEvent() const
 {
     const std::size_t lineEnd = this->partial.rfind('\n');
-    if (lineEnd == std::string::npos || !this->last)
+    if (lineEnd == std::string::npos)
         return false;
-    return eventNumber(std::string_view(this->partial).substr(0, lineEnd)) == *this->last + 1;
+    return eventNumber(std::string_view(this->partial).substr(0, lineEnd)) == this->nextEvent();
 }
 
 void EventSequence::discardPartialEvent()
@@ -126,9 +127,9 @@
     this->searched = 0;
 }
 
-std::optional<std::uint64_t> EventSequence::firstEvent() const
+std::uint64_t EventSequence::nextEvent() const
 {
-    return this->first;
+    return this->last ? *this->last + 1 : this->firstNumber;
 }
 
 std::optional<std::uint64_t> EventSequence::lastEvent() const
@@ -136,6 +137,11 @@
     return this->last;
 }
 
+bool EventSequence::hasEvents() const
+{
+    return this->last && *this->last >= this->firstNumber;
+}
+
 std::uint64_t EventSequence::eventCount() const
 {
     return this->count;
--- a/Source/UnitTests/Serving/EventSequenceFuzzTest.cpp
+++ b/Source/UnitTests/Serving/EventSequenceFuzzTest.cpp
@@ -97,7 +97,6 @@
     SequenceFault fault = SequenceFault::None;
     std::string taken;
     bool hasPartialEvent = false;
-    std::uint64_t first = 0;
     std::uint64_t last = 0;
     std::uint64_t count = 0;
 
@@ -119,7 +118,6 @@
     }
     result.taken += sequence.takeReady();
     result.hasPartialEvent = sequence.hasPartialEvent();
-    result.first = sequence.firstEvent().value_or(0);
     result.last = sequence.lastEvent().value_or(0);
     result.count = sequence.eventCount();
     return result;
@@ -148,12 +146,28 @@
     return events;
 }
 
-void checkTaken(const Result &result, std::string_view bytes)
+// Draws the event after which the bytes go on; none for a new stream.
+std::optional<std::uint64_t> drawLastEvent(Random &random)
+{
+    constexpr std::size_t kMaxLastEvent = 11;
+    if (below(random, 2) == 0)
+        return std::nullopt;
+    return below(random, kMaxLastEvent + 1);
+}
+
+std::uint64_t nextAfter(const std::optional<std::uint64_t> &lastEvent)
+{
+    return lastEvent.value_or(0) + 1;
+}
+
+// `after` is the event after which the bytes go on.
+void checkTaken(const Result &result, std::string_view bytes,
+                const std::optional<std::uint64_t> &after)
 {
     BOOST_TEST(bytes.starts_with(result.taken));
     const auto events = readAsCaller(result.taken);
     BOOST_TEST(events.size() == result.count);
-    std::uint64_t expected = result.first;
+    std::uint64_t expected = nextAfter(after);
     for (const auto &ids : events) {
         BOOST_TEST(ids == std::vector<std::string>{std::to_string(expected)},
                    boost::test_tools::per_element());
@@ -176,35 +190,33 @@
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             Random random(seed);
-            const std::uint64_t first = 1 + below(random, 12);
-            const std::vector<std::string> events = makeEvents(random, first);
+            const auto after = drawLastEvent(random);
+            const std::vector<std::string> events = makeEvents(random, nextAfter(after));
             const std::string bytes = joined(events);
-            std::optional<std::uint64_t> after;
-            if (below(random, 2) == 0)
-                after = first - 1;
             const Result result = feedPieces(random, bytes, 1 + below(random, 40), after);
             BOOST_TEST((result.fault == SequenceFault::None));
             BOOST_TEST(result.taken == bytes);
             BOOST_TEST(result.count == events.size());
-            checkTaken(result, bytes);
+            checkTaken(result, bytes, after);
         }
     }
 }
 
-// Guards against a caller that sees an event twice, out of order, without its number or with the
-// number of another one (ORDER).
+// Guards against a caller that misses the first events, or sees an event twice, out of order,
+// without its number or with the number of another one (ORDER).
 BOOST_AUTO_TEST_CASE(feed_spoiledStreamInAnyPieces_takesConsecutiveWholeEventsOnly)
 {
     for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             Random random(seed);
-            const std::string bytes = spoiled(random, makeEvents(random, 1 + below(random, 12)));
-            const Result whole = feedPieces(random, bytes, 1 + bytes.size());
-            checkTaken(whole, bytes);
+            const auto after = drawLastEvent(random);
+            const std::string bytes = spoiled(random, makeEvents(random, nextAfter(after)));
+            const Result whole = feedPieces(random, bytes, 1 + bytes.size(), after);
+            checkTaken(whole, bytes, after);
             // How the network cuts the bytes does not matter.
-            BOOST_TEST((feedPieces(random, bytes, 1) == whole));
-            BOOST_TEST((feedPieces(random, bytes, 1 + below(random, 20)) == whole));
+            BOOST_TEST((feedPieces(random, bytes, 1, after) == whole));
+            BOOST_TEST((feedPieces(random, bytes, 1 + below(random, 20), after) == whole));
         }
     }
 }
@@ -216,7 +228,7 @@
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             Random random(seed);
-            EventSequence sequence(0);
+            EventSequence sequence;
             sequence.feed(spoiled(random, makeEvents(random, 1)));
             std::string taken = sequence.takeReady();
             sequence.discardPartialEvent();
--- a/Source/UnitTests/Serving/EventSequenceTest.cpp
+++ b/Source/UnitTests/Serving/EventSequenceTest.cpp
@@ -34,16 +34,35 @@
     BOOST_TEST(!this->events.hasPartialEvent());
 }
 
-// Guards against a log that cannot tell whether the head of a stream is missing.
-BOOST_AUTO_TEST_CASE(feed_streamBeginsLate_firstEventIsKnown)
-{
-    BOOST_TEST(!this->events.firstEvent());
-    BOOST_TEST((this->events.feed(event(3) + event(4)) == SequenceFault::None));
-    BOOST_TEST(this->events.firstEvent().value_or(0) == 3u);
-    EventSequence resumed(4);
-    BOOST_TEST(!resumed.firstEvent());
+// Guards against a stream that callers get without its first events (ORDER).
+BOOST_AUTO_TEST_CASE(feed_newStreamBeginsLate_isNotItsBeginning)
+{
+    for (const int first : {0, 2, 3}) {
+        EventSequence late;
+        BOOST_TEST((late.feed(event(first) + event(first + 1)) == SequenceFault::NotTheBeginning));
+        BOOST_TEST(late.takeReady().empty());
+        BOOST_TEST(!late.lastEvent());
+        // The next endpoint is asked from the start.
+        BOOST_TEST((late.feed(event(1) + event(2)) == SequenceFault::None));
+        BOOST_TEST(late.takeReady() == event(1) + event(2));
+    }
+}
+
+// Guards against a first event whose number the caller reads differently.
+BOOST_AUTO_TEST_CASE(feed_newStreamBeginsWithoutNumber_isOutOfSequence)
+{
+    BOOST_TEST((this->events.feed("id: 1x\ndata: text\n\n") == SequenceFault::OutOfSequence));
+    BOOST_TEST(this->events.takeReady().empty());
+}
+
+// Guards against streams that are all rejected where a platform counts from another number.
+BOOST_AUTO_TEST_CASE(feed_eventsAreCountedFromAnotherNumber_isAccepted)
+{
+    EventSequence fromZero(std::nullopt, 0);
+    BOOST_TEST((fromZero.feed(event(0) + event(1)) == SequenceFault::None));
+    BOOST_TEST(fromZero.lastEvent().value() == 1u);
+    EventSequence resumed(4, 0);
     BOOST_TEST((resumed.feed(event(5)) == SequenceFault::None));
-    BOOST_TEST(resumed.firstEvent().value_or(0) == 5u);
 }
 
 // Guards against an event without end that is kept and searched again with each read.
@@ -158,6 +177,8 @@
         BOOST_TEST(resumed.hasBegunNextEvent() == hasBegun, bytes);
         resumed.discardPartialEvent();
     }
+    BOOST_TEST((this->events.feed("id: 1\nda") == SequenceFault::None));
+    BOOST_TEST(this->events.hasBegunNextEvent());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
