Serving: Gather what is known of a stream in one struct

What tells whether a stream may end was spread over RequestFlow: the last and the begun event, the doubt, the tokens, each rule in the coroutine that met it.

Change: StreamProgress holds it, free functions decide, judgeEnd is the one place that names what an end tells. RequestFlow keeps what needs the network. Log lines name the last event that any answer has begun.

--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -71,33 +71,14 @@
     co_return hasRunSince ? ProcessAnswer::Same : reply.answer;
 }
 
-bool RequestFlow::hasAllTokens() const
+std::uint64_t RequestFlow::maxEvents() const
 {
-    // The number of the first event is not fixed, so that the events of a stream that is taken up
-    // cannot be counted.
-    const std::uint64_t maxTokens = this->request.prompt.maxTokensOut;
-    if (this->request.lastEvent || maxTokens == 0)
-        return false;
+    // A request that takes a stream up does not tell how many tokens its earlier events hold.
+    if (this->request.lastEvent)
+        return 0;
     const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
     const std::uint64_t perEvent = entry && entry->engine ? entry->engine->tokensPerEvent : 1;
-    const std::uint64_t maxEvents = (maxTokens - 1) / std::max<std::uint64_t>(perEvent, 1) + 1;
-    // More events than that show that the endpoint's events hold fewer tokens.
-    return this->events.eventCount() == maxEvents && !this->hasLaterEventBegun();
-}
-
-void RequestFlow::noteBegunEvents()
-{
-    const auto last = this->events.lastEvent();
-    if (!last)
-        return;
-    const std::uint64_t begun = *last + (this->events.hasBegunNextEvent() ? 1 : 0);
-    this->lastBegunEvent = std::max(this->lastBegunEvent, begun);
-}
-
-bool RequestFlow::hasLaterEventBegun() const
-{
-    return this->lastBegunEvent > this->events.lastEvent().value_or(0)
-        || this->events.hasBegunNextEvent();
+    return Serving::eventsOfTokens(this->request.prompt.maxTokensOut, perEvent);
 }
 
 bool RequestFlow::isDoubtAffordable(Common::Time now)
@@ -110,30 +91,24 @@
                                                            this->state.liveInstanceCount(now), now);
 }
 
-bool RequestFlow::isEndInDoubt() const
-{
-    return this->doubtedEnd && this->doubtedEnd == this->events.lastEvent()
-        && !this->hasLaterEventBegun();
-}
-
 void RequestFlow::beginDoubt(Common::Time endedAt)
 {
-    this->doubtedEnd = this->events.lastEvent();
-    this->doubtedEndpoint = this->sentTo.endpoint;
+    this->progress.doubtedEnd = this->progress.lastEvent;
+    this->progress.doubtedEndpoint = this->sentTo.endpoint;
     // The caller has what may be the whole stream, and would abandon it rather than take it up.
     const Common::Duration elapsed = clockNow() - endedAt;
     this->doubtTimer.start(this->abandonTimeout() / kDoubtDivisor - elapsed, [this] {
-        if (this->isEndInDoubt())
+        if (Serving::isEndInDoubt(this->progress))
             this->endEarly(EarlyEnd::Doubt);
     });
 }
 
 void RequestFlow::settleDoubt()
 {
-    if (!this->doubtedEnd || this->isEndInDoubt())
+    if (!this->progress.doubtedEnd || Serving::isEndInDoubt(this->progress))
         return;
     this->state.metrics.count(labelled("doubtful_ends", "result", "went on"));
-    this->doubtedEnd.reset();
+    this->progress.doubtedEnd.reset();
     this->doubtTimer.cancel();
     // The timer may have run in the same turn.
     if (this->earlyEnd == EarlyEnd::Doubt)
@@ -146,11 +121,11 @@
     const Common::Time now = clockNow();
     const bool hasOther = std::any_of(
         endpoints.begin(), endpoints.end(), [this, now](const Routing::Endpoint &each) {
-            return each.id != this->doubtedEndpoint && Routing::isEligible(each, now)
+            return each.id != this->progress.doubtedEndpoint && Routing::isEligible(each, now)
                 && Routing::hasVersion(each, this->requiredVersion);
         });
     if (hasOther)
-        this->triedEndpoints.push_back(this->doubtedEndpoint);
+        this->triedEndpoints.push_back(this->progress.doubtedEndpoint);
 }
 
 void RequestFlow::noteIncompleteStream()
@@ -159,15 +134,16 @@
         return;
     // Without an origin there is one version only, which any endpoint of the service runs.
     Serving::StreamOrigin known = this->origin.value_or(this->sentTo);
-    const bool hasNewDoubt = this->isEndInDoubt() && this->doubtedEnd != known.doubtedEnd;
-    if (!hasNewDoubt && this->lastBegunEvent <= known.lastBegunEvent)
+    const bool hasNewDoubt
+        = Serving::isEndInDoubt(this->progress) && this->progress.doubtedEnd != known.doubtedEnd;
+    if (!hasNewDoubt && this->progress.lastBegunEvent <= known.lastBegunEvent)
         return;
     if (hasNewDoubt) {
         this->state.metrics.count(labelled("doubtful_ends", "result", "unconfirmed"));
-        known.doubtedEnd = this->doubtedEnd;
-        known.doubtedEndpoint = this->doubtedEndpoint;
+        known.doubtedEnd = this->progress.doubtedEnd;
+        known.doubtedEndpoint = this->progress.doubtedEndpoint;
     }
-    known.lastBegunEvent = this->lastBegunEvent;
+    known.lastBegunEvent = this->progress.lastBegunEvent;
     known.expiresAt = Serving::originExpiry(this->deadline, clockNow());
     this->dependencies.streams.noteIncomplete(
         this->isResumption() ? this->request.resumedAttempt : this->request.id, known);
@@ -180,34 +156,36 @@
     const Common::Time endedAt = clockNow();
     SendResult result;
     this->noteEnd(stream, end);
-    this->noteBegunEvents();
-    result.detail = co_await this->faultAtStreamEnd(end, endpoint);
-    result.connectionLost = !result.detail.empty();
-    if (result.connectionLost)
+    this->progress.maxEvents = this->maxEvents();
+    const bool isFramed = end == Http::BodyEnd::Whole;
+    const Serving::StreamEnd judged
+        = Serving::judgeEnd(this->progress, {isFramed, this->route->resumable});
+    const bool hasAllTokens = Serving::hasAllTokens(this->progress);
+    const bool isSpoiled
+        = judged == Serving::StreamEnd::WithinEvent || judged == Serving::StreamEnd::WithoutEvent;
+    if (!isFramed && !isSpoiled && !hasAllTokens)
+        result.detail = co_await this->faultAtEnd(end, endpoint);
+    result.connectionLost = !result.detail.empty() || (isSpoiled && !isFramed);
+    if (!result.detail.empty())
         co_return result;
     this->settleDoubt();
-    const bool isConfirmation = this->isEndInDoubt();
-    const bool isUnproven = end == Http::BodyEnd::Closed && !this->hasAllTokens();
-    if (isUnproven && this->route->resumable && this->hasLaterEventBegun()) {
-        result.detail = "stream ended before an event that another answer had begun";
-        co_return result;
-    }
-    if (isUnproven && this->route->resumable && !isConfirmation) {
+    result.hasDoubtfulEnd = judged == Serving::StreamEnd::Unconfirmed;
+    if (result.hasDoubtfulEnd)
         this->beginDoubt(endedAt);
-        result.hasDoubtfulEnd = true;
-        result.detail = "the end of the stream is not confirmed";
+    if (judged != Serving::StreamEnd::Complete) {
+        result.detail = "stream ended " + std::string(Common::nameOf(judged));
         co_return result;
     }
-    if (isConfirmation)
+    if (Serving::isEndInDoubt(this->progress))
         this->state.metrics.count(labelled("doubtful_ends", "result", "confirmed"));
-    else if (isUnproven)
+    else if (!isFramed && !hasAllTokens)
         this->state.metrics.count(labelled("doubtful_ends", "result", "believed"));
     this->doubtTimer.cancel();
     result.isAnswered = true;
     Http::Response head;
     head.status = stream.status();
     head.headers = this->state.dialect.relayedHeaders(stream.headers());
-    // A stream without events is a complete response.
+    // A stream that was taken up may have nothing left to send.
     if (this->exchange.started())
         co_await this->exchange.endStream();
     else
@@ -216,17 +194,4 @@
     co_return result;
 }
 
-Http::Awaitable<std::string> RequestFlow::faultAtStreamEnd(Http::BodyEnd end,
-                                                           const Routing::Endpoint *endpoint)
-{
-    if (this->events.hasPartialEvent())
-        co_return "stream ended within an event";
-    // A stream that goes on may have nothing left to send.
-    if (end == Http::BodyEnd::Closed && !this->hasAnswerBegun() && !this->events.lastEvent())
-        co_return "stream ended with its connection, without an event";
-    if (this->hasAllTokens())
-        co_return "";
-    co_return co_await this->faultAtEnd(end, endpoint);
-}
-
 } // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -43,9 +43,11 @@
 RequestFlow::RequestFlow(const RequestDependencies &dependencies, Http::Exchange &exchange,
                          CallerRequest callerRequest, RequestSource source)
     : dependencies(dependencies), state(dependencies.state), exchange(exchange),
-      request(std::move(callerRequest)), source(source), events(this->request.lastEvent, dependencies.state.settings.firstEvent),
+      request(std::move(callerRequest)), source(source),
+      events(this->request.lastEvent, dependencies.state.settings.firstEvent),
       permitTimer(dependencies.state.context), doubtTimer(dependencies.state.context)
 {
+    Serving::noteEvents(this->progress, this->events);
 }
 
 Common::WorkspaceId RequestFlow::workspaceId() const
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -14,6 +14,7 @@
 #include "Serving/Attempt.h"
 #include "Serving/EventSequence.h"
 #include "Serving/GracefulShutdown.h"
+#include "Serving/StreamProgress.h"
 
 #include <boost/intrusive/list.hpp>
 
@@ -188,13 +189,10 @@
     // Returns why a body that has been read to its end is not complete; empty if it is. If it ended
     // with its connection, the endpoint is asked whether the process that wrote it still runs.
     Http::Awaitable<std::string> faultAtEnd(Http::BodyEnd end, const Routing::Endpoint *endpoint);
-    // Whether the events since the beginning of the stream hold the most tokens that it may have.
-    bool hasAllTokens() const;
+    // Number of events that the most tokens of the request make; zero if not known.
+    std::uint64_t maxEvents() const;
     // Whether the part of the retry budget that is meant for doubted ends has room.
     bool isDoubtAffordable(Common::Time now);
-    // Whether a stream without framing has ended in order after its last event, by an answer to
-    // this request or to one that it resumes, and no endpoint has shown since that more follows.
-    bool isEndInDoubt() const;
     // Doubts the end of the stream, for a limited time since `endedAt`.
     void beginDoubt(Common::Time endedAt);
     // Ends the doubt if an endpoint has shown that more follows.
@@ -204,19 +202,12 @@
     void noteIncompleteStream();
     // Makes another endpoint than the one that ended the stream confirm the end, if there is one.
     void preferOtherThanDoubted();
-    // Records which events the answers have begun so far.
-    void noteBegunEvents();
-    // Whether an answer has begun an event after the last whole one, so that the stream does not
-    // end there.
-    bool hasLaterEventBegun() const;
     // Relays the end of an answer, unless it is doubted or a fault.
     Http::Awaitable<SendResult> relayStreamEnd(Http::ResponseStream &stream, Http::BodyEnd end,
                                                const Routing::Endpoint *endpoint);
     // Asks whether the process that wrote the last answer still runs.
     Http::Awaitable<ProcessAnswer> confirmWriter(const Routing::Endpoint *endpoint,
                                                  Common::Time until);
-    Http::Awaitable<std::string> faultAtStreamEnd(Http::BodyEnd end,
-                                                  const Routing::Endpoint *endpoint);
     Http::CallOptions callOptions(Common::Time now);
     // Returns until when the endpoint may make no progress. `progressAt` is when the request was
     // sent or its last event arrived.
@@ -362,12 +353,7 @@
     std::optional<Http::BodyEnd> lastEnd;
     // Whether the whole request had been handed to the system by then.
     bool wasLastRequestWritten = false;
-    // Number of the event after which an answer without framing ended in order.
-    std::optional<std::uint64_t> doubtedEnd;
-    // The endpoint that wrote this answer.
-    Common::EndpointId doubtedEndpoint;
-    // Number of the last event that any answer of the stream has begun.
-    std::uint64_t lastBegunEvent = 0;
+    Serving::StreamProgress progress;
     bool isIncompleteNoted = false;
     Common::DelayedAction doubtTimer;
     // The endpoint process that began the stream, by this request or the one that it takes up.
--- a/Source/Core/Entry/RequestLog.cpp
+++ b/Source/Core/Entry/RequestLog.cpp
@@ -9,6 +9,8 @@
         line.text("framing", Common::nameOf(*this->lastFraming))
             .text("end", this->lastEnd ? Common::nameOf(*this->lastEnd) : "lost")
             .flag("requestWritten", this->wasLastRequestWritten);
+    if (this->progress.lastBegunEvent > 0)
+        line.number("lastBegunEvent", static_cast<std::int64_t>(this->progress.lastBegunEvent));
     if (this->sentTo.incarnation != 0)
         line.number("process", static_cast<std::int64_t>(this->sentTo.incarnation));
     if (this->origin) {
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -432,6 +432,7 @@
         }
         const std::uint64_t eventsBefore = this->events.eventCount();
         const Serving::SequenceFault fault = this->events.feed(std::get<std::string_view>(*part));
+        Serving::noteEvents(this->progress, this->events);
         if (!wasAnswerBegun && this->hasAnswerBegun()) {
             wasAnswerBegun = true;
             this->noteAnswerBegun();
@@ -451,10 +452,10 @@
         if (this->events.eventCount() > eventsBefore)
             wait.progressAt = clockNow();
     }
-    this->noteBegunEvents();
     this->settleDoubt();
     stream.close();
     this->events.discardPartialEvent();
+    Serving::noteEvents(this->progress, this->events);
     co_return result;
 }
 
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -64,10 +64,10 @@
             co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
         }
         this->requiredVersion = this->origin->version;
-        this->lastBegunEvent = this->origin->lastBegunEvent;
+        this->progress.lastBegunEvent = this->origin->lastBegunEvent;
         if (this->origin->doubtedEnd == this->request.lastEvent) {
-            this->doubtedEnd = this->origin->doubtedEnd;
-            this->doubtedEndpoint = this->origin->doubtedEndpoint;
+            this->progress.doubtedEnd = this->origin->doubtedEnd;
+            this->progress.doubtedEndpoint = this->origin->doubtedEndpoint;
             this->preferOtherThanDoubted();
         }
         this->noteResumption("known");
--- /dev/null
+++ b/Source/UnitTests/Serving/StreamProgressTest.cpp
@@ -0,0 +1,137 @@
+#include "Serving/StreamProgress.h"
+
+#include "Serving/EventSequence.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagerbay;
+using namespace Tanagerbay::Serving;
+
+namespace {
+
+constexpr AnswerEnd kFramed{true, true};
+constexpr AnswerEnd kClosed{false, true};
+constexpr AnswerEnd kClosedOnceOnly{false, false};
+
+std::string event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: text\n\n";
+}
+
+struct StreamProgressFixture
+{
+    // Feeds the bytes of the next answer.
+    void answer(const std::string &bytes)
+    {
+        this->events.discardPartialEvent();
+        this->events.feed(bytes);
+        noteEvents(this->progress, this->events);
+    }
+
+    // Begins again with a request that resumes the stream after this event.
+    void resume(std::uint64_t lastEvent)
+    {
+        this->events = EventSequence(lastEvent);
+        noteEvents(this->progress, this->events);
+    }
+
+    void doubtEnd()
+    {
+        this->progress.doubtedEnd = this->progress.lastEvent;
+    }
+
+    EventSequence events;
+    StreamProgress progress;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EndsOfStreams, StreamProgressFixture)
+
+// Guards against a stream that cannot be taken up behind its last event.
+BOOST_AUTO_TEST_CASE(resumedStream_hasNothingLeft_isCompleteIfThatIsKnown)
+{
+    this->resume(3);
+    BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::Complete));
+    BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::Unconfirmed));
+}
+
+BOOST_AUTO_TEST_CASE(answer_endsWithinAnEvent_isNotComplete)
+{
+    this->answer(event(1) + "id: 2\nda");
+    for (const AnswerEnd &end : {kFramed, kClosed, kClosedOnceOnly})
+        BOOST_TEST((judgeEnd(this->progress, end) == StreamEnd::WithinEvent));
+}
+
+// Guards against a stream that looks complete and lacks its last events (ORDER): no end without
+// framing is one before an event that any answer has begun.
+BOOST_AUTO_TEST_CASE(answer_endsBeforeAnEventThatHadBegun_isNotComplete)
+{
+    this->answer(event(1) + "id: 2\nda");
+    this->answer("");
+    BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::BeforeBegunEvent));
+    this->answer(event(2));
+    BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::Complete));
+    // An answer to an earlier request, of which the caller has lost the last event.
+    this->resume(1);
+    BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::BeforeBegunEvent));
+}
+
+// Guards against an end that is believed or confirmed without evidence (ORDER).
+BOOST_AUTO_TEST_CASE(answerWithoutFraming_endIsKnownOnlyByASecondOne)
+{
+    this->answer(event(1) + event(2));
+    BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::Unconfirmed));
+    this->doubtEnd();
+    BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::Complete));
+    this->answer("id: 3\nda");
+    BOOST_TEST(!isEndInDoubt(this->progress));
+    this->answer("");
+    BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::BeforeBegunEvent));
+    this->answer(event(3));
+    BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::Unconfirmed));
+}
+
+// Nobody else may be asked about a stream that runs once.
+BOOST_AUTO_TEST_CASE(answerWithoutFraming_streamRunsOnce_isBelieved)
+{
+    this->answer(event(1));
+    BOOST_TEST((judgeEnd(this->progress, kClosedOnceOnly) == StreamEnd::Complete));
+}
+
+// Guards against an end that is taken for known because one more token was not counted (ORDER).
+BOOST_AUTO_TEST_CASE(answerWithoutFraming_hasAllTokens_isComplete)
+{
+    this->progress.maxEvents = eventsOfTokens(6, 3);
+    this->answer(event(1));
+    BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::Unconfirmed));
+    this->answer(event(2));
+    BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::Complete));
+    this->answer("id: 3\nda");
+    this->answer("");
+    BOOST_TEST(!hasAllTokens(this->progress));
+    this->answer(event(3));
+    BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::Unconfirmed));
+}
+
+BOOST_AUTO_TEST_CASE(eventsOfTokens_anyNumber_isRoundedUp)
+{
+    BOOST_TEST(eventsOfTokens(0, 3) == 0u);
+    BOOST_TEST(eventsOfTokens(1, 3) == 1u);
+    BOOST_TEST(eventsOfTokens(6, 3) == 2u);
+    BOOST_TEST(eventsOfTokens(7, 3) == 3u);
+    BOOST_TEST(eventsOfTokens(4, 0) == 4u);
+}
+
+// Guards against an entry for a stream that has not begun.
+BOOST_AUTO_TEST_CASE(lastBegunEvent_onlyAnswersCount)
+{
+    this->answer("id: 1\nda");
+    BOOST_TEST(this->progress.lastBegunEvent == 0u);
+    this->resume(7);
+    BOOST_TEST(this->progress.lastBegunEvent == 0u);
+    this->answer("id: 8\nda");
+    BOOST_TEST(this->progress.lastBegunEvent == 8u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
