Serving: Do not take a new stream without an event for complete

What callers saw: empty streams, framed and passed on as complete (ORDER).

Cause: only an empty stream that ends with its connection was a fault; a last chunk was believed, although a new stream has at least one event.

Change: an answer to a new stream without an event is a spoiled one, however it is marked; another endpoint is asked, a stream that may run once is answered 502. Last-Event-Id 0 names no event. A stream that is taken up may still have nothing left.

--- a/Source/Core/Serving/StreamProgress.cpp
+++ b/Source/Core/Serving/StreamProgress.cpp
@@ -48,7 +48,7 @@
 {
     if (progress.hasPartialEvent)
         return StreamEnd::WithinEvent;
-    if (!progress.hasEvents && !end.isFramed)
+    if (!progress.hasEvents)
         return StreamEnd::WithoutEvent;
     if (end.isFramed || hasAllTokens(progress) || !end.isResumable)
         return StreamEnd::Complete;
--- a/Source/Core/Serving/StreamProgress.h
+++ b/Source/Core/Serving/StreamProgress.h
@@ -54,6 +54,7 @@
     Unconfirmed,
     // More follows: the answer was broken off or spoiled.
     WithinEvent,
+    // A new stream has at least one event.
     WithoutEvent,
     BeforeBegunEvent,
 };
--- a/Source/UnitTests/Serving/StreamProgressTest.cpp
+++ b/Source/UnitTests/Serving/StreamProgressTest.cpp
@@ -48,6 +48,18 @@
 
 BOOST_FIXTURE_TEST_SUITE(EndsOfStreams, StreamProgressFixture)
 
+// Guards against an empty stream that looks complete (ORDER).
+BOOST_AUTO_TEST_CASE(newStream_hasNoEvent_isNotComplete)
+{
+    for (const AnswerEnd &end : {kFramed, kClosed, kClosedOnceOnly, AnswerEnd{true, false}}) {
+        this->answer("");
+        BOOST_TEST((judgeEnd(this->progress, end) == StreamEnd::WithoutEvent));
+    }
+    // The number before the first event.
+    this->resume(0);
+    BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::WithoutEvent));
+}
+
 // Guards against a stream that cannot be taken up behind its last event.
 BOOST_AUTO_TEST_CASE(resumedStream_hasNothingLeft_isCompleteIfThatIsKnown)
 {
