Serving: Believe no end before an event that any answer has begun

What callers would see: a stream that looks complete and lacks its tail (ORDER), where one worker had begun the next event and another one, which was asked to go on, ended its answer with a last chunk and no event.

Cause: only ends without framing were compared with what other answers had begun. Framing was taken for certain, but servers that end a body in order when their handler fails write a last chunk too.

Change: the comparison comes before the framing. A last chunk behind a part of the events is otherwise not told: nothing in an answer says how many events it has, and a question after each stream would cost a request each.

--- a/Source/Core/Serving/StreamProgress.cpp
+++ b/Source/Core/Serving/StreamProgress.cpp
@@ -50,11 +50,11 @@
         return StreamEnd::WithinEvent;
     if (!progress.hasEvents)
         return StreamEnd::WithoutEvent;
-    if (end.isFramed || hasAllTokens(progress) || !end.isResumable)
-        return StreamEnd::Complete;
     if (hasLaterEventBegun(progress))
         return StreamEnd::BeforeBegunEvent;
-    return isEndInDoubt(progress) ? StreamEnd::Complete : StreamEnd::Unconfirmed;
+    const bool isKnown = end.isFramed || hasAllTokens(progress) || isEndInDoubt(progress);
+    // The only answer of a stream that runs once is believed: no other one could tell.
+    return isKnown || !end.isResumable ? StreamEnd::Complete : StreamEnd::Unconfirmed;
 }
 
 } // namespace Tanagerbay::Serving
--- a/Source/UnitTests/Serving/StreamProgressTest.cpp
+++ b/Source/UnitTests/Serving/StreamProgressTest.cpp
@@ -75,18 +75,19 @@
         BOOST_TEST((judgeEnd(this->progress, end) == StreamEnd::WithinEvent));
 }
 
-// Guards against a stream that looks complete and lacks its last events (ORDER): no end without
-// framing is one before an event that any answer has begun.
+// Guards against a stream that looks complete and lacks its last events (ORDER): no end is one
+// before an event that any answer has begun, however it is marked.
 BOOST_AUTO_TEST_CASE(answer_endsBeforeAnEventThatHadBegun_isNotComplete)
 {
     this->answer(event(1) + "id: 2\nda");
     this->answer("");
-    BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::BeforeBegunEvent));
+    for (const AnswerEnd &end : {kFramed, kClosed})
+        BOOST_TEST((judgeEnd(this->progress, end) == StreamEnd::BeforeBegunEvent));
     this->answer(event(2));
     BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::Complete));
     // An answer to an earlier request, of which the caller has lost the last event.
     this->resume(1);
-    BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::BeforeBegunEvent));
+    BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::BeforeBegunEvent));
 }
 
 // Guards against an end that is believed or confirmed without evidence (ORDER).
