Http: Frame streams for callers of HTTP/1.0 by the end of their connection

What callers see: a caller of HTTP/1.0 got the sizes of chunks within its stream, and a stream that had been cut looked to it like any other body that ends with its connection (RFC 9112, 6.1 forbids chunks there).

Change: such a stream has no chunks and ends with its connection, in order only once it is complete. Until then a close resets it, also that of a process that ends: the option is set with the head.

--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -188,9 +188,11 @@
     http::response<http::empty_body> message{static_cast<http::status>(head.status), 11};
     for (const Header &field : head.headers.fields)
         addField(message, field);
-    this->keepAlive = this->keepAlive && !this->closeAfterAnswers;
+    this->keepAlive = this->keepAlive && !this->closeAfterAnswers && this->isHttp11;
     message.keep_alive(this->keepAlive);
-    message.chunked(true);
+    message.chunked(this->isHttp11);
+    if (!this->isHttp11)
+        this->setResetOnClose(true);
     http::response_serializer<http::empty_body> serializer{message};
     this->headWritten = true;
     this->isWriting = true;
@@ -208,22 +210,37 @@
     this->isWriting = true;
     beast::error_code error;
     this->deadline.moveTo(clockNow() + this->options.writeTimeout);
-    co_await asio::async_write(this->stream,
-                               http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
-                               asio::redirect_error(asio::use_awaitable, error));
+    if (this->isHttp11)
+        co_await asio::async_write(this->stream,
+                                   http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
+                                   asio::redirect_error(asio::use_awaitable, error));
+    else
+        co_await asio::async_write(this->stream, asio::buffer(bytes.data(), bytes.size()),
+                                   asio::redirect_error(asio::use_awaitable, error));
     co_return this->recordWrite(error, false);
 }
 
 Awaitable<bool> Connection::endStream()
 {
-    this->isWriting = true;
     beast::error_code error;
+    if (!this->isHttp11) {
+        this->setResetOnClose(false);
+        co_return this->recordWrite(error, true);
+    }
+    this->isWriting = true;
     this->deadline.moveTo(clockNow() + this->options.writeTimeout);
     co_await asio::async_write(this->stream, http::make_chunk_last(),
                                asio::redirect_error(asio::use_awaitable, error));
     co_return this->recordWrite(error, true);
 }
 
+void Connection::setResetOnClose(bool resets)
+{
+    this->isResetOnClose = resets;
+    beast::error_code ignored;
+    this->stream.socket().set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
 void Connection::disconnect()
 {
     this->markCallerGone();
@@ -285,7 +302,9 @@
     if (this->answered && !this->keepAlive)
         co_await this->drainInput();
     beast::error_code ignored;
-    this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    // An end in order before the reset would look like the end of the body.
+    if (!this->isResetOnClose)
+        this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     this->stream.close();
 }
 
@@ -440,7 +459,7 @@
 void Connection::setCurrentRequest(Message &&message)
 {
     this->keepAlive = message.keep_alive();
-    this->supportsInterim = message.version() >= kHttp11;
+    this->isHttp11 = message.version() >= kHttp11;
     this->currentRequest.method = message.method_string();
     this->currentRequest.target = message.target();
     this->currentRequest.headers.fields.clear();
@@ -493,7 +512,7 @@
     const CallerSide side = callerSideOf(this->stream.socket().native_handle());
     if (side != CallerSide::SentAll)
         return side == CallerSide::Closed;
-    const bool mayKeepHalf = this->options.keepsHalfClosed && this->supportsInterim;
+    const bool mayKeepHalf = this->options.keepsHalfClosed && this->isHttp11;
     if (!mayKeepHalf)
         return true;
     // A closed connection is reset by what is being written.
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -96,6 +96,10 @@
     bool probe(Common::Time now);
     void markCallerGone();
     void cancelSocket();
+    // Sets whether closing the connection resets it, also if the process ends. The stream of a
+    // caller that knows no chunks ends with its connection, so that a reset alone tells that it is
+    // not complete (RFC 9112, 6.3 and 8).
+    void setResetOnClose(bool resets);
 
     boost::beast::tcp_stream stream;
     LazyDeadline deadline;
@@ -117,8 +121,9 @@
     bool gone = false;
     bool isIdle = false;
     bool isHandling = false;
-    // Whether the caller knows interim responses.
-    bool supportsInterim = false;
+    // Whether the caller knows interim responses and chunks.
+    bool isHttp11 = false;
+    bool isResetOnClose = false;
     int probeCount = 0;
     Common::Time probedAt;
     // When the last write ended.
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -186,6 +186,56 @@
     BOOST_TEST(this->read().empty());
 }
 
+// Guards against chunks that a caller of HTTP/1.0 takes for the body (RFC 9112, 6.1).
+BOOST_AUTO_TEST_CASE(stream_callerUsesHttp10_hasNoChunksAndEndsWithItsConnection)
+{
+    this->start([](Http::Exchange &exchange) -> Http::Awaitable<void> {
+        Http::Response head;
+        head.status = 200;
+        co_await exchange.beginStream(std::move(head));
+        co_await exchange.writeChunk("first ");
+        co_await exchange.writeChunk("second");
+        co_await exchange.endStream();
+    });
+    tcp::socket caller(this->clientContext);
+    this->connect(caller);
+    send(caller, "GET /x HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n");
+    std::string received;
+    errno = 0;
+    for (std::string bytes = read(caller); !bytes.empty(); bytes = read(caller))
+        received += bytes;
+    BOOST_TEST(errno != ECONNRESET);
+    const std::size_t head = received.find("\r\n\r\n");
+    BOOST_REQUIRE(head != std::string::npos);
+    BOOST_TEST(received.substr(head + 4) == "first second");
+    BOOST_TEST(received.find("Connection: close") < head);
+    BOOST_TEST(received.find("chunked") == std::string::npos);
+}
+
+// Guards against a part of a stream that looks complete to such a caller (ORDER).
+BOOST_AUTO_TEST_CASE(stream_callerUsesHttp10AndItIsCut_connectionIsReset)
+{
+    this->start([](Http::Exchange &exchange) -> Http::Awaitable<void> {
+        Http::Response head;
+        head.status = 200;
+        co_await exchange.beginStream(std::move(head));
+        co_await exchange.writeChunk("first");
+    });
+    tcp::socket caller(this->clientContext);
+    this->connect(caller);
+    send(caller, "GET /x HTTP/1.0\r\nHost: a\r\n\r\n");
+    int last = 0;
+    std::array<char, 4096> bytes;
+    ssize_t count = 0;
+    do {
+        errno = 0;
+        count = ::recv(caller.native_handle(), bytes.data(), bytes.size(), 0);
+        last = errno;
+    } while (count > 0);
+    BOOST_TEST(count < 0);
+    BOOST_TEST(last == ECONNRESET);
+}
+
 // Guards against a refusal that its caller loses, since closing a socket with unread input resets
 // the connection.
 BOOST_AUTO_TEST_CASE(connectionLimit_callerSendsALongRequest_readsTheRefusal)
