Entry: Test the setting of a stream's first event, and document it

Cause: a deployment that counts from another number loses all streams without it, so that its default and its faults have to be known.

Measured: EntrySettings, three cases, passed.

--- /dev/null
+++ b/Source/UnitTests/Entry/SettingsTest.cpp
@@ -0,0 +1,60 @@
+#include "Entry/Settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Tanagerbay;
+
+namespace {
+
+namespace json = boost::json;
+
+struct EntrySettingsFixture
+{
+    Entry::Settings parse()
+    {
+        return Entry::parseSettings(this->document, this->faults);
+    }
+
+    json::object document{
+        {"dialect", "platform"},
+        {"instance", "entry-1"},
+        {"failureDomain", "d1"},
+        {"listen",
+         {{"callers", "127.0.0.1:1"}, {"readiness", "127.0.0.1:2"}, {"directory", "127.0.0.1:3"}}},
+        {"peers", {{"port", 4}}},
+        {"store", "127.0.0.1:5"},
+        {"bounds", {{"graceSeconds", 8}}},
+    };
+    Common::JsonFaults faults;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EntrySettings, EntrySettingsFixture)
+
+// Guards against streams that are all rejected, since they are counted from another number than the
+// platform's.
+BOOST_AUTO_TEST_CASE(firstEvent_isNotSet_isOne)
+{
+    BOOST_TEST(this->parse().firstEvent == 1u);
+    BOOST_TEST(this->faults.empty());
+}
+
+BOOST_AUTO_TEST_CASE(firstEvent_isSet_isTaken)
+{
+    this->document["firstEvent"] = 0;
+    BOOST_TEST(this->parse().firstEvent == 0u);
+    BOOST_TEST(this->faults.empty());
+}
+
+BOOST_AUTO_TEST_CASE(firstEvent_isNoNumberOfAnEvent_isAFault)
+{
+    for (const json::value &value : {json::value(-1), json::value("1"), json::value(2'000'000)}) {
+        this->faults = {};
+        this->document["firstEvent"] = value;
+        this->parse();
+        BOOST_TEST(!this->faults.empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
