Serving: Let the event that breaks a sequence show that more follows

What callers would see: a stream that looks complete and lacks its tail (ORDER). Worker A sends events 1 and 3, worker B is asked for what follows 1 and answers with a last chunk.

Cause: the faulty event was dropped before anything looked at its number, so that the rule on events that had begun did not see it; whether two merged events counted depended on how the network cut them.

Change: an event out of sequence with the number of a later one shows that the next one exists. Its own number is not taken over: a damaged digit would bar each later end.

--- a/Source/Core/Serving/EventSequence.cpp
+++ b/Source/Core/Serving/EventSequence.cpp
@@ -10,13 +10,19 @@
 
 namespace {
 
-// Returns the number in the event's `id:` line, or nothing unless there is exactly one such line
-// and nothing but the number in it. A line break that got lost makes one event of two, and a byte
-// that got into the line makes a number that the caller reads differently.
-std::optional<std::uint64_t> eventNumber(std::string_view event)
+// What the `id:` lines of an event hold.
+struct EventNumbers
+{
+    std::size_t lines = 0;
+    // The largest number of a line that holds nothing else.
+    std::optional<std::uint64_t> largest;
+    bool areAllNumbers = true;
+};
+
+EventNumbers readNumbers(std::string_view event)
 {
     constexpr std::string_view kField = "id:";
-    std::optional<std::uint64_t> number;
+    EventNumbers numbers;
     std::size_t at = 0;
     while (at < event.size()) {
         const std::size_t end = std::min(event.find('\n', at), event.size());
@@ -32,12 +38,23 @@
         const bool hasLeadingZero = line.size() > 1 && line.starts_with('0');
         std::uint64_t value = 0;
         const auto parsed = std::from_chars(line.data(), line.data() + line.size(), value);
-        if (number || hasLeadingZero || parsed.ec != std::errc()
-            || parsed.ptr != line.data() + line.size())
-            return std::nullopt;
-        number = value;
+        const bool isNumber = !hasLeadingZero && parsed.ec == std::errc()
+            && parsed.ptr == line.data() + line.size();
+        ++numbers.lines;
+        numbers.areAllNumbers = numbers.areAllNumbers && isNumber;
+        if (isNumber)
+            numbers.largest = std::max(numbers.largest.value_or(value), value);
     }
-    return number;
+    return numbers;
+}
+
+// Returns the number in the event's `id:` line, or nothing unless there is exactly one such line
+// and nothing but the number in it. A line break that got lost makes one event of two, and a byte
+// that got into the line makes a number that the caller reads differently.
+std::optional<std::uint64_t> eventNumber(std::string_view event)
+{
+    const EventNumbers numbers = readNumbers(event);
+    return numbers.lines == 1 && numbers.areAllNumbers ? numbers.largest : std::nullopt;
 }
 
 // Returns the offset behind the first complete event from `from` on, including its blank line, or
@@ -89,7 +106,9 @@
             return SequenceFault::EventTooLong;
         }
         if (const SequenceFault fault = this->acceptEvent(event); fault != SequenceFault::None) {
+            const auto largest = readNumbers(event).largest;
             this->discardPartialEvent();
+            this->isLaterEventSeen = largest && *largest >= this->nextEvent();
             return fault;
         }
         this->ready.append(event);
@@ -121,8 +140,14 @@
     return eventNumber(std::string_view(this->partial).substr(0, lineEnd)) == this->nextEvent();
 }
 
+bool EventSequence::hasLaterEvent() const
+{
+    return this->isLaterEventSeen;
+}
+
 void EventSequence::discardPartialEvent()
 {
+    this->isLaterEventSeen = false;
     this->partial.clear();
     this->searched = 0;
 }
--- a/Source/Core/Serving/EventSequence.h
+++ b/Source/Core/Serving/EventSequence.h
@@ -55,6 +55,9 @@
     bool hasPartialEvent() const;
     // Whether the partial event is the next one, as its complete lines tell.
     bool hasBegunNextEvent() const;
+    // Whether the event that broke the sequence has the number of a later one, so that the next one
+    // exists too.
+    bool hasLaterEvent() const;
     // Discards the partial event after its endpoint has failed.
     void discardPartialEvent();
     // Number of the event that has to follow.
@@ -71,6 +74,7 @@
 
     std::string ready;
     std::string partial;
+    bool isLaterEventSeen = false;
     // Offset in `partial` before which no event ends.
     std::size_t searched = 0;
     std::uint64_t firstNumber;
--- a/Source/UnitTests/Serving/StreamProgressTest.cpp
+++ b/Source/UnitTests/Serving/StreamProgressTest.cpp
@@ -81,7 +81,7 @@
 {
     this->answer(event(1) + "id: 2\nda");
     this->answer("");
-    for (const AnswerEnd &end : {kFramed, kClosed})
+    for (const AnswerEnd &end : {kFramed, kClosed, kClosedOnceOnly, AnswerEnd{true, false}})
         BOOST_TEST((judgeEnd(this->progress, end) == StreamEnd::BeforeBegunEvent));
     this->answer(event(2));
     BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::Complete));
@@ -90,6 +90,33 @@
     BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::BeforeBegunEvent));
 }
 
+// The same for an answer that was spoiled: what it held behind the fault shows that more follows,
+// however the network cuts it.
+BOOST_AUTO_TEST_CASE(answer_endsBeforeAnEventOfASpoiledAnswer_isNotComplete)
+{
+    const std::string merged = "id: 2\ndata: text\nid: 3\ndata: text\n\n";
+    for (const std::string &spoiled :
+         {event(3), merged, event(7), std::string("id: 2x\nid: 3\ndata\n\n")}) {
+        for (const std::size_t cut : {std::size_t(0), std::size_t(1), spoiled.size() - 1}) {
+            this->events = EventSequence();
+            this->progress = {};
+            this->events.feed(event(1) + spoiled.substr(0, cut));
+            noteEvents(this->progress, this->events);
+            BOOST_TEST((this->events.feed(spoiled.substr(cut)) != SequenceFault::None));
+            noteEvents(this->progress, this->events);
+            this->answer("");
+            BOOST_TEST(this->progress.lastBegunEvent == 2u, spoiled);
+            BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::BeforeBegunEvent));
+            this->answer(event(2));
+            BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::Complete));
+        }
+    }
+    // An event that comes twice shows nothing.
+    this->answer(event(3) + event(3));
+    this->answer("");
+    BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::Complete));
+}
+
 // Guards against an end that is believed or confirmed without evidence (ORDER).
 BOOST_AUTO_TEST_CASE(answerWithoutFraming_endIsKnownOnlyByASecondOne)
 {
