Http: Do not end the stream of an HTTP/1.0 caller that has left in order

Cause: endStream of such a caller has nothing to write, so that it reported success on a connection that had failed, and took the reset back. Found by a reviewer.

Change: it fails there, as it does for callers of HTTP/1.1, and the reset stays.

Measured: Server/stream_callerUsesHttp10AndHasLeft_isNotAnswered (new) and the suite, all passed; the state before was not run against it.

--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -224,6 +224,8 @@
 {
     beast::error_code error;
     if (!this->isHttp11) {
+        if (this->gone)
+            co_return false;
         this->setResetOnClose(false);
         co_return this->recordWrite(error, true);
     }
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 using namespace Tanagerbay;
@@ -212,6 +213,38 @@
     BOOST_TEST(received.find("chunked") == std::string::npos);
 }
 
+// Guards against a stream that counts as answered although such a caller has left.
+BOOST_AUTO_TEST_CASE(stream_callerUsesHttp10AndHasLeft_isNotAnswered)
+{
+    std::atomic<bool> isEnded{false};
+    std::atomic<bool> isAnswered{true};
+    this->start([&](Http::Exchange &exchange) -> Http::Awaitable<void> {
+        Http::Response head;
+        head.status = 200;
+        co_await exchange.beginStream(std::move(head));
+        if (exchange.request().method != "POST") {
+            co_await exchange.endStream();
+            co_return;
+        }
+        // The caller resets its connection as soon as it has the head.
+        while (co_await exchange.writeChunk("more")) {
+            asio::steady_timer pause(co_await asio::this_coro::executor, Common::Milliseconds(1));
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        isAnswered = co_await exchange.endStream();
+        isEnded = true;
+    });
+    BOOST_TEST(this->read().find("HTTP/1.1 200") == 0u);
+    tcp::socket caller(this->clientContext);
+    this->connect(caller);
+    send(caller, "POST /x HTTP/1.0\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    BOOST_TEST(read(caller).find("HTTP/1.1 200") == 0u);
+    caller.set_option(asio::socket_base::linger(true, 0));
+    caller.close();
+    BOOST_TEST(eventually([&] { return isEnded.load(); }));
+    BOOST_TEST(!isAnswered);
+}
+
 // Guards against a part of a stream that looks complete to such a caller (ORDER).
 BOOST_AUTO_TEST_CASE(stream_callerUsesHttp10AndItIsCut_connectionIsReset)
 {
