Serving: Keep no origin of a stream without its endpoint

What callers would see: a stream that cannot be taken up (refused as moved) at an instance that had passed its request on to another one and whose paths are back.

Cause: when such a stream breaks, the instance notes what it knows of it, and had no origin: the entry named no service and no endpoint, and was found first.

Change: what is known is added to an entry that exists, and makes none.

Measured: StreamOriginsSuite/origin_withoutEndpoint_isNoEntryButCompletesOne (new) and the suite passed; no run of processes shows it.

--- a/Source/Core/Serving/StreamOrigins.cpp
+++ b/Source/Core/Serving/StreamOrigins.cpp
@@ -55,6 +55,9 @@
     removeExpired(origins, now);
     if (origin.expiresAt <= now || isUncertain(origins, origin))
         return;
+    // An instance that has passed the request on does not know where the stream began.
+    if (origin.endpoint.empty() && !origins.byAttempt.contains(attempt))
+        return;
     const auto [entry, added] = origins.byAttempt.try_emplace(attempt, origin);
     if (!added) {
         StreamOrigin &known = entry->second;
--- a/Source/UnitTests/Serving/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Serving/StreamOriginsTest.cpp
@@ -57,6 +57,22 @@
     BOOST_TEST(this->versionOf("a") == "v1");
 }
 
+// Guards against a stream that cannot be taken up (LOST): an instance that has passed its request
+// on knew where it began no more than that it is not complete.
+BOOST_AUTO_TEST_CASE(origin_withoutEndpoint_isNoEntryButCompletesOne)
+{
+    StreamOrigin unknown = this->origin("", 10);
+    unknown.service.clear();
+    unknown.endpoint = {};
+    unknown.lastBegunEvent = 4;
+    addOrigin(this->origins, "a", unknown, this->now);
+    BOOST_TEST(this->origins.byAttempt.empty());
+    addOrigin(this->origins, "a", this->origin("v1", 10), this->now);
+    addOrigin(this->origins, "a", unknown, this->now);
+    BOOST_TEST(this->versionOf("a") == "v1");
+    BOOST_TEST(this->origins.byAttempt.at("a").lastBegunEvent == 4u);
+}
+
 // Guards against a later, wrong report of where a stream began.
 BOOST_AUTO_TEST_CASE(origin_addedTwice_theFirstIsKept)
 {
