Serving: Let broken-off and endless events show that more follows, too

Cause: a partial event counted only if it had just the next number, and one that exceeded the limit was dropped unseen.

Change: one question, showsNextEvent, for partial events and for the event of a fault: a number from the next one on. The test of hasBegunNextEvent is that of showsNextEvent now; a partial event 3 behind event 1 shows that event 2 exists, where it told nothing before, and three more cases are in.

--- a/Source/Core/Serving/EventSequence.cpp
+++ b/Source/Core/Serving/EventSequence.cpp
@@ -57,6 +57,20 @@
     return numbers.lines == 1 && numbers.areAllNumbers ? numbers.largest : std::nullopt;
 }
 
+// Whether the event has this number or a larger one. Which number it should have is not known: a
+// damaged digit makes any of it.
+bool hasNumberFrom(std::uint64_t number, std::string_view event)
+{
+    const auto largest = readNumbers(event).largest;
+    return largest && *largest >= number;
+}
+
+std::string_view completeLines(std::string_view bytes)
+{
+    const std::size_t end = bytes.rfind('\n');
+    return end == std::string_view::npos ? std::string_view() : bytes.substr(0, end);
+}
+
 // Returns the offset behind the first complete event from `from` on, including its blank line, or
 // zero where there is none.
 std::size_t completeEventEnd(std::string_view bytes, std::size_t from)
@@ -101,16 +115,10 @@
     while (const std::size_t end
            = completeEventEnd(this->partial, std::max(begin, this->searched))) {
         const std::string_view event = std::string_view(this->partial).substr(begin, end - begin);
-        if (event.size() > Common::kMaxEventBytes) {
-            this->discardPartialEvent();
-            return SequenceFault::EventTooLong;
-        }
-        if (const SequenceFault fault = this->acceptEvent(event); fault != SequenceFault::None) {
-            const auto largest = readNumbers(event).largest;
-            this->discardPartialEvent();
-            this->isLaterEventSeen = largest && *largest >= this->nextEvent();
-            return fault;
-        }
+        if (event.size() > Common::kMaxEventBytes)
+            return this->endWith(SequenceFault::EventTooLong, event);
+        if (const SequenceFault fault = this->acceptEvent(event); fault != SequenceFault::None)
+            return this->endWith(fault, event);
         this->ready.append(event);
         begin = end;
     }
@@ -118,8 +126,15 @@
     this->searched = this->partial.size() - std::min(this->partial.size(), kMaxEndBytes);
     if (this->partial.size() <= Common::kMaxEventBytes)
         return SequenceFault::None;
+    return this->endWith(SequenceFault::EventTooLong, completeLines(this->partial));
+}
+
+SequenceFault EventSequence::endWith(SequenceFault fault, std::string_view event)
+{
+    const bool showsNext = hasNumberFrom(this->nextEvent(), event);
     this->discardPartialEvent();
-    return SequenceFault::EventTooLong;
+    this->hasFaultShownNext = showsNext;
+    return fault;
 }
 
 std::string EventSequence::takeReady()
@@ -132,22 +147,15 @@
     return !this->partial.empty();
 }
 
-bool EventSequence::hasBegunNextEvent() const
-{
-    const std::size_t lineEnd = this->partial.rfind('\n');
-    if (lineEnd == std::string::npos)
-        return false;
-    return eventNumber(std::string_view(this->partial).substr(0, lineEnd)) == this->nextEvent();
-}
-
-bool EventSequence::hasLaterEvent() const
+bool EventSequence::showsNextEvent() const
 {
-    return this->isLaterEventSeen;
+    return this->hasFaultShownNext
+        || hasNumberFrom(this->nextEvent(), completeLines(this->partial));
 }
 
 void EventSequence::discardPartialEvent()
 {
-    this->isLaterEventSeen = false;
+    this->hasFaultShownNext = false;
     this->partial.clear();
     this->searched = 0;
 }
--- a/Source/Core/Serving/EventSequence.h
+++ b/Source/Core/Serving/EventSequence.h
@@ -53,11 +53,9 @@
     // Returns the complete events that have not been taken yet, and removes them.
     std::string takeReady();
     bool hasPartialEvent() const;
-    // Whether the partial event is the next one, as its complete lines tell.
-    bool hasBegunNextEvent() const;
-    // Whether the event that broke the sequence has the number of a later one, so that the next one
-    // exists too.
-    bool hasLaterEvent() const;
+    // Whether the partial event, by its complete lines, or the event of the last fault has the
+    // number of the next event or of a later one, so that the next one exists.
+    bool showsNextEvent() const;
     // Discards the partial event after its endpoint has failed.
     void discardPartialEvent();
     // Number of the event that has to follow.
@@ -71,10 +69,11 @@
 
 private:
     SequenceFault acceptEvent(std::string_view event);
+    SequenceFault endWith(SequenceFault fault, std::string_view event);
 
     std::string ready;
     std::string partial;
-    bool isLaterEventSeen = false;
+    bool hasFaultShownNext = false;
     // Offset in `partial` before which no event ends.
     std::size_t searched = 0;
     std::uint64_t firstNumber;
--- a/Source/Core/Serving/StreamProgress.cpp
+++ b/Source/Core/Serving/StreamProgress.cpp
@@ -14,7 +14,7 @@
     progress.hasPartialEvent = events.hasPartialEvent();
     // The caller's word for its last event is no answer.
     std::uint64_t begun = events.eventCount() > 0 ? *progress.lastEvent : 0;
-    if (progress.lastEvent && (events.hasBegunNextEvent() || events.hasLaterEvent()))
+    if (progress.lastEvent && events.showsNextEvent())
         begun = events.nextEvent();
     progress.lastBegunEvent = std::max(progress.lastBegunEvent, begun);
 }
--- a/Source/UnitTests/Serving/EventSequenceTest.cpp
+++ b/Source/UnitTests/Serving/EventSequenceTest.cpp
@@ -162,7 +162,7 @@
 }
 
 // Guards against a number that is taken for another one, since its line has arrived in part.
-BOOST_AUTO_TEST_CASE(hasBegunNextEvent_partialEvent_isToldByItsCompleteLines)
+BOOST_AUTO_TEST_CASE(showsNextEvent_partialEvent_isToldByItsCompleteLines)
 {
     EventSequence resumed(1);
     for (const auto &[bytes, hasBegun] : std::vector<std::pair<std::string, bool>>{
@@ -170,15 +170,19 @@
              {"id: 2", false},
              {"id: 2\n", true},
              {"weight-versions: 2\nid: 2\nda", true},
-             {"id: 3\nda", false},
+             // It exists too if a later one does.
+             {"id: 3\nda", true},
+             {"id: 2\nid: 3\nda", true},
+             {"id: 1\nda", false},
+             {"id: 2x\nda", false},
              {"no event", false},
          }) {
         BOOST_TEST((resumed.feed(bytes) == SequenceFault::None));
-        BOOST_TEST(resumed.hasBegunNextEvent() == hasBegun, bytes);
+        BOOST_TEST(resumed.showsNextEvent() == hasBegun, bytes);
         resumed.discardPartialEvent();
     }
     BOOST_TEST((this->events.feed("id: 1\nda") == SequenceFault::None));
-    BOOST_TEST(this->events.hasBegunNextEvent());
+    BOOST_TEST(this->events.showsNextEvent());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Serving/StreamProgressTest.cpp
+++ b/Source/UnitTests/Serving/StreamProgressTest.cpp
@@ -1,5 +1,6 @@
 #include "Serving/StreamProgress.h"
 
+#include "Common/EventLimits.h"
 #include "Serving/EventSequence.h"
 
 #include <boost/test/unit_test.hpp>
@@ -111,6 +112,18 @@
             BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::Complete));
         }
     }
+    // The same for one that is broken off, or does not end.
+    const std::string endless(Common::kMaxEventBytes, 't');
+    for (const std::string &spoiled :
+         {std::string("id: 3\nda"), std::string("id: 2\nid: 3\nda"), "id: 9\ndata: " + endless,
+          "id: 2\ndata: " + endless + "\n\n"}) {
+        this->events = EventSequence();
+        this->progress = {};
+        this->answer(event(1) + spoiled);
+        this->answer("");
+        BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::BeforeBegunEvent));
+        this->answer(event(2));
+    }
     // An event that comes twice shows nothing.
     this->answer(event(3) + event(3));
     this->answer("");
