Node: Count a caller whose answer could not be written as gone

Cause: the caller closes its connection at once. Where the write of the first tokens fails before the connection is found closed, the generation ends as "caller gone", but the request's scope is not told: the counter stays, and an error is written to the closed connection.

Change: the failed write sets it.

--- a/Source/Core/Node/Generation.cpp
+++ b/Source/Core/Node/Generation.cpp
@@ -181,6 +181,8 @@
             this->version = segment.version;
         }
         if (this->call.stream && !outgoing.empty() && !co_await this->forward(outgoing)) {
+            // A failed write may tell before the connection is found closed.
+            this->scope.callerGone = true;
             segment.end = SegmentEnd::CallerGone;
             co_return segment;
         }
