Serving: Try the next endpoint after any number of refused connections

Callers got 503, "no-endpoint", while an idle worker was left, once three workers had refused their connections.

Cause: the number of failed connections was limited to three, since each may cost a connect time-out. A refused one costs nothing and ejects its endpoint, so that it says nothing about the next.

Change: the time that failed connections take is limited, to three connect time-outs as before. Endpoints that are believed to be down, which are tried where there is no other, stay limited to three, so that a service that is down costs each request three connections.

The test unreachableEndpoints_consecutive_areLimitedThenRefused required three failures of any kind to end the request. It is replaced by three cases: time-outs are limited as before, refused connections are not, the last resort is.

--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -335,8 +335,14 @@
         return this->earlyEndName();
     if (!Serving::mayTryAnother(this->attempts, last.outcome, now))
         return "attempts";
-    if (!this->chooseSoonest(now))
+    const auto next = this->chooseSoonest(now);
+    if (!next)
         return Common::nameOf(this->reasonNoEndpoint());
+    const bool isLastResort
+        = !Routing::isEligible(this->state.poolOf(this->service).endpoints[*next], now);
+    if (last.outcome == SendOutcome::NotSent && isLastResort
+        && !Serving::mayTryLastResort(this->attempts))
+        return "attempts";
     if (last.hasDoubtfulEnd && !this->isDoubtAffordable(now))
         return "budget-of-doubts";
     // A failed connection attempt added no load to the service, so it needs no retry budget.
@@ -428,7 +434,7 @@
             continue;
         }
         now = clockNow();
-        Serving::noteOutcome(this->attempts, sent.outcome);
+        Serving::noteOutcome(this->attempts, sent.outcome, sent.duration);
         const std::string_view denialReason = this->retryDenialReason(sent, now);
         const bool canRetry = denialReason.empty();
         const NextStep step = Serving::nextStep(this->attempts, sent.outcome, canRetry);
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -88,6 +88,7 @@
         SendResult() = default;
 
         Serving::SendOutcome outcome = Serving::SendOutcome::Unknown;
+        Common::Duration duration{0};
         // Whether the complete response was relayed to the caller.
         bool isAnswered = false;
         // The endpoint's error response, relayed if the request is not retried.
--- a/Source/Core/Entry/RequestForward.cpp
+++ b/Source/Core/Entry/RequestForward.cpp
@@ -56,6 +56,7 @@
         const Http::CallError &error = opened.error();
         result.outcome = error.written ? SendOutcome::Unknown : SendOutcome::NotSent;
         result.detail = std::string(Common::nameOf(error.failure)) + ": " + error.message;
+        result.duration = clockNow() - now;
         co_return result;
     }
     const EndpointResponseHead answer
@@ -101,7 +102,7 @@
                                   .text("detail", last.detail)
                                   .milliseconds("leftMs", this->timeLeft(clockNow())),
                               clockNow());
-        Serving::noteOutcome(this->attempts, last.outcome);
+        Serving::noteOutcome(this->attempts, last.outcome, last.duration);
         const bool isCertainlyNotRun
             = last.outcome == SendOutcome::NotSent || last.outcome == SendOutcome::NotRun;
         // A failure that the other instance has answered with follows its own repeated sends.
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -245,6 +245,7 @@
         this->noteConnectionLost(endpoint);
     const Common::Time now = clockNow();
     report.duration = now - startedAt;
+    result.duration = report.duration;
     if (this->isStream() && this->events.eventCount() > 0)
         report.pace = report.duration / static_cast<std::int64_t>(this->events.eventCount());
     else if (!this->isStream())
--- a/Source/Core/Serving/Attempt.cpp
+++ b/Source/Core/Serving/Attempt.cpp
@@ -4,18 +4,23 @@
 
 namespace {
 
-// Maximum number of failed connections before the request is refused. Each takes up to a connect
-// time-out.
-constexpr std::uint32_t kMaxUnreachable = 3;
+// Maximum time spent on failed connections before the request is refused. A refused connection
+// costs next to nothing and keeps the endpoint from being chosen again, so that any number is
+// allowed.
+constexpr Common::Milliseconds kMaxUnreachableTime{750};
+// Maximum number of failed connections before endpoints that are believed to be down are no longer
+// tried. Otherwise each request would try all endpoints of a service that is down.
+constexpr std::uint32_t kMaxUnreachableForLastResort = 3;
 // Minimum time left for another attempt: a round trip and some processing.
 constexpr Common::Milliseconds kMinUsefulTime{40};
 
 } // namespace
 
-void noteOutcome(AttemptState &state, SendOutcome outcome)
+void noteOutcome(AttemptState &state, SendOutcome outcome, Common::Duration duration)
 {
     if (outcome == SendOutcome::NotSent) {
         ++state.unreachable;
+        state.unreachableTime += duration;
         return;
     }
     ++state.reached;
@@ -28,12 +33,17 @@
     if (state.deadline - now < kMinUsefulTime)
         return false;
     if (last == SendOutcome::NotSent)
-        return state.unreachable < kMaxUnreachable && state.reached < state.maxAttempts;
+        return state.unreachableTime < kMaxUnreachableTime && state.reached < state.maxAttempts;
     if (state.mayHaveRun && !state.repeatable)
         return false;
     return state.reached < state.maxAttempts;
 }
 
+bool mayTryLastResort(const AttemptState &state)
+{
+    return state.unreachable < kMaxUnreachableForLastResort;
+}
+
 NextStep nextStep(const AttemptState &state, SendOutcome last, bool canTryAnother)
 {
     if (canTryAnother)
--- a/Source/Core/Serving/Attempt.h
+++ b/Source/Core/Serving/Attempt.h
@@ -60,17 +60,23 @@
     std::uint32_t reached = 0;
     // Number of endpoints to which no connection could be made.
     std::uint32_t unreachable = 0;
+    // Time that was spent on connections to these.
+    Common::Duration unreachableTime{0};
     // Set once the request may have run at an endpoint.
     bool mayHaveRun = false;
 };
 
-// Records the outcome of a send.
-void noteOutcome(AttemptState &state, SendOutcome outcome);
+// Records the outcome of a send that took this long.
+void noteOutcome(AttemptState &state, SendOutcome outcome, Common::Duration duration);
 
 // Returns whether the request may be sent to another endpoint. The budget of the service for extra
 // sends is checked afterwards.
 bool mayTryAnother(const AttemptState &state, SendOutcome last, Common::Time now);
 
+// Returns whether the request may be sent to an endpoint that is believed to be down, where there
+// is no other.
+bool mayTryLastResort(const AttemptState &state);
+
 // Returns the next step. `canTryAnother` tells whether another send is permitted and possible.
 NextStep nextStep(const AttemptState &state, SendOutcome last, bool canTryAnother);
 
--- a/Source/UnitTests/Serving/AttemptTest.cpp
+++ b/Source/UnitTests/Serving/AttemptTest.cpp
@@ -18,9 +18,9 @@
         this->state.deadline = this->now + std::chrono::seconds(1);
     }
 
-    NextStep after(SendOutcome outcome)
+    NextStep after(SendOutcome outcome, Common::Duration duration = {})
     {
-        noteOutcome(this->state, outcome);
+        noteOutcome(this->state, outcome, duration);
         return nextStep(this->state, outcome, mayTryAnother(this->state, outcome, this->now));
     }
 };
@@ -42,7 +42,7 @@
 
 BOOST_AUTO_TEST_CASE(notRepeatable_notRunAfterUnknown_failsInsteadOfRefusal)
 {
-    noteOutcome(this->state, SendOutcome::Unknown);
+    noteOutcome(this->state, SendOutcome::Unknown, {});
     BOOST_TEST((this->after(SendOutcome::NotRun) == NextStep::Fail));
 }
 
@@ -58,11 +58,31 @@
     BOOST_TEST((this->after(SendOutcome::Unknown) == NextStep::Fail));
 }
 
-BOOST_AUTO_TEST_CASE(unreachableEndpoints_consecutive_areLimitedThenRefused)
+BOOST_AUTO_TEST_CASE(unreachableEndpoints_connectionsTimeOut_areLimitedThenRefused)
 {
-    BOOST_TEST((this->after(SendOutcome::NotSent) == NextStep::TryAnother));
-    BOOST_TEST((this->after(SendOutcome::NotSent) == NextStep::TryAnother));
-    BOOST_TEST((this->after(SendOutcome::NotSent) == NextStep::Refuse));
+    constexpr Common::Milliseconds kConnectTimeout{250};
+    BOOST_TEST((this->after(SendOutcome::NotSent, kConnectTimeout) == NextStep::TryAnother));
+    BOOST_TEST((this->after(SendOutcome::NotSent, kConnectTimeout) == NextStep::TryAnother));
+    BOOST_TEST((this->after(SendOutcome::NotSent, kConnectTimeout) == NextStep::Refuse));
+}
+
+// Guards against requests that are refused after three refused connections while an idle endpoint
+// is left.
+BOOST_AUTO_TEST_CASE(unreachableEndpoints_connectionsAreRefused_areNotLimited)
+{
+    constexpr Common::Milliseconds kRefusalTime{1};
+    for (int i = 0; i < 100; ++i)
+        BOOST_TEST((this->after(SendOutcome::NotSent, kRefusalTime) == NextStep::TryAnother));
+}
+
+BOOST_AUTO_TEST_CASE(lastResort_connectionsAreRefused_isLimited)
+{
+    BOOST_TEST(mayTryLastResort(this->state));
+    this->after(SendOutcome::NotSent);
+    this->after(SendOutcome::NotSent);
+    BOOST_TEST(mayTryLastResort(this->state));
+    this->after(SendOutcome::NotSent);
+    BOOST_TEST(!mayTryLastResort(this->state));
 }
 
 BOOST_AUTO_TEST_CASE(repeatable_noTimeLeft_isNotSentAgain)
