Entry: Log when an instance raises the number of its start

Cause: an instance whose clock has stepped back since its last start seems older than itself until it raises its start number, and no log told whether and when it did. Change: `start-number-raised` names both numbers.

--- a/Source/Core/Entry/Gossip.cpp
+++ b/Source/Core/Entry/Gossip.cpp
@@ -228,6 +228,18 @@
     Membership::publishSelf(this->detector, own);
 }
 
+void Gossip::raiseIncarnation(std::uint64_t reported)
+{
+    const std::uint64_t raised = Membership::incarnationAfter(this->incarnation, reported);
+    if (raised == this->incarnation)
+        return;
+    // The time of day has stepped back since an earlier start of this instance.
+    this->state.logState(LogLine("start-number-raised")
+                             .number("from", static_cast<std::int64_t>(this->incarnation))
+                             .number("to", static_cast<std::int64_t>(raised)));
+    this->incarnation = raised;
+}
+
 void Gossip::noteOwnState()
 {
     const bool isReady = this->state.isReady();
@@ -401,7 +413,7 @@
     const Membership::NewsEffect effect
         = Membership::applyNews(this->detector, this->state.members, news, now);
     if (effect == Membership::NewsEffect::AboutSelf) {
-        this->incarnation = Membership::incarnationAfter(this->incarnation, report.incarnation);
+        this->raiseIncarnation(report.incarnation);
         if (news.condition == Membership::Condition::Alive)
             return;
         if (Membership::isDoubtCurrent(this->ownReport(), report)) {
--- a/Source/Core/Entry/Gossip.h
+++ b/Source/Core/Entry/Gossip.h
@@ -51,6 +51,8 @@
     // Raises the sequence if the state that other instances have to know of has changed.
     void noteOwnState();
     void raiseSequence(std::uint64_t above);
+    // Raises the number of this start above one that another instance has reported.
+    void raiseIncarnation(std::uint64_t reported);
     void askAll(const Common::Address &peer, Common::Duration minInterval);
     void handleDatagram(const boost::json::object &message, const Common::Address &sender);
     void handleNews(const Membership::MemberNews &news, const Common::Address &sender);
