--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -431,6 +431,8 @@
     std::string program = "target/tanagerbay";
     // Most open files of a process; zero leaves the limit of the machine.
     int openFiles = 0;
+    // Variables that the process gets besides, as NAME=VALUE.
+    std::vector<std::string> environment = {};
 };
 
 // A process of the system, started with the command of the deploy file.
@@ -495,6 +497,8 @@
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
         ::putenv(const_cast<char *>(variable.c_str()));
+        for (const std::string &each : this->launch.environment)
+            ::putenv(const_cast<char *>(each.c_str()));
         if (this->launch.openFiles > 0) {
             const auto most = static_cast<rlim_t>(this->launch.openFiles);
             const rlimit limit{most, most};
