Gossip: Tell an instance of a later start than it states

Callers were sent to where an instance had been before its last start, and would not have learned that it leaves, if its clock had stepped back between two starts. An instance numbers its start by its time of day, and reports with a lower number are dropped. It raises its number once it hears of the higher one, but nobody told it: who answered its probes believed it to be alive, and news of it had been repeated often enough long before. What it was told of all instances when it asked was not looked at for its own number. The own interface is not concerned: its heartbeats state the start that was heard.

Change: who gets a message of an instance with an earlier start than is known tells it so with the next message; an instance looks for itself in what it asked for, and publishes its raised number at once.

--- a/Source/Core/Entry/Gossip.cpp
+++ b/Source/Core/Entry/Gossip.cpp
@@ -238,6 +238,7 @@
                              .number("from", static_cast<std::int64_t>(this->incarnation))
                              .number("to", static_cast<std::int64_t>(raised)));
     this->incarnation = raised;
+    this->raiseSequence(0);
 }
 
 void Gossip::noteOwnState()
@@ -269,9 +270,8 @@
         probe.emplace_back(Common::formatAddress(message.subject));
     json::array reports;
     reports.push_back(toJson({this->ownReport(), Membership::Condition::Alive}));
-    // So that the receiver can refute it.
-    if (const auto suspicion = Membership::suspicionOf(this->state.members, message.to))
-        reports.push_back(toJson(*suspicion));
+    if (const auto news = Membership::newsForSubject(this->state.members, message.to))
+        reports.push_back(toJson(*news));
     const std::size_t newsCount = hasAttachment ? kNewsBesideAttachment : kNewsPerMessage;
     for (const Membership::MemberNews &news :
          Membership::takeNews(this->detector.news, newsCount, repeats))
@@ -359,6 +359,10 @@
         }
     }
     Membership::applyAllNews(this->detector, this->state.members, all, clockNow());
+    for (const Membership::MemberNews &news : all) {
+        if (news.report.id == this->state.settings.instance)
+            this->raiseIncarnation(news.report.incarnation);
+    }
     for (const auto &read : this->attachmentHandlers)
         read(message);
 }
@@ -412,6 +416,8 @@
     const bool known = this->state.members.byId.contains(report.id);
     const Membership::NewsEffect effect
         = Membership::applyNews(this->detector, this->state.members, news, now);
+    if (report.peerAddress == sender)
+        Membership::noteStatedStart(this->state.members, report);
     if (effect == Membership::NewsEffect::AboutSelf) {
         this->raiseIncarnation(report.incarnation);
         if (news.condition == Membership::Condition::Alive)
--- a/Source/Core/Membership/Detector.cpp
+++ b/Source/Core/Membership/Detector.cpp
@@ -339,10 +339,20 @@
     publish(detector.news, report.id, MemberNews{report, Condition::Alive});
 }
 
-std::optional<MemberNews> suspicionOf(const Members &members, const Common::Address &peer)
+void noteStatedStart(Members &members, const MemberReport &own)
+{
+    const auto found = members.byId.find(own.id);
+    if (found == members.byId.end() || own.id == members.self)
+        return;
+    Member &member = found->second;
+    member.statesEarlierStart = member.lastReportAt && own.incarnation < member.report.incarnation;
+}
+
+std::optional<MemberNews> newsForSubject(const Members &members, const Common::Address &peer)
 {
     for (const auto &[id, member] : members.byId) {
-        if (member.condition != Condition::Alive && member.report.peerAddress == peer)
+        const bool mustHear = member.condition != Condition::Alive || member.statesEarlierStart;
+        if (mustHear && member.report.peerAddress == peer)
             return MemberNews{member.report, member.condition};
     }
     return std::nullopt;
--- a/Source/Core/Membership/Detector.h
+++ b/Source/Core/Membership/Detector.h
@@ -151,9 +151,12 @@
 // Passes on this instance's own report, after a change of its state.
 void publishSelf(Detector &detector, const MemberReport &report);
 
-// Returns what is known about the instance with this address, if it is not believed to be alive,
-// so that it can refute that.
-std::optional<MemberNews> suspicionOf(const Members &members, const Common::Address &peer);
+// Records which start an instance states in a message of its own.
+void noteStatedStart(Members &members, const MemberReport &own);
+
+// Returns what is known about the instance with this address if that has to reach it: it is not
+// believed to be alive and can refute that, or it states an earlier start than is known of it.
+std::optional<MemberNews> newsForSubject(const Members &members, const Common::Address &peer);
 
 // Returns all that is known, for an instance that has just started.
 std::vector<MemberNews> allNews(const Members &members);
--- a/Source/Core/Membership/Members.h
+++ b/Source/Core/Membership/Members.h
@@ -77,6 +77,9 @@
     // Result of probes; stays `Alive` where instances are judged by the age of their reports.
     Condition condition = Condition::Alive;
     Common::Time conditionSince;
+    // The instance has last stated an earlier start than that of the report: its clock has stepped
+    // back between its starts, and it has to number this one above the report.
+    bool statesEarlierStart = false;
 };
 
 struct Members
--- a/Source/UnitTests/Membership/DetectorSimulation.cpp
+++ b/Source/UnitTests/Membership/DetectorSimulation.cpp
@@ -133,9 +133,8 @@
     for (const ProbeMessage &message : messages) {
         Datagram datagram{message, {}};
         datagram.news.push_back({this->ownReport(from), Condition::Alive});
-        // So that the receiver can refute it.
-        if (const auto suspicion = suspicionOf(sender.members, message.to))
-            datagram.news.push_back(*suspicion);
+        if (const auto news = newsForSubject(sender.members, message.to))
+            datagram.news.push_back(*news);
         const std::uint32_t repeats = newsRepeats(sender.members.byId.size());
         for (MemberNews &news : takeNews(sender.detector.news, kNewsPerMessage, repeats))
             datagram.news.push_back(std::move(news));
@@ -171,6 +170,10 @@
     Instance &instance = this->instances[to];
     for (const MemberNews &news : datagram.news) {
         const NewsEffect effect = applyNews(instance.detector, instance.members, news, this->now);
+        if (effect == NewsEffect::AboutSelf)
+            this->raiseIncarnation(to, news.report.incarnation);
+        if (news.report.id == this->ids[from])
+            noteStatedStart(instance.members, news.report);
         const bool isDoubted
             = effect == NewsEffect::AboutSelf && news.condition != Condition::Alive;
         if (isDoubted) {
@@ -190,12 +193,23 @@
     this->instances[index].waiting.clear();
 }
 
-void DetectorSimulation::restart(std::size_t index)
+void DetectorSimulation::raiseIncarnation(std::size_t index, std::uint64_t reported)
+{
+    Instance &instance = this->instances[index];
+    const std::uint64_t raised = incarnationAfter(instance.incarnation, reported);
+    if (raised == instance.incarnation)
+        return;
+    instance.incarnation = raised;
+    this->raiseSequence(index, instance.sequence);
+}
+
+void DetectorSimulation::restart(std::size_t index, std::int64_t clockStep)
 {
     Instance fresh;
     fresh.members.self = this->instances[index].members.self;
     fresh.members.unheardGrace = this->instances[index].members.unheardGrace;
-    fresh.incarnation = this->instances[index].incarnation + 1;
+    fresh.incarnation
+        = this->instances[index].incarnation + 1 + static_cast<std::uint64_t>(clockStep);
     this->instances[index] = std::move(fresh);
     this->raiseSequence(index, 0);
 }
@@ -235,6 +249,19 @@
     return count;
 }
 
+std::size_t DetectorSimulation::hearers(std::size_t subject) const
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < this->instances.size(); ++i) {
+        const Instance &observer = this->instances[i];
+        const auto found = observer.members.byId.find(this->ids[subject]);
+        const bool hears = found != observer.members.byId.end()
+            && found->second.report.incarnation == this->instances[subject].incarnation;
+        count += i != subject && observer.isRunning && hears ? 1 : 0;
+    }
+    return count;
+}
+
 std::size_t DetectorSimulation::liveCount() const
 {
     std::size_t count = 0;
--- a/Source/UnitTests/Membership/DetectorSimulation.h
+++ b/Source/UnitTests/Membership/DetectorSimulation.h
@@ -30,7 +30,8 @@
     // Instance `index` learns of one other only.
     void introduce(std::size_t index, std::size_t other);
     void kill(std::size_t index);
-    void restart(std::size_t index);
+    // The clock has stepped by `clockStep` beside the time that has passed since the last start.
+    void restart(std::size_t index, std::int64_t clockStep = 0);
     void freeze(std::size_t index);
     void wake(std::size_t index);
     // Messages are processed this much later at the instance.
@@ -39,6 +40,8 @@
     bool believesAlive(std::size_t observer, std::size_t subject) const;
     // Number of live instances that believe the subject to be alive.
     std::size_t believers(std::size_t subject) const;
+    // Number of live instances that know the subject's current start.
+    std::size_t hearers(std::size_t subject) const;
     std::size_t liveCount() const;
     // Pairs of live instances of which one does not believe the other to be alive.
     std::size_t falseSuspicions() const;
@@ -53,7 +56,7 @@
     {
         Membership::Members members;
         Membership::Detector detector;
-        std::uint64_t incarnation = 1;
+        std::uint64_t incarnation = 1000;
         std::uint64_t sequence = 1;
         bool isRunning = true;
         bool isFrozen = false;
@@ -89,6 +92,7 @@
     // somebody within the interval.
     void askForAll(std::size_t index, std::size_t other, Common::Duration interval);
     void raiseSequence(std::size_t index, std::uint64_t above);
+    void raiseIncarnation(std::size_t index, std::uint64_t reported);
 
     std::vector<Instance> instances;
     std::vector<Common::InstanceId> ids;
--- a/Source/UnitTests/Membership/DetectorTest.cpp
+++ b/Source/UnitTests/Membership/DetectorTest.cpp
@@ -202,4 +202,21 @@
     BOOST_TEST((took <= kReturnBound));
 }
 
+// Guards against an instance whose reports the others drop for good, since it seems to be older
+// than itself: it starts again before anybody has missed it, and its clock has stepped back.
+BOOST_DATA_TEST_CASE(instanceStartsAgain_itsClockHasSteppedBack_isHeardByAllInTime,
+                     data::make(kSizes), size)
+{
+    DetectorSimulation simulation(size, size);
+    simulation.introduceAll();
+    // Until all news has been repeated often enough.
+    simulation.runFor(seconds(30));
+    simulation.kill(7);
+    simulation.restart(7, -500);
+    simulation.introduce(7, 8);
+    const auto took
+        = timeUntil(simulation, seconds(10), [&] { return simulation.hearers(7) == size - 1; });
+    BOOST_TEST((took <= kReturnBound));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
