Serving: Reject events in which a damaged byte may hide another one

Callers of a stream could miss an event, or get it twice: where the line break between two events is damaged rather than lost, the next event's number is no longer the beginning of a line, and both were relayed as one event. Framed, such a stream looked complete.

Change: an event is spoiled if it holds a carriage return that does not precede a line break, or an `id:` inside a line that is neither data nor a comment.

--- a/Source/Core/Serving/EventSequence.cpp
+++ b/Source/Core/Serving/EventSequence.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::string_view kNumberField = "id:";
+
 // What the `id:` lines of an event hold.
 struct EventNumbers
 {
@@ -21,16 +23,15 @@
 
 EventNumbers readNumbers(std::string_view event)
 {
-    constexpr std::string_view kField = "id:";
     EventNumbers numbers;
     std::size_t at = 0;
     while (at < event.size()) {
         const std::size_t end = std::min(event.find('\n', at), event.size());
         std::string_view line = event.substr(at, end - at);
         at = end + 1;
-        if (!line.starts_with(kField))
+        if (!line.starts_with(kNumberField))
             continue;
-        line.remove_prefix(kField.size());
+        line.remove_prefix(kNumberField.size());
         if (line.starts_with(' '))
             line.remove_prefix(1);
         if (line.ends_with('\r'))
@@ -48,13 +49,33 @@
     return numbers;
 }
 
+// Whether a damaged byte may have hidden the beginning of another event: a carriage return alone
+// ends a line for some readers, and an `id:` line may begin with a byte that is not its own.
+bool mayHideAnother(std::string_view event)
+{
+    std::size_t at = 0;
+    while (at < event.size()) {
+        const std::size_t end = std::min(event.find('\n', at), event.size());
+        std::string_view line = event.substr(at, end - at);
+        at = end + 1;
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        const bool isFreeText = line.starts_with("data:") || line.starts_with(':');
+        const bool hasHiddenNumber = !isFreeText && line.find(kNumberField, 1) != line.npos;
+        if (hasHiddenNumber || line.find('\r') != line.npos)
+            return true;
+    }
+    return false;
+}
+
 // Returns the number in the event's `id:` line, or nothing unless there is exactly one such line
 // and nothing but the number in it. A line break that got lost makes one event of two, and a byte
 // that got into the line makes a number that the caller reads differently.
 std::optional<std::uint64_t> eventNumber(std::string_view event)
 {
     const EventNumbers numbers = readNumbers(event);
-    return numbers.lines == 1 && numbers.areAllNumbers ? numbers.largest : std::nullopt;
+    const bool isOneNumber = numbers.lines == 1 && numbers.areAllNumbers;
+    return isOneNumber && !mayHideAnother(event) ? numbers.largest : std::nullopt;
 }
 
 // Whether the event has this number or a larger one. Which number it should have is not known: a
--- a/Source/UnitTests/Serving/EventSequenceTest.cpp
+++ b/Source/UnitTests/Serving/EventSequenceTest.cpp
@@ -48,6 +48,28 @@
     }
 }
 
+// Guards against two events that are taken for one, since a byte between them is damaged: callers
+// miss the second one or, where a lone carriage return ends a line for them, get it twice.
+BOOST_AUTO_TEST_CASE(feed_byteBetweenTwoEventsIsDamaged_isOutOfSequence)
+{
+    for (const std::string between : {"\nX", "\n\r", "X\n", "\r\n", "\n "}) {
+        EventSequence sequence;
+        const std::string merged = "id: 2\ndata: x" + between + "id: 3\ndata: y\n\n";
+        BOOST_TEST((sequence.feed(event(1) + merged) == SequenceFault::OutOfSequence), between);
+        BOOST_TEST(sequence.takeReady() == event(1), between);
+        BOOST_TEST(sequence.showsNextEvent(), between);
+    }
+}
+
+// Guards against sound events that are taken for damaged ones.
+BOOST_AUTO_TEST_CASE(feed_dataNamesTheFieldOfNumbers_isTaken)
+{
+    const std::string sound = "id: 1\r\n: id: 7\r\ndata: {\"id:\": \"id: 3\"}\r\n\r\n";
+    EventSequence sequence;
+    BOOST_TEST((sequence.feed(sound) == SequenceFault::None));
+    BOOST_TEST(sequence.takeReady() == sound);
+}
+
 // Guards against a first event whose number the caller reads differently.
 BOOST_AUTO_TEST_CASE(feed_newStreamBeginsWithoutNumber_isOutOfSequence)
 {
