--- a/Source/UnitTests/Serving/StreamProgressTest.cpp
+++ b/Source/UnitTests/Serving/StreamProgressTest.cpp
@@ -145,10 +145,14 @@
     BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::Unconfirmed));
 }
 
-// Nobody else may be asked about a stream that runs once.
-BOOST_AUTO_TEST_CASE(answerWithoutFraming_streamRunsOnce_isBelieved)
+// Guards against a stream that looks complete and lacks its last events (ORDER): it may run once, so
+// that no other answer can confirm its end.
+BOOST_AUTO_TEST_CASE(answerWithoutFraming_streamRunsOnce_isNotComplete)
 {
-    this->answer(event(1));
+    this->progress.maxEvents = eventsOfTokens(3, 1);
+    this->answer(event(1) + event(2));
+    BOOST_TEST((judgeEnd(this->progress, kClosedOnceOnly) == StreamEnd::Unconfirmed));
+    this->answer(event(3));
     BOOST_TEST((judgeEnd(this->progress, kClosedOnceOnly) == StreamEnd::Complete));
 }
 
