Serving: Cut streams that may run once if their end is not known

Callers got a stream that may run once as complete although its last events were missing: its worker lived, and had ended the answer in order without a length and without chunks. judgeEnd took each such end for complete, and the question to the process tells that it runs, not that it had finished.

What is not known to be whole does not look whole, whether the stream may be resumed or not. A stream that may run once is complete by its framing, or if its events hold all tokens that the request allows. Otherwise it is cut at once; its process is not asked. The setting closeDelimitedServices names services whose ends in order are believed while the process runs. unframed_streams_cut counts the cuts by service, and the first one of a service is logged.

--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -115,6 +115,18 @@
         this->earlyEnd.reset();
 }
 
+void RequestFlow::noteUnframedCut()
+{
+    const std::string counter = labelled("unframed_streams_cut", "service", this->service);
+    if (!this->state.metrics.counters.contains(counter))
+        this->state.log.write(LogLine("unframed-stream-cut")
+                                  .text("request", this->request.id)
+                                  .text("service", this->service)
+                                  .text("endpoint", this->sentTo.endpoint.value),
+                              clockNow());
+    this->state.metrics.count(counter);
+}
+
 void RequestFlow::preferOtherThanDoubted()
 {
     const std::vector<Routing::Endpoint> &endpoints = this->state.poolOf(this->service).endpoints;
@@ -158,19 +170,25 @@
     this->noteEnd(stream, end);
     this->progress.maxEvents = this->maxEvents();
     const bool isFramed = end == Http::BodyEnd::Whole;
+    const bool isTrusted = this->state.settings.closeDelimitedServices.contains(this->service);
     const Serving::StreamEnd judged
-        = Serving::judgeEnd(this->progress, {isFramed, this->route->resumable});
+        = Serving::judgeEnd(this->progress, {isFramed, this->route->resumable, isTrusted});
     const bool hasAllTokens = Serving::hasAllTokens(this->progress);
     const bool isSpoiled
         = judged == Serving::StreamEnd::WithinEvent || judged == Serving::StreamEnd::WithoutEvent;
-    if (!isFramed && !isSpoiled && !hasAllTokens)
+    const bool isUnconfirmed = judged == Serving::StreamEnd::Unconfirmed;
+    // Its process could not tell whether a stream that runs once is whole.
+    const bool isCut = isUnconfirmed && !this->route->resumable && endpoint;
+    if (!isFramed && !isSpoiled && !hasAllTokens && !isCut)
         result.detail = co_await this->faultAtEnd(end, endpoint);
     result.connectionLost = !result.detail.empty() || (isSpoiled && !isFramed);
     if (!result.detail.empty())
         co_return result;
     this->settleDoubt();
-    result.hasDoubtfulEnd = judged == Serving::StreamEnd::Unconfirmed;
-    if (result.hasDoubtfulEnd)
+    result.hasDoubtfulEnd = isUnconfirmed;
+    if (isCut)
+        this->noteUnframedCut();
+    else if (isUnconfirmed)
         this->beginDoubt(endedAt);
     if (judged != Serving::StreamEnd::Complete) {
         result.detail = "stream ended " + std::string(Common::nameOf(judged));
@@ -179,7 +197,7 @@
     if (Serving::isEndInDoubt(this->progress))
         this->state.metrics.count(labelled("doubtful_ends", "result", "confirmed"));
     else if (!isFramed && !hasAllTokens)
-        this->state.metrics.count(labelled("doubtful_ends", "result", "believed"));
+        this->state.metrics.count(labelled("doubtful_ends", "result", "trusted"));
     this->doubtTimer.cancel();
     result.isAnswered = true;
     Http::Response head;
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -199,6 +199,9 @@
     void beginDoubt(Common::Time endedAt);
     // Ends the doubt if an endpoint has shown that more follows.
     void settleDoubt();
+    // Counts a stream that runs once and is cut, as its service does not frame it. The first one of
+    // a service is logged.
+    void noteUnframedCut();
     // Tells other instances what is known of the end of a stream that is not complete, before the
     // caller learns of it. It may take the stream up anywhere.
     void noteIncompleteStream();
--- a/Source/Core/Entry/Settings.cpp
+++ b/Source/Core/Entry/Settings.cpp
@@ -108,6 +108,8 @@
     constexpr std::int64_t kMaxFirstEvent = 1'000'000;
     settings.firstEvent = static_cast<std::uint64_t>(
         reader.integer("firstEvent", 0, kMaxFirstEvent, Serving::kFirstEventNumber));
+    for (std::string &service : reader.textArray("closeDelimitedServices", false))
+        settings.closeDelimitedServices.insert(std::move(service));
     static const boost::json::value kEmpty = boost::json::object();
     const auto section = [&reader](std::string_view key) -> const boost::json::value & {
         const boost::json::value *member = reader.member(key);
--- a/Source/Core/Entry/Settings.h
+++ b/Source/Core/Entry/Settings.h
@@ -8,6 +8,8 @@
 #include "Serving/EventSequence.h"
 #include "Serving/FleetBudget.h"
 
+#include <set>
+
 namespace Tanagerbay::Entry {
 
 // Guarantees and limits of the platform.
@@ -53,6 +55,9 @@
     double linkMbps = 0;
     // Number of the first event of each stream.
     std::uint64_t firstEvent = Serving::kFirstEventNumber;
+    // Services that frame no streams and close the connection of one only behind its last event.
+    // Others have to frame the streams that may run once.
+    std::set<std::string> closeDelimitedServices;
     Bounds bounds;
 };
 
--- a/Source/Core/Serving/StreamProgress.cpp
+++ b/Source/Core/Serving/StreamProgress.cpp
@@ -52,9 +52,10 @@
         return StreamEnd::WithoutEvent;
     if (hasLaterEventBegun(progress))
         return StreamEnd::BeforeBegunEvent;
-    const bool isKnown = end.isFramed || hasAllTokens(progress) || isEndInDoubt(progress);
-    // The only answer of a stream that runs once is believed: no other one could tell.
-    return isKnown || !end.isResumable ? StreamEnd::Complete : StreamEnd::Unconfirmed;
+    const bool isTrusted = end.isCloseTrusted && !end.isResumable;
+    const bool isKnown
+        = end.isFramed || hasAllTokens(progress) || isEndInDoubt(progress) || isTrusted;
+    return isKnown ? StreamEnd::Complete : StreamEnd::Unconfirmed;
 }
 
 } // namespace Tanagerbay::Serving
--- a/Source/Core/Serving/StreamProgress.h
+++ b/Source/Core/Serving/StreamProgress.h
@@ -1,8 +1,8 @@
 // What is known of a stream while endpoints answer, and whether it may end where an answer has
 // ended.
 //
-// A stream that may be resumed looks complete only if that is known. Its answers are those to this
-// request and, as far as it was told, to the requests that it resumes.
+// A stream looks complete only if that is known. Its answers are those to this request and, as far
+// as it was told, to the requests that it resumes.
 #pragma once
 
 #include "Common/EnumNames.h"
@@ -45,6 +45,9 @@
     bool isFramed = false;
     // Whether the stream may be resumed, so that another answer can tell.
     bool isResumable = false;
+    // Whether the service is trusted to close the connection of a stream that runs once only behind
+    // its last event.
+    bool isCloseTrusted = false;
 };
 
 enum class StreamEnd {
--- a/Source/UnitTests/Entry/SettingsTest.cpp
+++ b/Source/UnitTests/Entry/SettingsTest.cpp
@@ -57,4 +57,28 @@
     }
 }
 
+// Guards against ends that are believed without the operator's word.
+BOOST_AUTO_TEST_CASE(closeDelimitedServices_areNotSet_areNone)
+{
+    BOOST_TEST(this->parse().closeDelimitedServices.empty());
+}
+
+BOOST_AUTO_TEST_CASE(closeDelimitedServices_areSet_areTaken)
+{
+    this->document["closeDelimitedServices"] = {"engines", "drafts"};
+    BOOST_TEST(
+        (this->parse().closeDelimitedServices == std::set<std::string>{"drafts", "engines"}));
+    BOOST_TEST(this->faults.empty());
+}
+
+BOOST_AUTO_TEST_CASE(closeDelimitedServices_areNoNames_areAFault)
+{
+    for (const json::value &value : {json::value("engines"), json::value({1, 2})}) {
+        this->faults = {};
+        this->document["closeDelimitedServices"] = value;
+        this->parse();
+        BOOST_TEST(!this->faults.empty());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Serving/StreamProgressTest.cpp
+++ b/Source/UnitTests/Serving/StreamProgressTest.cpp
@@ -145,8 +145,8 @@
     BOOST_TEST((judgeEnd(this->progress, kClosed) == StreamEnd::Unconfirmed));
 }
 
-// Guards against a stream that looks complete and lacks its last events (ORDER): it may run once, so
-// that no other answer can confirm its end.
+// Guards against a stream that looks complete and lacks its last events (ORDER): it may run once,
+// so that no other answer can confirm its end.
 BOOST_AUTO_TEST_CASE(answerWithoutFraming_streamRunsOnce_isNotComplete)
 {
     this->progress.maxEvents = eventsOfTokens(3, 1);
@@ -156,6 +156,19 @@
     BOOST_TEST((judgeEnd(this->progress, kClosedOnceOnly) == StreamEnd::Complete));
 }
 
+// Guards against a setting that ends streams which another answer can confirm, or which go on.
+BOOST_AUTO_TEST_CASE(answerWithoutFraming_closeIsTrusted_isCompleteIfTheStreamRunsOnce)
+{
+    constexpr AnswerEnd kTrusted{false, false, true};
+    this->answer(event(1));
+    BOOST_TEST((judgeEnd(this->progress, kTrusted) == StreamEnd::Complete));
+    BOOST_TEST((judgeEnd(this->progress, {false, true, true}) == StreamEnd::Unconfirmed));
+    this->answer("id: 2\nda");
+    BOOST_TEST((judgeEnd(this->progress, kTrusted) == StreamEnd::WithinEvent));
+    this->answer("");
+    BOOST_TEST((judgeEnd(this->progress, kTrusted) == StreamEnd::BeforeBegunEvent));
+}
+
 // Guards against an end that is taken for known because one more token was not counted (ORDER).
 BOOST_AUTO_TEST_CASE(answerWithoutFraming_hasAllTokens_isComplete)
 {
