Staging: Close the connection of an answer that may be an earlier one's copy

Requests were given the stage results of another request (MIXED). When a stage is run again for a request, and its endpoint sends the copy of the first answer in place of the second, the copy names handles that were returned for the same pieces and was accepted, since a piece may be made again. The connection went on being used, so that the answer to the second run was taken for that to the next call.

Whether such an answer is the copy cannot be told, and its results can be used either way. matchAnswer names the three cases now, and the connection of an ambiguous answer is closed behind it.

StageQueueSuite asked isAnswerTo, which is gone; each of its checks asks matchAnswer for the exact case. The check that a piece may be made again is a case of its own.

--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -302,12 +302,16 @@
     if (reply.status != kStatusOk)
         return Http::ReplyUse::AcceptAndClose;
     const auto results = this->state.dialect.readStageResults(reply.body);
-    if (!results || !Staging::isAnswerTo(this->queues[service].queue, call, *results)) {
+    const auto match = results ? Staging::matchAnswer(this->queues[service].queue, call, *results)
+                               : Staging::AnswerMatch::EarlierCall;
+    if (match == Staging::AnswerMatch::EarlierCall) {
         this->state.metrics.count("stage_replies_rejected");
         return Http::ReplyUse::Reject;
     }
-    const bool hasResult = countAnswers(*results, Staging::PieceAnswer::Made) > 0;
-    return hasResult ? Http::ReplyUse::Accept : Http::ReplyUse::AcceptAndClose;
+    // Behind the copy of an earlier answer, that to this call would be taken for the next one's.
+    const bool isSurelyOwn = match == Staging::AnswerMatch::ThisCall
+        && countAnswers(*results, Staging::PieceAnswer::Made) > 0;
+    return isSurelyOwn ? Http::ReplyUse::Accept : Http::ReplyUse::AcceptAndClose;
 }
 
 Http::Awaitable<void> StageOwner::runCall(std::string service, Staging::PlannedCall call)
--- a/Source/Core/Staging/ResultOrigins.cpp
+++ b/Source/Core/Staging/ResultOrigins.cpp
@@ -18,18 +18,18 @@
 
 } // namespace
 
-bool noteResult(ResultOrigins &origins, const std::string &handle, const PieceRequest &piece)
+HandleUse noteResult(ResultOrigins &origins, const std::string &handle, const PieceRequest &piece)
 {
     const std::uint64_t identity = identityOf(piece);
     const auto [known, added] = origins.pieceByHandle.try_emplace(handle, identity);
     if (!added)
-        return known->second == identity;
+        return known->second == identity ? HandleUse::SamePiece : HandleUse::OtherPiece;
     origins.order.push_back(handle);
     if (origins.order.size() > kMaxOrigins) {
         origins.pieceByHandle.erase(origins.order.front());
         origins.order.pop_front();
     }
-    return true;
+    return HandleUse::New;
 }
 
 } // namespace Tanagerbay::Staging
--- a/Source/Core/Staging/ResultOrigins.h
+++ b/Source/Core/Staging/ResultOrigins.h
@@ -19,8 +19,14 @@
     std::deque<std::string> order;
 };
 
-// Records that the endpoint returned this handle as the result of the piece. Returns false if it
-// has returned the handle as the result of another piece.
-bool noteResult(ResultOrigins &origins, const std::string &handle, const PieceRequest &piece);
+// Whether an endpoint has returned a handle before.
+enum class HandleUse {
+    New,
+    SamePiece,
+    OtherPiece,
+};
+
+// Records that the endpoint returned this handle as the result of the piece.
+HandleUse noteResult(ResultOrigins &origins, const std::string &handle, const PieceRequest &piece);
 
 } // namespace Tanagerbay::Staging
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -250,18 +250,24 @@
     return taken;
 }
 
-bool isAnswerTo(StageQueue &queue, const PlannedCall &call, const std::vector<PieceResult> &results)
+AnswerMatch matchAnswer(StageQueue &queue, const PlannedCall &call,
+                        const std::vector<PieceResult> &results)
 {
     const auto endpoint = queue.endpoints.find(call.endpoint.id);
     if (endpoint == queue.endpoints.end() || results.size() != call.pieces.size())
-        return false;
-    bool isOwn = true;
+        return AnswerMatch::EarlierCall;
+    AnswerMatch match = AnswerMatch::ThisCall;
     for (std::size_t i = 0; i < results.size(); ++i) {
-        if (results[i].answer == PieceAnswer::Made)
-            isOwn = noteResult(endpoint->second.origins, results[i].handle, call.pieces[i].request)
-                && isOwn;
+        if (results[i].answer != PieceAnswer::Made)
+            continue;
+        const HandleUse use
+            = noteResult(endpoint->second.origins, results[i].handle, call.pieces[i].request);
+        if (use == HandleUse::OtherPiece)
+            match = AnswerMatch::EarlierCall;
+        else if (use == HandleUse::SamePiece && match == AnswerMatch::ThisCall)
+            match = AnswerMatch::MayBeEarlier;
     }
-    return isOwn;
+    return match;
 }
 
 std::vector<SettledPiece> callAnswered(StageQueue &queue, CallNumber number,
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -287,10 +287,18 @@
 std::vector<SettledPiece> callAnswered(StageQueue &queue, CallNumber call,
                                        const std::vector<PieceResult> &results, Common::Time now);
 
-// Returns whether an answer may belong to this call. Otherwise it is the copy of an earlier answer,
-// and the answer of the call is still to come.
-bool isAnswerTo(StageQueue &queue, const PlannedCall &call,
-                const std::vector<PieceResult> &results);
+// Which call an answer belongs to, as far as its results tell.
+enum class AnswerMatch {
+    ThisCall,
+    // Some results were returned before for the same pieces, which may be made again: the answer to
+    // this call, or the copy of an earlier one. Its results can be used.
+    MayBeEarlier,
+    // The copy of an earlier answer. That to this call is still to come.
+    EarlierCall,
+};
+
+AnswerMatch matchAnswer(StageQueue &queue, const PlannedCall &call,
+                        const std::vector<PieceResult> &results);
 
 // Whether a call may still be sent, immediately before its first byte is written: its endpoint may
 // have stated a limit since it was planned.
--- a/Source/UnitTests/Staging/StageQueueTest.cpp
+++ b/Source/UnitTests/Staging/StageQueueTest.cpp
@@ -426,15 +426,32 @@
     submit(this->queue, this->piece("r1"), this->now);
     const PlannedCall first = this->plan().front();
     const std::vector<PieceResult> results{{PieceAnswer::Made, "h1"}};
-    BOOST_TEST(isAnswerTo(this->queue, first, results));
+    BOOST_TEST((matchAnswer(this->queue, first, results) == AnswerMatch::ThisCall));
     callAnswered(this->queue, first.number, results, this->now);
     submit(this->queue, this->piece("r2"), this->now);
     const PlannedCall second = this->plan().front();
-    BOOST_TEST(!isAnswerTo(this->queue, second, results));
-    BOOST_TEST(isAnswerTo(this->queue, second, {{PieceAnswer::Made, "h2"}}));
-    // The same piece may be made again.
-    BOOST_TEST(isAnswerTo(this->queue, first, results));
-    BOOST_TEST(!isAnswerTo(this->queue, first, {}));
+    BOOST_TEST((matchAnswer(this->queue, second, results) == AnswerMatch::EarlierCall));
+    BOOST_TEST(
+        (matchAnswer(this->queue, second, {{PieceAnswer::Made, "h2"}}) == AnswerMatch::ThisCall));
+    BOOST_TEST((matchAnswer(this->queue, first, {}) == AnswerMatch::EarlierCall));
+}
+
+// Guards against results that are given to another request (MIXED): a piece is made again, and the
+// copy of its first answer comes in place of the second, which would be the next call's. Whether it
+// is the copy cannot be told.
+BOOST_AUTO_TEST_CASE(answer_repeatsResultsOfTheSamePiece_mayBeTheCopyOfAnEarlierOne)
+{
+    this->keepOneEndpoint();
+    submit(this->queue, this->piece("r1"), this->now);
+    const PlannedCall first = this->plan().front();
+    const std::vector<PieceResult> results{{PieceAnswer::Made, "h1"}};
+    BOOST_TEST((matchAnswer(this->queue, first, results) == AnswerMatch::ThisCall));
+    callAnswered(this->queue, first.number, results, this->now);
+    submit(this->queue, this->piece("r1"), this->now);
+    const PlannedCall again = this->plan().front();
+    BOOST_TEST((matchAnswer(this->queue, again, results) == AnswerMatch::MayBeEarlier));
+    BOOST_TEST(
+        (matchAnswer(this->queue, again, {{PieceAnswer::Made, "h2"}}) == AnswerMatch::ThisCall));
 }
 
 // Guards against results that are given to another request: the endpoint was not listed for a
@@ -445,7 +462,7 @@
     submit(this->queue, this->piece("r1"), this->now);
     const PlannedCall first = this->plan().front();
     const std::vector<PieceResult> results{{PieceAnswer::Made, "h1"}};
-    BOOST_TEST(isAnswerTo(this->queue, first, results));
+    BOOST_TEST((matchAnswer(this->queue, first, results) == AnswerMatch::ThisCall));
     callAnswered(this->queue, first.number, results, this->now);
     this->now += this->queue.batching.resultLifetime;
     applyEndpoints(this->queue, {}, this->now);
@@ -454,8 +471,9 @@
     applyEndpoints(this->queue, this->listed, this->now);
     submit(this->queue, this->piece("r2"), this->now);
     const PlannedCall second = this->plan().front();
-    BOOST_TEST(!isAnswerTo(this->queue, second, results));
-    BOOST_TEST(isAnswerTo(this->queue, second, {{PieceAnswer::Made, "h2"}}));
+    BOOST_TEST((matchAnswer(this->queue, second, results) == AnswerMatch::EarlierCall));
+    BOOST_TEST(
+        (matchAnswer(this->queue, second, {{PieceAnswer::Made, "h2"}}) == AnswerMatch::ThisCall));
 }
 
 // Guards against a memory of all endpoints that were ever listed.
@@ -478,12 +496,14 @@
     this->keepOneEndpoint();
     submit(this->queue, this->piece("r1"), this->now);
     const PlannedCall first = this->plan().front();
-    BOOST_TEST(isAnswerTo(this->queue, first, {{PieceAnswer::Made, "h1"}}));
+    BOOST_TEST(
+        (matchAnswer(this->queue, first, {{PieceAnswer::Made, "h1"}}) == AnswerMatch::ThisCall));
     this->listed.front().incarnation = 2;
     applyEndpoints(this->queue, this->listed, this->now);
     submit(this->queue, this->piece("r2"), this->now);
     const PlannedCall second = this->plan().front();
-    BOOST_TEST(isAnswerTo(this->queue, second, {{PieceAnswer::Made, "h1"}}));
+    BOOST_TEST(
+        (matchAnswer(this->queue, second, {{PieceAnswer::Made, "h1"}}) == AnswerMatch::ThisCall));
 }
 
 // Guards against stage calls beyond the limit that an endpoint states for all instances.
