Routing: Let a send that does not wait for its permit delay the next one

An endpoint that states a limit got more requests than that (LIMIT): questions whether a process still runs are sent at once, as an answer would be late otherwise, and the permit that they took while the gate was closed changed nothing.

A permit that is taken while the gate is closed is added to those before it.

--- a/Source/Core/Routing/SendGate.h
+++ b/Source/Core/Routing/SendGate.h
@@ -32,13 +32,15 @@
     return gate.interval == kNoSends ? Common::Time::max() : gate.lastSendAt + gate.interval;
 }
 
-// Takes the permit for a send that is about to be made, or for `sends` that follow each other. A
-// permit is never given back: the endpoint may have received what failed later.
+// Takes the permit for a send that is about to be made, or for `sends` that follow each other. One
+// that does not wait until the gate opens delays the next. A permit is never given back: the
+// endpoint may have received what failed later.
 inline void takePermit(SendGate &gate, Common::Time now, int sends = 1)
 {
-    gate.lastSendAt = std::max(gate.lastSendAt, now);
     if (isLimited(gate) && gate.interval != kNoSends)
-        gate.lastSendAt = now + gate.interval * (sends - 1);
+        gate.lastSendAt = std::max(opensAt(gate), now) + gate.interval * (sends - 1);
+    else
+        gate.lastSendAt = std::max(gate.lastSendAt, now);
 }
 
 } // namespace Tanagerbay::Routing
--- a/Source/UnitTests/Routing/LimitShareTest.cpp
+++ b/Source/UnitTests/Routing/LimitShareTest.cpp
@@ -200,6 +200,22 @@
     BOOST_TEST((opensAt(gate) == now + std::chrono::seconds(8)));
 }
 
+// Guards against sends beyond the limit that do not wait, such as questions, and delay no later
+// one.
+BOOST_AUTO_TEST_CASE(permit_isTakenWhileTheGateIsClosed_delaysTheNextSend)
+{
+    constexpr milliseconds kInterval{100};
+    const Common::Time now(std::chrono::seconds(100));
+    SendGate gate{kInterval, {}};
+    takePermit(gate, now);
+    takePermit(gate, now + milliseconds(10));
+    BOOST_TEST((opensAt(gate) == now + 2 * kInterval));
+    takePermit(gate, now + milliseconds(20), 2);
+    BOOST_TEST((opensAt(gate) == now + 4 * kInterval));
+    takePermit(gate, now + 5 * kInterval);
+    BOOST_TEST((opensAt(gate) == now + 6 * kInterval));
+}
+
 BOOST_AUTO_TEST_CASE(zeroAndHugeLimits_permitNoneAndAll)
 {
     BOOST_TEST((sendInterval(0, 1) == kNoSends));
