Entry: Read closeDelimitedServices and firstEvent again by SIGHUP

An operator who named a service in the settings and sent SIGHUP read that the settings were reloaded, and its streams were still cut. Both settings decide on each request and can change while the process runs. EndsOfAnswers/unframedOnceOnlyStream_serviceIsTrustedSinceAReload_isComplete guards it.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -402,6 +402,8 @@
         return;
     }
     // Listening addresses cannot change while the servers run; only these settings take effect.
+    this->state.settings.firstEvent = settings->firstEvent;
+    this->state.settings.closeDelimitedServices = settings->closeDelimitedServices;
     this->state.settings.seeds = settings->seeds;
     this->state.settings.store = settings->store;
     this->state.settings.bounds = settings->bounds;
