Serving: Count a stream with an unknown end neither as success nor as failure

A stream that runs once and is cut, as its end is not known, counted as a success of its endpoint, also where the endpoint had been killed, and its shortened duration entered the pace. Found by the review, by reading; no test shows it.

--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -250,7 +250,9 @@
         report.pace = report.duration / static_cast<std::int64_t>(this->events.eventCount());
     else if (!this->isStream())
         report.pace = report.duration;
-    if (this->callerGone || result.isTurnedBack || result.isOtherProcess
+    // Whether the endpoint has failed is not known of a stream that runs once and has no known end.
+    const bool isEndUnknown = result.hasDoubtfulEnd && !this->route->resumable;
+    if (this->callerGone || result.isTurnedBack || result.isOtherProcess || isEndUnknown
         || (this->earlyEnd && !result.isAnswered))
         report.end = Routing::CallEnd::Cancelled;
     Routing::endCall(this->state.poolOf(this->service), report, now);
