Serving: Keep what is known of a stream's end where it goes on elsewhere

A stream looked complete and lacked its last events (ORDER): an answer that ended before an event which another had begun was believed. What was known of that event had been lost in three ways.

- A request that takes a stream up and is passed on to a second instance named itself there, while the first had noted the event under the attempt that the caller resumes.
It names that attempt now.
- A caller that names a later attempt of its own got its origin only.
What an attempt shows is noted under its own name too.
- An instance that knew the stream used its own entry, which is not told of later events unless it is one of the three holders; one that did not took the first answer.
The holders are asked in any case, and what they know is added.
A holder that is down and not yet suspected costs up to 240 ms.

--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -157,8 +157,10 @@
     }
     known.lastBegunEvent = this->progress.lastBegunEvent;
     known.expiresAt = Serving::originExpiry(this->deadline, clockNow());
-    this->dependencies.streams.noteIncomplete(
-        this->isResumption() ? this->request.resumedAttempt : this->request.id, known);
+    this->dependencies.streams.noteIncomplete(this->request.id, known);
+    // A caller may name this attempt or the one that this attempt resumes.
+    if (this->isResumption() && this->request.resumedAttempt != this->request.id)
+        this->dependencies.streams.noteIncomplete(this->request.resumedAttempt, known);
 }
 
 Http::Awaitable<RequestFlow::SendResult>
--- a/Source/Core/Entry/StreamRegistry.cpp
+++ b/Source/Core/Entry/StreamRegistry.cpp
@@ -99,9 +99,10 @@
 bool StreamRegistry::isWaiting(const Search &search) const
 {
     const Common::Time now = clockNow();
-    if (this->recorder.isLoading())
+    if (!search.origin && this->recorder.isLoading())
         return true;
-    return std::any_of(search.unanswered.begin(), search.unanswered.end(), [&](const auto &entry) {
+    const auto &awaited = search.awaited();
+    return std::any_of(awaited.begin(), awaited.end(), [&](const auto &entry) {
         const auto found = this->state.members.byId.find(entry.second);
         return found != this->state.members.byId.end()
             && !Membership::isSuspect(this->state.members, found->second, now);
@@ -115,11 +116,14 @@
     const std::string key = keyOf(attempt);
     if (key.empty())
         co_return std::nullopt;
-    if (const auto *origin = Serving::findOrigin(this->origins, key, neededUntil, now))
-        co_return *origin;
     Search search(this->state.context);
     search.attempt = key;
     search.neededUntil = neededUntil;
+    if (const auto *origin = Serving::findOrigin(this->origins, key, neededUntil, now))
+        search.origin = *origin;
+    for (const Membership::Member *holder :
+         Membership::holdersOf(this->state.members, key, kHolders, false, now))
+        search.unansweredHolders.emplace(holder->report.peerAddress, holder->report.id);
     std::vector<const Membership::Member *> asked
         = Membership::holdersOf(this->state.members, key, kAskedInstances, true, now);
     const std::vector<const Membership::Member *> keepers = this->recorder.otherKeepers(now);
@@ -129,16 +133,14 @@
     StreamMessage question{StreamMessageKind::Find, ++this->lastNumber, key, {}};
     question.origin.expiresAt = neededUntil;
     this->searches[question.number] = &search;
-    for (int round = 0; round < kAskRounds && !search.origin && this->isWaiting(search); ++round) {
-        for (const auto &[address, instance] : search.unanswered)
+    for (int round = 0; round < kAskRounds && this->isWaiting(search); ++round) {
+        for (const auto &[address, instance] : search.awaited())
             this->send(address, question);
         search.timer.expires_after(kAskPeriod);
         boost::system::error_code ignored;
         co_await search.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     this->searches.erase(question.number);
-    if (search.origin)
-        Serving::addOrigin(this->origins, key, *search.origin, clockNow());
     co_return search.origin;
 }
 
@@ -169,11 +171,16 @@
         return;
     Search &search = *found->second;
     search.unanswered.erase(sender);
+    search.unansweredHolders.erase(sender);
     // Another instance may not know yet that the endpoint was restarted.
     if (message.kind == StreamMessageKind::Found
-        && !Serving::isUncertain(this->origins, message.origin))
-        search.origin = message.origin;
-    if (search.origin || !this->isWaiting(search))
+        && !Serving::isUncertain(this->origins, message.origin)) {
+        Serving::addOrigin(this->origins, search.attempt, message.origin, now);
+        const auto *known
+            = Serving::findOrigin(this->origins, search.attempt, search.neededUntil, now);
+        search.origin = known ? *known : message.origin;
+    }
+    if (!this->isWaiting(search))
         search.timer.cancel();
 }
 
@@ -185,7 +192,7 @@
             = Serving::findOrigin(this->origins, search->attempt, search->neededUntil, now);
         if (origin)
             search->origin = *origin;
-        if (origin || !this->isWaiting(*search))
+        if (!this->isWaiting(*search))
             search->timer.cancel();
     }
 }
--- a/Source/Core/Entry/StreamRegistry.h
+++ b/Source/Core/Entry/StreamRegistry.h
@@ -25,7 +25,8 @@
     // Records what is known of the end of an attempt's stream that is not complete.
     void noteIncomplete(const std::string &attempt, const Serving::StreamOrigin &origin);
     // Returns where the stream began that the attempt brought, from this instance's memory or that
-    // of others, which may hold what the store kept. Returns nothing if none of them knows.
+    // of others, which may hold what the store kept. Returns nothing if none of them knows. Its
+    // holders are asked in any case, since others may have learned more of the stream's end.
     // `neededUntil` is until when the stream may be taken up once more.
     Http::Awaitable<std::optional<Serving::StreamOrigin>> find(std::string attempt,
                                                                Common::Time neededUntil);
@@ -44,10 +45,18 @@
         {
         }
 
+        // The instances whose answers are needed. Once the origin is known, these are the ones that
+        // are told what others learn of the stream.
+        const std::map<Common::Address, Common::InstanceId> &awaited() const
+        {
+            return this->origin ? this->unansweredHolders : this->unanswered;
+        }
+
         std::string attempt;
         Common::Time neededUntil;
         std::optional<Serving::StreamOrigin> origin;
         std::map<Common::Address, Common::InstanceId> unanswered;
+        std::map<Common::Address, Common::InstanceId> unansweredHolders;
         boost::asio::steady_timer timer;
     };
 
