--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -104,6 +104,18 @@
         + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// What becomes of a call to the store.
+enum class CallFate {
+    Answered,
+    // It may be carried out, and its answer does not come.
+    Silent,
+    // Its connection is reset.
+    Reset,
+    // It is refused, and nothing is done.
+    Busy,
+    TooMany,
+};
+
 // The platform's store: rows with versions and a feed of their changes.
 class Store
 {
@@ -136,6 +148,14 @@
         this->cutIp = ip;
     }
 
+    // Decides it by the address of the caller and the table.
+    using Fates = std::function<CallFate(const std::string &ip, const std::string &table)>;
+    void decideFates(Fates decision)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->fates = std::move(decision);
+    }
+
 private:
     struct Row
     {
@@ -239,7 +259,19 @@
             Request request;
             if (!readRequest(reader, request, Clock::now() + Milliseconds(120'000)))
                 return;
+            const CallFate fate = this->fateOf(ip, request);
+            if (fate == CallFate::Busy || fate == CallFate::TooMany) {
+                if (!sendAll(fd, jsonResponse(fate == CallFate::Busy ? 503 : 429, "{}",
+                                              "Store-Era: 1\r\n")))
+                    return;
+                continue;
+            }
             std::string body;
+            if (fate == CallFate::Reset) {
+                const linger reset{1, 0};
+                ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+                return;
+            }
             if (request.target.rfind("/v1/rows-get?", 0) == 0)
                 body = this->getRows(request);
             else if (request.target.rfind("/v1/rows-feed?", 0) == 0)
@@ -247,7 +279,8 @@
             else if (request.target == "/v1/rows-tx")
                 body = this->transact(request);
             const int status = body.empty() ? 404 : 200;
-            if (this->isCutOff(ip))
+            if (this->isCutOff(ip) || fate == CallFate::Silent
+                || this->fateOf(ip, request) == CallFate::Silent)
                 continue;
             sleepFor(4);
             if (!sendAll(fd, jsonResponse(status, body.empty() ? "{}" : body, "Store-Era: 1\r\n")))
@@ -255,6 +288,23 @@
         }
     }
 
+    // A transaction shares the fate of the first of its tables that is not answered.
+    CallFate fateOf(const std::string &ip, const Request &request)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!this->fates)
+            return CallFate::Answered;
+        std::vector<std::string> tables = jsonTexts(request.body, "table");
+        if (tables.empty())
+            tables.push_back(queryValue(request.target, "table"));
+        for (const std::string &table : tables) {
+            const CallFate fate = this->fates(ip, table);
+            if (fate != CallFate::Answered)
+                return fate;
+        }
+        return CallFate::Answered;
+    }
+
     bool isCutOff(const std::string &ip)
     {
         const std::lock_guard lock(this->mutex);
@@ -267,6 +317,7 @@
     std::deque<Row> history;
     std::uint64_t version = 1;
     std::string cutIp;
+    Fates fates;
     Listener listener;
 };
 
