Staging: Reuse no connection whose last answer's results are forgotten

The queue remembers the last 512 results of an endpoint. If more came over other connections while one was idle, its copy was taken for the answer to the next call, and another request got the results. Change: the queue tells since when a connection must have been idle so that the results of its last answer are remembered (`reusableIdleSince`), and the client closes those that have been idle for longer.

--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -302,7 +302,7 @@
     if (reply.status != kStatusOk)
         return Http::ReplyUse::AcceptAndClose;
     const auto results = this->state.dialect.readStageResults(reply.body);
-    const auto match = results ? Staging::matchAnswer(this->queues[service].queue, call, *results)
+    const auto match = results ? Staging::matchAnswer(this->queues[service].queue, call, *results, clockNow())
                                : Staging::AnswerMatch::EarlierCall;
     if (match == Staging::AnswerMatch::EarlierCall) {
         this->state.metrics.count("stage_replies_rejected");
@@ -342,6 +342,8 @@
     options.deadline = call.deadline;
     options.connectTimeout = kConnectTimeout;
     options.repeatable = false;
+    options.reusableIdleSince
+        = Staging::reusableIdleSince(this->queues[service].queue, call.endpoint.id);
     options.maxBodyBytes = kMaxResultsBytes;
     options.acceptReply = [this, &service, &call](const Http::Response &reply) {
         return this->useOfReply(service, call, reply);
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -91,7 +91,8 @@
     // Where new connections come from; empty if the system chooses.
     std::string localIp;
 
-    ConnectionPtr acquire(const Address &address);
+    // Returns nothing if no connection has been idle since that time or a later one.
+    ConnectionPtr acquire(const Address &address, Common::Time reusableIdleSince);
     void release(const Address &address, ConnectionPtr connection, std::size_t maxIdleConnections);
 };
 
@@ -243,7 +244,7 @@
 
 } // namespace
 
-ConnectionPtr Client::Pool::acquire(const Address &address)
+ConnectionPtr Client::Pool::acquire(const Address &address, Common::Time reusableIdleSince)
 {
     const auto found = this->idle.find(address);
     if (found == this->idle.end())
@@ -253,7 +254,8 @@
         found->second.pop_back();
         const bool mayBeClosed
             = connection->reuseDeadline && *connection->reuseDeadline <= Common::clockNow();
-        if (!mayBeClosed && !isStale(*connection)) {
+        const bool isReusable = connection->idleSince >= reusableIdleSince;
+        if (isReusable && !mayBeClosed && !isStale(*connection)) {
             connection->reused = true;
             connection->markActive(this->active);
             return connection;
@@ -369,7 +371,7 @@
     while (true) {
         if (this->pool->closed || (options.handle && options.handle->isCancelled()))
             co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "cancelled"});
-        ConnectionPtr connection = fresh ? nullptr : this->pool->acquire(address);
+        ConnectionPtr connection = fresh ? nullptr : this->pool->acquire(address, options.reusableIdleSince);
         if (!connection) {
             connection = std::make_shared<ClientConnection>(this->pool->executor);
             connection->markActive(this->pool->active);
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -133,6 +133,8 @@
     // Opens a new connection instead of reusing a pooled one. Calls that may run at most once set
     // this, so that a stale connection cannot fail them.
     bool freshConnection = false;
+    // A pooled connection is reused only if it has been idle since this time or a later one.
+    Common::Time reusableIdleSince = Common::Time::min();
     // Whether the request may be sent again, over a new connection, after a reused connection was
     // lost before any reply arrived.
     bool repeatable = true;
--- a/Source/Core/Staging/ResultOrigins.cpp
+++ b/Source/Core/Staging/ResultOrigins.cpp
@@ -18,15 +18,17 @@
 
 } // namespace
 
-HandleUse noteResult(ResultOrigins &origins, const std::string &handle, const PieceRequest &piece)
+HandleUse noteResult(ResultOrigins &origins, const std::string &handle, const PieceRequest &piece,
+                     Common::Time now)
 {
     const std::uint64_t identity = identityOf(piece);
     const auto [known, added] = origins.pieceByHandle.try_emplace(handle, identity);
     if (!added)
         return known->second == identity ? HandleUse::SamePiece : HandleUse::OtherPiece;
-    origins.order.push_back(handle);
+    origins.order.push_back({handle, now});
     if (origins.order.size() > kMaxOrigins) {
-        origins.pieceByHandle.erase(origins.order.front());
+        origins.forgottenUntil = origins.order.front().notedAt;
+        origins.pieceByHandle.erase(origins.order.front().handle);
         origins.order.pop_front();
     }
     return HandleUse::New;
--- a/Source/Core/Staging/ResultOrigins.h
+++ b/Source/Core/Staging/ResultOrigins.h
@@ -2,6 +2,8 @@
 // their call, so that only their results show whether an answer is the copy of an earlier one.
 #pragma once
 
+#include "Common/Time.h"
+
 #include <cstdint>
 #include <deque>
 #include <string>
@@ -15,8 +17,15 @@
 {
     // Identity of the piece, by the handle of its result.
     std::unordered_map<std::string, std::uint64_t> pieceByHandle;
-    // Handles, the oldest first.
-    std::deque<std::string> order;
+    struct NotedHandle
+    {
+        std::string handle;
+        Common::Time notedAt;
+    };
+    // The oldest first.
+    std::deque<NotedHandle> order;
+    // All results that were noted later are known.
+    Common::Time forgottenUntil = Common::Time::min();
 };
 
 // Whether an endpoint has returned a handle before.
@@ -27,6 +36,7 @@
 };
 
 // Records that the endpoint returned this handle as the result of the piece.
-HandleUse noteResult(ResultOrigins &origins, const std::string &handle, const PieceRequest &piece);
+HandleUse noteResult(ResultOrigins &origins, const std::string &handle, const PieceRequest &piece,
+                     Common::Time now);
 
 } // namespace Tanagerbay::Staging
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint32_t kMaxHandOvers = 2;
 // Longer than a connection is kept that is not used.
 constexpr Common::Milliseconds kFormerEndpointPeriod{10'000};
+// The results of an answer are recorded at most this long before its connection is idle.
+constexpr Common::Milliseconds kMaxReplyHandling{1000};
 
 void requeue(StageQueue &queue, PieceTicket ticket)
 {
@@ -250,8 +252,16 @@
     return taken;
 }
 
+Time reusableIdleSince(const StageQueue &queue, const Common::EndpointId &endpoint)
+{
+    const auto found = queue.endpoints.find(endpoint);
+    if (found == queue.endpoints.end() || found->second.origins.forgottenUntil == Time::min())
+        return Time::min();
+    return found->second.origins.forgottenUntil + kMaxReplyHandling;
+}
+
 AnswerMatch matchAnswer(StageQueue &queue, const PlannedCall &call,
-                        const std::vector<PieceResult> &results)
+                        const std::vector<PieceResult> &results, Time now)
 {
     const auto endpoint = queue.endpoints.find(call.endpoint.id);
     if (endpoint == queue.endpoints.end() || results.size() != call.pieces.size())
@@ -261,7 +271,7 @@
         if (results[i].answer != PieceAnswer::Made)
             continue;
         const HandleUse use
-            = noteResult(endpoint->second.origins, results[i].handle, call.pieces[i].request);
+            = noteResult(endpoint->second.origins, results[i].handle, call.pieces[i].request, now);
         if (use == HandleUse::OtherPiece)
             match = AnswerMatch::EarlierCall;
         else if (use == HandleUse::SamePiece && match == AnswerMatch::ThisCall)
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -298,7 +298,11 @@
 };
 
 AnswerMatch matchAnswer(StageQueue &queue, const PlannedCall &call,
-                        const std::vector<PieceResult> &results);
+                        const std::vector<PieceResult> &results, Common::Time now);
+
+// Returns the time since which a connection to the endpoint must have been idle, at the most, to be
+// used again. The copy of an answer that came over it before then would not be recognized.
+Common::Time reusableIdleSince(const StageQueue &queue, const Common::EndpointId &endpoint);
 
 // Whether a call may still be sent, immediately before its first byte is written: its endpoint may
 // have stated a limit since it was planned.
--- a/Source/UnitTests/Http/ClientTest.cpp
+++ b/Source/UnitTests/Http/ClientTest.cpp
@@ -220,6 +220,42 @@
     BOOST_TEST(last.error().written);
 }
 
+// Guards against a connection that is reused although it was idle for longer than its caller trusts.
+BOOST_AUTO_TEST_CASE(open_connectionIsIdleForLongerThanAllowed_isNotReused)
+{
+    Http::ServerOptions serverOptions;
+    serverOptions.address = {"127.0.0.1", 0};
+    Http::Server server(std::vector<asio::io_context *>{&this->context}, serverOptions,
+                        [](Http::Exchange &exchange) -> Http::Awaitable<void> {
+                            Http::Response response;
+                            co_await exchange.respond(std::move(response));
+                        });
+    BOOST_REQUIRE_EQUAL(server.start(), "");
+    const Common::Address address{"127.0.0.1", server.port()};
+    std::vector<bool> wereReused;
+    const auto run = [&]() -> Http::Awaitable<void> {
+        const Common::Time start = Common::clockNow();
+        for (const Common::Time since :
+             {Common::Time::min(), start, start + kMaxWait, Common::Time::min()}) {
+            Http::CallOptions options;
+            options.deadline = start + kServedCallTimeout;
+            options.reusableIdleSince = since;
+            Http::Request request{"GET", "/x", {}, ""};
+            auto opened = co_await this->client.open(address, std::move(request), options);
+            if (!opened)
+                break;
+            wereReused.push_back(opened->reusedConnection());
+            const auto end = co_await opened->read(options.deadline);
+            if (!end)
+                break;
+        }
+        server.closeAll();
+    };
+    asio::co_spawn(this->context, run(), asio::detached);
+    this->context.run_for(kMaxWait);
+    BOOST_TEST((wereReused == std::vector<bool>{false, true, false, true}));
+}
+
 // Guards against a part of a body that is taken for the whole, since the system ends the
 // connections of a killed process in order.
 BOOST_AUTO_TEST_CASE(call_requiresFramingAndBodyEndsWithItsConnection_isLost)
--- a/Source/UnitTests/Staging/StageQueueTest.cpp
+++ b/Source/UnitTests/Staging/StageQueueTest.cpp
@@ -426,14 +426,14 @@
     submit(this->queue, this->piece("r1"), this->now);
     const PlannedCall first = this->plan().front();
     const std::vector<PieceResult> results{{PieceAnswer::Made, "h1"}};
-    BOOST_TEST((matchAnswer(this->queue, first, results) == AnswerMatch::ThisCall));
+    BOOST_TEST((matchAnswer(this->queue, first, results, this->now) == AnswerMatch::ThisCall));
     callAnswered(this->queue, first.number, results, this->now);
     submit(this->queue, this->piece("r2"), this->now);
     const PlannedCall second = this->plan().front();
-    BOOST_TEST((matchAnswer(this->queue, second, results) == AnswerMatch::EarlierCall));
+    BOOST_TEST((matchAnswer(this->queue, second, results, this->now) == AnswerMatch::EarlierCall));
     BOOST_TEST(
-        (matchAnswer(this->queue, second, {{PieceAnswer::Made, "h2"}}) == AnswerMatch::ThisCall));
-    BOOST_TEST((matchAnswer(this->queue, first, {}) == AnswerMatch::EarlierCall));
+        (matchAnswer(this->queue, second, {{PieceAnswer::Made, "h2"}}, this->now) == AnswerMatch::ThisCall));
+    BOOST_TEST((matchAnswer(this->queue, first, {}, this->now) == AnswerMatch::EarlierCall));
 }
 
 // Guards against results that are given to another request (MIXED): a piece is made again, and the
@@ -445,13 +445,13 @@
     submit(this->queue, this->piece("r1"), this->now);
     const PlannedCall first = this->plan().front();
     const std::vector<PieceResult> results{{PieceAnswer::Made, "h1"}};
-    BOOST_TEST((matchAnswer(this->queue, first, results) == AnswerMatch::ThisCall));
+    BOOST_TEST((matchAnswer(this->queue, first, results, this->now) == AnswerMatch::ThisCall));
     callAnswered(this->queue, first.number, results, this->now);
     submit(this->queue, this->piece("r1"), this->now);
     const PlannedCall again = this->plan().front();
-    BOOST_TEST((matchAnswer(this->queue, again, results) == AnswerMatch::MayBeEarlier));
+    BOOST_TEST((matchAnswer(this->queue, again, results, this->now) == AnswerMatch::MayBeEarlier));
     BOOST_TEST(
-        (matchAnswer(this->queue, again, {{PieceAnswer::Made, "h2"}}) == AnswerMatch::ThisCall));
+        (matchAnswer(this->queue, again, {{PieceAnswer::Made, "h2"}}, this->now) == AnswerMatch::ThisCall));
 }
 
 // Guards against results that are given to another request: the endpoint was not listed for a
@@ -462,7 +462,7 @@
     submit(this->queue, this->piece("r1"), this->now);
     const PlannedCall first = this->plan().front();
     const std::vector<PieceResult> results{{PieceAnswer::Made, "h1"}};
-    BOOST_TEST((matchAnswer(this->queue, first, results) == AnswerMatch::ThisCall));
+    BOOST_TEST((matchAnswer(this->queue, first, results, this->now) == AnswerMatch::ThisCall));
     callAnswered(this->queue, first.number, results, this->now);
     this->now += this->queue.batching.resultLifetime;
     applyEndpoints(this->queue, {}, this->now);
@@ -471,9 +471,41 @@
     applyEndpoints(this->queue, this->listed, this->now);
     submit(this->queue, this->piece("r2"), this->now);
     const PlannedCall second = this->plan().front();
-    BOOST_TEST((matchAnswer(this->queue, second, results) == AnswerMatch::EarlierCall));
+    BOOST_TEST((matchAnswer(this->queue, second, results, this->now) == AnswerMatch::EarlierCall));
     BOOST_TEST(
-        (matchAnswer(this->queue, second, {{PieceAnswer::Made, "h2"}}) == AnswerMatch::ThisCall));
+        (matchAnswer(this->queue, second, {{PieceAnswer::Made, "h2"}}, this->now) == AnswerMatch::ThisCall));
+}
+
+// Guards against results that are given to another request (MIXED): the copy of an answer comes over
+// a connection that was idle while the endpoint returned more results than are remembered.
+BOOST_AUTO_TEST_CASE(answer_moreResultsThanAreRemembered_olderConnectionsAreNotReused)
+{
+    constexpr int kManyResults = 600;
+    this->keepOneEndpoint();
+    const Common::EndpointId endpoint = this->listed.front().id;
+    submit(this->queue, this->piece("r1"), this->now);
+    const PlannedCall first = this->plan().front();
+    const std::vector<PieceResult> results{{PieceAnswer::Made, "h1"}};
+    matchAnswer(this->queue, first, results, this->now);
+    callAnswered(this->queue, first.number, results, this->now);
+    const Common::Time idleSince = this->now;
+    BOOST_TEST((reusableIdleSince(this->queue, endpoint) <= idleSince));
+    for (int i = 0; i < kManyResults; ++i) {
+        this->now += milliseconds(10);
+        submit(this->queue, this->piece("other" + std::to_string(i)), this->now);
+        const PlannedCall call = this->plan().front();
+        const std::vector<PieceResult> made{{PieceAnswer::Made, "o" + std::to_string(i)}};
+        matchAnswer(this->queue, call, made, this->now);
+        callAnswered(this->queue, call.number, made, this->now);
+    }
+    // Its copy would be taken for the answer to this call.
+    submit(this->queue, this->piece("r2"), this->now);
+    const PlannedCall next = this->plan().front();
+    BOOST_TEST(
+        (matchAnswer(this->queue, next, results, this->now) == AnswerMatch::ThisCall));
+    BOOST_TEST((reusableIdleSince(this->queue, endpoint) > idleSince));
+    // Connections that were used lately are kept.
+    BOOST_TEST((reusableIdleSince(this->queue, endpoint) < this->now));
 }
 
 // Guards against a memory of all endpoints that were ever listed.
@@ -497,13 +529,13 @@
     submit(this->queue, this->piece("r1"), this->now);
     const PlannedCall first = this->plan().front();
     BOOST_TEST(
-        (matchAnswer(this->queue, first, {{PieceAnswer::Made, "h1"}}) == AnswerMatch::ThisCall));
+        (matchAnswer(this->queue, first, {{PieceAnswer::Made, "h1"}}, this->now) == AnswerMatch::ThisCall));
     this->listed.front().incarnation = 2;
     applyEndpoints(this->queue, this->listed, this->now);
     submit(this->queue, this->piece("r2"), this->now);
     const PlannedCall second = this->plan().front();
     BOOST_TEST(
-        (matchAnswer(this->queue, second, {{PieceAnswer::Made, "h1"}}) == AnswerMatch::ThisCall));
+        (matchAnswer(this->queue, second, {{PieceAnswer::Made, "h1"}}, this->now) == AnswerMatch::ThisCall));
 }
 
 // Guards against stage calls beyond the limit that an endpoint states for all instances.
