Serving: Use what is told of a stream while its holders are asked

In the meantime it may learn that the endpoint had been restarted, so that the stream may have begun at another version, or that another answer had begun a later event. Both were ignored for the request that asked (ORDER: two versions in a stream, or an end that is believed before an event that had begun). Change: at the end of the search the entry is read again. Where there is none any more, what was found counts only if no other process may have begun the stream (`latestOrigin`). Measured: the two new cases of StreamOriginsSuite fail if the copy is returned (a trial), and pass; StreamOriginsSuite 14 of 14.

--- a/Source/Core/Entry/StreamRegistry.cpp
+++ b/Source/Core/Entry/StreamRegistry.cpp
@@ -141,7 +141,7 @@
         co_await search.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     this->searches.erase(question.number);
-    co_return search.origin;
+    co_return Serving::latestOrigin(this->origins, key, search.origin, neededUntil, clockNow());
 }
 
 void StreamRegistry::handle(const StreamMessage &message, const Common::Address &sender)
--- a/Source/Core/Serving/StreamOrigins.cpp
+++ b/Source/Core/Serving/StreamOrigins.cpp
@@ -91,6 +91,15 @@
     return &found->second;
 }
 
+std::optional<StreamOrigin> latestOrigin(StreamOrigins &origins, const std::string &attempt,
+                                         const std::optional<StreamOrigin> &found,
+                                         Common::Time neededUntil, Common::Time now)
+{
+    if (const StreamOrigin *known = findOrigin(origins, attempt, neededUntil, now))
+        return *known;
+    return found && !isUncertain(origins, *found) ? found : std::nullopt;
+}
+
 void forgetOrigins(StreamOrigins &origins, const Common::EndpointId &endpoint,
                    std::uint64_t incarnation, Common::Time since, Common::Time now)
 {
--- a/Source/Core/Serving/StreamOrigins.h
+++ b/Source/Core/Serving/StreamOrigins.h
@@ -82,6 +82,13 @@
 const StreamOrigin *findOrigin(StreamOrigins &origins, const std::string &attempt,
                                Common::Time neededUntil, Common::Time now);
 
+// Returns what is known of a stream at the end of a search that has found `found`: what was told
+// meanwhile is added. Returns nothing if another process may have begun the stream, as was learned
+// meanwhile.
+std::optional<StreamOrigin> latestOrigin(StreamOrigins &origins, const std::string &attempt,
+                                         const std::optional<StreamOrigin> &found,
+                                         Common::Time neededUntil, Common::Time now);
+
 // Forgets the streams that were sent to an endpoint's process at `since` or later, after the
 // endpoint turned out to have been restarted with another version: some of them may have begun at
 // the new process. Another instance may learn of the restart later, and still report such streams.
--- a/Source/UnitTests/Serving/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Serving/StreamOriginsTest.cpp
@@ -73,6 +73,35 @@
     BOOST_TEST(this->origins.byAttempt.at("a").lastBegunEvent == 4u);
 }
 
+// Guards against a stream that goes on at another version (ORDER): its endpoint turns out to have
+// been restarted while the instance asks others where the stream began.
+BOOST_AUTO_TEST_CASE(search_endpointWasRestartedMeanwhile_findsNothing)
+{
+    const StreamOrigin found = this->origin("v1", 10);
+    addOrigin(this->origins, "a", found, this->now);
+    forgetOrigins(this->origins, found.endpoint, found.incarnation, found.sentAt, this->now);
+    BOOST_TEST(!latestOrigin(this->origins, "a", found, this->now, this->now));
+    StreamOrigin stated = found;
+    stated.isStated = true;
+    BOOST_TEST(latestOrigin(this->origins, "a", stated, this->now, this->now).has_value());
+}
+
+// Guards against an end that is believed (ORDER) as the event behind it was told of during the
+// search.
+BOOST_AUTO_TEST_CASE(search_laterEventIsToldMeanwhile_findsIt)
+{
+    const StreamOrigin found = this->origin("v1", 10);
+    addOrigin(this->origins, "a", found, this->now);
+    StreamOrigin told = found;
+    told.lastBegunEvent = 6;
+    addOrigin(this->origins, "a", told, this->now);
+    const auto latest = latestOrigin(this->origins, "a", found, this->now, this->now);
+    BOOST_REQUIRE(latest);
+    BOOST_TEST(latest->lastBegunEvent == 6u);
+    BOOST_TEST(!latestOrigin(this->origins, "b", std::nullopt, this->now, this->now));
+    BOOST_TEST(latestOrigin(this->origins, "b", found, this->now, this->now).has_value());
+}
+
 // Guards against a later, wrong report of where a stream began.
 BOOST_AUTO_TEST_CASE(origin_addedTwice_theFirstIsKept)
 {
