Serving: Keep the later doubt about the end of a stream

Change: a doubt about an earlier event does not replace one about a later event. Measured: the new case of StreamOriginsSuite fails without the change (a trial), and passes; StreamOriginsSuite 15 of 15.

--- a/Source/Core/Serving/StreamOrigins.cpp
+++ b/Source/Core/Serving/StreamOrigins.cpp
@@ -67,7 +67,8 @@
             known.version = origin.version;
             known.isVersionKnown = true;
         }
-        if (origin.doubtedEnd) {
+        // Others may not have heard of the last doubt.
+        if (origin.doubtedEnd >= known.doubtedEnd && origin.doubtedEnd) {
             known.doubtedEnd = origin.doubtedEnd;
             known.doubtedEndpoint = origin.doubtedEndpoint;
         }
--- a/Source/UnitTests/Serving/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Serving/StreamOriginsTest.cpp
@@ -127,6 +127,22 @@
     BOOST_TEST(found->doubtedEnd.value_or(0) == 9u);
 }
 
+// Guards against a stream that is cut once more: an instance that has missed the last doubt answers
+// with the one before.
+BOOST_AUTO_TEST_CASE(origin_addedAgainWithAnEarlierDoubt_theLaterOneIsKept)
+{
+    for (const std::uint64_t event : {9u, 4u}) {
+        StreamOrigin doubted = this->origin("v1", 10);
+        doubted.doubtedEnd = event;
+        doubted.doubtedEndpoint = Common::EndpointId("e" + std::to_string(event));
+        addOrigin(this->origins, "a", doubted, this->now);
+    }
+    const StreamOrigin *found = findOrigin(this->origins, "a", this->now, this->now);
+    BOOST_REQUIRE(found);
+    BOOST_TEST(found->doubtedEnd.value_or(0) == 9u);
+    BOOST_TEST(found->doubtedEndpoint.value == "e9");
+}
+
 // Guards against look-ups of invented attempts that displace streams.
 BOOST_AUTO_TEST_CASE(find_inventedAttempts_displaceNothing)
 {
