--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -302,8 +302,9 @@
     if (reply.status != kStatusOk)
         return Http::ReplyUse::AcceptAndClose;
     const auto results = this->state.dialect.readStageResults(reply.body);
-    const auto match = results ? Staging::matchAnswer(this->queues[service].queue, call, *results, clockNow())
-                               : Staging::AnswerMatch::EarlierCall;
+    const auto match = results
+        ? Staging::matchAnswer(this->queues[service].queue, call, *results, clockNow())
+        : Staging::AnswerMatch::EarlierCall;
     if (match == Staging::AnswerMatch::EarlierCall) {
         this->state.metrics.count("stage_replies_rejected");
         return Http::ReplyUse::Reject;
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -371,7 +371,8 @@
     while (true) {
         if (this->pool->closed || (options.handle && options.handle->isCancelled()))
             co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "cancelled"});
-        ConnectionPtr connection = fresh ? nullptr : this->pool->acquire(address, options.reusableIdleSince);
+        ConnectionPtr connection
+            = fresh ? nullptr : this->pool->acquire(address, options.reusableIdleSince);
         if (!connection) {
             connection = std::make_shared<ClientConnection>(this->pool->executor);
             connection->markActive(this->pool->active);
--- a/Source/UnitTests/Http/ClientTest.cpp
+++ b/Source/UnitTests/Http/ClientTest.cpp
@@ -220,7 +220,8 @@
     BOOST_TEST(last.error().written);
 }
 
-// Guards against a connection that is reused although it was idle for longer than its caller trusts.
+// Guards against a connection that is reused although it was idle for longer than its caller
+// trusts.
 BOOST_AUTO_TEST_CASE(open_connectionIsIdleForLongerThanAllowed_isNotReused)
 {
     Http::ServerOptions serverOptions;
--- a/Source/UnitTests/Staging/StageQueueTest.cpp
+++ b/Source/UnitTests/Staging/StageQueueTest.cpp
@@ -431,8 +431,8 @@
     submit(this->queue, this->piece("r2"), this->now);
     const PlannedCall second = this->plan().front();
     BOOST_TEST((matchAnswer(this->queue, second, results, this->now) == AnswerMatch::EarlierCall));
-    BOOST_TEST(
-        (matchAnswer(this->queue, second, {{PieceAnswer::Made, "h2"}}, this->now) == AnswerMatch::ThisCall));
+    BOOST_TEST((matchAnswer(this->queue, second, {{PieceAnswer::Made, "h2"}}, this->now)
+                == AnswerMatch::ThisCall));
     BOOST_TEST((matchAnswer(this->queue, first, {}, this->now) == AnswerMatch::EarlierCall));
 }
 
@@ -450,8 +450,8 @@
     submit(this->queue, this->piece("r1"), this->now);
     const PlannedCall again = this->plan().front();
     BOOST_TEST((matchAnswer(this->queue, again, results, this->now) == AnswerMatch::MayBeEarlier));
-    BOOST_TEST(
-        (matchAnswer(this->queue, again, {{PieceAnswer::Made, "h2"}}, this->now) == AnswerMatch::ThisCall));
+    BOOST_TEST((matchAnswer(this->queue, again, {{PieceAnswer::Made, "h2"}}, this->now)
+                == AnswerMatch::ThisCall));
 }
 
 // Guards against results that are given to another request: the endpoint was not listed for a
@@ -472,12 +472,12 @@
     submit(this->queue, this->piece("r2"), this->now);
     const PlannedCall second = this->plan().front();
     BOOST_TEST((matchAnswer(this->queue, second, results, this->now) == AnswerMatch::EarlierCall));
-    BOOST_TEST(
-        (matchAnswer(this->queue, second, {{PieceAnswer::Made, "h2"}}, this->now) == AnswerMatch::ThisCall));
+    BOOST_TEST((matchAnswer(this->queue, second, {{PieceAnswer::Made, "h2"}}, this->now)
+                == AnswerMatch::ThisCall));
 }
 
-// Guards against results that are given to another request (MIXED): the copy of an answer comes over
-// a connection that was idle while the endpoint returned more results than are remembered.
+// Guards against results that are given to another request (MIXED): the copy of an answer comes
+// over a connection that was idle while the endpoint returned more results than are remembered.
 BOOST_AUTO_TEST_CASE(answer_moreResultsThanAreRemembered_olderConnectionsAreNotReused)
 {
     constexpr int kManyResults = 600;
@@ -501,8 +501,7 @@
     // Its copy would be taken for the answer to this call.
     submit(this->queue, this->piece("r2"), this->now);
     const PlannedCall next = this->plan().front();
-    BOOST_TEST(
-        (matchAnswer(this->queue, next, results, this->now) == AnswerMatch::ThisCall));
+    BOOST_TEST((matchAnswer(this->queue, next, results, this->now) == AnswerMatch::ThisCall));
     BOOST_TEST((reusableIdleSince(this->queue, endpoint) > idleSince));
     // Connections that were used lately are kept.
     BOOST_TEST((reusableIdleSince(this->queue, endpoint) < this->now));
@@ -528,14 +527,14 @@
     this->keepOneEndpoint();
     submit(this->queue, this->piece("r1"), this->now);
     const PlannedCall first = this->plan().front();
-    BOOST_TEST(
-        (matchAnswer(this->queue, first, {{PieceAnswer::Made, "h1"}}, this->now) == AnswerMatch::ThisCall));
+    BOOST_TEST((matchAnswer(this->queue, first, {{PieceAnswer::Made, "h1"}}, this->now)
+                == AnswerMatch::ThisCall));
     this->listed.front().incarnation = 2;
     applyEndpoints(this->queue, this->listed, this->now);
     submit(this->queue, this->piece("r2"), this->now);
     const PlannedCall second = this->plan().front();
-    BOOST_TEST(
-        (matchAnswer(this->queue, second, {{PieceAnswer::Made, "h1"}}, this->now) == AnswerMatch::ThisCall));
+    BOOST_TEST((matchAnswer(this->queue, second, {{PieceAnswer::Made, "h1"}}, this->now)
+                == AnswerMatch::ThisCall));
 }
 
 // Guards against stage calls beyond the limit that an endpoint states for all instances.
--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -105,7 +105,7 @@
 }
 
 // What becomes of a call to the store.
-enum class CallFate {
+enum class CallOutcome {
     Answered,
     // It may be carried out, and its answer does not come.
     Silent,
@@ -149,11 +149,11 @@
     }
 
     // Decides it by the address of the caller and the table.
-    using Fates = std::function<CallFate(const std::string &ip, const std::string &table)>;
-    void decideFates(Fates decision)
+    using OutcomeOf = std::function<CallOutcome(const std::string &ip, const std::string &table)>;
+    void setOutcomes(OutcomeOf decision)
     {
         const std::lock_guard lock(this->mutex);
-        this->fates = std::move(decision);
+        this->decideOutcome = std::move(decision);
     }
 
 private:
@@ -259,15 +259,16 @@
             Request request;
             if (!readRequest(reader, request, Clock::now() + Milliseconds(120'000)))
                 return;
-            const CallFate fate = this->fateOf(ip, request);
-            if (fate == CallFate::Busy || fate == CallFate::TooMany) {
-                if (!sendAll(fd, jsonResponse(fate == CallFate::Busy ? 503 : 429, "{}",
-                                              "Store-Era: 1\r\n")))
+            const CallOutcome outcome = this->outcomeOf(ip, request);
+            if (outcome == CallOutcome::Busy || outcome == CallOutcome::TooMany) {
+                if (!sendAll(fd,
+                             jsonResponse(outcome == CallOutcome::Busy ? 503 : 429, "{}",
+                                          "Store-Era: 1\r\n")))
                     return;
                 continue;
             }
             std::string body;
-            if (fate == CallFate::Reset) {
+            if (outcome == CallOutcome::Reset) {
                 const linger reset{1, 0};
                 ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
                 return;
@@ -279,8 +280,8 @@
             else if (request.target == "/v1/rows-tx")
                 body = this->transact(request);
             const int status = body.empty() ? 404 : 200;
-            if (this->isCutOff(ip) || fate == CallFate::Silent
-                || this->fateOf(ip, request) == CallFate::Silent)
+            if (this->isCutOff(ip) || outcome == CallOutcome::Silent
+                || this->outcomeOf(ip, request) == CallOutcome::Silent)
                 continue;
             sleepFor(4);
             if (!sendAll(fd, jsonResponse(status, body.empty() ? "{}" : body, "Store-Era: 1\r\n")))
@@ -288,21 +289,21 @@
         }
     }
 
-    // A transaction shares the fate of the first of its tables that is not answered.
-    CallFate fateOf(const std::string &ip, const Request &request)
+    // A transaction shares the outcome of the first of its tables that is not answered.
+    CallOutcome outcomeOf(const std::string &ip, const Request &request)
     {
         const std::lock_guard lock(this->mutex);
-        if (!this->fates)
-            return CallFate::Answered;
+        if (!this->decideOutcome)
+            return CallOutcome::Answered;
         std::vector<std::string> tables = jsonTexts(request.body, "table");
         if (tables.empty())
             tables.push_back(queryValue(request.target, "table"));
         for (const std::string &table : tables) {
-            const CallFate fate = this->fates(ip, table);
-            if (fate != CallFate::Answered)
-                return fate;
+            const CallOutcome outcome = this->decideOutcome(ip, table);
+            if (outcome != CallOutcome::Answered)
+                return outcome;
         }
-        return CallFate::Answered;
+        return CallOutcome::Answered;
     }
 
     bool isCutOff(const std::string &ip)
@@ -317,7 +318,7 @@
     std::deque<Row> history;
     std::uint64_t version = 1;
     std::string cutIp;
-    Fates fates;
+    OutcomeOf decideOutcome;
     Listener listener;
 };
 
