Emulator: Play lost and slow answers of the store, and a history that is dropped

Cause: platform_lost, platform_slow and platform_compact were left out, so that no write of the program was ever done without its knowing, or seconds later.

Change: a share of the writes is done and neither answered nor anything else on their connection, at once or one to six seconds later (late); answers take so many times as long; for a second nobody hears of changes, then the history is gone and watches from before are told so. Not played: stale reads and the worker that leaves in the gap.

--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -114,6 +114,12 @@
     // It is refused, and nothing is done.
     Busy,
     TooMany,
+    // It is carried out, and neither its answer nor a later one on its connection comes.
+    AnswerLost,
+    // The same, carried out some seconds later.
+    DoneLate,
+    // Its answer takes longer.
+    Slow,
 };
 
 // The platform's store: rows with versions and a feed of their changes.
@@ -148,15 +154,44 @@
         this->cutIp = ip;
     }
 
-    // Decides it by the address of the caller and the table.
-    using OutcomeOf = std::function<CallOutcome(const std::string &ip, const std::string &table)>;
-    void setOutcomes(OutcomeOf decision)
+    // A call, by the address of the caller, the table and whether it writes.
+    struct CallTraits
+    {
+        const std::string &ip;
+        const std::string &table;
+        bool isWrite = false;
+    };
+
+    using OutcomeOf = std::function<CallOutcome(const CallTraits &call)>;
+    void setOutcomes(OutcomeOf decision, int slowAnswerMs = 0)
     {
         const std::lock_guard lock(this->mutex);
         this->decideOutcome = std::move(decision);
+        this->slowAnswerMs = slowAnswerMs;
+    }
+
+    // From now on, until `dropHistory`, changes are made and no watch hears of them.
+    void muteFeeds()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->areFeedsMute = true;
+    }
+
+    // Forgets all changes up to now, so that watches from before are told to read again.
+    void dropHistory()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->areFeedsMute = false;
+        this->history.clear();
+        this->droppedVersion = this->version;
+        this->changed.notify_all();
     }
 
 private:
+    static constexpr int kAnswerMs = 4;
+    // Body of an answer that says that the changes since are forgotten.
+    static constexpr const char *kHistoryGone = "{\"gone\":true}";
+
     struct Row
     {
         std::string table;
@@ -218,8 +253,10 @@
         std::unique_lock lock(this->mutex);
         std::vector<Row> selected;
         while (true) {
+            if (after < this->droppedVersion)
+                return kHistoryGone;
             for (const Row &row : this->history) {
-                if (row.table == table && row.version > after)
+                if (!this->areFeedsMute && row.table == table && row.version > after)
                     selected.push_back(row);
             }
             if (!selected.empty()
@@ -255,11 +292,18 @@
         char ip[INET_ADDRSTRLEN];
         ::inet_ntop(AF_INET, &peer.sin_addr, ip, sizeof(ip));
         Reader reader(fd);
+        bool isAnswerLost = false;
         while (true) {
             Request request;
             if (!readRequest(reader, request, Clock::now() + Milliseconds(120'000)))
                 return;
             const CallOutcome outcome = this->outcomeOf(ip, request);
+            if (outcome == CallOutcome::DoneLate) {
+                isAnswerLost = true;
+                this->transactLate(request);
+                continue;
+            }
+            isAnswerLost = isAnswerLost || outcome == CallOutcome::AnswerLost;
             if (outcome == CallOutcome::Busy || outcome == CallOutcome::TooMany) {
                 if (!sendAll(fd,
                              jsonResponse(outcome == CallOutcome::Busy ? 503 : 429, "{}",
@@ -279,16 +323,27 @@
                 body = this->feed(request);
             else if (request.target == "/v1/rows-tx")
                 body = this->transact(request);
-            const int status = body.empty() ? 404 : 200;
-            if (this->isCutOff(ip) || outcome == CallOutcome::Silent
+            const bool isGone = body == kHistoryGone;
+            const int status = isGone ? 410 : body.empty() ? 404 : 200;
+            if (this->isCutOff(ip) || outcome == CallOutcome::Silent || isAnswerLost
                 || this->outcomeOf(ip, request) == CallOutcome::Silent)
                 continue;
-            sleepFor(4);
+            sleepFor(outcome == CallOutcome::Slow ? this->slowAnswerMs.load() : kAnswerMs);
             if (!sendAll(fd, jsonResponse(status, body.empty() ? "{}" : body, "Store-Era: 1\r\n")))
                 return;
         }
     }
 
+    // Carries a transaction out after one to six seconds.
+    void transactLate(const Request &request)
+    {
+        const int delayMs = 1000 + std::rand() % 5000;
+        std::thread([this, request, delayMs] {
+            sleepFor(delayMs);
+            this->transact(request);
+        }).detach();
+    }
+
     // A transaction shares the outcome of the first of its tables that is not answered.
     CallOutcome outcomeOf(const std::string &ip, const Request &request)
     {
@@ -298,8 +353,9 @@
         std::vector<std::string> tables = jsonTexts(request.body, "table");
         if (tables.empty())
             tables.push_back(queryValue(request.target, "table"));
+        const bool isWrite = request.target == "/v1/rows-tx";
         for (const std::string &table : tables) {
-            const CallOutcome outcome = this->decideOutcome(ip, table);
+            const CallOutcome outcome = this->decideOutcome({ip, table, isWrite});
             if (outcome != CallOutcome::Answered)
                 return outcome;
         }
@@ -319,6 +375,10 @@
     std::uint64_t version = 1;
     std::string cutIp;
     OutcomeOf decideOutcome;
+    std::atomic<int> slowAnswerMs{0};
+    bool areFeedsMute = false;
+    // Changes up to this version are forgotten.
+    std::uint64_t droppedVersion = 0;
     Listener listener;
 };
 
