Emulator: Draw the fate of a call to the store once

A write over several tables was drawn for each of them, so that more were lost than the list's share; after a lost answer a connection still sent refusals; the delay of a late write did not follow from the play.

--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -154,11 +154,11 @@
         this->cutIp = ip;
     }
 
-    // A call, by the address of the caller, the table and whether it writes.
+    // A call, by the address of the caller, its tables and whether it writes.
     struct CallTraits
     {
         const std::string &ip;
-        const std::string &table;
+        const std::vector<std::string> &tables;
         bool isWrite = false;
     };
 
@@ -304,7 +304,11 @@
                 continue;
             }
             isAnswerLost = isAnswerLost || outcome == CallOutcome::AnswerLost;
-            if (outcome == CallOutcome::Busy || outcome == CallOutcome::TooMany) {
+            const bool isRefused
+                = outcome == CallOutcome::Busy || outcome == CallOutcome::TooMany;
+            if (isAnswerLost && isRefused)
+                continue;
+            if (isRefused) {
                 if (!sendAll(fd,
                              jsonResponse(outcome == CallOutcome::Busy ? 503 : 429, "{}",
                                           "Store-Era: 1\r\n")))
@@ -337,14 +341,16 @@
     // Carries a transaction out after one to six seconds.
     void transactLate(const Request &request)
     {
-        const int delayMs = 1000 + std::rand() % 5000;
+        constexpr int kLeastDelayMs = 1000;
+        constexpr int kDelaySpreadMs = 5000;
+        const std::size_t draw = std::hash<std::string>()(request.body);
+        const int delayMs = kLeastDelayMs + static_cast<int>(draw % kDelaySpreadMs);
         std::thread([this, request, delayMs] {
             sleepFor(delayMs);
             this->transact(request);
         }).detach();
     }
 
-    // A transaction shares the outcome of the first of its tables that is not answered.
     CallOutcome outcomeOf(const std::string &ip, const Request &request)
     {
         const std::lock_guard lock(this->mutex);
@@ -353,13 +359,7 @@
         std::vector<std::string> tables = jsonTexts(request.body, "table");
         if (tables.empty())
             tables.push_back(queryValue(request.target, "table"));
-        const bool isWrite = request.target == "/v1/rows-tx";
-        for (const std::string &table : tables) {
-            const CallOutcome outcome = this->decideOutcome({ip, table, isWrite});
-            if (outcome != CallOutcome::Answered)
-                return outcome;
-        }
-        return CallOutcome::Answered;
+        return this->decideOutcome({ip, tables, request.target == "/v1/rows-tx"});
     }
 
     bool isCutOff(const std::string &ip)
