--- a/Source/UnitTests/Serving/EventSequenceTest.cpp
+++ b/Source/UnitTests/Serving/EventSequenceTest.cpp
@@ -183,6 +183,28 @@
     BOOST_TEST(this->events.lastEvent().value() == 1u);
 }
 
+// Guards against streams that are cut since an endpoint writes its lines in another way, and
+// against one that is read differently when each byte comes alone.
+BOOST_AUTO_TEST_CASE(feed_linesInAnotherOrderOrWithComments_areForwardedUnchanged)
+{
+    for (const std::string &text : {std::string("data: x\nid: 1\n\ndata: x\nid: 2\n\n"),
+                                    std::string("retry: 100\nid: 1\n: id: 7\ndata: x\n\n"),
+                                    std::string("weight-versions: 3\r\nid: 1\r\ndata: x\r\n\r\n"),
+                                    std::string("id:1\r\ndata:x\n\r\nid:2\ndata:x\r\n\n")}) {
+        EventSequence whole;
+        BOOST_TEST((whole.feed(text) == SequenceFault::None), text);
+        BOOST_TEST(whole.takeReady() == text);
+        EventSequence byBytes;
+        std::string ready;
+        for (const char &byte : text) {
+            BOOST_TEST((byBytes.feed({&byte, 1}) == SequenceFault::None), text);
+            ready += byBytes.takeReady();
+        }
+        BOOST_TEST(ready == text);
+        BOOST_TEST(!byBytes.hasPartialEvent());
+    }
+}
+
 // Guards against a number that is taken for another one, since its line has arrived in part.
 BOOST_AUTO_TEST_CASE(showsNextEvent_partialEvent_isToldByItsCompleteLines)
 {
