--- a/Source/UnitTests/Serving/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Serving/StreamOriginsTest.cpp
@@ -112,6 +112,18 @@
     BOOST_TEST(this->versionOf("a") == "v1");
 }
 
+// Guards against events of two versions: an instance that has lost its paths has had two others
+// begin the stream under the same name, and its caller has the events of the second.
+BOOST_AUTO_TEST_CASE(origin_begunAgainAtAnotherVersionsEndpoint_isUnknown)
+{
+    addOrigin(this->origins, "a", this->origin("v1", 10), this->now);
+    this->now += std::chrono::seconds(1);
+    StreamOrigin again = this->origin("v2", 10);
+    again.endpoint = Common::EndpointId("e2");
+    addOrigin(this->origins, "a", again, this->now);
+    BOOST_TEST(this->versionOf("a").empty());
+}
+
 // Guards against a doubted end that is forgotten, or confused with that of an earlier try.
 BOOST_AUTO_TEST_CASE(origin_addedAgainWithADoubtedEnd_theLastDoubtIsKept)
 {
--- a/Source/UnitTests/Serving/StreamProgressTest.cpp
+++ b/Source/UnitTests/Serving/StreamProgressTest.cpp
@@ -91,6 +91,16 @@
     BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::BeforeBegunEvent));
 }
 
+// The same for an event whose number stands behind its data, as the format allows.
+BOOST_AUTO_TEST_CASE(answer_endsBeforeAnEventThatHadBegunWithItsData_isNotComplete)
+{
+    this->answer(event(1) + "data: text\nid: 2");
+    this->answer("");
+    BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::BeforeBegunEvent));
+    this->answer("data: text\nid: 2\n\n");
+    BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::Complete));
+}
+
 // The same for an answer that was spoiled: what it held behind the fault shows that more follows,
 // however the network cuts it.
 BOOST_AUTO_TEST_CASE(answer_endsBeforeAnEventOfASpoiledAnswer_isNotComplete)
