--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -61,7 +61,6 @@
     const ProcessReply reply = co_await askForProcess(this->state, std::move(writer), options);
     if (reply.head)
         this->applyResponseHead(*endpoint, *reply.head, now);
-    this->statedStart = reply.startTime;
     if (!reply.startTime)
         co_return reply.answer;
     // The list may not show yet that the endpoint was restarted before the request was sent.
@@ -72,30 +71,6 @@
     co_return hasRunSince ? ProcessAnswer::Same : reply.answer;
 }
 
-Serving::FramingProcess RequestFlow::framingProcess() const
-{
-    return {this->sentTo.endpoint, this->sentTo.incarnation, this->sentTo.version};
-}
-
-bool RequestFlow::hasHabitOfClosing(const Routing::Endpoint *endpoint) const
-{
-    const auto habits = this->state.framingHabits.find(this->service);
-    return endpoint && habits != this->state.framingHabits.end()
-        && Serving::endsByClosing(habits->second, this->framingProcess());
-}
-
-bool RequestFlow::isHabitCertain() const
-{
-    const auto pool = this->state.pools.find(this->service);
-    if (pool == this->state.pools.end() || this->statedStart != this->sentTo.incarnation)
-        return false;
-    const auto found = pool->second.indexById.find(this->sentTo.endpoint);
-    if (found == pool->second.indexById.end())
-        return false;
-    const Routing::Endpoint &listed = pool->second.endpoints[found->second];
-    return listed.incarnation == this->sentTo.incarnation && !Routing::isLeaving(listed);
-}
-
 std::uint64_t RequestFlow::maxEvents() const
 {
     // A request that takes a stream up does not tell how many tokens its earlier events hold.
@@ -197,29 +172,23 @@
     this->noteEnd(stream, end);
     this->progress.maxEvents = this->maxEvents();
     const bool isFramed = end == Http::BodyEnd::Whole;
-    const bool isTrustedBySettings
-        = this->state.settings.closeDelimitedServices.contains(this->service);
-    const bool isTrusted = isTrustedBySettings || this->hasHabitOfClosing(endpoint);
-    Serving::StreamEnd judged
+    const bool isTrusted = this->state.settings.closeDelimitedServices.contains(this->service)
+        || (endpoint
+            && Serving::endsByClosing(this->state.framingHabits[this->service], endpoint->id,
+                                      this->sentTo.incarnation));
+    const Serving::StreamEnd judged
         = Serving::judgeEnd(this->progress, {isFramed, this->route->resumable, isTrusted});
     const bool hasAllTokens = Serving::hasAllTokens(this->progress);
     const bool isSpoiled
         = judged == Serving::StreamEnd::WithinEvent || judged == Serving::StreamEnd::WithoutEvent;
-    bool isUnconfirmed = judged == Serving::StreamEnd::Unconfirmed;
+    const bool isUnconfirmed = judged == Serving::StreamEnd::Unconfirmed;
     // Its process could not tell whether a stream that runs once is whole.
-    bool isCut = isUnconfirmed && !this->route->resumable && endpoint;
+    const bool isCut = isUnconfirmed && !this->route->resumable && endpoint;
     if (!isFramed && !isSpoiled && !hasAllTokens && !isCut)
         result.detail = co_await this->faultAtEnd(end, endpoint);
     result.connectionLost = !result.detail.empty() || (isSpoiled && !isFramed);
     if (!result.detail.empty())
         co_return result;
-    const bool isByHabit = judged == Serving::StreamEnd::Complete && !isFramed && !hasAllTokens
-        && !this->route->resumable && !isTrustedBySettings;
-    if (isByHabit && !this->isHabitCertain()) {
-        judged = Serving::StreamEnd::Unconfirmed;
-        isUnconfirmed = true;
-        isCut = true;
-    }
     this->settleDoubt();
     result.hasDoubtfulEnd = isUnconfirmed;
     if (isCut)
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -191,13 +191,6 @@
     // Returns why a body that has been read to its end is not complete; empty if it is. If it ended
     // with its connection, the endpoint is asked whether the process that wrote it still runs.
     Http::Awaitable<std::string> faultAtEnd(Http::BodyEnd end, const Routing::Endpoint *endpoint);
-    // The process to which the request was sent, by the list of endpoints.
-    Serving::FramingProcess framingProcess() const;
-    // Whether the writer of a stream that ended with its connection is known never to frame any.
-    bool hasHabitOfClosing(const Routing::Endpoint *endpoint) const;
-    // Whether that is certain now that the writer has stated its start: it is the process of the
-    // list, and does not leave. One that leaves may close its connections amid its streams.
-    bool isHabitCertain() const;
     // Number of events that the most tokens of the request make; zero if not known.
     std::uint64_t maxEvents() const;
     // Whether the part of the retry budget that is meant for doubted ends has room.
@@ -360,8 +353,6 @@
     // The endpoint process of the last send.
     Serving::StreamOrigin sentTo;
     // What marks the end of the last answer.
-    // Start of the process that was asked last about the end of an answer, as it states it.
-    std::optional<std::uint64_t> statedStart;
     std::optional<Http::BodyFraming> lastFraming;
     // How it ended; unset if it was lost.
     std::optional<Http::BodyEnd> lastEnd;
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -279,7 +279,8 @@
     }
     if (isSuccess(answer.status) && this->isStream()) {
         if (endpoint)
-            Serving::noteFraming(this->state.framingHabits[this->service], this->framingProcess(),
+            Serving::noteFraming(this->state.framingHabits[this->service], endpoint->id,
+                                 this->sentTo.incarnation,
                                  stream.framing() != Http::BodyFraming::Connection, clockNow());
         co_return co_await this->relayEventStream(stream, endpoint);
     }
--- a/Source/Core/Serving/FramingHabits.cpp
+++ b/Source/Core/Serving/FramingHabits.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-// Streams without framing that show the habit of a process, and of all with a version.
+// Streams without framing that show the habit of a process, and of a whole service.
 constexpr std::uint64_t kMinStreamsOfProcess = 4;
-constexpr std::uint64_t kMinStreamsOfVersion = 8;
+constexpr std::uint64_t kMinStreamsOfService = 8;
 constexpr std::size_t kMaxEndpoints = 4096;
 
 void dropOldest(FramingHabits &habits)
@@ -19,12 +19,10 @@
     habits.byEndpoint.erase(oldest);
 }
 
-FramingCounts countsOfVersion(const FramingHabits &habits, const std::string &version)
+FramingCounts countsOfService(const FramingHabits &habits)
 {
     FramingCounts sum;
     for (const auto &[id, each] : habits.byEndpoint) {
-        if (each.version != version)
-            continue;
         sum.framed += each.streams.framed;
         sum.unframed += each.streams.unframed;
     }
@@ -33,35 +31,31 @@
 
 } // namespace
 
-void noteFraming(FramingHabits &habits, const FramingProcess &process, bool isFramed,
-                 Common::Time now)
+void noteFraming(FramingHabits &habits, const Common::EndpointId &endpoint,
+                 std::uint64_t incarnation, bool isFramed, Common::Time now)
 {
-    if (process.incarnation == 0)
-        return;
-    if (!habits.byEndpoint.contains(process.endpoint) && habits.byEndpoint.size() >= kMaxEndpoints)
+    if (!habits.byEndpoint.contains(endpoint) && habits.byEndpoint.size() >= kMaxEndpoints)
         dropOldest(habits);
-    EndpointFraming &known = habits.byEndpoint[process.endpoint];
-    if (process.incarnation < known.incarnation)
-        return;
-    if (known.incarnation != process.incarnation)
-        known = {process.incarnation, process.version, {}, now};
+    EndpointFraming &known = habits.byEndpoint[endpoint];
+    if (known.incarnation != incarnation)
+        known = {incarnation, {}, now};
     known.lastAt = now;
     ++(isFramed ? known.streams.framed : known.streams.unframed);
 }
 
-bool endsByClosing(const FramingHabits &habits, const FramingProcess &process)
+bool endsByClosing(const FramingHabits &habits, const Common::EndpointId &endpoint,
+                   std::uint64_t incarnation)
 {
-    const auto found = habits.byEndpoint.find(process.endpoint);
-    if (process.incarnation == 0 || found == habits.byEndpoint.end()
-        || found->second.incarnation != process.incarnation)
+    const auto found = habits.byEndpoint.find(endpoint);
+    if (found == habits.byEndpoint.end() || found->second.incarnation != incarnation)
         return false;
     const FramingCounts &own = found->second.streams;
     if (own.framed > 0)
         return false;
     if (own.unframed >= kMinStreamsOfProcess)
         return true;
-    const FramingCounts all = countsOfVersion(habits, found->second.version);
-    return all.framed == 0 && all.unframed >= kMinStreamsOfVersion;
+    const FramingCounts all = countsOfService(habits);
+    return all.framed == 0 && all.unframed >= kMinStreamsOfService;
 }
 
 } // namespace Tanagerbay::Serving
--- a/Source/Core/Serving/FramingHabits.h
+++ b/Source/Core/Serving/FramingHabits.h
@@ -10,7 +10,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <string>
 #include <unordered_map>
 
 namespace Tanagerbay::Serving {
@@ -21,22 +20,11 @@
     std::uint64_t unframed = 0;
 };
 
-// A process of an endpoint.
-struct FramingProcess
-{
-    Common::EndpointId endpoint;
-    // Start of the process; rises with each. 0 if it is not known, so that nothing is learned of
-    // it.
-    std::uint64_t incarnation = 0;
-    // Version of its software.
-    std::string version;
-};
-
-// Streams that the last known process of an endpoint has begun.
+// Streams that an endpoint has begun since the start of its process.
 struct EndpointFraming
 {
+    // As in the list of endpoints; 0 if not known.
     std::uint64_t incarnation = 0;
-    std::string version;
     FramingCounts streams;
     Common::Time lastAt;
 };
@@ -47,13 +35,13 @@
     std::unordered_map<Common::EndpointId, EndpointFraming> byEndpoint;
 };
 
-// Notes the head of a stream's answer. One by an earlier process than the last known one is left
-// out: the list of endpoints may be late.
-void noteFraming(FramingHabits &habits, const FramingProcess &process, bool isFramed,
-                 Common::Time now);
+// Notes the head of a stream's answer.
+void noteFraming(FramingHabits &habits, const Common::EndpointId &endpoint,
+                 std::uint64_t incarnation, bool isFramed, Common::Time now);
 
 // Whether the process ends its streams by closing their connections, as far as they tell. A process
-// of which little is known is taken for what all others of its version are.
-bool endsByClosing(const FramingHabits &habits, const FramingProcess &process);
+// of which little is known is taken for what all others of its service are.
+bool endsByClosing(const FramingHabits &habits, const Common::EndpointId &endpoint,
+                   std::uint64_t incarnation);
 
 } // namespace Tanagerbay::Serving
--- a/Source/UnitTests/Serving/FramingHabitsTest.cpp
+++ b/Source/UnitTests/Serving/FramingHabitsTest.cpp
@@ -12,20 +12,18 @@
     FramingHabits habits;
     Common::Time now;
 
-    void note(const std::string &endpoint, bool isFramed, int times, std::uint64_t incarnation = 1,
-              const std::string &version = "1.0")
+    void note(const std::string &endpoint, bool isFramed, int times, std::uint64_t incarnation = 1)
     {
         for (int i = 0; i < times; ++i) {
             this->now += Common::Milliseconds(1);
-            noteFraming(this->habits, {Common::EndpointId{endpoint}, incarnation, version},
-                        isFramed, this->now);
+            noteFraming(this->habits, Common::EndpointId{endpoint}, incarnation, isFramed,
+                        this->now);
         }
     }
 
     bool endsByClosing(const std::string &endpoint, std::uint64_t incarnation = 1) const
     {
-        return Serving::endsByClosing(this->habits,
-                                      {Common::EndpointId{endpoint}, incarnation, "1.0"});
+        return Serving::endsByClosing(this->habits, Common::EndpointId{endpoint}, incarnation);
     }
 };
 
@@ -76,17 +74,6 @@
     BOOST_TEST(this->endsByClosing("i-1"));
 }
 
-// Guards against whole streams that are cut at the processes of a new build because those of the
-// former one framed theirs.
-BOOST_AUTO_TEST_CASE(process_isNewAndAnotherVersionFrames_endsByClosing)
-{
-    this->note("i-1", true, 50, 1, "0.9");
-    this->note("i-2", false, 4);
-    this->note("i-3", false, 3);
-    this->note("i-4", false, 1);
-    BOOST_TEST(this->endsByClosing("i-4"));
-}
-
 // Guards against the habit of a process being taken for that of its successor.
 BOOST_AUTO_TEST_CASE(process_isReplaced_habitIsLearnedAnew)
 {
@@ -99,25 +86,6 @@
     BOOST_TEST(!this->endsByClosing("i-1", 3));
 }
 
-// Guards against what is known of a process being lost to an instance's late list of endpoints:
-// streams that may run once are noted under the process of the list, others under the one that
-// answers.
-BOOST_AUTO_TEST_CASE(process_isNotListedYet_whatItFramedIsKept)
-{
-    this->note("i-1", true, 1, 2);
-    this->note("i-1", false, 4, 1);
-    BOOST_TEST(!this->endsByClosing("i-1", 1));
-    this->note("i-1", false, 4, 2);
-    BOOST_TEST(!this->endsByClosing("i-1", 2));
-}
-
-// Guards against processes that do not tell their start being taken for one.
-BOOST_AUTO_TEST_CASE(process_startIsNotKnown_doesNotEndByClosing)
-{
-    this->note("i-1", false, 8, 0);
-    BOOST_TEST(!this->endsByClosing("i-1", 0));
-}
-
 // Guards against a memory that grows with each endpoint that there ever was.
 BOOST_AUTO_TEST_CASE(endpoints_moreThanAreKept_theLongestSilentIsForgotten)
 {
