Revert "Serving: Believe closes of processes that never frame their streams"

A living process that never frames and breaks off in order cannot be told from one that has ended its stream, and the users' rule has no exception for it.

--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -172,10 +172,7 @@
     this->noteEnd(stream, end);
     this->progress.maxEvents = this->maxEvents();
     const bool isFramed = end == Http::BodyEnd::Whole;
-    const bool isTrusted = this->state.settings.closeDelimitedServices.contains(this->service)
-        || (endpoint
-            && Serving::endsByClosing(this->state.framingHabits[this->service], endpoint->id,
-                                      this->sentTo.incarnation));
+    const bool isTrusted = this->state.settings.closeDelimitedServices.contains(this->service);
     const Serving::StreamEnd judged
         = Serving::judgeEnd(this->progress, {isFramed, this->route->resumable, isTrusted});
     const bool hasAllTokens = Serving::hasAllTokens(this->progress);
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -277,13 +277,8 @@
         result.detail = "the response is unsigned or encoded";
         co_return result;
     }
-    if (isSuccess(answer.status) && this->isStream()) {
-        if (endpoint)
-            Serving::noteFraming(this->state.framingHabits[this->service], endpoint->id,
-                                 this->sentTo.incarnation,
-                                 stream.framing() != Http::BodyFraming::Connection, clockNow());
+    if (isSuccess(answer.status) && this->isStream())
         co_return co_await this->relayEventStream(stream, endpoint);
-    }
     co_return co_await this->relayBufferedResponse(stream, answer, endpoint);
 }
 
--- a/Source/Core/Entry/State.h
+++ b/Source/Core/Entry/State.h
@@ -11,7 +11,6 @@
 #include "Http/Client.h"
 #include "Membership/Members.h"
 #include "Routing/VersionHistory.h"
-#include "Serving/FramingHabits.h"
 #include "Serving/GracefulShutdown.h"
 #include "Serving/PermitQueue.h"
 
@@ -50,8 +49,6 @@
     std::map<std::string, Routing::Pool> pools;
     Routing::VersionHistory versions;
     std::unordered_map<std::string, Serving::FleetBudget> budgets;
-    // How endpoints mark the ends of their streams, by service.
-    std::unordered_map<std::string, Serving::FramingHabits> framingHabits;
     // Requests that wait for a permit, by service.
     std::unordered_map<std::string, Serving::PermitQueue> permits;
     Membership::Members members;
--- a/Source/Core/Serving/StreamProgress.h
+++ b/Source/Core/Serving/StreamProgress.h
@@ -45,8 +45,8 @@
     bool isFramed = false;
     // Whether the stream may be resumed, so that another answer can tell.
     bool isResumable = false;
-    // Whether the endpoint, or its service by the settings, ends its streams by closing their
-    // connections, so that a close is no sign of a fault.
+    // Whether the service is trusted to close the connection of a stream that runs once only behind
+    // its last event.
     bool isCloseTrusted = false;
 };
 
