Emulator: Give the entry instances six different ports

Cause: each of the six ports of a play was drawn by itself, among 15,000. Once in about a thousand plays two are the same; no instance can listen then, and the play ends with "the processes did not become ready".

Change: freePorts draws different ones.

--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -559,6 +559,16 @@
         int directory = 0;
         int peers = 0;
         int forward = 0;
+
+        static constexpr std::size_t kCount = 6;
+
+        void assign(const std::vector<int> &numbers)
+        {
+            std::size_t next = 0;
+            for (int *port : {&this->front, &this->readiness, &this->control, &this->directory,
+                              &this->peers, &this->forward})
+                *port = numbers.at(next++);
+        }
     };
 
     Entry(const std::string &root, const std::string &folder, const std::string &name,
@@ -729,12 +739,18 @@
     std::optional<int> status;
 };
 
-// Finds a port that is free at all of these addresses.
-inline int freePort(const std::vector<std::string> &ips)
+// Below the ports that the system gives to outgoing connections.
+constexpr int kFirstPort = 15'000;
+constexpr int kLastPort = 30'000;
+
+// Finds so many different ports in a range that are free at all of these addresses.
+inline std::vector<int> freePorts(const std::vector<std::string> &ips, std::size_t count,
+                                  int first = kFirstPort, int last = kLastPort)
 {
     static std::mt19937 random{std::random_device{}()};
-    while (true) {
-        const int port = std::uniform_int_distribution<int>(15'000, 30'000)(random);
+    std::set<int> found;
+    while (found.size() < count) {
+        const int port = std::uniform_int_distribution<int>(first, last)(random);
         bool isFree = true;
         for (const std::string &ip : ips) {
             Address address{ip, port};
@@ -744,8 +760,14 @@
                 ::close(fd);
         }
         if (isFree)
-            return port;
+            found.insert(port);
     }
+    return {found.begin(), found.end()};
+}
+
+inline int freePort(const std::vector<std::string> &ips)
+{
+    return freePorts(ips, 1).front();
 }
 
 // The addresses, the store and the processes of one case.
@@ -775,9 +797,7 @@
         for (int i = 1; i <= count; ++i)
             ips.push_back(this->prefix + std::to_string(i));
         Entry::Ports ports;
-        for (int *port : {&ports.front, &ports.readiness, &ports.control, &ports.directory,
-                          &ports.peers, &ports.forward})
-            *port = freePort(ips);
+        ports.assign(freePorts(ips, Entry::Ports::kCount));
         const std::vector<std::string> seeds(ips.begin(), ips.begin() + std::min(count, 3));
         for (int i = 0; i < count; ++i) {
             const std::string zone = std::string("zone-") + static_cast<char>('a' + i % 3);
