--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -160,6 +160,8 @@
         const std::string &ip;
         const std::vector<std::string> &tables;
         bool isWrite = false;
+        // Whether it has been carried out, so that only its answer is left to lose.
+        bool isDone = false;
     };
 
     using OutcomeOf = std::function<CallOutcome(const CallTraits &call)>;
@@ -329,7 +331,7 @@
             const bool isGone = body == kHistoryGone;
             const int status = isGone ? 410 : body.empty() ? 404 : 200;
             if (this->isCutOff(ip) || outcome == CallOutcome::Silent || isAnswerLost
-                || this->outcomeOf(ip, request) == CallOutcome::Silent)
+                || this->outcomeOf(ip, request, true) == CallOutcome::Silent)
                 continue;
             sleepFor(outcome == CallOutcome::Slow ? this->slowAnswerMs.load() : kAnswerMs);
             if (!sendAll(fd, jsonResponse(status, body.empty() ? "{}" : body, "Store-Era: 1\r\n")))
@@ -350,7 +352,7 @@
         }).detach();
     }
 
-    CallOutcome outcomeOf(const std::string &ip, const Request &request)
+    CallOutcome outcomeOf(const std::string &ip, const Request &request, bool isDone = false)
     {
         const std::lock_guard lock(this->mutex);
         if (!this->decideOutcome)
@@ -358,7 +360,7 @@
         std::vector<std::string> tables = jsonTexts(request.body, "table");
         if (tables.empty())
             tables.push_back(queryValue(request.target, "table"));
-        return this->decideOutcome({ip, tables, request.target == "/v1/rows-tx"});
+        return this->decideOutcome({ip, tables, request.target == "/v1/rows-tx", isDone});
     }
 
     bool isCutOff(const std::string &ip)
