--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -608,12 +608,14 @@
 
     void start()
     {
-        this->status.reset();
         const std::string variable = "TANAGERBAY_BOOT=" + this->settingsPath();
         const std::string log = this->logPath();
-        this->pid = ::fork();
-        if (this->pid != 0)
+        const ::pid_t child = ::fork();
+        if (child != 0) {
+            this->pid = child;
+            this->hasEnded = child < 0;
             return;
+        }
         if (::chdir(this->root.c_str()) != 0)
             ::_exit(127);
         const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
@@ -633,17 +635,21 @@
         ::_exit(127);
     }
 
+    // Does nothing once the process has ended: its number may be another one's.
     void signal(int number) const
     {
-        ::kill(this->pid, number);
+        if (this->pid > 0 && !this->hasEnded)
+            ::kill(this->pid, number);
     }
 
     bool isRunning()
     {
         int ended = 0;
-        if (!this->status && ::waitpid(this->pid, &ended, WNOHANG) == this->pid)
+        if (!this->hasEnded && ::waitpid(this->pid, &ended, WNOHANG) == this->pid) {
             this->status = ended;
-        return !this->status;
+            this->hasEnded = true;
+        }
+        return !this->hasEnded;
     }
 
     bool waitForEnd(int timeoutMs)
@@ -658,9 +664,9 @@
     {
         if (this->isRunning())
             return "still runs";
-        if (WIFSIGNALED(*this->status))
-            return "ended by signal " + std::to_string(WTERMSIG(*this->status));
-        return "ended with code " + std::to_string(WEXITSTATUS(*this->status));
+        if (WIFSIGNALED(this->status))
+            return "ended by signal " + std::to_string(WTERMSIG(this->status));
+        return "ended with code " + std::to_string(WEXITSTATUS(this->status));
     }
 
     Address front() const
@@ -737,8 +743,10 @@
         return this->folder + "/" + this->name + ".log";
     }
 
-    ::pid_t pid = -1;
-    std::optional<int> status;
+    std::atomic<::pid_t> pid{-1};
+    std::atomic<bool> hasEnded{false};
+    // As `waitpid` tells it, once the process has ended.
+    int status = 0;
 };
 
 // Below the ports that the system gives to outgoing connections.
