--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -753,13 +753,15 @@
 constexpr int kFirstPort = 15'000;
 constexpr int kLastPort = 30'000;
 
-// Finds so many different ports in a range that are free at all of these addresses.
+// Finds so many different ports in a range that are free at all of these addresses; fewer if they
+// are not found in a bounded number of tries.
 inline std::vector<int> freePorts(const std::vector<std::string> &ips, std::size_t count,
                                   int first = kFirstPort, int last = kLastPort)
 {
     static std::mt19937 random{std::random_device{}()};
+    constexpr int kMaxTries = 10'000;
     std::set<int> found;
-    while (found.size() < count) {
+    for (int tries = 0; found.size() < count && tries < kMaxTries; ++tries) {
         const int port = std::uniform_int_distribution<int>(first, last)(random);
         bool isFree = true;
         for (const std::string &ip : ips) {
