Http: Take a reply whose status is none for no reply

Cause: the client's parser takes any three digits for a status, and an interim head (1xx) for the whole reply. A worker in trouble that sent the status 000, 999 or a head of 102 had it relayed to its caller as an answer; an early hint (103) before a sound 200 lost the 200.

Change: a final status is 200 to 599. Up to eight interim heads before it are skipped, as nobody asks for them; any other status, 101 too, is a bad reply, also of the question for the process behind a connection.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -119,7 +119,8 @@
     }
 
     ConnectionPtr connection;
-    http::response_parser<http::buffer_body> parser;
+    // Of the final head; an interim one before it has a parser of its own.
+    std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, kReadBytes> bytes;
     std::shared_ptr<Client::Pool> pool;
     Address address;
@@ -146,6 +147,30 @@
 // Share of the idle time-out announced in `Keep-Alive` during which a connection is reused.
 constexpr double kReusableIdleTimeShare = 0.5;
 
+// Interim heads that may come before the final one. No request asks for any.
+constexpr int kMaxInterimHeads = 8;
+
+enum class StatusUse {
+    Final,
+    // Another head follows (RFC 9110, 15.2).
+    Interim,
+    // Not a status of HTTP: nothing behind it can be trusted to be a reply.
+    None,
+};
+
+// The parser takes any three digits for a status.
+StatusUse useOfStatus(unsigned status)
+{
+    constexpr unsigned kSwitchingProtocols = 101;
+    constexpr unsigned kFirstFinal = 200;
+    constexpr unsigned kLastFinal = 599;
+    if (status >= kFirstFinal && status <= kLastFinal)
+        return StatusUse::Final;
+    const bool isInterim = status >= 100 && status < kFirstFinal;
+    // No request asks for another protocol.
+    return isInterim && status != kSwitchingProtocols ? StatusUse::Interim : StatusUse::None;
+}
+
 using BeastRequest = http::request<http::string_body>;
 
 // Returns whether the peer has closed an idle connection or sent unsolicited bytes on it.
@@ -344,6 +369,11 @@
         error = asio::error::operation_aborted;
     if (error)
         co_return errorOf(error, *connection, false, options.handle);
+    // An interim reply would leave the final one for the request that follows.
+    if (useOfStatus(parser.get().result_int()) != StatusUse::Final) {
+        connection->stream.close();
+        co_return CallError{CallFailure::BadReply, false, "the status of the reply is none"};
+    }
     Response response;
     response.status = parser.get().result_int();
     for (const auto &field : parser.get())
@@ -432,8 +462,6 @@
         state.reused = state.connection->reused;
         state.isFirstOnConnection = !std::exchange(state.connection->hasCarriedRequest, true);
         state.peerProcess = state.connection->peerProcess;
-        state.parser.body_limit(options.maxBodyBytes);
-        state.parser.header_limit(kMaxReplyHeaderBytes);
         state.pool = this->pool;
         state.address = address;
         state.handle = options.handle;
@@ -452,10 +480,21 @@
             [message, connection = state.connection](beast::error_code failed, std::size_t) {
                 connection->write = failed.failed() ? WriteState::Failed : WriteState::Done;
             });
-        co_await http::async_read_header(tcpStream, state.connection->buffer, state.parser,
-                                         asio::redirect_error(asio::use_awaitable, error));
+        StatusUse use = StatusUse::Interim;
+        for (int heads = 0; heads <= kMaxInterimHeads && use == StatusUse::Interim && !error;
+             ++heads) {
+            state.parser.emplace();
+            state.parser->body_limit(options.maxBodyBytes);
+            state.parser->header_limit(kMaxReplyHeaderBytes);
+            co_await http::async_read_header(tcpStream, state.connection->buffer, *state.parser,
+                                             asio::redirect_error(asio::use_awaitable, error));
+            use = useOfStatus(state.parser->get().result_int());
+        }
         if (options.handle)
             options.handle->abort = nullptr;
+        if (!error && use != StatusUse::Final)
+            co_return tl::unexpected(
+                CallError{CallFailure::BadReply, true, "the status of the reply is none"});
         if (!error && options.acceptHead && !options.acceptHead(stream))
             co_return tl::unexpected(
                 CallError{CallFailure::BadReply, true, "the reply head was rejected"});
@@ -513,12 +552,12 @@
 
 unsigned ResponseStream::status() const
 {
-    return this->state->parser.get().result_int();
+    return this->state->parser->get().result_int();
 }
 
 std::string_view ResponseStream::header(std::string_view name) const
 {
-    const auto &message = this->state->parser.get();
+    const auto &message = this->state->parser->get();
     const auto found = message.find({name.data(), name.size()});
     if (found == message.end())
         return {};
@@ -533,7 +572,7 @@
     if (!state.connection)
         co_return tl::unexpected(
             CallError{CallFailure::Cancelled, true, "the stream was closed before its end"});
-    auto &body = state.parser.get().body();
+    auto &body = state.parser->get().body();
     beast::tcp_stream &tcpStream = state.connection->stream;
     state.connection->deadline.moveTo(deadline);
     if (state.handle)
@@ -542,7 +581,7 @@
     std::size_t count = 0;
     // A read may consume nothing but chunk framing, so it is repeated until body bytes or the end
     // of the body arrive.
-    while (!error && count == 0 && !state.parser.is_done()) {
+    while (!error && count == 0 && !state.parser->is_done()) {
         // A cancellation before this read found no operation to abort.
         if (state.handle && state.handle->isCancelled()) {
             error = asio::error::operation_aborted;
@@ -551,7 +590,7 @@
         body.data = state.bytes.data();
         body.size = state.bytes.size();
         body.more = true;
-        co_await http::async_read_some(tcpStream, state.connection->buffer, state.parser,
+        co_await http::async_read_some(tcpStream, state.connection->buffer, *state.parser,
                                        asio::redirect_error(asio::use_awaitable, error));
         if (error == http::error::need_buffer)
             error = {};
@@ -568,12 +607,12 @@
         co_return BodyPart(std::string_view(state.bytes.data(), count));
     // The system reports a reset once. A write that was in progress takes it, and the read sees an
     // end in order.
-    if (state.parser.need_eof() && state.connection->write == WriteState::Failed) {
+    if (state.parser->need_eof() && state.connection->write == WriteState::Failed) {
         state.closeConnection();
         co_return tl::unexpected(CallError{CallFailure::ConnectionLost, true,
                                            "the connection failed while the request was written"});
     }
-    state.end = state.parser.need_eof() ? BodyEnd::Closed : BodyEnd::Whole;
+    state.end = state.parser->need_eof() ? BodyEnd::Closed : BodyEnd::Whole;
     if (!state.isHeldUntilAccepted) {
         this->release();
         state.closeConnection();
@@ -590,7 +629,7 @@
 void ResponseStream::release()
 {
     State &state = *this->state;
-    if (!state.connection || !state.parser.get().keep_alive() || state.parser.need_eof())
+    if (!state.connection || !state.parser->get().keep_alive() || state.parser->need_eof())
         return;
     const auto idleTimeout = announcedIdleTimeout(this->header("Keep-Alive"));
     if (idleTimeout)
@@ -619,9 +658,9 @@
 
 BodyFraming ResponseStream::framing() const
 {
-    if (this->state->parser.need_eof())
+    if (this->state->parser->need_eof())
         return BodyFraming::Connection;
-    return this->state->parser.chunked() ? BodyFraming::Chunks : BodyFraming::Length;
+    return this->state->parser->chunked() ? BodyFraming::Chunks : BodyFraming::Length;
 }
 
 std::optional<std::uint64_t> ResponseStream::peerProcess() const
@@ -632,7 +671,7 @@
 Headers ResponseStream::headers() const
 {
     Headers headers;
-    for (const auto &field : this->state->parser.get())
+    for (const auto &field : this->state->parser->get())
         headers.fields.push_back({std::string(field.name_string()), std::string(field.value())});
     return headers;
 }
--- a/Source/UnitTests/Http/ClientTest.cpp
+++ b/Source/UnitTests/Http/ClientTest.cpp
@@ -280,6 +280,50 @@
     BOOST_TEST((error->failure == Http::CallFailure::ConnectionLost));
 }
 
+// Guards against bytes of a peer in trouble that are passed on as an answer.
+BOOST_AUTO_TEST_CASE(call_statusIsNone_isABadReply)
+{
+    for (const char *status :
+         {"000", "001", "099", "101", "600", "999", "2000", "20", "2x0", "-20"}) {
+        const auto reply = this->callForFramedReply("HTTP/1.1 " + std::string(status)
+                                                    + " OK\r\nContent-Length: 4\r\n\r\nbody");
+        BOOST_TEST_CONTEXT("status " << status)
+        {
+            BOOST_REQUIRE(!reply);
+            BOOST_TEST(Common::nameOf(reply.error().failure) == "bad reply");
+            BOOST_TEST(reply.error().written);
+        }
+    }
+}
+
+// Guards against an interim head that is taken for the final one (RFC 9110, 15.2).
+BOOST_AUTO_TEST_CASE(call_interimHeadsComeFirst_finalReplyIsAnswered)
+{
+    const std::string interim
+        = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    const auto reply
+        = this->callForFramedReply(interim + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+    BOOST_REQUIRE(reply);
+    BOOST_TEST(reply->status == 200u);
+    BOOST_TEST(reply->body == "body");
+}
+
+// Guards against an interim head that stands for an answer, and against heads without end.
+BOOST_AUTO_TEST_CASE(call_onlyInterimHeadsCome_isNoReply)
+{
+    constexpr int kHeads = 1000;
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    const auto lost = this->callForFramedReply(interim);
+    BOOST_REQUIRE(!lost);
+    BOOST_TEST(lost.error().written);
+    std::string heads;
+    for (int i = 0; i < kHeads; ++i)
+        heads += interim;
+    const auto endless = this->callForFramedReply(heads);
+    BOOST_REQUIRE(!endless);
+    BOOST_TEST(Common::nameOf(endless.error().failure) == "bad reply");
+}
+
 // Guards against replies without a body, or with a complete one, that count as lost.
 BOOST_AUTO_TEST_CASE(call_requiresFramingAndReplyIsFramed_isAnswered)
 {
