Entry: Send nothing new to evacuated failure domains

Cause: nothing read the operator's rows that evacuate a failure domain, so that requests went there as before.

Change: the reading and the feed that bring the catalog bring the rows too, at no further call. Entry/Evacuations orders what is heard from the store, readers and other instances by the row's position in the store's history; Entry/EvacuationWatch passes news on with probes, readers' reports and answers with all that is known. Endpoints of such a domain get no new work, not even as a last resort (Routing::takesNoNewWork); what was chosen and not yet written is turned back. Deployments without such rows are served as before.

Measured: BeliefsInEvacuations, MessagesOfEvacuations, EvacuatedEndpoints, EvacuatedStageEndpoints and five neighbouring suites: 118 unit cases pass. Evacuations over real processes: 8 cases pass; 210 further cases of platform_tests pass. Mistakes made on purpose were found: a complete reading of a new epoch that takes beliefs back (olderCopy_*, storeReturnsFromAnOlderCopy_*), AffinityChoice that asks isLeaving (all_noneIsChosen, theOtherIsEjected_*, allZonesAreEvacuated_*), and maySendNow without the check (requestIsAboutToBeSent_isTurnedBack).

--- a/Source/Core/Entry/CatalogSync.cpp
+++ b/Source/Core/Entry/CatalogSync.cpp
@@ -35,8 +35,9 @@
 } // namespace
 
 CatalogSync::CatalogSync(State &state, PeerMesh &mesh, Gossip &gossip, Store &store,
-                         StoreRelay &relay)
-    : state(state), mesh(mesh), gossip(gossip), store(store), relay(relay), backoff{kRetryDelays, 0}
+                         StoreRelay &relay, EvacuationWatch &evacuations)
+    : state(state), mesh(mesh), gossip(gossip), store(store), relay(relay),
+      evacuations(evacuations), backoff{kRetryDelays, 0}
 {
 }
 
@@ -45,12 +46,15 @@
     this->gossip.onReport(
         [this](const Membership::MemberReport &report) { this->onPeerReport(report); });
     this->mesh.on("catalog?", [this](const PeerLinkPtr &link, const boost::json::object &) {
-        if (this->state.catalog) {
-            this->mesh.reply(link,
-                             {{"type", "catalog"}, {"document", this->state.catalog->source}});
-        }
+        if (!this->state.catalog)
+            return;
+        boost::json::object reply{{"type", "catalog"}, {"document", this->state.catalog->source}};
+        attachEvacuations(reply, reportOf(this->state.evacuations), clockNow());
+        this->mesh.reply(link, reply);
     });
     this->mesh.on("catalog", [this](const PeerLinkPtr &, const boost::json::object &message) {
+        // Before the catalog, which may be what this instance lacks to serve requests.
+        this->evacuations.applyReport(readEvacuations(message, clockNow()), "instance");
         this->applyDocument(textOf(message, "document"), "peer");
     });
     boost::asio::co_spawn(this->state.context, this->followStore(), boost::asio::detached);
@@ -168,6 +172,9 @@
         return true;
     if (use != ReadingUse::Apply)
         return false;
+    // Before the catalog, which may be what this instance lacks to serve requests.
+    if (this->evacuations.applyReading(reading, this->position))
+        this->relay.reportCatalog(this->isWatching, this->confirmedAt);
     return !reading.document || this->applyDocument(*reading.document, origin);
 }
 
--- a/Source/Core/Entry/CatalogSync.h
+++ b/Source/Core/Entry/CatalogSync.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "Common/Backoff.h"
-#include "Entry/Gossip.h"
+#include "Entry/EvacuationWatch.h"
 #include "Entry/PeerMesh.h"
 #include "Entry/StoreReading.h"
 #include "Entry/StoreRelay.h"
@@ -17,7 +17,8 @@
     // out.
     static constexpr Common::Milliseconds kMaxConfirmDuration{2000};
 
-    CatalogSync(State &state, PeerMesh &mesh, Gossip &gossip, Store &store, StoreRelay &relay);
+    CatalogSync(State &state, PeerMesh &mesh, Gossip &gossip, Store &store, StoreRelay &relay,
+                EvacuationWatch &evacuations);
 
     void start();
     // Sets the handler that is called after each change of the catalog.
@@ -58,6 +59,7 @@
     Gossip &gossip;
     Store &store;
     StoreRelay &relay;
+    EvacuationWatch &evacuations;
     std::function<void()> changeHandler;
     StorePosition position;
     // Start time of the latest successful read of the store.
--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -1,5 +1,6 @@
 #include "Entry/EndpointDiscovery.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -328,12 +329,14 @@
 
 void EndpointDiscovery::rebuildPools()
 {
-    std::map<std::string, std::vector<Routing::EndpointEntry>> entries = routingEntries(this->list);
+    std::map<std::string, std::vector<Routing::EndpointEntry>> entries
+        = routingEntries(this->list, this->state.evacuations);
     for (const auto &[service, pool] : this->state.pools)
         entries[service];
     const Common::Time now = clockNow();
     std::erase_if(this->stated,
                   [this](const auto &entry) { return !this->list.known.contains(entry.first); });
+    this->countEvacuated(entries);
     for (const auto &[service, listed] : entries) {
         Routing::Pool &pool = this->state.poolOf(service);
         Routing::noteVersions(this->state.versions, service, pool, now);
@@ -345,6 +348,24 @@
     this->stages.refresh();
 }
 
+void EndpointDiscovery::applyEvacuations()
+{
+    this->rebuildPools();
+}
+
+void EndpointDiscovery::countEvacuated(
+    const std::map<std::string, std::vector<Routing::EndpointEntry>> &entries)
+{
+    for (const auto &[service, listed] : entries) {
+        const auto count = std::count_if(listed.begin(), listed.end(),
+                                         [](const auto &entry) { return entry.isEvacuated; });
+        const std::string name = labelled("evacuated_endpoints", "service", service);
+        // Deployments without evacuations have no such figure.
+        if (count > 0 || this->state.metrics.gauges.contains(name))
+            this->state.metrics.gauges[name] = static_cast<double>(count);
+    }
+}
+
 void EndpointDiscovery::avoid(const Common::EndpointId &endpoint, Common::Duration period)
 {
     if (Entry::avoid(this->list, endpoint, clockNow() + period))
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -30,6 +30,8 @@
     void onPoolsChanged(std::function<void()> action);
     // Takes note of what an endpoint's answer says about the endpoint itself.
     void noteResponse(const Routing::Endpoint &endpoint, const EndpointResponseHead &answer);
+    // Applies what is known of evacuated failure domains to the pools.
+    void applyEvacuations();
     // Applies what a reader of the store reports.
     void applyReport(const ReaderReport &report);
     // When the last reading began that the list is based on, by this instance or another one.
@@ -76,6 +78,7 @@
     void drop(const Common::EndpointId &id, Common::Time now);
     void applyExpirations(Common::Time now);
     void rebuildPools();
+    void countEvacuated(const std::map<std::string, std::vector<Routing::EndpointEntry>> &entries);
 
     State &state;
     StageOwner &stages;
--- a/Source/Core/Entry/EndpointList.cpp
+++ b/Source/Core/Entry/EndpointList.cpp
@@ -161,13 +161,15 @@
     return changed;
 }
 
-std::map<std::string, std::vector<Routing::EndpointEntry>> routingEntries(const EndpointList &list)
+std::map<std::string, std::vector<Routing::EndpointEntry>>
+routingEntries(const EndpointList &list, const Evacuations &evacuations)
 {
     std::map<std::string, std::vector<Routing::EndpointEntry>> entries;
     for (const auto &[id, known] : list.known) {
         Routing::EndpointEntry entry = known.listed.entry;
         if (known.avoidedUntil || known.hasAnnouncedLeaving)
             entry.state = Routing::EndpointState::Leaving;
+        entry.isEvacuated = isEvacuated(evacuations, entry.failureDomain);
         entries[known.listed.service].push_back(std::move(entry));
     }
     return entries;
--- a/Source/Core/Entry/EndpointList.h
+++ b/Source/Core/Entry/EndpointList.h
@@ -7,7 +7,7 @@
 // against what was known before is lost.
 #pragma once
 
-#include "Entry/Ports.h"
+#include "Entry/Evacuations.h"
 
 namespace Tanagerbay::Entry {
 
@@ -85,6 +85,7 @@
 bool applyExpirations(EndpointList &list, Common::Time now);
 
 // Returns the endpoints by service, as routing uses them.
-std::map<std::string, std::vector<Routing::EndpointEntry>> routingEntries(const EndpointList &list);
+std::map<std::string, std::vector<Routing::EndpointEntry>>
+routingEntries(const EndpointList &list, const Evacuations &evacuations = {});
 
 } // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -74,11 +74,12 @@
 EntryInstance::EntryInstance(Settings settings, const Platform &platform, Reload reload)
     : state(std::move(settings), platform.dialect), store(platform.makeStore(this->state)),
       reload(std::move(reload)), datagrams(this->state), gossip(this->state, this->datagrams),
-      mesh(this->state), relay(this->state, this->mesh), crashWatch(this->state, this->gossip),
-      limits(this->state, this->gossip), paths(this->state, this->gossip, this->stageOwner),
+      mesh(this->state), relay(this->state, this->mesh), evacuations(this->state, this->gossip),
+      crashWatch(this->state, this->gossip), limits(this->state, this->gossip),
+      paths(this->state, this->gossip, this->stageOwner),
       versionRows(this->state, *this->store, this->relay), stageOwner(this->state),
       stageClient(this->state, this->mesh, this->stageOwner),
-      catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay),
+      catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay, this->evacuations),
       endpoints(this->state, this->stageOwner, *this->store, this->relay),
       streams(this->state, this->datagrams, *this->store, this->endpoints),
       parts{this->state,      this->catalogs, this->endpoints, this->stageClient,
@@ -179,6 +180,8 @@
         this->mesh.send(peer, {{"type", "members?"}});
     });
     this->relay.onReport([this](const ReaderReport &report) {
+        // First, so that new endpoints of an evacuated domain are not used for a moment.
+        this->evacuations.applyReport(report.evacuations, "reader");
         this->endpoints.applyReport(report);
         this->catalogs.applyReport(report);
     });
@@ -220,6 +223,8 @@
             for (RequestFlow &request : this->openRequests)
                 request.noteRestarted(id, incarnation, knownUntil);
         });
+    this->evacuations.onChange([this] { this->endpoints.applyEvacuations(); });
+    this->evacuations.start();
     this->catalogs.onChange([this] { this->applyCatalog(); });
     this->catalogs.start();
     this->endpoints.start();
@@ -345,6 +350,14 @@
                            {"catalogVersion", member.report.catalogVersion}});
     }
     dump["instances"] = std::move(members);
+    boost::json::array evacuated;
+    for (const auto &[domain, belief] : this->state.evacuations.byDomain) {
+        if (belief.isEvacuated)
+            evacuated.push_back({{"domain", domain.value},
+                                 {"epoch", belief.position.epoch},
+                                 {"version", belief.position.version}});
+    }
+    dump["evacuated"] = std::move(evacuated);
     dump["quarantined"] = this->crashWatch.dump();
     boost::json::array endpoints;
     for (const auto &[service, pool] : this->state.pools) {
@@ -357,6 +370,7 @@
                                  {"inFlight", endpoint.ownInFlight},
                                  {"errorRate", endpoint.health.errorRate},
                                  {"slowness", Routing::currentSlowness(endpoint.health, now)},
+                                 {"evacuated", endpoint.isEvacuated},
                                  {"eligible", Routing::isEligible(endpoint, now)}});
             if (endpoint.statedLimit) {
                 boost::json::object &dumped = endpoints.back().as_object();
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -62,6 +62,7 @@
     Gossip gossip;
     PeerMesh mesh;
     StoreRelay relay;
+    EvacuationWatch evacuations;
     CrashWatch crashWatch;
     LimitWatch limits;
     PathWatch paths;
--- a/Source/Core/Entry/LimitWatch.cpp
+++ b/Source/Core/Entry/LimitWatch.cpp
@@ -246,7 +246,8 @@
 {
     for (auto &[service, pool] : this->state.pools) {
         for (Routing::Endpoint &endpoint : pool.endpoints) {
-            if (endpoint.statedLimit && this->beginQuestion(service, endpoint, now))
+            if (endpoint.statedLimit && !endpoint.isEvacuated
+                && this->beginQuestion(service, endpoint, now))
                 boost::asio::co_spawn(this->state.context, this->ask(endpoint),
                                       boost::asio::detached);
         }
--- a/Source/Core/Entry/PathWatch.cpp
+++ b/Source/Core/Entry/PathWatch.cpp
@@ -100,7 +100,7 @@
     for (const auto &[service, pool] : this->state.pools) {
         for (const Routing::Endpoint &endpoint : pool.endpoints) {
             // A question counts as a request where an endpoint limits them.
-            if (!Routing::isLeaving(endpoint) && !Routing::isLimited(endpoint.gate))
+            if (!Routing::takesNoNewWork(endpoint) && !Routing::isLimited(endpoint.gate))
                 candidates.push_back({service, endpoint.id});
         }
     }
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -266,12 +266,30 @@
     StorePosition position;
 };
 
+enum class EvacuationRowState {
+    Evacuated,
+    TakenBack,
+    // The row could not be parsed; it changes nothing.
+    Unreadable,
+};
+
+// A row by which the operator evacuates a failure domain, or its removal.
+struct EvacuationRow
+{
+    Common::FailureDomain domain;
+    EvacuationRowState state = EvacuationRowState::Evacuated;
+    // Version of the store that changed the row.
+    std::uint64_t version = 0;
+};
+
 struct CatalogUpdate
 {
     // Whether the full state was read, rather than changes only.
     bool isComplete = false;
     // The newest document; unset if nothing has changed.
     std::optional<std::string> document;
+    // All rows of a complete reading, otherwise the last change of each.
+    std::vector<EvacuationRow> evacuations;
     StorePosition position;
 };
 
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -99,7 +99,8 @@
         // The endpoint reported that a stage result is no longer available.
         bool inputsGone = false;
         std::string detail;
-        // Nothing was sent, since the endpoint had stated a limit after it was chosen.
+        // Nothing was sent, since the endpoint had stated a limit or was evacuated after it was
+        // chosen.
         bool isTurnedBack = false;
         // The stream's answer ended in order without framing, and nobody has confirmed its end.
         bool hasDoubtfulEnd = false;
--- a/Source/Core/Entry/RequestPermit.cpp
+++ b/Source/Core/Entry/RequestPermit.cpp
@@ -170,10 +170,15 @@
 {
     const Routing::Pool &pool = this->state.poolOf(this->service);
     const auto found = pool.indexById.find(id);
-    this->isTurnedBack = !this->hasPermit && found != pool.indexById.end()
-        && Routing::isLimited(pool.endpoints[found->second].gate);
+    const Routing::Endpoint *endpoint
+        = found == pool.indexById.end() ? nullptr : &pool.endpoints[found->second];
+    const bool isEvacuated = endpoint && endpoint->isEvacuated;
+    this->isTurnedBack
+        = isEvacuated || (endpoint && !this->hasPermit && Routing::isLimited(endpoint->gate));
     if (this->isTurnedBack)
-        this->state.metrics.count(labelled("sends_turned_back", "service", this->service));
+        this->state.metrics.count(
+            labelled(isEvacuated ? "sends_turned_back_by_evacuation" : "sends_turned_back",
+                     "service", this->service));
     return !this->isTurnedBack;
 }
 
@@ -183,11 +188,12 @@
     if (found == this->state.pools.end())
         return false;
     const std::vector<Routing::Endpoint> &endpoints = found->second.endpoints;
-    return std::any_of(
-        endpoints.begin(), endpoints.end(), [this, now](const Routing::Endpoint &each) {
-            return Routing::isLimited(each.gate) && Routing::isHeld(each, now)
-                && !Routing::isLeaving(each) && Routing::hasVersion(each, this->requiredVersion);
-        });
+    return std::any_of(endpoints.begin(), endpoints.end(),
+                       [this, now](const Routing::Endpoint &each) {
+                           return Routing::isLimited(each.gate) && Routing::isHeld(each, now)
+                               && !Routing::takesNoNewWork(each)
+                               && Routing::hasVersion(each, this->requiredVersion);
+                       });
 }
 
 Common::Duration RequestFlow::retryAfterLimit(Common::Time now)
--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -195,6 +195,8 @@
     options.deadline = sentAt + kFreeTimeout;
     options.connectTimeout = kConnectTimeout;
     options.maxBodyBytes = kMaxResultsBytes;
+    options.beforeFirstByte
+        = [this, &service, &order] { return !this->isEvacuated(service, order.endpoint); };
     // The copy of a reply to a call shows that the reply to this order is still to come.
     options.acceptReply = [this](const Http::Response &reply) {
         return this->state.dialect.readStageResults(reply.body) ? Http::ReplyUse::Reject
@@ -232,6 +234,13 @@
         this->responseHandler(endpoint, head);
 }
 
+bool StageOwner::isEvacuated(const std::string &service, const Common::EndpointId &id)
+{
+    const Routing::Pool &pool = this->state.poolOf(service);
+    const auto found = pool.indexById.find(id);
+    return found != pool.indexById.end() && pool.endpoints[found->second].isEvacuated;
+}
+
 void StageOwner::onLimit(
     std::function<void(const Routing::Endpoint &, const EndpointResponseHead &, Common::Time)>
         action)
@@ -352,6 +361,9 @@
     bool isTurnedBack = false;
     options.beforeFirstByte = [this, &service, &call, &isTurnedBack] {
         isTurnedBack = !Staging::mayBegin(this->queues[service].queue, call);
+        if (isTurnedBack && this->isEvacuated(service, call.endpoint.id))
+            this->state.metrics.count(
+                labelled("sends_turned_back_by_evacuation", "service", service));
         return !isTurnedBack;
     };
     const Common::Time calledAt = clockNow();
--- a/Source/Core/Entry/StageOwner.h
+++ b/Source/Core/Entry/StageOwner.h
@@ -72,6 +72,7 @@
     // Takes note of what the head of an answer says about the endpoint itself.
     void applyResponseHead(const std::string &service, const Common::EndpointId &id,
                            const EndpointResponseHead &head, Common::Time sentAt);
+    bool isEvacuated(const std::string &service, const Common::EndpointId &id);
     void notifySettled(Queue &queue, const std::vector<Staging::SettledPiece> &settled);
     Http::Awaitable<void> runCall(std::string service, Staging::PlannedCall call);
     // Decides whether a reply belongs to the call, and whether a copy of it could be recognized.
--- a/Source/Core/Entry/State.h
+++ b/Source/Core/Entry/State.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "Entry/Evacuations.h"
 #include "Entry/EventLog.h"
 #include "Entry/Metrics.h"
 #include "Entry/Ports.h"
@@ -48,6 +49,7 @@
     Catalog::CatalogPtr catalog;
     std::map<std::string, Routing::Pool> pools;
     Routing::VersionHistory versions;
+    Evacuations evacuations;
     std::unordered_map<std::string, Serving::FleetBudget> budgets;
     // Requests that wait for a permit, by service.
     std::unordered_map<std::string, Serving::PermitQueue> permits;
--- a/Source/Core/Entry/StoreRelay.cpp
+++ b/Source/Core/Entry/StoreRelay.cpp
@@ -1,5 +1,6 @@
 #include "Entry/StoreRelay.h"
 
+#include "Entry/EvacuationMessages.h"
 #include "Entry/ReaderMessages.h"
 
 #include <algorithm>
@@ -121,6 +122,7 @@
     message["catalog"] = this->state.catalog ? this->state.catalog->version : 0;
     if (this->catalogConfirmedAt)
         message["confirmedMs"] = Common::toMilliseconds(now - *this->catalogConfirmedAt);
+    attachEvacuations(message, reportOf(this->state.evacuations), now);
     return message;
 }
 
@@ -203,6 +205,7 @@
     report.catalogVersion = numberOf(message, "catalog");
     const json::value *watching = message.if_contains("watching");
     report.isWatchingCatalog = watching && watching->is_bool() && watching->get_bool();
+    report.evacuations = readEvacuations(message, now);
     if (const json::value *changes = message.if_contains("changes"))
         report.changes = changesFromJson(*changes);
     if (this->reportHandler)
--- a/Source/Core/Entry/StoreRelay.h
+++ b/Source/Core/Entry/StoreRelay.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "Entry/EndpointChanges.h"
+#include "Entry/Evacuations.h"
 #include "Entry/PeerMesh.h"
 #include "Membership/Readers.h"
 
@@ -26,6 +27,7 @@
     std::uint64_t catalogVersion = 0;
     // When the last reading that confirmed the reader's catalog began, if any.
     std::optional<Common::Time> catalogConfirmedAt;
+    EvacuationReport evacuations;
 };
 
 class StoreRelay
--- a/Source/Core/Routing/AffinityChoice.cpp
+++ b/Source/Core/Routing/AffinityChoice.cpp
@@ -53,7 +53,7 @@
     std::uint64_t bestScore = 0;
     for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
         const Endpoint &endpoint = pool.endpoints[i];
-        if (isLeaving(endpoint) || isHeld(endpoint, now) || wasTried(request, endpoint.id)
+        if (takesNoNewWork(endpoint) || isHeld(endpoint, now) || wasTried(request, endpoint.id)
             || !hasVersion(endpoint, request.version))
             continue;
         const int rank = faultRank(endpoint, maxCalls, now);
--- a/Source/Core/Routing/AffinityChoice.h
+++ b/Source/Core/Routing/AffinityChoice.h
@@ -19,8 +19,8 @@
     std::optional<std::string> version = std::nullopt;
 };
 
-// Returns the index of the endpoint, or nothing where all are leaving, held, tried or of another
-// version.
+// Returns the index of the endpoint, or nothing where all are leaving, evacuated, held, tried or of
+// another version.
 std::optional<std::size_t> chooseByAffinity(const Pool &pool, const AffinityRequest &request,
                                             Common::Time now);
 
--- a/Source/Core/Routing/Endpoint.cpp
+++ b/Source/Core/Routing/Endpoint.cpp
@@ -57,6 +57,11 @@
     return endpoint.state != EndpointState::Live || endpoint.report.leaving;
 }
 
+bool takesNoNewWork(const Endpoint &endpoint)
+{
+    return isLeaving(endpoint) || endpoint.isEvacuated;
+}
+
 bool hasVersion(const Endpoint &endpoint, const std::optional<std::string> &required)
 {
     return !required || endpoint.version == *required;
@@ -85,7 +90,7 @@
 
 bool isEligible(const Endpoint &endpoint, Common::Time now)
 {
-    if (isLeaving(endpoint) || isHeld(endpoint, now) || isEjected(endpoint, now))
+    if (takesNoNewWork(endpoint) || isHeld(endpoint, now) || isEjected(endpoint, now))
         return false;
     const std::uint32_t cap = endpoint.health.slowStartLimit;
     return cap == 0 || endpoint.ownInFlight < cap;
--- a/Source/Core/Routing/Endpoint.h
+++ b/Source/Core/Routing/Endpoint.h
@@ -70,6 +70,8 @@
     std::uint64_t incarnation = 0;
     // Version of the software that the process runs; empty where it is not known.
     std::string version;
+    // The operator has evacuated the endpoint's failure domain.
+    bool isEvacuated = false;
     LoadReport report;
     // This instance's calls in flight when the report arrived.
     std::uint32_t ownInFlightAtReport = 0;
@@ -94,6 +96,10 @@
 // Whether the endpoint leaves, by its entry or by its own report.
 bool isLeaving(const Endpoint &endpoint);
 
+// Whether the endpoint gets no new work, even if there is no other: it leaves, or its failure
+// domain is evacuated. Work in progress at the latter ends in its own time, and it may come back.
+bool takesNoNewWork(const Endpoint &endpoint);
+
 // Returns when the endpoint's hold has ended and its limit permits a send of this instance.
 // `Time::max()` if the limit permits none.
 Common::Time sendableFrom(const Endpoint &endpoint);
@@ -102,8 +108,8 @@
 // permit a send. Nothing is sent to such an endpoint, even if there is no other.
 bool isHeld(const Endpoint &endpoint, Common::Time now);
 
-// Whether the endpoint may be chosen: it is neither leaving, held nor ejected, and its slow-start
-// limit is not reached.
+// Whether the endpoint may be chosen: it takes new work, is neither held nor ejected, and its
+// slow-start limit is not reached.
 bool isEligible(const Endpoint &endpoint, Common::Time now);
 
 // Whether the endpoint runs the required software version, if one is required.
--- a/Source/Core/Routing/Pool.cpp
+++ b/Source/Core/Routing/Pool.cpp
@@ -48,7 +48,7 @@
     return value;
 }
 
-// Returns the endpoint whose ejection ends first among those that are neither leaving nor held and
+// Returns the endpoint whose ejection ends first among those that take new work, are not held and
 // have not been tried. Used where there is no candidate: the fault may have ended by now.
 std::optional<std::size_t> chooseFallback(const Pool &pool, const ChoiceRequest &request,
                                           Common::Time now)
@@ -56,8 +56,8 @@
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
         const Endpoint &endpoint = pool.endpoints[i];
-        if (isLeaving(endpoint) || isHeld(endpoint, now) || contains(request.tried, endpoint.id)
-            || !hasVersion(endpoint, request.version))
+        if (takesNoNewWork(endpoint) || isHeld(endpoint, now)
+            || contains(request.tried, endpoint.id) || !hasVersion(endpoint, request.version))
             continue;
         if (!best || endpoint.health.ejectedUntil < pool.endpoints[*best].health.ejectedUntil)
             best = i;
@@ -205,6 +205,7 @@
         endpoint.address = entry.address;
         endpoint.failureDomain = entry.failureDomain;
         endpoint.state = entry.state;
+        endpoint.isEvacuated = entry.isEvacuated;
         next.push_back(std::move(endpoint));
     }
     pool.indexesByDomain.clear();
@@ -262,7 +263,7 @@
 {
     std::optional<Common::Time> first;
     for (const Endpoint &endpoint : pool.endpoints) {
-        if (isLeaving(endpoint) || !hasVersion(endpoint, version))
+        if (takesNoNewWork(endpoint) || !hasVersion(endpoint, version))
             continue;
         if (!isHeld(endpoint, now))
             return std::nullopt;
@@ -280,7 +281,7 @@
     for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
         const Endpoint &endpoint = pool.endpoints[i];
         const Common::Time from = sendableFrom(endpoint);
-        if (isLeaving(endpoint) || contains(request.tried, endpoint.id)
+        if (takesNoNewWork(endpoint) || contains(request.tried, endpoint.id)
             || !hasVersion(endpoint, request.version) || from == Common::Time::max())
             continue;
         if (isLimited(endpoint.gate))
@@ -301,7 +302,7 @@
 {
     double perSecond = 0;
     for (const Endpoint &endpoint : pool.endpoints) {
-        if (isLeaving(endpoint) || !hasVersion(endpoint, version))
+        if (takesNoNewWork(endpoint) || !hasVersion(endpoint, version))
             continue;
         if (!endpoint.statedLimit)
             return std::nullopt;
@@ -319,7 +320,7 @@
     for (const Endpoint &endpoint : pool.endpoints) {
         capacity.own += endpoint.ownInFlight;
         const bool isEjected = now < endpoint.health.ejectedUntil;
-        if (isLeaving(endpoint) || isHeld(endpoint, now) || isEjected)
+        if (takesNoNewWork(endpoint) || isHeld(endpoint, now) || isEjected)
             continue;
         capacity.slots += endpoint.report.slots;
         capacity.others += estimatedOutstanding(endpoint) - endpoint.ownInFlight;
--- a/Source/Core/Routing/Pool.h
+++ b/Source/Core/Routing/Pool.h
@@ -46,6 +46,8 @@
     std::string version = {};
     // Number of calls that the endpoint processes concurrently, where the list states it.
     std::uint32_t slots = 1;
+    // The operator has evacuated its failure domain.
+    bool isEvacuated = false;
 };
 
 struct Pool
@@ -91,7 +93,8 @@
 // flight to a removed endpoint are not cancelled.
 void applyEntries(Pool &pool, const std::vector<EndpointEntry> &entries);
 
-// Chooses an endpoint and returns its index, or nothing where all are leaving, held or tried.
+// Chooses an endpoint and returns its index, or nothing where all are leaving, evacuated, held or
+// tried.
 // Where no endpoint is eligible, the one whose ejection ends first is chosen.
 std::optional<std::size_t> choose(Pool &pool, const ChoiceRequest &request, Common::Time now,
                                   std::mt19937_64 &random);
@@ -129,7 +132,7 @@
 void holdBack(Pool &pool, const Common::EndpointId &id, Common::Duration period, Common::Time now);
 
 // Returns when the first endpoint can be sent a request again, where every endpoint of the required
-// version that is not leaving is held; otherwise nothing.
+// version that takes new work is held; otherwise nothing.
 std::optional<Common::Time> allHeldUntil(const Pool &pool, Common::Time now,
                                          const std::optional<std::string> &version = std::nullopt);
 
@@ -143,7 +146,7 @@
 meanInterval(const Pool &pool, const std::optional<std::string> &version = std::nullopt);
 
 // Capacity and load of the pool. `slots` and `others` are summed over the endpoints that are
-// neither leaving nor ejected, `own` over all endpoints.
+// neither leaving, evacuated nor ejected, `own` over all endpoints.
 struct Capacity
 {
     std::uint32_t slots = 0;
--- a/Source/Core/Staging/CallPlan.cpp
+++ b/Source/Core/Staging/CallPlan.cpp
@@ -46,7 +46,7 @@
 {
     std::optional<Time> first;
     for (const auto &[id, endpoint] : queue.endpoints) {
-        if (!endpoint.isListed)
+        if (!endpoint.isListed || endpoint.endpoint.isEvacuated)
             continue;
         const Time free
             = std::max(now, std::min(Routing::sendableFrom(endpoint.endpoint), now + kLongestHold));
--- a/Source/Core/Staging/ResultMemory.cpp
+++ b/Source/Core/Staging/ResultMemory.cpp
@@ -38,7 +38,9 @@
 
 std::uint64_t maxUnfetchedBytes(const StageQueue &queue)
 {
-    const auto endpoints = static_cast<double>(queue.endpoints.size());
+    const auto endpoints = static_cast<double>(
+        std::count_if(queue.endpoints.begin(), queue.endpoints.end(),
+                      [](const auto &entry) { return !entry.second.endpoint.isEvacuated; }));
     const auto usableBytes = static_cast<double>(usableResultMemory(queue.batching));
     return static_cast<std::uint64_t>(queue.maxUnfetchedFraction * endpoints * usableBytes);
 }
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -138,7 +138,8 @@
 
 bool wantsFrees(const Routing::Endpoint &endpoint, Time now)
 {
-    return !Routing::isHeld(endpoint, now) && !Routing::isLimited(endpoint.gate);
+    return !endpoint.isEvacuated && !Routing::isHeld(endpoint, now)
+        && !Routing::isLimited(endpoint.gate);
 }
 
 } // namespace
@@ -201,6 +202,7 @@
         endpoint.endpoint.failureDomain = entry.failureDomain;
         endpoint.endpoint.incarnation = entry.incarnation;
         endpoint.endpoint.state = entry.state;
+        endpoint.endpoint.isEvacuated = entry.isEvacuated;
         endpoint.endpoint.heldUntil = std::max(endpoint.endpoint.heldUntil, entry.heldUntil);
         applyLimit(queue, endpoint.endpoint, entry.statedLimit);
         endpoint.isListed = entry.state == Routing::EndpointState::Live;
@@ -379,8 +381,11 @@
 bool mayBegin(const StageQueue &queue, const PlannedCall &call)
 {
     const auto found = queue.endpoints.find(call.endpoint.id);
-    return Routing::isLimited(call.endpoint.gate) || found == queue.endpoints.end()
-        || !Routing::isLimited(found->second.endpoint.gate);
+    if (found == queue.endpoints.end())
+        return true;
+    const Routing::Endpoint &endpoint = found->second.endpoint;
+    return !endpoint.isEvacuated
+        && (Routing::isLimited(call.endpoint.gate) || !Routing::isLimited(endpoint.gate));
 }
 
 std::vector<FreeOrder> takeFreeOrders(StageQueue &queue, Time now)
@@ -410,7 +415,8 @@
     if (queue.waiting.order.empty())
         return wake;
     for (const auto &[id, endpoint] : queue.endpoints) {
-        if (!endpoint.isListed || endpoint.callsInFlight >= queue.batching.concurrentCalls)
+        if (!endpoint.isListed || endpoint.endpoint.isEvacuated
+            || endpoint.callsInFlight >= queue.batching.concurrentCalls)
             continue;
         consider(std::max({endpoint.fullUntil, endpoint.endpoint.health.ejectedUntil,
                            Routing::sendableFrom(endpoint.endpoint)}));
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -304,12 +304,13 @@
 // used again. The copy of an answer that came over it before then would not be recognized.
 Common::Time reusableIdleSince(const StageQueue &queue, const Common::EndpointId &endpoint);
 
-// Whether a call may still be sent, immediately before its first byte is written: its endpoint may
-// have stated a limit since it was planned.
+// Whether a call may still be sent, immediately before its first byte is written: since it was
+// planned, its endpoint may have stated a limit, or its failure domain may have been evacuated.
 bool mayBegin(const StageQueue &queue, const PlannedCall &call);
 
 enum class CallFault {
-    // The endpoint answered that it did not accept the call, or its limit did not permit it.
+    // The endpoint answered that it did not accept the call, or the call was not sent, since
+    // `mayBegin` did not permit it.
     Refused,
     // The connection could not be established.
     Unreachable,
@@ -342,9 +343,9 @@
     Common::Address address;
     std::vector<std::string> handles;
 };
-// Both leave out endpoints that are held back or have a limit: they want nothing at present or
-// little. Results end with their lifetime in any case; endpoints with a limit free them before a
-// call that needs their memory.
+// Both leave out endpoints that are held back, have a limit or are evacuated: they want nothing at
+// present or little. Results end with their lifetime in any case; endpoints with a limit free them
+// before a call that needs their memory.
 bool hasFreeOrders(const StageQueue &queue, Common::Time now);
 std::vector<FreeOrder> takeFreeOrders(StageQueue &queue, Common::Time now);
 
--- a/Source/UnitTests/Entry/EndpointListTest.cpp
+++ b/Source/UnitTests/Entry/EndpointListTest.cpp
@@ -238,4 +238,18 @@
     BOOST_TEST(this->isRouted());
 }
 
+// An evacuation is no leaving: the process comes back when it is taken back.
+BOOST_AUTO_TEST_CASE(domainIsEvacuated_entriesSayThat_andAreNotLeaving)
+{
+    ListedEndpoint listed = this->entry(7, 1);
+    listed.entry.failureDomain = Common::FailureDomain("a");
+    this->apply(listed);
+    Evacuations evacuations;
+    evacuations.byDomain[Common::FailureDomain("a")].isEvacuated = true;
+    const auto evacuated = routingEntries(this->list, evacuations).at("app").front();
+    BOOST_TEST(evacuated.isEvacuated);
+    BOOST_TEST((evacuated.state == EndpointState::Live));
+    BOOST_TEST(!routingEntries(this->list).at("app").front().isEvacuated);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
