Routing: Send cold endpoints few requests over all instances

Cause: nothing read that an endpoint is cold (cold_left_ms, Cold-Ms) or how much a cold one takes (cold_per_s, cold_s). A process that starts during traffic, or a failure domain that returns, got its full part from each instance at once. The platform bounds what one may get in a second, summed over all instances: coldOvershoot x rate + coldSlack.

Change: Routing/ColdEndpoints keeps until when an endpoint is believed cold (entry, answer, start seen in the list or by a question before a send, news of other instances, return of a domain, ejection) and divides the rate: the first instances of the endpoint's rendezvous order, which use half of the bound, so that two sets of senders stay within it. Failed instances keep their places. Entry/ColdWatch feeds it, Entry/LimitWatch sets the gate to the stricter of this and of a stated limit. Held endpoints are no candidates; the next in hash order is taken. Readers report an entry that turns cold or warm. Takes effect only with coldOvershoot in the settings' bounds and cold_per_s of the service. PathWatch asks endpoints that are only cold whether they answer, as before; not those with a limit. ColdWatch::noteReturned is for evacuations that are taken back; nothing calls it yet.

--- a/Source/Core/Catalog/Catalog.h
+++ b/Source/Core/Catalog/Catalog.h
@@ -100,6 +100,15 @@
     std::uint32_t tokensPerEvent = 1;
 };
 
+// How the processes of a service start.
+struct ColdStart
+{
+    // For how long a process is cold after it has started during traffic.
+    Common::Milliseconds period{0};
+    // Requests a second that a cold process takes from all instances together.
+    double perSecond = 0;
+};
+
 struct Service
 {
     std::string name;
@@ -108,6 +117,8 @@
     std::optional<Batching> batching;
     // Set for model engines.
     std::optional<Engine> engine;
+    // Unset where a process takes requests as usual from its start on.
+    std::optional<ColdStart> coldStart;
 };
 
 // Limits on the size and the duration of what callers send.
--- a/Source/Core/Entry/EndpointChanges.cpp
+++ b/Source/Core/Entry/EndpointChanges.cpp
@@ -16,6 +16,16 @@
         && a.entry.version == b.entry.version;
 }
 
+// Whether the entry of a process says what follows from the one reported before, as time goes by:
+// the time for which it stays cold only falls until it is warm, unless it has become cold again.
+bool isSameColdness(const ListedEndpoint &before, const ListedEndpoint &entry)
+{
+    const Common::Milliseconds zero{0};
+    const Common::Milliseconds leftBefore = before.coldLeft.value_or(zero);
+    const Common::Milliseconds left = entry.coldLeft.value_or(zero);
+    return left <= leftBefore && (left == zero) == (leftBefore == zero);
+}
+
 } // namespace
 
 bool mayReport(const EndpointList &list)
@@ -41,9 +51,11 @@
     });
     for (const auto &[id, known] : list.known) {
         const auto [entry, added] = reported.try_emplace(id, known.listed);
-        if (!added && isSameForRouting(entry->second, known.listed))
-            continue;
+        const bool isReported = !added && isSameForRouting(entry->second, known.listed)
+            && isSameColdness(entry->second, known.listed);
         entry->second = known.listed;
+        if (isReported)
+            continue;
         changes.listed.push_back(known.listed);
     }
     return changes;
--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -154,6 +154,11 @@
     this->restartHandler = std::move(action);
 }
 
+void EndpointDiscovery::onListed(ListedHandler action)
+{
+    this->listedHandler = std::move(action);
+}
+
 void EndpointDiscovery::onPoolsChanged(std::function<void()> action)
 {
     this->poolsHandler = std::move(action);
@@ -259,15 +264,26 @@
     this->changed = true;
 }
 
+Routing::ProcessNews EndpointDiscovery::processNewsOf(const ListedEndpoint &listed) const
+{
+    const auto known = this->list.known.find(listed.entry.id);
+    if (known != this->list.known.end() && isFromSameProcess(known->second.listed, listed))
+        return Routing::ProcessNews::Known;
+    return this->hasReadAll ? Routing::ProcessNews::Started : Routing::ProcessNews::FirstReading;
+}
+
 void EndpointDiscovery::noteListed(const ListedEndpoint &listed, EntrySource source,
                                    Common::Time now)
 {
     const auto known = this->list.known.find(listed.entry.id);
     const Routing::EndpointEntry before
         = known == this->list.known.end() ? listed.entry : known->second.listed.entry;
+    const Routing::ProcessNews process = this->processNewsOf(listed);
     const EntryChange change = applyEntry(this->list, listed, source);
     if (change == EntryChange::Outdated)
         this->state.metrics.count("endpoint_entries_outdated");
+    else if (this->listedHandler)
+        this->listedHandler(listed, process);
     if (change != EntryChange::Changed)
         return;
     this->changed = true;
@@ -307,6 +323,7 @@
     }
     for (const ListedEndpoint &listed : reading.present)
         this->noteListed(listed, source, now);
+    this->hasReadAll = this->hasReadAll || reading.isComplete;
     this->applyExpirations(now);
 }
 
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -26,6 +26,10 @@
     using RestartHandler = std::function<void(const Common::EndpointId &, std::uint64_t incarnation,
                                               Common::Time knownUntil)>;
     void onRestart(RestartHandler action);
+    // Sets the handler that is called for each entry of the list that is not outdated, before the
+    // pools change.
+    using ListedHandler = std::function<void(const ListedEndpoint &, Routing::ProcessNews)>;
+    void onListed(ListedHandler action);
     // Sets the handler that is called when the pools have changed, before they are used.
     void onPoolsChanged(std::function<void()> action);
     // Takes note of what an endpoint's answer says about the endpoint itself.
@@ -72,6 +76,8 @@
     void noteFault(StoreFault fault, Common::Time now);
     void applyReading(const EndpointsUpdate &reading, Common::Time now);
     void noteListed(const ListedEndpoint &listed, EntrySource source, Common::Time now);
+    // What the entry says of the endpoint's process beside what is known.
+    Routing::ProcessNews processNewsOf(const ListedEndpoint &listed) const;
     void noteDropped(const Common::EndpointId &id, Common::Time now);
     void drop(const Common::EndpointId &id, Common::Time now);
     void applyExpirations(Common::Time now);
@@ -97,6 +103,7 @@
     // The same before the reading that is being applied.
     Common::Time knownUntil;
     RestartHandler restartHandler;
+    ListedHandler listedHandler;
     std::function<void()> poolsHandler;
     // A reader's report leaves a gap that only a reading of its own closes.
     bool needsReading = false;
@@ -109,6 +116,8 @@
     // When the store was last back, from an outage or from an older copy.
     std::optional<Common::Time> storeRecoveredAt;
     bool changed = false;
+    // Whether the list has been read in full.
+    bool hasReadAll = false;
 };
 
 } // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/EndpointList.cpp
+++ b/Source/Core/Entry/EndpointList.cpp
@@ -38,6 +38,13 @@
 
 } // namespace
 
+bool isFromSameProcess(const ListedEndpoint &earlier, const ListedEndpoint &later)
+{
+    const bool hasStartedAnew
+        = later.entry.incarnation == 0 && later.sequence != 0 && later.sequence < earlier.sequence;
+    return isSameProcess(earlier, later) && !hasStartedAnew;
+}
+
 EntryChange applyEntry(EndpointList &list, const ListedEndpoint &entry, EntrySource source)
 {
     const auto isOrderKnown = [&list, source](std::uint64_t knownEpoch) {
--- a/Source/Core/Entry/EndpointList.h
+++ b/Source/Core/Entry/EndpointList.h
@@ -57,6 +57,10 @@
     FullState,
 };
 
+// Whether the later of two entries of an endpoint is from the same process. One without a start
+// time is told from the next by its address, its version and its sequence, which starts anew.
+bool isFromSameProcess(const ListedEndpoint &earlier, const ListedEndpoint &later);
+
 // Applies an entry that the store lists. `list.epoch` is the epoch of the reading.
 EntryChange applyEntry(EndpointList &list, const ListedEndpoint &entry,
                        EntrySource source = EntrySource::Change);
--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -199,6 +199,9 @@
                Common::Time sentAt) { this->limits.noteAnswer(endpoint, answer, sentAt); });
     this->limits.onChange([this] { this->stageOwner.refresh(); });
     this->limits.start();
+    this->endpoints.onListed([this](const ListedEndpoint &listed, Routing::ProcessNews process) {
+        this->limits.coldEndpoints().noteEntry(listed, process);
+    });
     this->endpoints.onPoolsChanged([this] {
         this->limits.applyToPools();
         this->streams.noteVersions();
@@ -358,9 +361,10 @@
                                  {"errorRate", endpoint.health.errorRate},
                                  {"slowness", Routing::currentSlowness(endpoint.health, now)},
                                  {"eligible", Routing::isEligible(endpoint, now)}});
-            if (endpoint.statedLimit) {
+            if (const auto limit = Routing::takenPerSecond(endpoint)) {
                 boost::json::object &dumped = endpoints.back().as_object();
-                dumped["limitPerSecond"] = *endpoint.statedLimit;
+                dumped["limitPerSecond"] = *limit;
+                dumped["cold"] = endpoint.coldPerSecond.has_value();
                 const bool isSender = endpoint.gate.interval != Routing::kNoSends;
                 dumped["sendIntervalMs"] = isSender
                     ? boost::json::value(Common::toMilliseconds(endpoint.gate.interval))
--- a/Source/Core/Entry/LimitWatch.cpp
+++ b/Source/Core/Entry/LimitWatch.cpp
@@ -36,8 +36,9 @@
 } // namespace
 
 LimitWatch::LimitWatch(State &state, Gossip &gossip)
-    : state(state), gossip(gossip), announcement(state.context)
+    : state(state), gossip(gossip), cold(state, gossip), announcement(state.context)
 {
+    this->cold.onChange([this] { this->applyToPools(); });
 }
 
 void LimitWatch::start()
@@ -63,6 +64,7 @@
     this->gossip.onAllReports([this](boost::json::object &message) {
         attachLimits(message, {this->limits.begin(), this->limits.end()});
     });
+    this->cold.start();
     boost::asio::co_spawn(this->state.context, this->followInstances(), boost::asio::detached);
 }
 
@@ -76,6 +78,7 @@
 {
     if (answer.isOtherEndpoint)
         return;
+    this->cold.noteAnswer(endpoint, answer, sentAt);
     if (answer.hasUnreadableLimit) {
         this->state.metrics.count("endpoint_limits_unreadable");
         this->state.log.write(
@@ -109,6 +112,11 @@
     });
 }
 
+ColdWatch &LimitWatch::coldEndpoints()
+{
+    return this->cold;
+}
+
 void LimitWatch::applyToPools()
 {
     if (this->updateGates() && this->changeHandler)
@@ -176,6 +184,8 @@
         const bool isSender = rank.own && *rank.own < senders;
         interval = isSender ? Routing::sendInterval(perSecond, senders) : Routing::kNoSends;
     }
+    // The stricter of both.
+    interval = std::max(interval, this->cold.applyTo(service, endpoint, clockNow()));
     const bool isChanged = stated != endpoint.statedLimit || interval != endpoint.gate.interval;
     if (isChanged && stated) {
         const bool isSender = interval != Routing::kNoSends;
@@ -209,16 +219,21 @@
                   [this](const auto &entry) { return !this->limits.contains(entry.first); });
 }
 
+void LimitWatch::refresh(Common::Time now)
+{
+    const bool hasChanged = this->cold.dropWarm(now);
+    if (this->hasLimits() || this->cold.hasBeliefs() || hasChanged) {
+        this->applyToPools();
+        this->askForLimits(now);
+    }
+    this->dropOld(now);
+}
+
 Http::Awaitable<void> LimitWatch::followInstances()
 {
     while (true) {
         co_await this->state.sleepFor(kUpdateInterval);
-        const Common::Time now = clockNow();
-        if (this->hasLimits()) {
-            this->applyToPools();
-            this->askForLimits(now);
-        }
-        this->dropOld(now);
+        this->refresh(clockNow());
     }
 }
 
--- a/Source/Core/Entry/LimitWatch.h
+++ b/Source/Core/Entry/LimitWatch.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Common/DelayedAction.h"
+#include "Entry/ColdWatch.h"
 #include "Entry/Gossip.h"
 #include "Entry/LimitMessages.h"
 
@@ -21,10 +22,14 @@
                     Common::Time sentAt);
     // Sets the gates of the pools' endpoints; called after the pools have changed.
     void applyToPools();
+    // Endpoints that are cold; their gates are set here too.
+    ColdWatch &coldEndpoints();
 
 private:
     // Applies a change, and passes it on.
     void spread(const Routing::ProcessKey &process, std::string_view learnedFrom);
+    // Sets the gates anew as time goes by.
+    void refresh(Common::Time now);
     // Returns whether the gate of any endpoint has changed.
     bool updateGates();
     bool updateGate(const std::string &service, Routing::Endpoint &endpoint,
@@ -48,6 +53,7 @@
 
     State &state;
     Gossip &gossip;
+    ColdWatch cold;
     Routing::StatedLimits limits;
     Membership::News<Routing::ProcessKey, Routing::ProcessKey> news;
     std::function<void()> changeHandler;
--- a/Source/Core/Entry/PathWatch.cpp
+++ b/Source/Core/Entry/PathWatch.cpp
@@ -99,8 +99,8 @@
     std::vector<Routing::ProbeCandidate> candidates;
     for (const auto &[service, pool] : this->state.pools) {
         for (const Routing::Endpoint &endpoint : pool.endpoints) {
-            // A question counts as a request where an endpoint limits them.
-            if (!Routing::isLeaving(endpoint) && !Routing::isLimited(endpoint.gate))
+            // A question counts as a request where an endpoint states a limit.
+            if (!Routing::isLeaving(endpoint) && !endpoint.statedLimit)
                 candidates.push_back({service, endpoint.id});
         }
     }
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -160,6 +160,8 @@
     std::optional<double> rateLimit;
     // The answer states a limit that is no number of requests.
     bool hasUnreadableLimit = false;
+    // How long the endpoint stays cold; zero if it states that it is warm.
+    std::optional<Common::Milliseconds> coldLeft;
 };
 
 struct DirectoryRequest
@@ -232,6 +234,9 @@
     Routing::EndpointEntry entry;
     // Rises with each entry that a process of the endpoint writes; starts anew with its process.
     std::uint64_t sequence = 0;
+    // How long the process stays cold by this entry, as of its reading; zero if it states that it
+    // is warm.
+    std::optional<Common::Milliseconds> coldLeft = std::nullopt;
 };
 
 // A process of an endpoint that announced that it leaves.
--- a/Source/Core/Entry/ReaderMessages.cpp
+++ b/Source/Core/Entry/ReaderMessages.cpp
@@ -47,6 +47,9 @@
         || !Common::parseAddress(textOf(object, "address"), endpoint.entry.address))
         return std::nullopt;
     endpoint.entry.state = *state;
+    // A reader of an earlier release does not pass it on.
+    if (object.contains("coldLeftMs"))
+        endpoint.coldLeft = Common::Milliseconds(numberOf(object, "coldLeftMs"));
     return endpoint;
 }
 
@@ -66,6 +69,8 @@
                           {"version", entry.version},
                           {"slots", entry.slots},
                           {"state", Common::nameOf(entry.state)}});
+        if (endpoint.coldLeft)
+            listed.back().as_object()["coldLeftMs"] = endpoint.coldLeft->count();
     }
     json::array dropped;
     for (const DroppedEntry &entry : changes.dropped)
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -400,6 +400,7 @@
             continue;
         const Routing::Endpoint endpoint = pool.endpoints[*currentChoice];
         this->triedEndpoints.push_back(endpoint.id);
+        this->countColdHold(clockNow());
         this->takePermit(endpoint.id, 1, clockNow());
         hasTurn = false;
         SendResult sent = co_await this->sendTo(endpoint);
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -171,6 +171,8 @@
     std::optional<std::size_t> chooseSoonest(Common::Time now);
     // Takes the permit for so many sends to the endpoint, if it limits them.
     void takePermit(const Common::EndpointId &id, int sends, Common::Time now);
+    // Counts a send from which a cold endpoint was held back.
+    void countColdHold(Common::Time now);
     // Returns whether the request may still be sent, immediately before its first byte is written.
     bool maySendNow(const Common::EndpointId &id);
     // Whether the limit of an endpoint keeps the request from being sent to it.
--- a/Source/Core/Entry/RequestPermit.cpp
+++ b/Source/Core/Entry/RequestPermit.cpp
@@ -156,6 +156,9 @@
     Routing::takePermit(endpoint.gate, now, sends);
     if (!this->hasPermit)
         return;
+    if (endpoint.coldPerSecond)
+        this->state.metrics.count(labelled("sends_to_cold_endpoints", "service", this->service),
+                                  static_cast<std::uint64_t>(sends));
     this->state.metrics.count(labelled("permits_taken", "service", this->service),
                               static_cast<std::uint64_t>(sends));
     this->state.log.write(LogLine("permit-taken")
@@ -166,6 +169,19 @@
                           now);
 }
 
+void RequestFlow::countColdHold(Common::Time now)
+{
+    const std::vector<Routing::Endpoint> &endpoints = this->state.poolOf(this->service).endpoints;
+    const bool isAnyHeld = std::any_of(
+        endpoints.begin(), endpoints.end(), [this, now](const Routing::Endpoint &each) {
+            return Routing::isHeldWhileCold(each, now) && !Routing::isLeaving(each)
+                && Routing::hasVersion(each, this->requiredVersion);
+        });
+    if (isAnyHeld)
+        this->state.metrics.count(
+            labelled("sends_beside_cold_endpoints", "service", this->service));
+}
+
 bool RequestFlow::maySendNow(const Common::EndpointId &id)
 {
     const Routing::Pool &pool = this->state.poolOf(this->service);
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -256,6 +256,8 @@
         || (this->earlyEnd && !result.isAnswered))
         report.end = Routing::CallEnd::Cancelled;
     Routing::endCall(this->state.poolOf(this->service), report, now);
+    if (report.end == Routing::CallEnd::Failed || report.end == Routing::CallEnd::Unreachable)
+        this->dependencies.limits.coldEndpoints().noteFailure(this->service, endpoint.id);
     co_return result;
 }
 
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -134,7 +134,8 @@
             labelled("process_questions", "result", process ? "stated" : "unstated"));
         return process;
     };
-    options.acceptPeer = [this, &endpoint](std::uint64_t process) {
+    options.acceptPeer = [this, &endpoint, askedAt](std::uint64_t process) {
+        this->dependencies.limits.coldEndpoints().noteProcess(endpoint, process, askedAt);
         this->isOtherProcess = !this->mayGoOnAt(endpoint.id, process);
         return !this->isOtherProcess;
     };
--- a/Source/Core/Entry/Settings.cpp
+++ b/Source/Core/Entry/Settings.cpp
@@ -50,6 +50,9 @@
     bounds.extraSends.slack = reader.number("extraSendSlack", 0, kMaxSlack, 0.0);
     bounds.extraSends.window
         = readTime(reader, "extraSendWindowSeconds", kSecond, Milliseconds(10'000));
+    const double coldSlack = reader.number("coldSlack", 0, kMaxSlack, 0.0);
+    if (reader.member("coldOvershoot"))
+        bounds.coldEndpoints = {reader.number("coldOvershoot", 0, kMaxRatio, 0.0), coldSlack};
     reader.finish();
     return bounds;
 }
--- a/Source/Core/Entry/Settings.h
+++ b/Source/Core/Entry/Settings.h
@@ -5,6 +5,7 @@
 #include "Common/Ids.h"
 #include "Common/JsonReader.h"
 #include "Common/Time.h"
+#include "Routing/ColdEndpoints.h"
 #include "Serving/EventSequence.h"
 #include "Serving/FleetBudget.h"
 
@@ -24,6 +25,8 @@
     // Maximum time for which a caller may cache an answer of the directory.
     Common::Milliseconds maxDirectoryTtl{5000};
     Serving::FleetBudgetLimits extraSends;
+    // Unset where the platform does not bound what a cold endpoint may get.
+    std::optional<Routing::ColdBounds> coldEndpoints;
 };
 
 struct Settings
--- a/Source/Core/Membership/Holders.cpp
+++ b/Source/Core/Membership/Holders.cpp
@@ -36,6 +36,25 @@
         [](const Candidate &a, const Candidate &b) { return a.rankInDomain < b.rankInDomain; });
 }
 
+// Ranks those that are not leaving and that `counts` accepts.
+template <typename Predicate>
+DutyRank rankAmong(const Members &members, std::string_view key, Predicate counts)
+{
+    const std::uint64_t seed = Common::hash64(key);
+    std::vector<Candidate> candidates;
+    for (const auto &[id, member] : members.byId) {
+        if (member.report.state != MemberState::Leaving && counts(member))
+            candidates.push_back({&member, Common::hash64(id.value, seed), 0});
+    }
+    sortByRendezvous(candidates);
+    DutyRank rank{candidates.size(), std::nullopt};
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].member->report.id == members.self)
+            rank.own = i;
+    }
+    return rank;
+}
+
 } // namespace
 
 std::vector<const Member *> holdersOf(const Members &members, std::string_view key,
@@ -80,21 +99,18 @@
 
 DutyRank rankFor(const Members &members, std::string_view key)
 {
-    const std::uint64_t seed = Common::hash64(key);
-    std::vector<Candidate> candidates;
-    for (const auto &[id, member] : members.byId) {
-        const bool isKnown = id == members.self || member.lastReportAt;
-        if (isKnown && member.report.state != MemberState::Leaving
-            && member.condition != Condition::Failed)
-            candidates.push_back({&member, Common::hash64(id.value, seed), 0});
-    }
-    sortByRendezvous(candidates);
-    DutyRank rank{candidates.size(), std::nullopt};
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (candidates[i].member->report.id == members.self)
-            rank.own = i;
-    }
-    return rank;
+    return rankAmong(members, key, [&members](const Member &member) {
+        const bool isKnown = member.report.id == members.self || member.lastReportAt;
+        return isKnown && member.condition != Condition::Failed;
+    });
+}
+
+DutyRank rankAmongKnown(const Members &members, std::string_view key, Common::Time now)
+{
+    return rankAmong(members, key, [&members, now](const Member &member) {
+        return member.report.id == members.self || member.lastReportAt
+            || now - member.firstSeenAt <= members.unheardGrace;
+    });
 }
 
 } // namespace Tanagerbay::Membership
--- a/Source/Core/Membership/Holders.h
+++ b/Source/Core/Membership/Holders.h
@@ -32,4 +32,9 @@
 };
 DutyRank rankFor(const Members &members, std::string_view key);
 
+// The same, counting also instances that have failed, until they are forgotten, and listed ones
+// that have not been heard of yet. For duties that instances must not take from others which they
+// only do not reach.
+DutyRank rankAmongKnown(const Members &members, std::string_view key, Common::Time now);
+
 } // namespace Tanagerbay::Membership
--- a/Source/Core/Routing/Endpoint.cpp
+++ b/Source/Core/Routing/Endpoint.cpp
@@ -72,6 +72,18 @@
     return now < sendableFrom(endpoint);
 }
 
+bool isHeldWhileCold(const Endpoint &endpoint, Common::Time now)
+{
+    return endpoint.coldPerSecond && now < opensAt(endpoint.gate);
+}
+
+std::optional<double> takenPerSecond(const Endpoint &endpoint)
+{
+    if (!endpoint.statedLimit || !endpoint.coldPerSecond)
+        return endpoint.statedLimit ? endpoint.statedLimit : endpoint.coldPerSecond;
+    return std::min(*endpoint.statedLimit, *endpoint.coldPerSecond);
+}
+
 void holdBack(Endpoint &endpoint, Common::Duration period, Common::Time now)
 {
     const Common::Duration bounded = std::clamp<Common::Duration>(period, {}, kMaxHold);
--- a/Source/Core/Routing/Endpoint.h
+++ b/Source/Core/Routing/Endpoint.h
@@ -77,9 +77,12 @@
     Health health;
     // The endpoint has asked this instance to send it nothing before this time.
     Common::Time heldUntil;
-    // Limit on the requests a second that the endpoint states for all instances together, and this
-    // instance's part of it.
+    // Limit on the requests a second that the endpoint states for all instances together.
     std::optional<double> statedLimit;
+    // Requests a second that the endpoint takes from all instances together while it is cold; unset
+    // while it is believed warm.
+    std::optional<double> coldPerSecond;
+    // This instance's part of the stricter of both.
     SendGate gate;
     std::uint64_t callsBegun = 0;
     std::uint64_t callsFailed = 0;
@@ -102,6 +105,13 @@
 // permit a send. Nothing is sent to such an endpoint, even if there is no other.
 bool isHeld(const Endpoint &endpoint, Common::Time now);
 
+// Whether the endpoint is cold and permits this instance no send at present.
+bool isHeldWhileCold(const Endpoint &endpoint, Common::Time now);
+
+// Returns how many requests a second the endpoint takes from all instances together, by its stated
+// limit or because it is cold; nothing if it is not limited.
+std::optional<double> takenPerSecond(const Endpoint &endpoint);
+
 // Whether the endpoint may be chosen: it is neither leaving, held nor ejected, and its slow-start
 // limit is not reached.
 bool isEligible(const Endpoint &endpoint, Common::Time now);
--- a/Source/Core/Routing/Pool.cpp
+++ b/Source/Core/Routing/Pool.cpp
@@ -303,9 +303,10 @@
     for (const Endpoint &endpoint : pool.endpoints) {
         if (isLeaving(endpoint) || !hasVersion(endpoint, version))
             continue;
-        if (!endpoint.statedLimit)
+        const auto taken = takenPerSecond(endpoint);
+        if (!taken)
             return std::nullopt;
-        perSecond += *endpoint.statedLimit;
+        perSecond += *taken;
     }
     if (perSecond <= 0)
         return std::nullopt;
--- a/Source/Core/Routing/Pool.h
+++ b/Source/Core/Routing/Pool.h
@@ -138,7 +138,7 @@
 std::optional<NextSend> nextSend(const Pool &pool, const ChoiceRequest &request, Common::Time now);
 
 // Returns the mean time between two requests that the endpoints of the required version take from
-// all instances together; nothing if there is none or one of them states no limit.
+// all instances together; nothing if there is none or one of them is not limited.
 std::optional<Common::Duration>
 meanInterval(const Pool &pool, const std::optional<std::string> &version = std::nullopt);
 
--- a/Source/UnitTests/Entry/EndpointChangesTest.cpp
+++ b/Source/UnitTests/Entry/EndpointChangesTest.cpp
@@ -51,6 +51,39 @@
     BOOST_TEST(none.dropped.empty());
 }
 
+// Guards against followers that go on as before when an endpoint turns cold again, and against
+// reports at each heartbeat of one that warms.
+BOOST_AUTO_TEST_CASE(changesOf_endpointTurnsCold_isReportedOnceUntilItIsWarm)
+{
+    using Common::Milliseconds;
+    std::uint64_t sequence = 0;
+    const auto isReported = [this, &sequence](int left) {
+        ListedEndpoint made = entry("e1", ++sequence);
+        made.coldLeft = Milliseconds(left);
+        applyEntry(this->list, made);
+        return !changesOf(this->list, this->reported).listed.empty();
+    };
+    BOOST_TEST(isReported(0));
+    BOOST_TEST(isReported(3000));
+    BOOST_TEST(!isReported(1800));
+    BOOST_TEST(!isReported(600));
+    // It has turned cold again before it was warm.
+    BOOST_TEST(isReported(2900));
+    BOOST_TEST(isReported(0));
+    BOOST_TEST(!isReported(0));
+    BOOST_TEST(isReported(1));
+}
+
+BOOST_AUTO_TEST_CASE(messages_coldEndpointOrUnknown_areTheSame)
+{
+    EndpointChanges changes{{1, 2}, {1, 3}, {entry("e1", 1), entry("e2", 1)}, {}};
+    changes.listed.front().coldLeft = Common::Milliseconds(1234);
+    const auto read = changesFromJson(changesToJson(changes));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((read->listed.front().coldLeft == Common::Milliseconds(1234)));
+    BOOST_TEST(!read->listed.back().coldLeft.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(changesOf_droppedEndpoint_namesItsLastSequence)
 {
     applyEntry(this->list, entry("e1", 1));
--- a/Source/UnitTests/Entry/EndpointListTest.cpp
+++ b/Source/UnitTests/Entry/EndpointListTest.cpp
@@ -54,6 +54,16 @@
 
 BOOST_FIXTURE_TEST_SUITE(EndpointLists, EndpointListFixture)
 
+BOOST_AUTO_TEST_CASE(isFromSameProcess_startTimeOrSequenceStartsAnew_isAnother)
+{
+    BOOST_TEST(isFromSameProcess(this->entry(7, 3), this->entry(7, 4)));
+    BOOST_TEST(!isFromSameProcess(this->entry(7, 3), this->entry(8, 4)));
+    // Entries of one process that are read in another order.
+    BOOST_TEST(isFromSameProcess(this->entry(7, 4), this->entry(7, 3)));
+    BOOST_TEST(isFromSameProcess(this->entry(0, 3), this->entry(0, 4)));
+    BOOST_TEST(!isFromSameProcess(this->entry(0, 30), this->entry(0, 1)));
+}
+
 // Guards against a version that stays that of the process before, where processes name no start
 // time.
 BOOST_AUTO_TEST_CASE(restart_unknownStartTimeAndOtherVersion_changesTheVersion)
--- a/Source/UnitTests/Entry/SettingsTest.cpp
+++ b/Source/UnitTests/Entry/SettingsTest.cpp
@@ -57,6 +57,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(boundsOfColdEndpoints_areSetOrNot_areTakenOrNone)
+{
+    BOOST_TEST(!this->parse().bounds.coldEndpoints.has_value());
+    this->document["bounds"].as_object()["coldSlack"] = 5;
+    BOOST_TEST(!this->parse().bounds.coldEndpoints.has_value());
+    this->document["bounds"].as_object()["coldOvershoot"] = 1.5;
+    const auto bounds = this->parse().bounds.coldEndpoints;
+    BOOST_REQUIRE(bounds.has_value());
+    BOOST_TEST(bounds->overshoot == 1.5);
+    BOOST_TEST(bounds->slack == 5);
+    BOOST_TEST(this->faults.empty());
+    this->document["bounds"].as_object()["coldOvershoot"] = -1;
+    this->parse();
+    BOOST_TEST(!this->faults.empty());
+}
+
 // Guards against ends that are believed without the operator's word.
 BOOST_AUTO_TEST_CASE(closeDelimitedServices_areNotSet_areNone)
 {
--- a/Source/UnitTests/Membership/HoldersTest.cpp
+++ b/Source/UnitTests/Membership/HoldersTest.cpp
@@ -105,6 +105,36 @@
     BOOST_TEST(views.size() == 1u);
 }
 
+// Guards against instances that are cut off from the others and take their duties.
+BOOST_AUTO_TEST_CASE(rankAmongKnown_othersHaveFailed_theyKeepTheirPlaces)
+{
+    this->now += Common::Milliseconds(1);
+    const DutyRank before = rankAmongKnown(this->members, "duty", this->now);
+    BOOST_TEST(before.instances == 12u);
+    for (auto &[id, member] : this->members.byId) {
+        if (id != this->members.self)
+            member.condition = Condition::Failed;
+    }
+    BOOST_TEST(rankFor(this->members, "duty").instances == 1u);
+    const DutyRank cut = rankAmongKnown(this->members, "duty", this->now);
+    BOOST_TEST(cut.instances == before.instances);
+    BOOST_TEST((cut.own == before.own));
+}
+
+BOOST_AUTO_TEST_CASE(rankAmongKnown_listedButNeverHeardOf_countsForAWhile)
+{
+    Member listed;
+    listed.report = report(12);
+    listed.firstSeenAt = this->now;
+    this->members.byId[listed.report.id] = listed;
+    this->members.unheardGrace = Common::Milliseconds(1000);
+    BOOST_TEST(rankAmongKnown(this->members, "duty", this->now).instances == 13u);
+    this->now += Common::Milliseconds(1001);
+    BOOST_TEST(rankAmongKnown(this->members, "duty", this->now).instances == 12u);
+    this->members.byId[Common::InstanceId("i3")].report.state = MemberState::Leaving;
+    BOOST_TEST(rankAmongKnown(this->members, "duty", this->now).instances == 11u);
+}
+
 BOOST_AUTO_TEST_CASE(keeperLeaves_anotherTakesItsPlace)
 {
     const auto first = keepersOf(this->members, "duty", 3, this->now);
