--- a/Source/Core/Entry/Settings.cpp
+++ b/Source/Core/Entry/Settings.cpp
@@ -13,6 +13,9 @@
 constexpr std::int64_t kMaxPort = 65535;
 constexpr double kMaxCores = 4096;
 constexpr double kMaxMbps = 1e6;
+constexpr double kMaxMemoryMb = 1e7;
+constexpr double kBytesPerMb = 1 << 20;
+constexpr std::int64_t kMaxDescriptors = 100'000'000;
 
 Common::Address readAddress(ObjectReader &reader, std::string_view key, bool required)
 {
@@ -105,6 +108,10 @@
         = static_cast<std::size_t>(reader.integer("mostConnections", 1, 1'000'000, 3000));
     settings.cores = reader.number("cores", 0, kMaxCores, 0.0);
     settings.linkMbps = reader.number("linkMbps", 0, kMaxMbps, 0.0);
+    settings.memoryBytes
+        = static_cast<std::size_t>(reader.number("memoryMb", 0, kMaxMemoryMb, 0.0) * kBytesPerMb);
+    settings.maxDescriptors
+        = static_cast<std::size_t>(reader.integer("mostDescriptors", 0, kMaxDescriptors, 0));
     constexpr std::int64_t kMaxFirstEvent = 1'000'000;
     settings.firstEvent = static_cast<std::uint64_t>(
         reader.integer("firstEvent", 0, kMaxFirstEvent, Serving::kFirstEventNumber));
--- a/Source/Core/Entry/Settings.h
+++ b/Source/Core/Entry/Settings.h
@@ -53,6 +53,10 @@
     // unknown.
     double cores = 0;
     double linkMbps = 0;
+    // Memory that the process may use, and the descriptors that it may have open. Zero if unknown:
+    // what is held for callers is not bounded in sum then.
+    std::size_t memoryBytes = 0;
+    std::size_t maxDescriptors = 0;
     // Number of the first event of each stream.
     std::uint64_t firstEvent = Serving::kFirstEventNumber;
     // Services that frame no streams and close the connection of one only behind its last event.
--- a/Source/UnitTests/Entry/SettingsTest.cpp
+++ b/Source/UnitTests/Entry/SettingsTest.cpp
@@ -81,4 +81,23 @@
     }
 }
 
+// Guards against a deployment that says nothing of its machines and is refused, or bounded.
+BOOST_AUTO_TEST_CASE(memoryAndDescriptors_areNotSet_areUnknown)
+{
+    const Entry::Settings settings = this->parse();
+    BOOST_TEST(settings.memoryBytes == 0u);
+    BOOST_TEST(settings.maxDescriptors == 0u);
+    BOOST_TEST(this->faults.empty());
+}
+
+BOOST_AUTO_TEST_CASE(memoryAndDescriptors_areSet_areTaken)
+{
+    this->document["memoryMb"] = 120.5;
+    this->document["mostDescriptors"] = 3075;
+    const Entry::Settings settings = this->parse();
+    BOOST_TEST(settings.memoryBytes == 126'353'408u);
+    BOOST_TEST(settings.maxDescriptors == 3075u);
+    BOOST_TEST(this->faults.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
