Http: Bound what is held for all callers together

Cause: 150 bodies of 4 MB that stop before their last byte took a process from 9 to 583 MB, at any path, and it stayed there. Bodies are reserved by their announced length, kept three times while a request is sent, kept where nobody uses them, and nothing counts them in sum.

Change: Http/MemoryAccount, without a network, counts what all connections of a process hold: heads and bytes read ahead, bodies, answers not taken, and answers of endpoints. Without room, the connections that hold most for longest go, never one whose request is handled; refusals say 503, not run, Retry-After. Bodies come in blocks and are not reserved; those of no use (no route, readiness, directory, control, metrics) are read and dropped. The body moves into the request instead of being copied. Fields are counted at what they take; their number is not limited. Large blocks are mappings of their own, and free memory is trimmed. A stream that is lost behind a caller who did not read for a second counts neither against its endpoint nor as a crash. Fields behind a chunked body no longer become headers of their request, which was judged by its head.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -76,8 +76,8 @@
       reload(std::move(reload)), datagrams(this->state), gossip(this->state, this->datagrams),
       mesh(this->state), relay(this->state, this->mesh), crashWatch(this->state, this->gossip),
       limits(this->state, this->gossip), paths(this->state, this->gossip, this->stageOwner),
-      versionRows(this->state, *this->store, this->relay), stageOwner(this->state),
-      stageClient(this->state, this->mesh, this->stageOwner),
+      memory(this->state), versionRows(this->state, *this->store, this->relay),
+      stageOwner(this->state), stageClient(this->state, this->mesh, this->stageOwner),
       catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay),
       endpoints(this->state, this->stageOwner, *this->store, this->relay),
       streams(this->state, this->datagrams, *this->store, this->endpoints),
@@ -89,13 +89,15 @@
 EntryInstance::~EntryInstance() = default;
 
 std::unique_ptr<Http::Server> EntryInstance::makeServer(const Common::Address &address,
-                                                        Http::Handler handler, bool servesCallers)
+                                                        Http::Handler handler,
+                                                        Http::ServerOptions options)
 {
-    Http::ServerOptions options;
-    options.keepsHalfClosed = servesCallers;
     options.address = address;
     options.maxBodyBytes = kMaxBodyBytes;
     options.maxConnections = this->state.settings.maxConnections;
+    options.memory = &this->state.memory;
+    if (!options.usesBody)
+        options.usesBody = [](const Http::Request &) { return false; };
     auto server = std::make_unique<Http::Server>(
         std::vector<asio::io_context *>{&this->state.context}, options, std::move(handler));
     server->onHandlerFault([this](std::string_view fault) {
@@ -114,7 +116,12 @@
     const auto handleCaller = [this](Http::Exchange &exchange) {
         return this->handleRequest(exchange, RequestSource::Caller);
     };
-    this->callerServer = this->makeServer(settings.callers, handleCaller, true);
+    this->memory.start();
+    Http::ServerOptions requestOptions;
+    requestOptions.usesBody = [this](const Http::Request &head) { return this->hasRoute(head); };
+    Http::ServerOptions callerOptions = requestOptions;
+    callerOptions.keepsHalfClosed = true;
+    this->callerServer = this->makeServer(settings.callers, handleCaller, callerOptions);
     this->directoryServer = this->makeServer(settings.directory, [this](Http::Exchange &exchange) {
         return this->handleDirectory(exchange);
     });
@@ -122,10 +129,11 @@
         return this->handleReadiness(exchange);
     });
     if (settings.forwarding.isSet()) {
+        const auto handleForwarded = [this](Http::Exchange &exchange) {
+            return this->handleRequest(exchange, RequestSource::Instance);
+        };
         this->forwardServer
-            = this->makeServer(settings.forwarding, [this](Http::Exchange &exchange) {
-                  return this->handleRequest(exchange, RequestSource::Instance);
-              });
+            = this->makeServer(settings.forwarding, handleForwarded, requestOptions);
     }
     std::vector<Http::Server *> servers = this->requestServers();
     servers.push_back(this->directoryServer.get());
@@ -152,6 +160,13 @@
     return "";
 }
 
+bool EntryInstance::hasRoute(const Http::Request &head) const
+{
+    const auto request = this->state.dialect.readRequest(head);
+    return request && this->state.catalog
+        && Catalog::findRoute(*this->state.catalog, request->host, request->path);
+}
+
 std::vector<Http::Server *> EntryInstance::requestServers() const
 {
     std::vector<Http::Server *> servers{this->callerServer.get()};
@@ -271,8 +286,10 @@
 {
     this->state.lastRequestAt = clockNow();
     const RequestCount count(this->state.requestsInProgress);
+    std::string body = exchange.takeBody();
     auto request = this->state.dialect.readRequest(exchange.request());
     if (request) {
+        request->body = std::move(body);
         request->receivedAt = exchange.receivedAt();
         RequestFlow flow(this->parts, exchange, std::move(*request), source);
         this->openRequests.push_back(flow);
@@ -407,6 +424,8 @@
     this->state.settings.seeds = settings->seeds;
     this->state.settings.store = settings->store;
     this->state.settings.bounds = settings->bounds;
+    this->state.settings.memoryBytes = settings->memoryBytes;
+    this->state.settings.maxDescriptors = settings->maxDescriptors;
     this->state.logState(
         LogLine("settings-reloaded").text("store", Common::formatAddress(settings->store)));
 }
@@ -528,6 +547,7 @@
 {
     while (true) {
         co_await this->state.sleepFor(kHousekeepingInterval);
+        this->memory.look(clockNow());
         this->state.log.flush();
         this->state.client.closeIdle(clockNow() - kIdleConnectionTimeout);
     }
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -1,6 +1,7 @@
 // An entry instance on a platform: its servers, background tasks and shutdown.
 #pragma once
 
+#include "Entry/MemoryWatch.h"
 #include "Entry/RequestFlow.h"
 #include "Entry/VersionRows.h"
 
@@ -30,7 +31,9 @@
 private:
     std::string startServers();
     std::unique_ptr<Http::Server> makeServer(const Common::Address &address, Http::Handler handler,
-                                             bool servesCallers = false);
+                                             Http::ServerOptions options = {});
+    // Whether a request with this head leads to a route, where its body is of use.
+    bool hasRoute(const Http::Request &head) const;
     Http::Awaitable<void> handleRequest(Http::Exchange &exchange, RequestSource source);
     Http::Awaitable<void> handleDirectory(Http::Exchange &exchange);
     Http::Awaitable<void> handleReadiness(Http::Exchange &exchange);
@@ -65,6 +68,7 @@
     CrashWatch crashWatch;
     LimitWatch limits;
     PathWatch paths;
+    MemoryWatch memory;
     VersionRows versionRows;
     StageOwner stageOwner;
     StageClient stageClient;
--- /dev/null
+++ b/Source/Core/Entry/MemoryWatch.h
@@ -0,0 +1,29 @@
+// Keeps the memory account's bound in line with what the process really uses, gives freed memory
+// back to the system, and tells the operator about callers that were turned away.
+#pragma once
+
+#include "Entry/State.h"
+
+namespace Tanagerbay::Entry {
+
+class MemoryWatch
+{
+public:
+    explicit MemoryWatch(State &state);
+
+    // Before the servers start.
+    void start();
+    // Looks at the heap, once a second at most.
+    void look(Common::Time now);
+
+private:
+    void applyBounds(std::size_t heapBytes);
+    void report(Common::Time now);
+
+    State &state;
+    Common::Time lookedAt;
+    std::array<std::uint64_t, 2> reportedEvictions{};
+    std::array<std::uint64_t, 2> reportedRefusals{};
+};
+
+} // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -96,6 +96,8 @@
         std::optional<Http::Response> failure;
         // The connection ended before the answer was complete.
         bool connectionLost = false;
+        // It was lost behind a caller that did not read.
+        bool isHeldBack = false;
         // The endpoint reported that a stage result is no longer available.
         bool inputsGone = false;
         std::string detail;
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -3,6 +3,7 @@
 
 #include "Common/DelayedAction.h"
 #include "Entry/RequestTraits.h"
+#include "Http/BodyBlocks.h"
 
 #include <algorithm>
 #include <limits>
@@ -33,31 +34,39 @@
 // send bytes without end, also to many requests at once.
 constexpr std::size_t kMaxResponseBytes = 8 << 20;
 constexpr std::size_t kMaxHeldResponseBytes = 32 << 20;
+// A caller that has not taken what it got for this long holds its endpoint back.
+constexpr Common::Milliseconds kCallerHoldsBack{1000};
 
 // Counts the bytes of a response that is being read.
-class HeldBytes
+class HeldResponse
 {
 public:
-    explicit HeldBytes(std::size_t &total) : total(total)
+    explicit HeldResponse(Http::MemoryAccount &account) : account(account)
     {
     }
-    ~HeldBytes()
+    ~HeldResponse()
     {
-        this->total -= this->own;
+        Http::releaseResponse(this->account, this->own);
     }
-    HeldBytes(const HeldBytes &) = delete;
-    HeldBytes &operator=(const HeldBytes &) = delete;
+    HeldResponse(const HeldResponse &) = delete;
+    HeldResponse &operator=(const HeldResponse &) = delete;
 
-    // Returns false if that exceeds the limit on all responses.
-    bool add(std::size_t bytes, std::size_t limit)
+    // Returns false if there is no room for more.
+    bool growTo(std::size_t bytes, Common::Time now)
     {
-        this->own += bytes;
-        this->total += bytes;
-        return this->total <= limit;
+        const std::size_t total
+            = this->account.held.at(static_cast<std::size_t>(Http::HeldKind::Response));
+        const std::size_t more = bytes - this->own;
+        if (more > 0
+            && (total + more > kMaxHeldResponseBytes
+                || !Http::holdResponse(this->account, more, now)))
+            return false;
+        this->own = bytes;
+        return true;
     }
 
 private:
-    std::size_t &total;
+    Http::MemoryAccount &account;
     std::size_t own = 0;
 };
 
@@ -241,7 +250,7 @@
         const bool hasSucceeded = (result.isAnswered || result.hasDoubtfulEnd) && isSuccess(status);
         report.end = hasSucceeded ? Routing::CallEnd::Succeeded : Routing::CallEnd::Failed;
     }
-    if (result.connectionLost && !this->callerGone && !this->earlyEnd)
+    if (result.connectionLost && !result.isHeldBack && !this->callerGone && !this->earlyEnd)
         this->noteConnectionLost(endpoint);
     const Common::Time now = clockNow();
     report.duration = now - startedAt;
@@ -253,7 +262,7 @@
     // Whether the endpoint has failed is not known of a stream that runs once and has no known end.
     const bool isEndUnknown = result.hasDoubtfulEnd && !this->route->resumable;
     if (this->callerGone || result.isTurnedBack || result.isOtherProcess || isEndUnknown
-        || (this->earlyEnd && !result.isAnswered))
+        || result.isHeldBack || (this->earlyEnd && !result.isAnswered))
         report.end = Routing::CallEnd::Cancelled;
     Routing::endCall(this->state.poolOf(this->service), report, now);
     co_return result;
@@ -298,23 +307,26 @@
 RequestFlow::readBody(Http::ResponseStream &stream)
 {
     Body body;
-    HeldBytes held(this->state.heldResponseBytes);
+    Http::BodyBlocks blocks;
+    HeldResponse held(this->state.memory);
     while (true) {
         const auto part = co_await stream.read(this->deadline);
         if (!part)
             co_return tl::unexpected(part.error());
         if (const auto *end = std::get_if<Http::BodyEnd>(&*part)) {
             body.end = *end;
+            body.bytes = blocks.join();
             co_return body;
         }
         const auto *bytes = std::get_if<std::string_view>(&*part);
-        if (body.bytes.size() + bytes->size() > kMaxResponseBytes
-            || !held.add(bytes->size(), kMaxHeldResponseBytes)) {
+        const bool isTooLong = blocks.size() + bytes->size() > kMaxResponseBytes;
+        if (!isTooLong)
+            blocks.append(*bytes);
+        if (isTooLong || !held.growTo(blocks.heldBytes(), clockNow())) {
             stream.close();
             co_return tl::unexpected(
                 Http::CallError{Http::CallFailure::BadReply, true, "the response is too large"});
         }
-        body.bytes.append(*bytes);
     }
 }
 
@@ -408,6 +420,9 @@
     const Http::Headers headers = stream.headers();
     const unsigned status = stream.status();
     bool wasAnswerBegun = false;
+    // Whether the caller took its time to read what came last. The endpoint may cut off a stream
+    // that stays unread, and that is no fault of its own.
+    bool isHeldBack = false;
     // Ends with this function, so `call` is that of this endpoint when the check runs.
     EventWait wait(this->state.context);
     wait.progressAt = clockNow();
@@ -423,6 +438,7 @@
         if (!part) {
             this->noteEnd(stream, std::nullopt);
             result.connectionLost = part.error().failure == Http::CallFailure::ConnectionLost;
+            result.isHeldBack = isHeldBack && result.connectionLost;
             result.detail = "stream interrupted: "
                 + (wait.hasTimedOut ? "no progress" : part.error().message);
             break;
@@ -440,10 +456,12 @@
             wasAnswerBegun = true;
             this->noteAnswerBegun();
         }
+        const Common::Time relayedFrom = clockNow();
         if (!co_await this->relayReadyEvents(headers, status)) {
             this->callerGone = true;
             break;
         }
+        isHeldBack = clockNow() - relayedFrom >= kCallerHoldsBack;
         // The events before the fault are relayed: whoever goes on with the stream begins after
         // them.
         if (fault != Serving::SequenceFault::None) {
--- a/Source/Core/Entry/State.h
+++ b/Source/Core/Entry/State.h
@@ -9,6 +9,7 @@
 #include "Entry/Ports.h"
 #include "Entry/Settings.h"
 #include "Http/Client.h"
+#include "Http/MemoryAccount.h"
 #include "Membership/Members.h"
 #include "Routing/VersionHistory.h"
 #include "Serving/GracefulShutdown.h"
@@ -37,6 +38,8 @@
     bool isReady() const;
     void logState(const LogLine &line);
 
+    // Before the context, whose connections use it until they are destroyed.
+    Http::MemoryAccount memory;
     boost::asio::io_context context;
     Settings settings;
     const Dialect dialect;
@@ -59,8 +62,6 @@
     // Whether this instance reaches no endpoint, while others do.
     bool hasLostPaths = false;
     std::size_t requestsInProgress = 0;
-    // Bytes of responses that are kept until they are complete.
-    std::size_t heldResponseBytes = 0;
     Common::Time lastRequestAt;
 };
 
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -28,19 +28,14 @@
 
 namespace {
 
-using Parser = http::request_parser<http::string_body>;
-
 // Limits on the input that is discarded after the last response of a connection.
 constexpr std::size_t kMaxDrainedBytes = 4 << 20;
 constexpr std::size_t kDrainReadBytes = 2048;
 constexpr Common::Milliseconds kMaxDrainDuration{500};
-// Bytes of line breaks before a request that are ignored.
-constexpr std::size_t kMaxLineBreakBytes = 16;
 // How soon a disconnect is noticed after the caller's last byte, or behind bytes that wait unread.
 constexpr Common::Milliseconds kCallerCheckInterval{100};
 // Time in which the network reports that a connection is closed at its other end.
 constexpr Common::Milliseconds kResetDelay{20};
-constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 // How often a caller is probed that has sent all and may leave later, and how many times. Some
 // clients accept no more than five interim responses.
 constexpr Common::Milliseconds kProbeInterval{300};
@@ -48,7 +43,6 @@
 // A caller that has sent all counts as gone if a stream pauses for this long: within a response,
 // nothing can be written to probe it.
 constexpr Common::Milliseconds kMaxUnprobedPause{100};
-constexpr int kHttp11 = 11;
 
 enum class CallerSide {
     Open,
@@ -68,25 +62,6 @@
     return (end.revents & (POLLERR | POLLHUP)) != 0 ? CallerSide::Closed : CallerSide::SentAll;
 }
 
-// Raises a count while it exists.
-class CountGuard
-{
-public:
-    explicit CountGuard(std::atomic<std::size_t> &count) : count(count)
-    {
-        ++this->count;
-    }
-    ~CountGuard()
-    {
-        --this->count;
-    }
-    CountGuard(const CountGuard &) = delete;
-    CountGuard &operator=(const CountGuard &) = delete;
-
-private:
-    std::atomic<std::size_t> &count;
-};
-
 template <bool IsRequest>
 void addField(http::header<IsRequest> &message, const Header &field)
 {
@@ -115,6 +90,47 @@
     this->stream.socket().set_option(tcp::no_delay(true), ignored);
     const auto remote = this->stream.socket().remote_endpoint(ignored);
     this->ip = ignored ? "" : remote.address().to_string();
+    this->holder.evict = [this] { this->leave(); };
+}
+
+Connection::~Connection()
+{
+    if (this->options.memory)
+        remove(*this->options.memory, this->holder);
+}
+
+bool Connection::admit()
+{
+    return !this->options.memory || Http::admit(*this->options.memory, this->holder, clockNow());
+}
+
+void Connection::leave()
+{
+    switch (this->holder.phase) {
+    case HolderPhase::Reading:
+        this->cancelSocket();
+        break;
+    case HolderPhase::Idle:
+    case HolderPhase::Handling:
+    case HolderPhase::Writing:
+        this->stream.close();
+        break;
+    }
+}
+
+void Connection::beginPhase(HolderPhase phase)
+{
+    Http::beginPhase(this->holder, phase, clockNow());
+}
+
+void Connection::beginWriting(std::size_t bytes)
+{
+    this->isWriting = true;
+    const Common::Time now = clockNow();
+    Http::beginPhase(this->holder, HolderPhase::Writing, now);
+    if (this->options.memory)
+        holdAnyway(*this->options.memory, this->holder, HeldKind::Answer, bytes, now);
+    this->deadline.moveTo(now + this->options.writeTimeout);
 }
 
 const Request &Connection::request() const
@@ -122,6 +138,11 @@
     return this->currentRequest;
 }
 
+std::string Connection::takeBody()
+{
+    return std::move(this->currentRequest.body);
+}
+
 std::size_t Connection::contextIndex() const
 {
     return this->context;
@@ -165,9 +186,8 @@
     message.keep_alive(this->keepAlive);
     message.prepare_payload();
     this->headWritten = true;
-    this->isWriting = true;
     beast::error_code error;
-    this->deadline.moveTo(clockNow() + this->options.writeTimeout);
+    this->beginWriting(message.body().size());
     co_await http::async_write(this->stream, message,
                                asio::redirect_error(asio::use_awaitable, error));
     co_return this->recordWrite(error, true);
@@ -178,6 +198,9 @@
     this->deadline.clear();
     this->isWriting = false;
     this->wroteAt = clockNow();
+    Http::beginPhase(this->holder, HolderPhase::Handling, this->wroteAt);
+    if (this->options.memory)
+        holdAnyway(*this->options.memory, this->holder, HeldKind::Answer, 0, this->wroteAt);
     this->answered = this->answered || (isLast && !error);
     this->gone = this->gone || error.failed();
     return !error;
@@ -195,9 +218,8 @@
         this->setResetOnClose(true);
     http::response_serializer<http::empty_body> serializer{message};
     this->headWritten = true;
-    this->isWriting = true;
     beast::error_code error;
-    this->deadline.moveTo(clockNow() + this->options.writeTimeout);
+    this->beginWriting(0);
     co_await http::async_write_header(this->stream, serializer,
                                       asio::redirect_error(asio::use_awaitable, error));
     co_return this->recordWrite(error, false);
@@ -207,9 +229,8 @@
 {
     if (this->gone)
         co_return false;
-    this->isWriting = true;
     beast::error_code error;
-    this->deadline.moveTo(clockNow() + this->options.writeTimeout);
+    this->beginWriting(bytes.size());
     if (this->isHttp11)
         co_await asio::async_write(this->stream,
                                    http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
@@ -229,8 +250,7 @@
         this->setResetOnClose(false);
         co_return this->recordWrite(error, true);
     }
-    this->isWriting = true;
-    this->deadline.moveTo(clockNow() + this->options.writeTimeout);
+    this->beginWriting(0);
     co_await asio::async_write(this->stream, http::make_chunk_last(),
                                asio::redirect_error(asio::use_awaitable, error));
     co_return this->recordWrite(error, true);
@@ -251,7 +271,7 @@
 
 Awaitable<void> Connection::refuse()
 {
-    co_await this->reject(503, "overloaded", "the connection limit is reached");
+    co_await this->rejectForRoom();
     co_await this->drainInput();
     this->stream.close();
 }
@@ -297,10 +317,13 @@
         this->callerGoneAction = nullptr;
         this->stopWatching.emit(asio::cancellation_type::all);
         this->callerCheck.cancel();
+        this->holder.hasCompleted = true;
+        this->releaseRequest();
         if (!this->answered || !this->keepAlive)
             break;
     } while (accepting || this->hasInput());
     // Behind an answer that kept the connection, a request may be on its way: it must not be read.
+    this->releaseRequest();
     if (this->answered && !this->keepAlive)
         co_await this->drainInput();
     beast::error_code ignored;
@@ -333,85 +356,6 @@
     co_await this->respond(std::move(response));
 }
 
-Awaitable<bool> Connection::readRequest()
-{
-    beast::error_code error;
-    co_await this->awaitRequest(error);
-    if (error == http::error::bad_line_ending)
-        co_await this->rejectReadError(error);
-    if (error)
-        co_return false;
-    // Until the handler begins, which follows in the same turn of the executor.
-    const CountGuard reading(this->requestsBeingRead);
-    // The limits may have changed during the wait.
-    Parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(this->options.maxHeaderBytes));
-    parser.body_limit(this->options.maxBodyBytes);
-    this->deadline.moveTo(clockNow() + this->options.requestTimeout);
-    co_await http::async_read_header(this->stream, this->buffer, parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
-    if (!error && parser.get().target().size() > this->options.maxTargetBytes) {
-        co_await this->reject(414, "too_large", "the URL exceeds the length limit");
-        co_return false;
-    }
-    if (!error && this->options.bodyTimeout.count() > 0)
-        this->deadline.moveTo(clockNow() + this->options.bodyTimeout);
-    if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue"))
-        co_await this->writeContinue(error);
-    if (!error) {
-        co_await http::async_read(this->stream, this->buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, error));
-    }
-    if (error) {
-        co_await this->rejectReadError(error);
-        co_return false;
-    }
-    this->setCurrentRequest(parser.release());
-    this->requestReceivedAt = clockNow();
-    this->deadline.clear();
-    // The request may have waited in the socket buffer until after its caller disconnected.
-    co_await this->checkBeforeHandling();
-    co_return true;
-}
-
-Awaitable<void> Connection::awaitRequest(beast::error_code &error)
-{
-    std::size_t dropped = this->dropLineBreaks();
-    while (this->buffer.size() == 0 && dropped <= kMaxLineBreakBytes) {
-        this->idleSince = clockNow();
-        this->idleUntil = this->idleSince + this->options.idleTimeout;
-        this->deadline.moveTo(this->idleUntil);
-        co_await this->readFirstByte(error);
-        if (error)
-            co_return;
-        dropped += this->dropLineBreaks();
-    }
-    if (dropped > kMaxLineBreakBytes)
-        error = http::error::bad_line_ending;
-}
-
-std::size_t Connection::dropLineBreaks()
-{
-    std::size_t count = 0;
-    while (this->buffer.size() > 0 && count <= kMaxLineBreakBytes) {
-        const char first = *static_cast<const char *>(this->buffer.data().data());
-        if (first != '\r' && first != '\n')
-            break;
-        this->buffer.consume(1);
-        ++count;
-    }
-    return count;
-}
-
-Awaitable<void> Connection::readFirstByte(beast::error_code &error)
-{
-    this->isIdle = true;
-    const auto bytes = co_await this->stream.async_read_some(
-        this->buffer.prepare(1), asio::redirect_error(asio::use_awaitable, error));
-    this->isIdle = false;
-    this->buffer.commit(bytes);
-}
-
 void Connection::cancelSocket()
 {
     // The stream's own time-out would close the connection before an error response could be sent.
@@ -419,32 +363,6 @@
     this->stream.socket().cancel(ignored);
 }
 
-Awaitable<void> Connection::writeContinue(beast::error_code &error)
-{
-    co_await asio::async_write(this->stream, asio::buffer(kContinue.data(), kContinue.size()),
-                               asio::redirect_error(asio::use_awaitable, error));
-}
-
-Awaitable<void> Connection::rejectReadError(beast::error_code error)
-{
-    if (this->deadline.hasExpired())
-        co_await this->reject(408, "bad_input", "the request was not received within the time-out");
-    else if (error == http::error::body_limit)
-        co_await this->reject(413, "too_large", "the body exceeds the size limit");
-    else if (error == http::error::header_limit)
-        co_await this->reject(431, "too_large", "the headers exceed the size limit");
-    else if (error.category() == http::make_error_code(http::error::bad_method).category()
-             && error != http::error::end_of_stream && error != http::error::partial_message)
-        co_await this->reject(400, "bad_input", "the request is not valid HTTP");
-}
-
-Awaitable<void> Connection::reject(unsigned status, std::string_view code, std::string_view message)
-{
-    this->keepAlive = false;
-    Response response = jsonResponse(status, errorBody(code, message));
-    co_await this->respond(std::move(response));
-}
-
 Awaitable<void> Connection::drainInput()
 {
     beast::error_code error;
@@ -458,20 +376,6 @@
     }
 }
 
-void Connection::setCurrentRequest(Message &&message)
-{
-    this->keepAlive = message.keep_alive();
-    this->isHttp11 = message.version() >= kHttp11;
-    this->currentRequest.method = message.method_string();
-    this->currentRequest.target = message.target();
-    this->currentRequest.headers.fields.clear();
-    for (const auto &field : message) {
-        this->currentRequest.headers.fields.push_back(
-            {std::string(field.name_string()), std::string(field.value())});
-    }
-    this->currentRequest.body = std::move(message.body());
-}
-
 void Connection::watchCaller()
 {
     this->deadline.clear();
@@ -493,6 +397,7 @@
         this->markCallerGone();
         return;
     }
+    this->holdReadAhead();
     const bool wasProbed = this->probeCount > probesBefore;
     this->callerCheck.start(wasProbed ? kResetDelay : kCallerCheckInterval,
                             [this] { this->checkCaller(); });
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -3,6 +3,7 @@
 
 #include "Common/DelayedAction.h"
 #include "Http/LazyDeadline.h"
+#include "Http/MemoryAccount.h"
 #include "Http/Server.h"
 
 #include <atomic>
@@ -11,8 +12,7 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/parser.hpp>
 
 namespace Tanagerbay::Http {
 
@@ -29,7 +29,10 @@
                const std::atomic<bool> &closeAfterAnswers,
                std::atomic<std::size_t> &requestsBeingRead, std::size_t contextIndex);
 
+    ~Connection() override;
+
     const Request &request() const override;
+    std::string takeBody() override;
     std::size_t contextIndex() const override;
     Common::Time receivedAt() const override;
     std::string callerIp() const override;
@@ -41,6 +44,8 @@
     Awaitable<bool> writeChunk(std::string_view bytes) override;
     Awaitable<bool> endStream() override;
 
+    // Asks for a place in the memory account. Returns false if the connection must be refused.
+    bool admit();
     // Serves requests until the connection ends. Once the server has stopped accepting, only those
     // that have arrived.
     Awaitable<void> serve(const Handler &handler, const FaultAction &onFault,
@@ -55,7 +60,10 @@
     void applyIdleTimeout();
 
 private:
-    using Message = boost::beast::http::request<boost::beast::http::string_body>;
+    static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+    struct RequestBody;
+    using Parser = boost::beast::http::request_parser<RequestBody>;
 
     // Runs the handler. If it throws, the caller gets an error response if possible, and the
     // connection is to be closed.
@@ -63,6 +71,20 @@
     // Reads the next request. Returns false if the connection has ended or the request was
     // rejected; a request that exceeds a limit gets its error response here.
     Awaitable<bool> readRequest();
+    Awaitable<void> readHead(Parser &parser, boost::beast::error_code &error);
+    Awaitable<void> readBody(Parser &parser, boost::beast::error_code &error);
+    // Reads up to so many bytes into the buffer, once there is room for them.
+    Awaitable<void> readMore(std::size_t bytes, boost::beast::error_code &error);
+    // Sets what the request being read holds. Returns false if there is no room for it.
+    bool holdRequest(std::size_t headBytes, std::size_t bodyBytes);
+    // Counts the bytes that wait in the socket while a request is handled.
+    void holdReadAhead();
+    // Gives back what the last request has held.
+    void releaseRequest();
+    void beginPhase(HolderPhase phase);
+    void beginWriting(std::size_t bytes);
+    // Ends what the connection waits for, so that its memory or its descriptor is given back.
+    void leave();
     Awaitable<void> readFirstByte(boost::beast::error_code &error);
     // Waits for the next request and reads its first byte. A few line breaks before it are ignored
     // (RFC 9112, 2.2).
@@ -72,10 +94,12 @@
     Awaitable<void> writeContinue(boost::beast::error_code &error);
     Awaitable<void> rejectReadError(boost::beast::error_code error);
     Awaitable<void> reject(unsigned status, std::string_view code, std::string_view message);
+    // Answers that there is no room for the request.
+    Awaitable<void> rejectForRoom();
     // Discards what the caller still sends, within limits: closing a socket with unread input
     // resets the connection, and the caller could lose the response.
     Awaitable<void> drainInput();
-    void setCurrentRequest(Message &&message);
+    void setCurrentHead(const Parser &parser);
     // Records the result of a write. `isLast` is set if the write completes the response. Returns
     // whether the write succeeded.
     bool recordWrite(const boost::beast::error_code &error, bool isLast);
@@ -129,6 +153,10 @@
     // When the last write ended.
     Common::Time wroteAt;
     std::function<void()> callerGoneAction;
+    // What this connection holds; of use with a memory account only.
+    Holder holder;
+    // Fields of the head that has been read.
+    std::size_t fieldCount = 0;
     Common::DelayedAction callerCheck;
     boost::asio::cancellation_signal stopWatching;
 };
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -30,6 +30,8 @@
     std::shared_ptr<tcp::acceptor> acceptor;
     std::atomic<bool> accepting{true};
     std::atomic<std::size_t> connectionCount{0};
+    // Connections that are being refused.
+    std::atomic<std::size_t> refusalCount{0};
     std::atomic<std::size_t> requestsBeingRead{0};
     unsigned short port = 0;
     // Open connections by context; each set is used on its context's thread only. The references
@@ -45,6 +47,21 @@
 
 // Pause after a connection could not be accepted, not even to refuse it.
 constexpr Common::Milliseconds kAcceptRetryDelay{50};
+// Connections that get an answer when they are refused. Each holds its descriptor until its caller
+// has taken it, so that more of them are closed at once.
+constexpr std::size_t kMaxRefusals = 64;
+
+// Answers that there is no room, or closes the connection at once if that is done for many.
+template <typename State>
+Awaitable<void> refuse(std::shared_ptr<State> state, std::shared_ptr<Connection> connection)
+{
+    // Closing the connection tells as well that nothing has been read.
+    if (state->refusalCount.load() >= kMaxRefusals)
+        co_return;
+    state->refusalCount.fetch_add(1);
+    co_await connection->refuse();
+    state->refusalCount.fetch_sub(1);
+}
 
 template <typename State>
 Awaitable<void> serveConnection(std::shared_ptr<State> state, tcp::socket socket,
@@ -53,8 +70,10 @@
     auto connection
         = std::make_shared<Connection>(std::move(socket), state->options, state->closeAfterAnswers,
                                        state->requestsBeingRead, contextIndex);
-    // `closeAll` may have run between accepting this connection and serving it.
-    if (!state->closing) {
+    if (!connection->admit()) {
+        co_await refuse(state, connection);
+    } else if (!state->closing) {
+        // `closeAll` may have run between accepting this connection and serving it.
         state->openByContext[contextIndex].insert(connection);
         co_await connection->serve(state->handler, state->handlerFaultAction, state->accepting);
         state->openByContext[contextIndex].erase(connection);
@@ -69,7 +88,7 @@
     const auto connection
         = std::make_shared<Connection>(std::move(socket), state->options, state->closeAfterAnswers,
                                        state->requestsBeingRead, contextIndex);
-    co_await connection->refuse();
+    co_await refuse(state, connection);
 }
 
 template <typename State>
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/Time.h"
+#include "Http/MemoryAccount.h"
 #include "Http/Types.h"
 
 #include <atomic>
@@ -33,6 +34,12 @@
     // Whether callers that end their half of the connection behind a request are answered. They get
     // interim responses. Otherwise they count as gone.
     bool keepsHalfClosed = false;
+    // Bounds what is held for the callers of all servers that share it, if it is set. For servers
+    // with a single context. Must outlive the context.
+    MemoryAccount *memory = nullptr;
+    // Whether the body of a request with this head is used. If not, it is read and dropped, and the
+    // handler gets none. Unset if all are used. Small bodies are kept without asking.
+    std::function<bool(const Request &head)> usesBody;
 };
 
 // One request and the functions to answer it. Used on the connection's executor only.
@@ -42,6 +49,8 @@
     virtual ~Exchange() = default;
 
     virtual const Request &request() const = 0;
+    // Moves the body out of the request.
+    virtual std::string takeBody() = 0;
     // Index of the context that serves the connection.
     virtual std::size_t contextIndex() const = 0;
     // When the request had been received completely.
