Staging: Order late work by what refusal costs

Cause: late pieces of the most urgent kind went behind each on-time piece of the least urgent, so that the kind with the shorter deadline was refused, whatever its priority. Change: QueueOrder::LeastCost. A late group that would be refused if it waited on goes before less urgent ones; a priority served less than a third as often as all goes first; groups that cannot be begun in time are turned away at once, and what expires tells when there will be room. Not used by the instances yet.

--- a/Source/Core/Entry/StageMessages.cpp
+++ b/Source/Core/Entry/StageMessages.cpp
@@ -36,6 +36,8 @@
     object["moves"] = piece.handOverCount;
     object["startByMs"] = millisecondsFrom(now, piece.startBy);
     object["expiresMs"] = millisecondsFrom(now, piece.expiresAt);
+    if (piece.lastStartBy)
+        object["lastStartMs"] = millisecondsFrom(now, *piece.lastStartBy);
     return object;
 }
 
@@ -57,6 +59,8 @@
     piece.handOverCount = static_cast<std::uint32_t>(numberOf(object, "moves"));
     piece.startBy = now + Common::Milliseconds(signedOf(object, "startByMs"));
     piece.expiresAt = now + Common::Milliseconds(signedOf(object, "expiresMs"));
+    if (object.contains("lastStartMs"))
+        piece.lastStartBy = now + Common::Milliseconds(signedOf(object, "lastStartMs"));
     return piece;
 }
 
--- a/Source/Core/Entry/StageRun.cpp
+++ b/Source/Core/Entry/StageRun.cpp
@@ -89,6 +89,13 @@
                                         this->plan.endpointDuration);
     piece.expiresAt = this->plan.expiresAt
         - Staging::minTimeAfterEnd(*this->plan.catalog, this->plan.route->stages, stage);
+    // `expiresAt` of the plan is without the endpoint's time, which the planned time has.
+    piece.lastStartBy = this->plan.expiresAt + this->plan.endpointDuration
+        - Staging::plannedTimeFromStart(*this->plan.catalog, this->plan.route->stages, stage,
+                                        this->plan.endpointDuration);
+    if (const auto kept
+        = Staging::inputLifetime(*this->plan.catalog, this->plan.route->stages, stage))
+        piece.lastStartBy = std::min(*piece.lastStartBy, clockNow() + *kept);
     StageWork work{entry.service, {}, {}};
     for (std::uint32_t i = 0; i < this->plan.pieceCounts[stage]; ++i) {
         piece.piece = i;
--- a/Source/Core/Staging/CallPlan.cpp
+++ b/Source/Core/Staging/CallPlan.cpp
@@ -1,4 +1,5 @@
 // Batch composition: selects the waiting pieces that go into the next call to each endpoint.
+#include "Staging/CostOrder.h"
 #include "Staging/QueueInternals.h"
 #include "Staging/ResultMemory.h"
 #include "Staging/WaitingPieces.h"
@@ -29,6 +30,8 @@
 // Result memory is reserved for a group that does not fit if each of its results is at least this
 // large.
 constexpr std::uint64_t kLargeResultBytes = 256 << 10;
+// Least time between two looks at all late groups, so that arrivals in a backlog stay cheap.
+constexpr Common::Milliseconds kVerdictInterval{50};
 
 bool canTakeCall(const StageQueue &queue, const StageEndpoint &endpoint, Time now)
 {
@@ -55,24 +58,48 @@
     return first.value_or(now);
 }
 
+// Gives up the pieces of a group that are in no call.
+void expireGroup(StageQueue &queue, GroupId group, Time now, std::vector<SettledPiece> &settled)
+{
+    const std::vector<PieceTicket> tickets = queue.waiting.groups.at(group).tickets;
+    const int priority = queue.waiting.groups.at(group).request.priority;
+    std::optional<Duration> room;
+    if (queue.order == QueueOrder::LeastCost)
+        room = roomIn(queue, priority, now);
+    for (const PieceTicket ticket : tickets) {
+        OpenPiece &piece = queue.pieces.at(ticket);
+        if (piece.activeCalls == 0) {
+            noteTurnedAway(queue.shares, priority, now);
+            erasePiece(queue, ticket);
+            settled.push_back({ticket, PieceOutcome::Expired, {}, {}, room});
+            continue;
+        }
+        // An open call may still settle the piece in time.
+        removeWaiting(queue, ticket, piece.request);
+        piece.isQueued = false;
+    }
+}
+
 void expirePieces(StageQueue &queue, Time now, std::vector<SettledPiece> &settled)
 {
     if (!queue.dropsExpiredPieces)
         return;
     const Time firstEnd = firstCallAt(queue, now) + queue.batching.callTime;
-    for (const GroupId group : groupsExpiringBy(queue.waiting, firstEnd)) {
-        const std::vector<PieceTicket> tickets = queue.waiting.groups.at(group).tickets;
-        for (const PieceTicket ticket : tickets) {
-            OpenPiece &piece = queue.pieces.at(ticket);
-            if (piece.activeCalls == 0) {
-                erasePiece(queue, ticket);
-                settled.push_back({ticket, PieceOutcome::Expired, {}, {}});
-                continue;
-            }
-            // An open call may still settle the piece in time.
-            removeWaiting(queue, ticket, piece.request);
-            piece.isQueued = false;
-        }
+    for (const GroupId group : groupsExpiringBy(queue.waiting, firstEnd))
+        expireGroup(queue, group, now, settled);
+}
+
+// Tells callers at once that there will be no room for them, rather than when their time is over.
+void turnAway(StageQueue &queue, Time now, std::vector<SettledPiece> &settled)
+{
+    if (queue.order != QueueOrder::LeastCost || now - queue.lastVerdictAt < kVerdictInterval)
+        return;
+    queue.lastVerdictAt = now;
+    for (const TurnedAway &away : groupsWithoutRoom(queue, now)) {
+        ++queue.costs.turnedAway;
+        queue.costs.last = {queue.waiting.groups.at(away.group).request.priority, away.ahead,
+                            away.wait, away.timeLeft};
+        expireGroup(queue, away.group, now, settled);
     }
 }
 
@@ -266,9 +293,10 @@
             free.push_back(&endpoint);
     }
     expirePieces(queue, now, settled);
+    turnAway(queue, now, settled);
     if (free.empty())
         return plans;
-    moveLateGroups(queue.waiting, now);
+    moveLateGroups(queue, now);
     std::stable_sort(free.begin(), free.end(),
                      [now](const StageEndpoint *a, const StageEndpoint *b) {
                          return Routing::currentSlowness(a->endpoint.health, now)
--- a/Source/Core/Staging/StageChain.cpp
+++ b/Source/Core/Staging/StageChain.cpp
@@ -115,4 +115,22 @@
     return minTime;
 }
 
+std::optional<Common::Duration> inputLifetime(const Catalog::Catalog &catalog,
+                                              const std::vector<Catalog::Stage> &stages,
+                                              std::size_t stage)
+{
+    std::optional<Common::Duration> shortest;
+    for (const std::size_t before : stages[stage].after) {
+        const Catalog::Service *service = before < stages.size()
+            ? Catalog::findService(catalog, stages[before].service)
+            : nullptr;
+        if (!service || !service->batching || service->batching->resultLifetime.count() == 0)
+            continue;
+        const Common::Duration kept = service->batching->resultLifetime
+            - Catalog::expectedCallTime(*service->batching, service->batching->maxPieces);
+        shortest = shortest ? std::min(*shortest, kept) : kept;
+    }
+    return shortest;
+}
+
 } // namespace Tanagerbay::Staging
--- a/Source/Core/Staging/StageChain.h
+++ b/Source/Core/Staging/StageChain.h
@@ -41,4 +41,11 @@
 Common::Duration minTimeAfterEnd(const Catalog::Catalog &catalog,
                                  const std::vector<Catalog::Stage> &stages, std::size_t stage);
 
+// Time for which the inputs of a stage that starts now are kept: the shortest lifetime of them less
+// the call that made them last, which others of them may have preceded. Nothing if it has no
+// inputs.
+std::optional<Common::Duration> inputLifetime(const Catalog::Catalog &catalog,
+                                              const std::vector<Catalog::Stage> &stages,
+                                              std::size_t stage);
+
 } // namespace Tanagerbay::Staging
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -100,16 +100,18 @@
     case PieceAnswer::Made:
         if (endpoint)
             holdResult(queue, *endpoint, result.handle, found->second.request.resultBytes, now);
+        noteServed(queue.shares, found->second.request.priority, now);
         erasePiece(queue, ticket);
-        settled.push_back({ticket, PieceOutcome::Made, result.handle, call.endpoint});
+        settled.push_back({ticket, PieceOutcome::Made, result.handle, call.endpoint, {}});
         return;
     case PieceAnswer::Late:
+        noteTurnedAway(queue.shares, found->second.request.priority, now);
         erasePiece(queue, ticket);
-        settled.push_back({ticket, PieceOutcome::Expired, {}, {}});
+        settled.push_back({ticket, PieceOutcome::Expired, {}, {}, {}});
         return;
     case PieceAnswer::InputGone:
         erasePiece(queue, ticket);
-        settled.push_back({ticket, PieceOutcome::InputGone, {}, {}});
+        settled.push_back({ticket, PieceOutcome::InputGone, {}, {}, {}});
         return;
     case PieceAnswer::NoRoom:
         if (endpoint)
@@ -119,7 +121,7 @@
     case PieceAnswer::Error:
         if (countFailure(queue, ticket)) {
             erasePiece(queue, ticket);
-            settled.push_back({ticket, PieceOutcome::Failed, {}, {}});
+            settled.push_back({ticket, PieceOutcome::Failed, {}, {}, {}});
             return;
         }
         requeue(queue, ticket);
@@ -323,7 +325,7 @@
             continue;
         if (fault == CallFault::Lost && countFailure(queue, ticket)) {
             erasePiece(queue, ticket);
-            settled.push_back({ticket, PieceOutcome::Failed, {}, {}});
+            settled.push_back({ticket, PieceOutcome::Failed, {}, {}, {}});
             continue;
         }
         requeue(queue, ticket);
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -10,6 +10,7 @@
 #include "Common/Address.h"
 #include "Routing/Endpoint.h"
 #include "Staging/ResultOrigins.h"
+#include "Staging/ServedShares.h"
 
 #include <deque>
 #include <map>
@@ -38,6 +39,9 @@
     Common::Time startBy;
     // The result is useless after this time.
     Common::Time expiresAt;
+    // Latest start with which, by plan, the request can still be answered, if late. Unset where the
+    // submitter does not say it; the queue then reckons with one call.
+    std::optional<Common::Time> lastStartBy;
     // Number of times the piece was handed over from one owner's queue to another's.
     std::uint32_t handOverCount = 0;
 };
@@ -79,6 +83,8 @@
     // Handle of the result and the endpoint that holds it, if the piece was made.
     std::string handle;
     Common::EndpointId producer;
+    // When the stage will have room again, for a piece that expired because others went first.
+    std::optional<Common::Duration> roomIn;
 };
 
 // Status that an endpoint reports for one piece of a call.
@@ -187,6 +193,9 @@
 enum class QueueOrder {
     // Pieces that can still meet their objective before late ones.
     OnTimeFirst,
+    // The same, but late pieces that would be refused if they waited on go before less urgent ones.
+    // See CostOrder.h.
+    LeastCost,
     // In order of arrival; a baseline for comparison.
     FirstCome,
     // In a pseudo-random order derived from the tickets; a baseline for comparison.
@@ -200,6 +209,8 @@
 {
     bool isLate = false;
     int priority = 0;
+    // Late, and refused if it waits on. Goes behind what can be on time of the same priority.
+    bool isLastChance = false;
     std::int64_t order = 0;
     GroupId group = 0;
 
@@ -211,6 +222,8 @@
 {
     PieceRequest request;
     GroupRank rank;
+    // Under `QueueOrder::LeastCost`, once the group is late.
+    Common::Time lastChanceFrom;
     std::vector<PieceTicket> tickets;
 
     std::uint64_t resultBytes() const
@@ -229,12 +242,36 @@
     std::set<GroupRank> order;
     // Groups that can still be on time, by their latest start.
     std::set<std::pair<Common::Time, GroupId>> byStart;
+    // Late groups under `QueueOrder::LeastCost`, by the time from which they would be refused if
+    // they waited on.
+    std::set<std::pair<Common::Time, GroupId>> byLastChance;
     std::set<std::pair<Common::Time, GroupId>> byExpiry;
     // Number of groups by the size of their results.
     std::map<std::uint64_t, std::size_t> groupsBySize;
+    std::map<int, std::size_t> piecesByPriority;
     std::size_t pieceCount = 0;
 };
 
+// What was decided under `QueueOrder::LeastCost`, as counts since the start.
+struct CostFigures
+{
+    // Late groups that went before less urgent ones, and those of them whose priority was served
+    // too rarely.
+    std::uint64_t lastChances = 0;
+    std::uint64_t starved = 0;
+    // Groups turned away before their time was over, as what went before them took too long.
+    std::uint64_t turnedAway = 0;
+    // The last one of these.
+    struct Last
+    {
+        int priority = 0;
+        std::size_t ahead = 0;
+        Common::Duration wait{0};
+        Common::Duration timeLeft{0};
+    };
+    Last last;
+};
+
 struct StageQueue
 {
     std::string service;
@@ -262,6 +299,11 @@
     // Fraction of the result memory that unfetched results may occupy. It shrinks while the
     // consuming stage lags, so that requests wait in this queue, where they are prioritized.
     double maxUnfetchedFraction = 1;
+    // Served and expired pieces by priority.
+    ServedShares shares;
+    // When it was last reckoned which late groups cannot be served any more.
+    Common::Time lastVerdictAt;
+    CostFigures costs;
 };
 
 // Updates the endpoints from the current endpoint list.
--- a/Source/Core/Staging/WaitingPieces.cpp
+++ b/Source/Core/Staging/WaitingPieces.cpp
@@ -1,5 +1,7 @@
 #include "Staging/WaitingPieces.h"
 
+#include "Staging/CostOrder.h"
+
 #include <algorithm>
 #include <random>
 
@@ -26,15 +28,16 @@
 {
     switch (order) {
     case QueueOrder::FirstCome:
-        return {false, 0, 0, group};
+        return {false, 0, false, 0, group};
     case QueueOrder::Random:
-        return {false, 0,
+        return {false, 0, false,
                 static_cast<std::int64_t>(std::minstd_rand(static_cast<std::uint32_t>(group))()),
                 group};
     case QueueOrder::OnTimeFirst:
+    case QueueOrder::LeastCost:
         break;
     }
-    return {false, request.priority, sinceEpoch(request.startBy), group};
+    return {false, request.priority, false, sinceEpoch(request.startBy), group};
 }
 
 void addGroup(StageQueue &queue, PieceTicket ticket, const PieceRequest &request)
@@ -47,7 +50,7 @@
     waiting.byStage[stageKey(request)] = ticket;
     waiting.order.insert(group.rank);
     waiting.byExpiry.emplace(request.expiresAt, ticket);
-    if (queue.order == QueueOrder::OnTimeFirst)
+    if (queue.order == QueueOrder::OnTimeFirst || queue.order == QueueOrder::LeastCost)
         waiting.byStart.emplace(request.startBy, ticket);
     ++waiting.groupsBySize[request.resultBytes];
 }
@@ -59,6 +62,7 @@
     waiting.order.erase(group.rank);
     waiting.byExpiry.erase({group.request.expiresAt, id});
     waiting.byStart.erase({group.request.startBy, id});
+    waiting.byLastChance.erase({group.lastChanceFrom, id});
     waiting.byStage.erase(stageKey(group.request));
     const auto size = waiting.groupsBySize.find(group.request.resultBytes);
     if (--size->second == 0)
@@ -72,6 +76,7 @@
 {
     WaitingPieces &waiting = queue.waiting;
     ++waiting.pieceCount;
+    ++waiting.piecesByPriority[request.priority];
     const auto known = waiting.byStage.find(stageKey(request));
     if (known == waiting.byStage.end()) {
         addGroup(queue, ticket, request);
@@ -93,12 +98,35 @@
         return;
     tickets.erase(at);
     --waiting.pieceCount;
+    --waiting.piecesByPriority[request.priority];
     if (tickets.empty())
         removeGroup(waiting, known->second);
 }
 
-void moveLateGroups(WaitingPieces &waiting, Time now)
+namespace {
+
+// Groups with a last chance go before less urgent ones, whether these can be on time or not.
+void moveLastChances(StageQueue &queue, Time now)
+{
+    WaitingPieces &waiting = queue.waiting;
+    while (!waiting.byLastChance.empty() && waiting.byLastChance.begin()->first <= now) {
+        const GroupId id = waiting.byLastChance.begin()->second;
+        waiting.byLastChance.erase(waiting.byLastChance.begin());
+        WaitingGroup &group = waiting.groups.at(id);
+        waiting.order.erase(group.rank);
+        const bool isFirst = isStarved(queue.shares, group.request.priority);
+        group.rank = lastChanceRank(group.request, isFirst, id);
+        waiting.order.insert(group.rank);
+        ++queue.costs.lastChances;
+        queue.costs.starved += isFirst ? 1 : 0;
+    }
+}
+
+} // namespace
+
+void moveLateGroups(StageQueue &queue, Time now)
 {
+    WaitingPieces &waiting = queue.waiting;
     while (!waiting.byStart.empty() && waiting.byStart.begin()->first < now) {
         const GroupId id = waiting.byStart.begin()->second;
         waiting.byStart.erase(waiting.byStart.begin());
@@ -108,7 +136,12 @@
         // Of the late groups, the newest are the most likely to still have a connected caller.
         group.rank.order = -sinceEpoch(group.request.startBy);
         waiting.order.insert(group.rank);
+        if (queue.order != QueueOrder::LeastCost)
+            continue;
+        group.lastChanceFrom = lastChanceFrom(queue, group.request);
+        waiting.byLastChance.emplace(group.lastChanceFrom, id);
     }
+    moveLastChances(queue, now);
 }
 
 std::vector<GroupId> groupsExpiringBy(const WaitingPieces &waiting, Time limit)
--- a/Source/Core/Staging/WaitingPieces.h
+++ b/Source/Core/Staging/WaitingPieces.h
@@ -11,8 +11,9 @@
 // Removes a piece from the waiting ones, if it waits.
 void removeWaiting(StageQueue &queue, PieceTicket ticket, const PieceRequest &request);
 
-// Moves the groups that can no longer be on time behind those that can.
-void moveLateGroups(WaitingPieces &waiting, Common::Time now);
+// Moves the groups that can no longer be on time behind those that can, and under
+// `QueueOrder::LeastCost` those back that would be refused if they waited on.
+void moveLateGroups(StageQueue &queue, Common::Time now);
 
 // Returns the groups whose requests are of no use from `limit` on.
 std::vector<GroupId> groupsExpiringBy(const WaitingPieces &waiting, Common::Time limit);
--- a/Source/Experiment/Comparison.cpp
+++ b/Source/Experiment/Comparison.cpp
@@ -23,6 +23,8 @@
         total.kinds[i].onTime += one.kinds[i].onTime;
         total.kinds[i].late += one.kinds[i].late;
         total.kinds[i].unserved += one.kinds[i].unserved;
+        total.kinds[i].refusals += one.kinds[i].refusals;
+        total.kinds[i].refusedAgain += one.kinds[i].refusedAgain;
     }
     total.calls += one.calls;
     total.pieces += one.pieces;
@@ -83,7 +85,8 @@
                  << std::setw(8) << kind.arrivals << " requests, on time "
                  << shareOf(kind.onTime, kind.arrivals) << ", late "
                  << shareOf(kind.late, kind.arrivals) << ", not served "
-                 << shareOf(kind.unserved, kind.arrivals) << "\n";
+                 << shareOf(kind.unserved, kind.arrivals) << ", refused " << kind.refusals
+                 << ", again " << kind.refusedAgain << "\n";
         }
     }
     return text.str();
--- a/Source/Experiment/Scenario.cpp
+++ b/Source/Experiment/Scenario.cpp
@@ -98,6 +98,9 @@
     kind.worth = reader.number("worth", 0, 1e6);
     kind.lateWorth = reader.number("lateWorth", 0, 1e6);
     kind.endpointTime = milliseconds(reader, "endpointMs");
+    kind.deadline = Common::Milliseconds(reader.integer("deadlineMs", 0, kMaxMs, 0));
+    kind.retries = count(reader, "retries", 0);
+    kind.impatientShare = reader.number("impatientShare", 0, 1, 0);
     const json::array &stages = reader.array("stages", true);
     for (std::size_t i = 0; i < stages.size(); ++i)
         kind.stages.push_back(readStage(stages[i], reader.pathOf("stages", i), i, faults));
--- a/Source/Experiment/Scenario.h
+++ b/Source/Experiment/Scenario.h
@@ -39,6 +39,12 @@
     Common::Milliseconds objective{0};
     // Time after arrival at which the caller disconnects.
     Common::Milliseconds callerTimeout{0};
+    // Time after its first attempt for which a refused caller comes back; `callerTimeout` if zero.
+    Common::Milliseconds deadline{0};
+    // How often a refused caller comes back, when it was told to.
+    std::uint32_t retries = 0;
+    // Share of the callers that come back at once instead, three times over.
+    double impatientShare = 0;
     int priority = 0;
     double worth = 1;
     double lateWorth = 0;
@@ -67,6 +73,21 @@
     double slowness = 0;
 };
 
+// Endpoints that are off the list for a period, as the failure domain is evacuated or they are
+// lost.
+struct Withdrawal
+{
+    // All services if empty.
+    std::string service;
+    // Endpoints of this failure domain; unset for the first `endpoints` ones of the list.
+    std::optional<Common::FailureDomain> failureDomain;
+    std::uint32_t endpoints = 0;
+    double fromSecond = 0;
+    double toSecond = 0;
+    // Whether their results are gone too.
+    bool losesResults = false;
+};
+
 struct Scenario
 {
     double seconds = 0;
@@ -78,6 +99,7 @@
     std::vector<RequestKindModel> kinds;
     std::vector<Burst> bursts;
     std::vector<EndpointDegradation> degradations;
+    std::vector<Withdrawal> withdrawals;
 };
 
 Scenario readScenario(const boost::json::value &document, Common::JsonFaults &faults);
@@ -86,6 +108,8 @@
 enum class Policy {
     // One queue per service for all instances; pieces that can be on time go first.
     Shared,
+    // Like `Shared`, but by what waiting and refusal cost callers.
+    LeastCost,
     // One queue per service on each instance.
     PerInstance,
     // One queue per service; pieces go in order of arrival.
@@ -102,8 +126,9 @@
 struct Tanagerbay::Common::EnumNames<Tanagerbay::Experiment::Policy>
 {
     using Policy = Experiment::Policy;
-    static constexpr NameTable<Policy, 5> table = {{
+    static constexpr NameTable<Policy, 6> table = {{
         {Policy::Shared, "shared"},
+        {Policy::LeastCost, "least-cost"},
         {Policy::PerInstance, "per-instance"},
         {Policy::FirstCome, "first-come"},
         {Policy::Random, "random"},
--- a/Source/Experiment/StageSimulation.cpp
+++ b/Source/Experiment/StageSimulation.cpp
@@ -14,6 +14,10 @@
 constexpr int kMaxRestarts = 2;
 // Maximum relative deviation of an endpoint's speed from that of its service.
 constexpr double kSpeedSpread = 0.1;
+// How often impatient callers come back.
+constexpr std::uint32_t kImpatientRetries = 3;
+// Callers wait at most for this share of their time left before they come back.
+constexpr int kMaxReturnDelayParts = 3;
 
 Duration fromSeconds(double seconds)
 {
@@ -70,6 +74,8 @@
                 queue.queue.order = Staging::QueueOrder::FirstCome;
             if (policy == Policy::Random)
                 queue.queue.order = Staging::QueueOrder::Random;
+            if (policy == Policy::LeastCost)
+                queue.queue.order = Staging::QueueOrder::LeastCost;
             queue.queue.dropsExpiredPieces = policy != Policy::NoAdmission;
             Staging::applyEndpoints(queue.queue, listed, this->now);
             this->pieceRefs.emplace_back();
@@ -83,6 +89,7 @@
     this->outcome.kinds.resize(scenario.kinds.size());
     this->scheduleArrivals(load);
     this->scheduleDegradations();
+    this->scheduleWithdrawals();
 }
 
 void StageSimulation::schedule(Time time, std::function<void()> action)
@@ -138,6 +145,44 @@
     }
 }
 
+void StageSimulation::scheduleWithdrawals()
+{
+    for (const Withdrawal &withdrawal : this->scenario.withdrawals) {
+        this->scheduleAfter(fromSeconds(withdrawal.fromSecond),
+                            [this, &withdrawal] { this->setListed(withdrawal, false); });
+        this->scheduleAfter(fromSeconds(withdrawal.toSecond),
+                            [this, &withdrawal] { this->setListed(withdrawal, true); });
+    }
+}
+
+void StageSimulation::setListed(const Withdrawal &withdrawal, bool isListed)
+{
+    for (std::size_t service = 0; service < this->scenario.services.size(); ++service) {
+        if (!withdrawal.service.empty()
+            && withdrawal.service != this->scenario.services[service].name)
+            continue;
+        std::vector<Routing::Endpoint> &listed = this->endpoints[service];
+        for (std::size_t i = 0; i < listed.size(); ++i) {
+            const bool isMeant = withdrawal.failureDomain
+                ? listed[i].failureDomain == *withdrawal.failureDomain
+                : i < withdrawal.endpoints;
+            if (!isMeant)
+                continue;
+            listed[i].state
+                = isListed ? Routing::EndpointState::Live : Routing::EndpointState::Leaving;
+            if (withdrawal.losesResults && !isListed)
+                this->simulatedEndpoints[service][i].results.clear();
+        }
+        for (std::size_t instance = 0; instance < this->scenario.instances; ++instance) {
+            const std::size_t queue = this->queueOf(service, instance);
+            if (instance > 0 && queue == this->queueOf(service, 0))
+                break;
+            Staging::applyEndpoints(this->queues[queue].queue, listed, this->now);
+            this->dispatch(queue);
+        }
+    }
+}
+
 const RequestKindModel &StageSimulation::kindOf(const Request &request) const
 {
     return this->scenario.kinds[request.kind];
@@ -146,7 +191,6 @@
 void StageSimulation::startRequest(std::size_t kind)
 {
     const RequestKindModel &model = this->scenario.kinds[kind];
-    const std::uint64_t id = ++this->lastRequestId;
     Request request;
     request.kind = kind;
     request.instance
@@ -155,7 +199,7 @@
         = Common::FailureDomain("d"
                                 + std::to_string(std::uniform_int_distribution<std::uint32_t>(
                                     0, this->scenario.failureDomains - 1)(this->random)));
-    request.arrivedAt = this->now;
+    request.firstArrivedAt = this->now;
     ++this->secondOf(this->now).arrivals;
     std::uniform_real_distribution<double> uniform(0, 1);
     for (const StageModel &stage : model.stages) {
@@ -168,12 +212,71 @@
         request.pieceCounts.push_back(
             uniform(this->random) < stage.share ? static_cast<std::uint32_t>(pieceCount) : 0);
     }
+    if (model.impatientShare > 0)
+        request.isImpatient = uniform(this->random) < model.impatientShare;
     ++this->outcome.kinds[kind].arrivals;
+    this->beginAttempt(std::move(request));
+}
+
+void StageSimulation::beginAttempt(Request request)
+{
+    const RequestKindModel &model = this->kindOf(request);
+    const std::uint64_t id = ++this->lastRequestId;
+    request.arrivedAt = this->now;
+    request.leavesAt = this->now + model.callerTimeout;
+    if (model.deadline.count() > 0)
+        request.leavesAt = std::min(request.leavesAt, request.firstArrivedAt + model.deadline);
+    const Time leavesAt = request.leavesAt;
     this->requests.emplace(id, std::move(request));
-    this->scheduleAfter(model.callerTimeout, [this, id] { this->abandonRequest(id); });
+    this->schedule(leavesAt, [this, id] { this->abandonRequest(id); });
     this->startStages(id);
 }
 
+std::optional<Time> StageSimulation::returnTime(const Request &request,
+                                                std::optional<Duration> roomIn)
+{
+    const RequestKindModel &kind = this->kindOf(request);
+    const std::uint32_t retries = request.isImpatient ? kImpatientRetries : kind.retries;
+    if (request.attempt >= retries)
+        return std::nullopt;
+    const Time deadline = request.firstArrivedAt + std::max(kind.deadline, kind.callerTimeout);
+    if (deadline <= this->now)
+        return std::nullopt;
+    // As an entry instance answers.
+    std::uniform_real_distribution<double> spread(0.5, 1.5);
+    auto delay = std::chrono::duration_cast<Duration>(kind.objective * spread(this->random));
+    if (roomIn)
+        delay = std::max(delay, *roomIn);
+    delay = std::min(delay, (deadline - this->now) / kMaxReturnDelayParts);
+    if (request.isImpatient)
+        delay = this->scenario.messageDelay;
+    return this->now + delay;
+}
+
+void StageSimulation::refuseRequest(std::uint64_t id, std::optional<Duration> roomIn)
+{
+    const Request &request = this->requests.at(id);
+    KindOutcome &outcome = this->outcome.kinds[request.kind];
+    ++outcome.refusals;
+    outcome.refusedAgain += request.attempt > 0 ? 1 : 0;
+    const auto returnsAt = this->returnTime(request, roomIn);
+    if (!returnsAt) {
+        this->abandonRequest(id);
+        return;
+    }
+    Request next;
+    next.kind = request.kind;
+    next.instance = request.instance;
+    next.homeDomain = request.homeDomain;
+    next.firstArrivedAt = request.firstArrivedAt;
+    next.pieceCounts = request.pieceCounts;
+    next.attempt = request.attempt + 1;
+    next.isImpatient = request.isImpatient;
+    this->withdrawPieces(id);
+    this->requests.erase(id);
+    this->schedule(*returnsAt, [this, next] { this->beginAttempt(next); });
+}
+
 void StageSimulation::startStages(std::uint64_t id)
 {
     Request &request = this->requests.at(id);
@@ -213,8 +316,12 @@
     piece.priority = kind.priority;
     piece.startBy = request.arrivedAt + kind.objective
         - Staging::plannedTimeFromStart(this->catalog, stages, stage, kind.endpointTime);
-    piece.expiresAt = request.arrivedAt + kind.callerTimeout - kind.endpointTime
+    piece.expiresAt = request.leavesAt - kind.endpointTime
         - Staging::minTimeAfterEnd(this->catalog, stages, stage);
+    piece.lastStartBy = request.leavesAt
+        - Staging::plannedTimeFromStart(this->catalog, stages, stage, kind.endpointTime);
+    if (const auto kept = Staging::inputLifetime(this->catalog, stages, stage))
+        piece.lastStartBy = std::min(*piece.lastStartBy, this->now + *kept);
     if (Staging::isFinal(stages, stage)) {
         piece.nearTo = request.homeDomain;
         piece.transferBytes = piece.resultBytes;
@@ -272,7 +379,7 @@
             this->startStages(ref.request);
             return;
         }
-        this->abandonRequest(ref.request);
+        this->refuseRequest(ref.request, piece.roomIn);
         return;
     }
     state.results[ref.index] = piece;
@@ -374,9 +481,9 @@
         return;
     const RequestKindModel &kind = this->kindOf(found->second);
     KindOutcome &outcome = this->outcome.kinds[found->second.kind];
-    const bool isOnTime = this->now - found->second.arrivedAt <= kind.objective;
+    const bool isOnTime = this->now - found->second.firstArrivedAt <= kind.objective;
     ++(isOnTime ? outcome.onTime : outcome.late);
-    KindOutcome &second = this->secondOf(found->second.arrivedAt);
+    KindOutcome &second = this->secondOf(found->second.firstArrivedAt);
     ++(isOnTime ? second.onTime : second.late);
     this->withdrawPieces(id);
     this->requests.erase(id);
@@ -388,7 +495,7 @@
     if (found == this->requests.end())
         return;
     ++this->outcome.kinds[found->second.kind].unserved;
-    ++this->secondOf(found->second.arrivedAt).unserved;
+    ++this->secondOf(found->second.firstArrivedAt).unserved;
     this->withdrawPieces(id);
     this->requests.erase(id);
 }
--- a/Source/Experiment/StageSimulation.h
+++ b/Source/Experiment/StageSimulation.h
@@ -17,6 +17,11 @@
     std::uint64_t late = 0;
     // Refused, or not finished before their caller disconnected.
     std::uint64_t unserved = 0;
+    // Refusals, also of those that came back and were served, and of those that came back.
+    std::uint64_t refusals = 0;
+    std::uint64_t refusedAgain = 0;
+    // First refusals by a queue that had begun less urgent pieces shortly before.
+    std::uint64_t refusedBehindLessUrgent = 0;
 };
 
 struct Outcome
@@ -48,6 +53,8 @@
         Staging::StageQueue queue;
         std::optional<Common::Time> wakeAt;
         bool isFreeTimerArmed = false;
+        // When a piece of each priority was last begun.
+        std::map<int, Common::Time> begunAt;
     };
 
     struct StageState
@@ -65,6 +72,12 @@
         std::size_t instance = 0;
         Common::FailureDomain homeDomain;
         Common::Time arrivedAt;
+        // Of the caller's first attempt.
+        Common::Time firstArrivedAt;
+        std::uint32_t attempt = 0;
+        bool isImpatient = false;
+        // When the caller leaves.
+        Common::Time leavesAt;
         std::vector<std::uint32_t> pieceCounts;
         std::vector<Staging::StageProgress> progress;
         std::vector<StageState> stageStates;
@@ -93,6 +106,12 @@
     void scheduleAfter(Common::Duration delay, std::function<void()> action);
     void scheduleArrivals(double load);
     void startRequest(std::size_t kind);
+    void beginAttempt(Request request);
+    // Answers a request that it cannot be served, and when there is room again if that is known.
+    void refuseRequest(std::uint64_t id, std::optional<Common::Duration> roomIn);
+    // When the refused caller comes back, if it does.
+    std::optional<Common::Time> returnTime(const Request &request,
+                                           std::optional<Common::Duration> roomIn);
     void startStages(std::uint64_t id);
     void startReadyStages(std::uint64_t id);
     void startStage(std::uint64_t id, std::size_t stage);
@@ -103,6 +122,8 @@
     void dispatch(std::size_t queue);
     void sendCall(std::size_t queue, Staging::PlannedCall call);
     void deliverCall(std::size_t queue, const Staging::PlannedCall &call);
+    // Whether the queue has begun pieces that are less urgent than the kind shortly before.
+    bool hasBegunLessUrgent(std::size_t queue, const RequestKindModel &kind) const;
     void notifySettled(std::size_t queue, const std::vector<Staging::SettledPiece> &settled);
     void handleSettledPiece(const PieceRef &ref, const Staging::SettledPiece &piece);
     void recordFetchedInputs(std::size_t queue, const Staging::PlannedCall &call);
@@ -113,6 +134,8 @@
     void abandonRequest(std::uint64_t id);
     void withdrawPieces(std::uint64_t id);
     void scheduleDegradations();
+    void scheduleWithdrawals();
+    void setListed(const Withdrawal &withdrawal, bool isListed);
     const RequestKindModel &kindOf(const Request &request) const;
     // Outcome of the requests that arrived in the same second.
     KindOutcome &secondOf(Common::Time arrivedAt);
--- a/Source/Experiment/StageSimulationQueues.cpp
+++ b/Source/Experiment/StageSimulationQueues.cpp
@@ -15,6 +15,8 @@
 constexpr Common::Milliseconds kFreeDelay{20};
 // Minimum delay of queue timers, as in the entry instances.
 constexpr Common::Milliseconds kMinWakeDelay{5};
+// A refused piece could have had the place of one that was begun within about a call before.
+constexpr Common::Milliseconds kSameRoom{300};
 
 } // namespace
 
@@ -64,6 +66,8 @@
 {
     ++this->outcome.calls;
     this->outcome.pieces += call.pieces.size();
+    for (const Staging::QueuedPiece &piece : call.pieces)
+        this->queues[queue].begunAt[piece.request.priority] = this->now;
     this->scheduleAfter(this->scenario.messageDelay,
                         [this, queue, call = std::move(call)] { this->deliverCall(queue, call); });
 }
@@ -127,6 +131,15 @@
     });
 }
 
+bool StageSimulation::hasBegunLessUrgent(std::size_t queue, const RequestKindModel &kind) const
+{
+    for (const auto &[priority, begunAt] : this->queues[queue].begunAt) {
+        if (priority > kind.priority && this->now - begunAt < kSameRoom)
+            return true;
+    }
+    return false;
+}
+
 void StageSimulation::notifySettled(std::size_t queue,
                                     const std::vector<Staging::SettledPiece> &settled)
 {
@@ -136,6 +149,11 @@
             continue;
         const PieceRef ref = found->second;
         this->pieceRefs[queue].erase(found);
+        const auto request = this->requests.find(ref.request);
+        if (piece.outcome == Staging::PieceOutcome::Expired && ref.index == 0
+            && request != this->requests.end() && request->second.attempt == 0
+            && this->hasBegunLessUrgent(queue, this->kindOf(request->second)))
+            ++this->outcome.kinds[request->second.kind].refusedBehindLessUrgent;
         this->scheduleAfter(this->scenario.messageDelay,
                             [this, ref, piece] { this->handleSettledPiece(ref, piece); });
     }
