Entry: Use the order by cost in the stage queues

Cause: the order by cost was not used by instances; a refused caller was told to come back after about its objective, whether there was room then or not. Change: stage queues whose routes or workspaces differ in priority are ordered by cost, unless the setting stageOrder says on-time-first. Retry-After is no sooner than the stage will have worked off what goes before.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -407,6 +407,8 @@
     this->state.settings.seeds = settings->seeds;
     this->state.settings.store = settings->store;
     this->state.settings.bounds = settings->bounds;
+    this->state.settings.stageOrder = settings->stageOrder;
+    this->stageOwner.refresh();
     this->state.logState(
         LogLine("settings-reloaded").text("store", Common::formatAddress(settings->store)));
 }
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -241,11 +241,16 @@
     return plan;
 }
 
-Common::Duration RequestFlow::retryAfterWithJitter()
+Common::Duration RequestFlow::retryAfterWithJitter(std::optional<Common::Duration> roomIn)
 {
     std::uniform_real_distribution<double> spread(0.5, 1.5);
     const double seconds = Common::toSeconds(this->route->objective) * spread(this->state.random);
-    return std::chrono::duration_cast<Common::Duration>(std::chrono::duration<double>(seconds));
+    const auto delay
+        = std::chrono::duration_cast<Common::Duration>(std::chrono::duration<double>(seconds));
+    if (!roomIn)
+        return delay;
+    std::uniform_real_distribution<double> draw(0, 1);
+    return std::max(delay, Serving::retryAfterHold(*roomIn, draw(this->state.random)));
 }
 
 Common::Duration RequestFlow::retryAfterNoEndpoint()
@@ -295,10 +300,14 @@
     }
     if (fault) {
         const bool mayHaveRun = this->attempts.mayHaveRun;
-        Refusal refusal{RefusalReason::NotRunInTime, !mayHaveRun, this->retryAfterWithJitter()};
+        Refusal refusal{RefusalReason::NotRunInTime, !mayHaveRun,
+                        this->retryAfterWithJitter(this->stageRun->roomIn())};
+        this->state.metrics.count(labelled("stage_refusals", "route", this->route->name));
         co_await this->refuse(refusal, Common::nameOf(*fault));
         co_return false;
     }
+    if (*this->stagedAt > this->request.receivedAt + this->route->objective)
+        this->state.metrics.count(labelled("stage_delays", "route", this->route->name));
     this->stageResultsReleased = false;
     this->stageResults = this->stageRun->finalResults();
     co_return true;
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -149,8 +149,9 @@
     Common::Time expectedAbandonAt() const;
     // Time without an event after which callers abandon a stream.
     Common::Duration abandonTimeout() const;
-    // Returns a retry delay with random jitter, so that refused callers do not retry at once.
-    Common::Duration retryAfterWithJitter();
+    // Returns a retry delay with random jitter, so that refused callers do not retry at once, and
+    // not before there is room.
+    Common::Duration retryAfterWithJitter(std::optional<Common::Duration> roomIn);
     // Returns the retry delay of a request that finds no endpoint to be sent to.
     Common::Duration retryAfterNoEndpoint();
     // Whether the request begins work, rather than going on with a stream.
--- a/Source/Core/Entry/Settings.cpp
+++ b/Source/Core/Entry/Settings.cpp
@@ -110,6 +110,12 @@
         reader.integer("firstEvent", 0, kMaxFirstEvent, Serving::kFirstEventNumber));
     for (std::string &service : reader.textArray("closeDelimitedServices", false))
         settings.closeDelimitedServices.insert(std::move(service));
+    const std::string order
+        = reader.text("stageOrder", std::string(Common::nameOf(settings.stageOrder)));
+    if (const auto named = Common::valueNamed<StageOrder>(order))
+        settings.stageOrder = *named;
+    else
+        reader.fault("stageOrder", "must be least-cost or on-time-first, is " + order);
     static const boost::json::value kEmpty = boost::json::object();
     const auto section = [&reader](std::string_view key) -> const boost::json::value & {
         const boost::json::value *member = reader.member(key);
--- a/Source/Core/Entry/Settings.h
+++ b/Source/Core/Entry/Settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/Address.h"
+#include "Common/EnumNames.h"
 #include "Common/Ids.h"
 #include "Common/JsonReader.h"
 #include "Common/Time.h"
@@ -12,6 +13,26 @@
 
 namespace Tanagerbay::Entry {
 
+// Order of stage work where routes or workspaces of different priorities share a stage.
+enum class StageOrder {
+    // By what waiting and refusal cost callers; see Staging/CostOrder.h.
+    LeastCost,
+    // What can be on time first, in whatever priority.
+    OnTimeFirst,
+};
+
+} // namespace Tanagerbay::Entry
+
+template <>
+struct Tanagerbay::Common::EnumNames<Tanagerbay::Entry::StageOrder>
+{
+    using Order = Entry::StageOrder;
+    static constexpr NameTable<Order, 2> table
+        = {{{Order::LeastCost, "least-cost"}, {Order::OnTimeFirst, "on-time-first"}}};
+};
+
+namespace Tanagerbay::Entry {
+
 // Guarantees and limits of the platform.
 struct Bounds
 {
@@ -58,6 +79,7 @@
     // Services that frame no streams and close the connection of one only behind its last event.
     // Others have to frame the streams that may run once.
     std::set<std::string> closeDelimitedServices;
+    StageOrder stageOrder = StageOrder::LeastCost;
     Bounds bounds;
 };
 
--- a/Source/Core/Entry/StageClient.cpp
+++ b/Source/Core/Entry/StageClient.cpp
@@ -180,6 +180,9 @@
                             .value_or(Staging::PieceOutcome::Failed);
         piece.handle = textAt(fields, 3);
         piece.producer = Common::EndpointId(textAt(fields, 4));
+        // Owners of earlier builds do not say it.
+        if (fields.size() > 5)
+            piece.roomIn = Common::Milliseconds(unsignedAt(fields, 5));
         this->recordPiece(unsignedAt(fields, 0), unsignedAt(fields, 1), piece);
     }
 }
@@ -211,6 +214,8 @@
                         .value_or(Staging::PieceOutcome::Failed);
     piece.handle = textOf(message, "handle");
     piece.producer = Common::EndpointId(textOf(message, "maker"));
+    if (message.contains("roomMs"))
+        piece.roomIn = Common::Milliseconds(numberOf(message, "roomMs"));
     this->recordPiece(numberOf(message, "work"), numberOf(message, "index"), piece);
 }
 
@@ -224,7 +229,7 @@
         return;
     Work &work = found->second;
     if (piece.outcome != Staging::PieceOutcome::Made) {
-        this->finish(workId, piece.outcome);
+        this->finish(workId, piece.outcome, piece.roomIn);
         return;
     }
     work.results[index] = piece;
@@ -232,7 +237,8 @@
         this->finish(workId, std::nullopt);
 }
 
-void StageClient::finish(WorkId workId, std::optional<Staging::PieceOutcome> fault)
+void StageClient::finish(WorkId workId, std::optional<Staging::PieceOutcome> fault,
+                         std::optional<Common::Duration> roomIn)
 {
     const auto found = this->openWork.find(workId);
     if (found == this->openWork.end())
@@ -240,6 +246,7 @@
     const StageCallback callback = std::move(found->second.callback);
     StageOutcome outcome;
     outcome.fault = fault;
+    outcome.roomIn = roomIn;
     for (auto &result : found->second.results) {
         if (result)
             outcome.results.push_back(std::move(*result));
--- a/Source/Core/Entry/StageClient.h
+++ b/Source/Core/Entry/StageClient.h
@@ -24,6 +24,8 @@
     // One result for each piece; empty if `fault` is set.
     std::vector<Staging::SettledPiece> results;
     std::optional<Staging::PieceOutcome> fault;
+    // When the stage will have room again, if the work expired for want of it.
+    std::optional<Common::Duration> roomIn;
 };
 
 using WorkId = std::uint64_t;
@@ -105,7 +107,8 @@
     void movePieces(const std::string &service, const Owner &owner);
     void onMoved(const boost::json::object &message);
     void recordPiece(WorkId workId, std::size_t index, const Staging::SettledPiece &piece);
-    void finish(WorkId workId, std::optional<Staging::PieceOutcome> fault);
+    void finish(WorkId workId, std::optional<Staging::PieceOutcome> fault,
+                std::optional<Common::Duration> roomIn = std::nullopt);
     void onSubmit(const PeerLinkPtr &link, const boost::json::object &message);
     void recordFetched(WorkId workId, std::size_t index);
     // Sends a message of the given type about the results to the owner of the service's queue.
--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -1,5 +1,7 @@
 #include "Entry/StageOwner.h"
 
+#include "Staging/CostOrder.h"
+
 #include <algorithm>
 
 #include <boost/asio/co_spawn.hpp>
@@ -49,23 +51,29 @@
         return nullptr;
     Queue &queue = this->queues[service];
     queue.queue.service = service;
-    queue.queue.batching = *catalogService->batching;
-    queue.queue.isOnRoutes = Catalog::isOnRoutes(*this->state.catalog, service);
+    this->configure(queue.queue, *catalogService);
     queue.wakeTimer = std::make_unique<asio::steady_timer>(this->state.context);
     queue.freeTimer = std::make_unique<asio::steady_timer>(this->state.context);
     Staging::applyEndpoints(queue.queue, this->state.poolOf(service).endpoints, clockNow());
     return &queue;
 }
 
+void StageOwner::configure(Staging::StageQueue &queue, const Catalog::Service &service)
+{
+    queue.batching = *service.batching;
+    queue.isOnRoutes = Catalog::isOnRoutes(*this->state.catalog, queue.service);
+    const bool weighsCosts = this->state.settings.stageOrder == StageOrder::LeastCost
+        && Staging::hasSeveralPriorities(*this->state.catalog, queue.service);
+    queue.order = weighsCosts ? Staging::QueueOrder::LeastCost : Staging::QueueOrder::OnTimeFirst;
+}
+
 void StageOwner::refresh()
 {
     for (auto &[service, queue] : this->queues) {
         const Catalog::Service *catalogService
             = this->state.catalog ? Catalog::findService(*this->state.catalog, service) : nullptr;
-        if (catalogService && catalogService->batching) {
-            queue.queue.batching = *catalogService->batching;
-            queue.queue.isOnRoutes = Catalog::isOnRoutes(*this->state.catalog, service);
-        }
+        if (catalogService && catalogService->batching)
+            this->configure(queue.queue, *catalogService);
         Staging::applyEndpoints(queue.queue, this->state.poolOf(service).endpoints, clockNow());
         this->dispatch(service);
     }
@@ -97,6 +105,7 @@
                        asio::detached);
     }
     this->notifySettled(*queue, settled);
+    reportCosts(this->state, queue->queue, queue->costReport, now);
     this->armWakeTimer(service, *queue);
 }
 
--- a/Source/Core/Entry/StageOwner.h
+++ b/Source/Core/Entry/StageOwner.h
@@ -2,8 +2,7 @@
 // the submitters of the outcome of their pieces.
 #pragma once
 
-#include "Entry/State.h"
-#include "Staging/StageQueue.h"
+#include "Entry/StageCosts.h"
 
 #include <functional>
 
@@ -57,6 +56,7 @@
     struct Queue
     {
         Staging::StageQueue queue;
+        CostReport costReport;
         std::unordered_map<Staging::PieceTicket, PieceListener> listeners;
         std::unique_ptr<boost::asio::steady_timer> wakeTimer;
         std::optional<Common::Time> wakeAt;
@@ -66,6 +66,8 @@
 
     // Returns nullptr if the catalog has no such stage service.
     Queue *findOrCreate(const std::string &service);
+    // Takes over what the catalog and the settings say about the service.
+    void configure(Staging::StageQueue &queue, const Catalog::Service &service);
     void armWakeTimer(const std::string &service, Queue &queue);
     void armFreeTimer(const std::string &service, Queue &queue);
     void sendFreeOrders(const std::string &service, Queue &queue);
--- a/Source/Core/Entry/StageRun.cpp
+++ b/Source/Core/Entry/StageRun.cpp
@@ -42,6 +42,11 @@
     co_return this->fault;
 }
 
+std::optional<Common::Duration> StageRun::roomIn() const
+{
+    return this->statedRoomIn;
+}
+
 void StageRun::cancel()
 {
     for (Step &step : this->steps) {
@@ -119,6 +124,7 @@
               --this->openStages;
               if (outcome.fault) {
                   this->fault = outcome.fault;
+                  this->statedRoomIn = outcome.roomIn;
               } else {
                   this->chain[stage].isDone = true;
                   step.results = outcome.results;
--- a/Source/Core/Entry/StageRun.h
+++ b/Source/Core/Entry/StageRun.h
@@ -39,6 +39,8 @@
     void cancel();
     // Returns the result handles of the final stages, those that no other stage depends on.
     std::vector<std::string> finalResults() const;
+    // When the stage whose work expired will have room again, if its owner said so.
+    std::optional<Common::Duration> roomIn() const;
     // Marks the final results as evictable: the endpoint has most likely fetched them.
     void markFinalEvictable();
     // Releases all results; the endpoints that hold them may drop them.
@@ -68,6 +70,7 @@
     std::vector<Staging::StageProgress> chain;
     std::size_t openStages = 0;
     std::optional<Staging::PieceOutcome> fault;
+    std::optional<Common::Duration> statedRoomIn;
     boost::asio::steady_timer wakeTimer;
     // Set to false on destruction, since callbacks may run after a cancelled run was destroyed.
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
--- a/Source/Core/Entry/StageSubmissions.cpp
+++ b/Source/Core/Entry/StageSubmissions.cpp
@@ -55,7 +55,7 @@
             refused.push_back(index);
     }
     for (const std::uint64_t index : refused)
-        this->reportSettled(key, index, {0, Staging::PieceOutcome::Failed, {}, {}});
+        this->reportSettled(key, index, {0, Staging::PieceOutcome::Failed, {}, {}, {}});
     if (this->state.leaving)
         this->handOver(service);
     this->owner.dispatch(service);
@@ -69,18 +69,19 @@
         return;
     const RemoteWork &remote = found->second;
     if (remote.acceptsBatches) {
-        this->settledReports[remote.link].push_back(
-            json::array{remote.workId, index, Common::nameOf(piece.outcome), piece.handle,
-                        piece.producer.value});
+        json::array report{remote.workId, index, Common::nameOf(piece.outcome), piece.handle,
+                           piece.producer.value};
+        if (piece.roomIn)
+            report.push_back(Common::toMilliseconds(*piece.roomIn));
+        this->settledReports[remote.link].push_back(std::move(report));
         this->flushReports();
     } else {
-        this->mesh.reply(remote.link,
-                         {{"type", "settled"},
-                          {"work", remote.workId},
-                          {"index", index},
-                          {"end", Common::nameOf(piece.outcome)},
-                          {"handle", piece.handle},
-                          {"maker", piece.producer.value}});
+        json::object message{{"type", "settled"},      {"work", remote.workId},
+                             {"index", index},         {"end", Common::nameOf(piece.outcome)},
+                             {"handle", piece.handle}, {"maker", piece.producer.value}};
+        if (piece.roomIn)
+            message["roomMs"] = Common::toMilliseconds(*piece.roomIn);
+        this->mesh.reply(remote.link, message);
     }
     this->eraseRemotePiece(key, index);
 }
--- a/Source/Core/Staging/CostOrder.cpp
+++ b/Source/Core/Staging/CostOrder.cpp
@@ -61,6 +61,23 @@
 
 } // namespace
 
+bool hasSeveralPriorities(const Catalog::Catalog &catalog, const std::string &service)
+{
+    std::set<int> priorities;
+    for (const Catalog::Route &route : catalog.routes) {
+        const bool isUsed
+            = std::any_of(route.stages.begin(), route.stages.end(),
+                          [&](const Catalog::Stage &stage) { return stage.service == service; });
+        if (isUsed)
+            priorities.insert(route.priority);
+    }
+    for (const Catalog::Workspace &workspace : catalog.workspaces) {
+        if (workspace.priority)
+            priorities.insert(*workspace.priority);
+    }
+    return priorities.size() > 1;
+}
+
 Time lastChanceFrom(const StageQueue &queue, const PieceRequest &request)
 {
     const Duration full = fullCallTime(queue);
--- a/Source/Core/Staging/CostOrder.h
+++ b/Source/Core/Staging/CostOrder.h
@@ -29,6 +29,10 @@
     Common::Duration timeLeft{0};
 };
 
+// Whether routes with a stage at the service, or workspaces, differ in priority. Without that the
+// order by cost would only change who of equals is served.
+bool hasSeveralPriorities(const Catalog::Catalog &catalog, const std::string &service);
+
 // Time from which a late group would be refused if it waited on: one full call may have to end
 // first.
 Common::Time lastChanceFrom(const StageQueue &queue, const PieceRequest &request);
--- a/Source/UnitTests/Entry/SettingsTest.cpp
+++ b/Source/UnitTests/Entry/SettingsTest.cpp
@@ -81,4 +81,19 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(stageOrder_isNotSet_isByCost)
+{
+    BOOST_TEST((this->parse().stageOrder == StageOrder::LeastCost));
+}
+
+BOOST_AUTO_TEST_CASE(stageOrder_isSet_isTakenOrAFault)
+{
+    this->document["stageOrder"] = "on-time-first";
+    BOOST_TEST((this->parse().stageOrder == StageOrder::OnTimeFirst));
+    BOOST_TEST(this->faults.empty());
+    this->document["stageOrder"] = "random";
+    this->parse();
+    BOOST_TEST(!this->faults.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
