--- a/Source/UnitTests/Entry/SettingsTest.cpp
+++ b/Source/UnitTests/Entry/SettingsTest.cpp
@@ -83,13 +83,13 @@
 
 BOOST_AUTO_TEST_CASE(stageOrder_isNotSet_isByCost)
 {
-    BOOST_TEST((this->parse().stageOrder == StageOrder::LeastCost));
+    BOOST_TEST((this->parse().stageOrder == Entry::StageOrder::LeastCost));
 }
 
 BOOST_AUTO_TEST_CASE(stageOrder_isSet_isTakenOrAFault)
 {
     this->document["stageOrder"] = "on-time-first";
-    BOOST_TEST((this->parse().stageOrder == StageOrder::OnTimeFirst));
+    BOOST_TEST((this->parse().stageOrder == Entry::StageOrder::OnTimeFirst));
     BOOST_TEST(this->faults.empty());
     this->document["stageOrder"] = "random";
     this->parse();
