Routing: Add the expected time of a prompt at an endpoint

Header and first version of the estimate, for the parts that use it; nothing calls it yet. Not measured yet.

--- a/Source/Core/Routing/AffinityChoice.cpp
+++ b/Source/Core/Routing/AffinityChoice.cpp
@@ -22,7 +22,28 @@
     return std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
 }
 
-// Ranks the endpoint for the choice; lower is better.
+} // namespace
+
+double maxCallsInFlight(const Pool &pool, const std::optional<std::string> &version,
+                        Common::Time now)
+{
+    double calls = 0;
+    double eligibleCount = 0;
+    for (const Endpoint &endpoint : pool.endpoints) {
+        if (!isEligible(endpoint, now) || !hasVersion(endpoint, version))
+            continue;
+        calls += endpoint.ownInFlight;
+        ++eligibleCount;
+    }
+    return kMaxLoadFactor * calls / std::max(eligibleCount, 1.0) + kLoadAllowance;
+}
+
+bool isPermitted(const Endpoint &endpoint, const AffinityRequest &request, Common::Time now)
+{
+    return !isLeaving(endpoint) && !isHeld(endpoint, now) && !wasTried(request, endpoint.id)
+        && hasVersion(endpoint, request.version);
+}
+
 int faultRank(const Endpoint &endpoint, double maxCalls, Common::Time now)
 {
     if (!isEligible(endpoint, now))
@@ -33,28 +54,17 @@
     return endpoint.ownInFlight > maxCalls ? 1 : 0;
 }
 
-} // namespace
-
 std::optional<std::size_t> chooseByAffinity(const Pool &pool, const AffinityRequest &request,
                                             Common::Time now)
 {
-    double calls = 0;
-    double eligibleCount = 0;
-    for (const Endpoint &endpoint : pool.endpoints) {
-        if (!isEligible(endpoint, now) || !hasVersion(endpoint, request.version))
-            continue;
-        calls += endpoint.ownInFlight;
-        ++eligibleCount;
-    }
-    const double maxCalls = kMaxLoadFactor * calls / std::max(eligibleCount, 1.0) + kLoadAllowance;
+    const double maxCalls = maxCallsInFlight(pool, request.version, now);
     const std::uint64_t seed = Common::hash64(request.key);
     std::optional<std::size_t> best;
     int bestRank = 0;
     std::uint64_t bestScore = 0;
     for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
         const Endpoint &endpoint = pool.endpoints[i];
-        if (isLeaving(endpoint) || isHeld(endpoint, now) || wasTried(request, endpoint.id)
-            || !hasVersion(endpoint, request.version))
+        if (!isPermitted(endpoint, request, now))
             continue;
         const int rank = faultRank(endpoint, maxCalls, now);
         // Without a shared part, the endpoint with the fewest calls in flight is chosen.
--- a/Source/Core/Routing/AffinityChoice.h
+++ b/Source/Core/Routing/AffinityChoice.h
@@ -19,6 +19,17 @@
     std::optional<std::string> version = std::nullopt;
 };
 
+// Limit on this instance's calls in flight at one endpoint of the version, by the mean over them.
+double maxCallsInFlight(const Pool &pool, const std::optional<std::string> &version,
+                        Common::Time now);
+
+// Whether the endpoint may be sent the request at all.
+bool isPermitted(const Endpoint &endpoint, const AffinityRequest &request, Common::Time now);
+
+// Ranks a permitted endpoint by its faults; lower is better, and a higher rank is chosen only where
+// there is no lower one.
+int faultRank(const Endpoint &endpoint, double maxCalls, Common::Time now);
+
 // Returns the index of the endpoint, or nothing where all are leaving, held, tried or of another
 // version.
 std::optional<std::size_t> chooseByAffinity(const Pool &pool, const AffinityRequest &request,
--- a/Source/Core/Routing/Endpoint.cpp
+++ b/Source/Core/Routing/Endpoint.cpp
@@ -91,11 +91,14 @@
     return cap == 0 || endpoint.ownInFlight < cap;
 }
 
-void noteReport(Endpoint &endpoint, const LoadReport &report)
+void noteReport(Endpoint &endpoint, const LoadReport &report, Common::Time madeAt)
 {
     endpoint.report = report;
     endpoint.report.slots = std::max(report.slots, 1u);
     endpoint.ownInFlightAtReport = endpoint.ownInFlight;
+    endpoint.reportedAt = madeAt;
+    std::erase_if(endpoint.sendsSinceReport,
+                  [madeAt](Common::Time sentAt) { return sentAt <= madeAt; });
 }
 
 double currentSlowness(const Health &health, Common::Time now)
--- a/Source/Core/Routing/Endpoint.h
+++ b/Source/Core/Routing/Endpoint.h
@@ -6,11 +6,13 @@
 #include "Common/EnumNames.h"
 #include "Common/Ids.h"
 #include "Common/Time.h"
+#include "Routing/EngineRates.h"
 #include "Routing/SendGate.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Tanagerbay::Routing {
 
@@ -36,6 +38,9 @@
     // Number of calls that the endpoint processes concurrently.
     std::uint32_t slots = 1;
     bool leaving = false;
+    // How many times longer than usual work takes on the endpoint's machine at that moment; unset
+    // where the endpoint does not report it.
+    std::optional<double> contention;
 
     std::uint32_t outstanding() const
     {
@@ -73,6 +78,11 @@
     LoadReport report;
     // This instance's calls in flight when the report arrived.
     std::uint32_t ownInFlightAtReport = 0;
+    // When the report was made, as far as known. Long ago where there was none.
+    Common::Time reportedAt;
+    // This instance's prompts that the report does not count.
+    std::vector<Common::Time> sendsSinceReport;
+    LastingPace lastingPace;
     std::uint32_t ownInFlight = 0;
     Health health;
     // The endpoint has asked this instance to send it nothing before this time.
@@ -113,8 +123,9 @@
 // shortened by a later, shorter one.
 void holdBack(Endpoint &endpoint, Common::Duration period, Common::Time now);
 
-// Records a load report that came with a reply or from a poll.
-void noteReport(Endpoint &endpoint, const LoadReport &report);
+// Records a load report that came with a reply or from a poll. `madeAt` is when it was made; where
+// it is not known, what the report says of the moment is not believed.
+void noteReport(Endpoint &endpoint, const LoadReport &report, Common::Time madeAt = {});
 
 // Records a successful call. `relative` is its pace divided by the pool's mean pace.
 void noteSuccess(Endpoint &endpoint, double relative, Common::Time now);
--- a/Source/Core/Routing/Pool.cpp
+++ b/Source/Core/Routing/Pool.cpp
@@ -23,6 +23,7 @@
 // An endpoint slower than this gets one call at a time, as a probe for its recovery.
 constexpr double kProbeSlowness = 3;
 constexpr double kPaceGain = 0.02;
+constexpr double kWaitingGain = 0.05;
 
 bool contains(const std::vector<Common::EndpointId> &ids, const Common::EndpointId &id)
 {
@@ -239,7 +240,7 @@
         --endpoint->ownInFlight;
     endpoint->busy += report.busy;
     if (report.load)
-        noteReport(*endpoint, *report.load);
+        noteReport(*endpoint, *report.load, now);
     if (report.end == CallEnd::Cancelled)
         return;
     if (report.end == CallEnd::Failed || report.end == CallEnd::Unreachable) {
@@ -251,6 +252,17 @@
         pool.durations.add(report.duration);
 }
 
+void noteReport(Pool &pool, const Common::EndpointId &id, const LoadReport &report,
+                Common::Time madeAt)
+{
+    Endpoint *endpoint = find(pool, id);
+    if (!endpoint)
+        return;
+    noteReport(*endpoint, report, madeAt);
+    pool.reportsContention = pool.reportsContention || report.contention;
+    pool.rates.meanWaiting += kWaitingGain * (report.waiting - pool.rates.meanWaiting);
+}
+
 void holdBack(Pool &pool, const Common::EndpointId &id, Common::Duration period, Common::Time now)
 {
     if (Endpoint *endpoint = find(pool, id))
--- a/Source/Core/Routing/Pool.h
+++ b/Source/Core/Routing/Pool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/LatencySketch.h"
+#include "Routing/CachedParts.h"
 #include "Routing/Endpoint.h"
 #include "Routing/PrefixIndex.h"
 #include "Routing/RetryBudget.h"
@@ -64,6 +65,10 @@
     std::size_t roundRobin = 0;
     // Smoothed mean pace of the pool, to which each endpoint's pace is compared.
     double meanPaceSeconds = 0;
+    // An endpoint has reported contention, so that prompts are placed by expected time.
+    bool reportsContention = false;
+    EngineRates rates;
+    CachedParts cachedParts;
 };
 
 struct ChoiceRequest
@@ -124,6 +129,11 @@
 // Records the end of a call. Endpoints that have been removed in the meantime are ignored.
 void endCall(Pool &pool, const CallReport &report, Common::Time now);
 
+// Records a load report of an endpoint that was made at `madeAt`. One that has been removed in the
+// meantime is ignored.
+void noteReport(Pool &pool, const Common::EndpointId &id, const LoadReport &report,
+                Common::Time madeAt);
+
 // Records that an endpoint wants nothing from this instance for the period. One that has been
 // removed in the meantime is ignored.
 void holdBack(Pool &pool, const Common::EndpointId &id, Common::Duration period, Common::Time now);
