--- a/Source/Core/Catalog/Catalog.h
+++ b/Source/Core/Catalog/Catalog.h
@@ -104,6 +104,8 @@
 {
     std::string name;
     std::uint32_t maxConnections = 0;
+    // Path at which the endpoints tell whether they are healthy; empty if not known.
+    std::string healthPath;
     // Set for services that process stages.
     std::optional<Batching> batching;
     // Set for model engines.
--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -76,13 +76,13 @@
       reload(std::move(reload)), datagrams(this->state), gossip(this->state, this->datagrams),
       mesh(this->state), relay(this->state, this->mesh), crashWatch(this->state, this->gossip),
       limits(this->state, this->gossip), paths(this->state, this->gossip, this->stageOwner),
-      versionRows(this->state, *this->store, this->relay), stageOwner(this->state),
-      stageClient(this->state, this->mesh, this->stageOwner),
+      paces(this->state, this->gossip), versionRows(this->state, *this->store, this->relay),
+      stageOwner(this->state), stageClient(this->state, this->mesh, this->stageOwner),
       catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay),
       endpoints(this->state, this->stageOwner, *this->store, this->relay),
       streams(this->state, this->datagrams, *this->store, this->endpoints),
-      parts{this->state,      this->catalogs, this->endpoints, this->stageClient,
-            this->crashWatch, this->streams,  this->limits,    this->paths}
+      parts{this->state,   this->catalogs, this->endpoints, this->stageClient, this->crashWatch,
+            this->streams, this->limits,   this->paths,     this->paces}
 {
 }
 
@@ -210,6 +210,7 @@
             this->paths.noteUnreachable(endpoint);
     });
     this->paths.start();
+    this->paces.start();
     this->crashWatch.onChange([this] { this->endQuarantinedRequests(); });
     this->crashWatch.start();
     this->streams.start();
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -65,6 +65,7 @@
     CrashWatch crashWatch;
     LimitWatch limits;
     PathWatch paths;
+    PaceWatch paces;
     VersionRows versionRows;
     StageOwner stageOwner;
     StageClient stageClient;
--- /dev/null
+++ b/Source/Core/Entry/LoadQuestion.h
@@ -0,0 +1,16 @@
+// Asks a few endpoints for their load at once, immediately before a request is sent to one of them.
+// The contention on an endpoint's machine changes many times a second, and an instance sends to the
+// same endpoint only now and then.
+#pragma once
+
+#include "Entry/State.h"
+
+namespace Tanagerbay::Entry {
+
+// Notes the loads in the service's pool as they arrive. Returns when all have answered or `timeout`
+// has passed; a later answer is still noted.
+Http::Awaitable<void> askForLoads(State &state, std::string service, std::string healthPath,
+                                  std::vector<Routing::Endpoint> endpoints,
+                                  Common::Duration timeout, std::size_t maxIdleConnections);
+
+} // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -140,6 +140,8 @@
     unsigned status = 0;
     // Request ID echoed in the response; empty if the response has none.
     std::string requestId;
+    // The endpoint that the response names as its writer; empty if it names none.
+    Common::EndpointId statedEndpoint;
     // Whether the endpoint signed the response.
     bool isSigned = false;
     bool reportsNotRun = false;
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -271,6 +271,7 @@
     }
     const StagePlan plan
         = this->makeStagePlan(this->state.poolOf(this->service).endpoints[*chosen]);
+    this->stageInputDomain = plan.consumerDomain;
     this->lastPhase = Serving::RequestPhase::Stages;
     this->stageRun = std::make_unique<StageRun>(this->state, this->dependencies.stages, plan);
     auto fault = co_await this->stageRun->run();
@@ -311,8 +312,7 @@
     Routing::Pool &pool = this->state.poolOf(this->service);
     const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
     if (entry && entry->engine)
-        return Routing::chooseByAffinity(
-            pool, {this->affinityKey(), this->triedEndpoints, this->requiredVersion}, now);
+        return this->chooseForPrompt(pool, now);
     Routing::ChoiceRequest choice;
     choice.failureDomain = this->state.settings.failureDomain;
     choice.tried = this->triedEndpoints;
@@ -389,6 +389,11 @@
         }
         if (this->stageRun && this->stageResultsReleased && !co_await this->runStages())
             co_return;
+        co_await this->askCandidates();
+        if (this->callerGone || this->earlyEnd) {
+            co_await this->endUnanswered(NextStep::Refuse, SendResult());
+            co_return;
+        }
         if (this->isHeldBackByQuarantine()) {
             co_await this->refuse(this->refusalForQuarantine(), "before a send");
             co_return;
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -6,11 +6,13 @@
 #include "Entry/CrashWatch.h"
 #include "Entry/EndpointDiscovery.h"
 #include "Entry/LimitWatch.h"
+#include "Entry/PaceWatch.h"
 #include "Entry/PathWatch.h"
 #include "Entry/ProcessQuestion.h"
 #include "Entry/StageRun.h"
 #include "Entry/StreamRegistry.h"
 #include "Http/Server.h"
+#include "Routing/PromptChoice.h"
 #include "Serving/Attempt.h"
 #include "Serving/EventSequence.h"
 #include "Serving/GracefulShutdown.h"
@@ -31,6 +33,7 @@
     StreamRegistry &streams;
     LimitWatch &limits;
     PathWatch &paths;
+    PaceWatch &paces;
 };
 
 // Who sent a request to this instance.
@@ -178,6 +181,17 @@
     Common::Duration retryAfterLimit(Common::Time now);
     Http::Awaitable<void> sendUntilAnswered();
     std::optional<std::size_t> chooseEndpoint(Common::Time now);
+    std::optional<std::size_t> chooseForPrompt(const Routing::Pool &pool, Common::Time now);
+    Routing::PromptWork promptWork(Common::Time now) const;
+    // Asks the endpoints that the choice compares for their load, if a wrong choice could make the
+    // first event late.
+    Http::Awaitable<void> askCandidates();
+    // Record that the prompt is sent to an endpoint of a pool that reports contention, that its
+    // first event has come, and that its stream has ended.
+    void beginPrompt(const Common::EndpointId &id, Common::Time now);
+    void notePromptBegun(const Common::EndpointId &id, Common::Time now);
+    void notePromptEnded(const Common::EndpointId &id, Common::Time now);
+    void addPromptSend(LogLine &line) const;
     // Returns why a request must not be retried on another endpoint; empty if it may be. Consumes
     // one extra send of the service's retry budget if the retry needs it.
     std::string_view retryDenialReason(const SendResult &last, Common::Time now);
@@ -350,6 +364,22 @@
     bool isTurnedBack = false;
     std::optional<Common::Time> firstEventAt;
     std::optional<Common::Time> stagedAt;
+    // The domain for which the stages were planned.
+    std::optional<Common::FailureDomain> stageInputDomain;
+    // The last choice by expected time.
+    std::optional<Routing::PromptChoice> promptChoice;
+    // What was expected of the last send of a prompt.
+    struct PromptSend
+    {
+        Common::Time sentAt;
+        std::optional<Common::Time> beganAt;
+        // Tokens that were to be read before the first event.
+        double tokens = 0;
+        Common::Duration expected{0};
+        // At the send, and since the first event at that.
+        double contention = 1;
+    };
+    std::optional<PromptSend> promptSend;
     // The endpoint process of the last send.
     Serving::StreamOrigin sentTo;
     // What marks the end of the last answer.
--- a/Source/Core/Entry/RequestLog.cpp
+++ b/Source/Core/Entry/RequestLog.cpp
@@ -73,6 +73,7 @@
         line.milliseconds("firstEventMs", *this->firstEventAt - this->request.receivedAt);
         line.number("events", static_cast<std::int64_t>(this->events.eventCount()));
     }
+    this->addPromptSend(line);
     line.milliseconds("tookMs", took);
     this->state.log.write(line, now);
     this->state.metrics.count(labelled("requests", "outcome", outcome));
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -155,9 +155,8 @@
                                     const EndpointResponseHead &answer, Common::Time sentAt)
 {
     Routing::Pool &pool = this->state.poolOf(this->service);
-    const auto found = pool.indexById.find(endpoint.id);
-    if (found != pool.indexById.end() && answer.load)
-        Routing::noteReport(pool.endpoints[found->second], *answer.load);
+    if (answer.load)
+        Routing::noteReport(pool, endpoint.id, *answer.load, clockNow());
     if (answer.holdFor)
         Routing::holdBack(pool, endpoint.id, *answer.holdFor, clockNow());
     this->dependencies.limits.noteAnswer(endpoint, answer, sentAt);
@@ -170,6 +169,7 @@
     Routing::Pool &pool = this->state.poolOf(this->service);
     if (const auto found = pool.indexById.find(endpoint.id); found != pool.indexById.end())
         Routing::beginCall(pool, found->second);
+    this->beginPrompt(endpoint.id, startedAt);
     EndpointCall call;
     call.endpoint = endpoint.id;
     call.timeLeft = this->timeLeft(startedAt);
@@ -255,6 +255,8 @@
     if (this->callerGone || result.isTurnedBack || result.isOtherProcess || isEndUnknown
         || (this->earlyEnd && !result.isAnswered))
         report.end = Routing::CallEnd::Cancelled;
+    if (report.end == Routing::CallEnd::Succeeded)
+        this->notePromptEnded(endpoint.id, now);
     Routing::endCall(this->state.poolOf(this->service), report, now);
     co_return result;
 }
@@ -439,6 +441,8 @@
         if (!wasAnswerBegun && this->hasAnswerBegun()) {
             wasAnswerBegun = true;
             this->noteAnswerBegun();
+            if (endpoint)
+                this->notePromptBegun(endpoint->id, clockNow());
         }
         if (!co_await this->relayReadyEvents(headers, status)) {
             this->callerGone = true;
--- a/Source/Core/Routing/Endpoint.h
+++ b/Source/Core/Routing/Endpoint.h
@@ -80,6 +80,8 @@
     std::uint32_t ownInFlightAtReport = 0;
     // When the report was made, as far as known. Long ago where there was none.
     Common::Time reportedAt;
+    // Smoothed mean of the waiting requests that it reports.
+    double usualWaiting = 0;
     // This instance's prompts that the report does not count.
     std::vector<Common::Time> sendsSinceReport;
     LastingPace lastingPace;
--- a/Source/Core/Routing/ExpectedTime.cpp
+++ b/Source/Core/Routing/ExpectedTime.cpp
@@ -16,8 +16,6 @@
 constexpr Common::Milliseconds kSendMemory{1500};
 constexpr double kMinContention = 0.2;
 constexpr double kMaxContention = 20;
-// Belief that a part is cached where all instances send it first, without an own send there.
-constexpr double kHomeBelief = 0.5;
 // Sends of a part from which on it counts as common, so that it is cached in many places; and the
 // part of the sends that is not at the part's home.
 constexpr std::uint32_t kCommonSends = 3;
@@ -45,12 +43,12 @@
 
 // Belief between 0 and 1 that the part is cached at the endpoint.
 double cachedBelief(const Pool &pool, const Endpoint &endpoint, const PromptWork &work,
-                    const SharedPart &part, bool isHome, Common::Time now)
+                    const SharedPart &part, double homeBelief, Common::Time now)
 {
     if (pool.cachedParts.wasSent(part.id, endpoint, now))
         return 1;
     const std::uint32_t sends = pool.cachedParts.countSends(part.id, now);
-    double belief = isHome ? kHomeBelief : 0;
+    double belief = homeBelief;
     if (sends >= kCommonSends) {
         const double perEndpoint = kSpread * (sends - 1) * static_cast<double>(work.senders)
             / static_cast<double>(std::max<std::size_t>(pool.endpoints.size(), 1));
@@ -67,11 +65,11 @@
 }
 
 // Seconds of an engine of usual pace without contention.
-double usualSeconds(const Pool &pool, const Endpoint &endpoint, const PromptWork &work, bool isHome,
+double usualSeconds(const Pool &pool, const Endpoint &endpoint, const PromptWork &work, double homeBelief,
                     Common::Time now)
 {
     const double tokens
-        = tokensAhead(pool, endpoint, now) + tokensToRead(pool, endpoint, work, isHome, now);
+        = tokensAhead(pool, endpoint, now) + tokensToRead(pool, endpoint, work, homeBelief, now);
     // Prompts are read between the tokens of the requests that run.
     const double occupancy = std::min(
         static_cast<double>(endpoint.report.running) / std::max(endpoint.report.slots, 1u), 1.0);
@@ -88,22 +86,22 @@
         * decay(now - endpoint.reportedAt, kContentionHalfLife);
 }
 
-double meanContention(const Endpoint &endpoint, Common::Duration period, Common::Time now)
+double meanContention(double contention, Common::Duration period)
 {
     const double halves = Common::toSeconds(period) / Common::toSeconds(kContentionHalfLife);
     if (halves <= 0)
-        return currentContention(endpoint, now);
+        return contention;
     const double part = (1 - std::exp2(-halves)) / (halves * std::numbers::ln2);
-    return 1 + (currentContention(endpoint, now) - 1) * part;
+    return 1 + (contention - 1) * part;
 }
 
-double tokensToRead(const Pool &pool, const Endpoint &endpoint, const PromptWork &work, bool isHome,
+double tokensToRead(const Pool &pool, const Endpoint &endpoint, const PromptWork &work, double homeBelief,
                     Common::Time now)
 {
     double tokens = static_cast<double>(work.ownTokens);
     double belief = 1;
     for (const SharedPart &part : work.shared) {
-        belief *= cachedBelief(pool, endpoint, work, part, isHome, now);
+        belief *= cachedBelief(pool, endpoint, work, part, homeBelief, now);
         tokens += (1 - belief) * static_cast<double>(part.tokens);
     }
     return tokens;
@@ -113,7 +111,7 @@
 {
     const double believed = decay(now - endpoint.reportedAt, kWaitingHalfLife);
     const double waiting = believed * endpoint.report.waiting
-        + (1 - believed) * std::min(pool.rates.meanWaiting, 1.0 * endpoint.report.slots);
+        + (1 - believed) * std::max(endpoint.usualWaiting, 0.0);
     const auto sends
         = std::count_if(endpoint.sendsSinceReport.begin(), endpoint.sendsSinceReport.end(),
                         [now](Common::Time sentAt) { return now - sentAt < kSendMemory; });
@@ -121,21 +119,23 @@
 }
 
 Common::Duration expectedFirstEvent(const Pool &pool, const Endpoint &endpoint,
-                                    const PromptWork &work, Common::Time now, bool isHome)
+                                    const PromptWork &work, Common::Time now, double homeBelief)
 {
     const double usual
-        = usualSeconds(pool, endpoint, work, isHome, now) * endpoint.lastingPace.relative;
-    return toDuration(usual * meanContention(endpoint, toDuration(usual), now)
+        = usualSeconds(pool, endpoint, work, homeBelief, now) * endpoint.lastingPace.relative;
+    return toDuration(usual * meanContention(currentContention(endpoint, now), toDuration(usual))
                       + pathSeconds(endpoint, work));
 }
 
 Common::Duration expectedEnd(const Pool &pool, const Endpoint &endpoint, const PromptWork &work,
-                             std::uint64_t events, Common::Time now, bool isHome)
+                             std::uint64_t events, Common::Time now, double homeBelief)
 {
-    const Common::Duration first = expectedFirstEvent(pool, endpoint, work, now, isHome);
+    const Common::Duration first = expectedFirstEvent(pool, endpoint, work, now, homeBelief);
     const double gaps = events > 1 ? static_cast<double>(events - 1) : 0;
     const double usual = gaps * pool.rates.meanGapSeconds * endpoint.lastingPace.relative;
-    return first + toDuration(usual * meanContention(endpoint, toDuration(usual), now + first));
+    return first
+        + toDuration(usual
+                     * meanContention(currentContention(endpoint, now + first), toDuration(usual)));
 }
 
 void noteSent(Pool &pool, std::size_t index, const PromptWork &work, Common::Time now)
--- a/Source/Core/Routing/ExpectedTime.h
+++ b/Source/Core/Routing/ExpectedTime.h
@@ -27,13 +27,13 @@
 // the report grows older. 1 where nothing was reported.
 double currentContention(const Endpoint &endpoint, Common::Time now);
 
-// Mean of the contention over a period that begins now.
-double meanContention(const Endpoint &endpoint, Common::Duration period, Common::Time now);
+// Expected mean of the contention over a period at whose beginning it is as given.
+double meanContention(double contention, Common::Duration period);
 
 // Tokens of the prompt that the endpoint still has to read: a cached part saves its tokens if all
-// parts before it are cached too. `isHome` is set where other instances send the prompt's last
-// shared part as well.
-double tokensToRead(const Pool &pool, const Endpoint &endpoint, const PromptWork &work, bool isHome,
+// parts before it are cached too. `homeBelief` is the belief that a part is cached there without an
+// own send, since other instances send it there.
+double tokensToRead(const Pool &pool, const Endpoint &endpoint, const PromptWork &work, double homeBelief,
                     Common::Time now);
 
 // Tokens of other requests that the endpoint reads before: those of the reported waiting requests
@@ -42,11 +42,11 @@
 
 // Returns the time from a send now to the first event.
 Common::Duration expectedFirstEvent(const Pool &pool, const Endpoint &endpoint,
-                                    const PromptWork &work, Common::Time now, bool isHome = false);
+                                    const PromptWork &work, Common::Time now, double homeBelief = 0);
 
 // Returns the time from a send now to the last of `events` events.
 Common::Duration expectedEnd(const Pool &pool, const Endpoint &endpoint, const PromptWork &work,
-                             std::uint64_t events, Common::Time now, bool isHome = false);
+                             std::uint64_t events, Common::Time now, double homeBelief = 0);
 
 // Records the send of the prompt to the endpoint.
 void noteSent(Pool &pool, std::size_t index, const PromptWork &work, Common::Time now);
--- a/Source/Core/Routing/Pool.cpp
+++ b/Source/Core/Routing/Pool.cpp
@@ -1,5 +1,7 @@
 #include "Routing/Pool.h"
 
+#include "Routing/ExpectedTime.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -23,7 +25,7 @@
 // An endpoint slower than this gets one call at a time, as a probe for its recovery.
 constexpr double kProbeSlowness = 3;
 constexpr double kPaceGain = 0.02;
-constexpr double kWaitingGain = 0.05;
+constexpr double kWaitingGain = 0.02;
 
 bool contains(const std::vector<Common::EndpointId> &ids, const Common::EndpointId &id)
 {
@@ -43,6 +45,7 @@
 {
     const double occupancy = estimatedOutstanding(endpoint) / endpoint.report.slots;
     double value = currentSlowness(endpoint.health, now) * (1 + occupancy);
+    value *= currentContention(endpoint, now);
     value *= 1 + kErrorPenalty * endpoint.health.errorRate;
     if (endpoint.failureDomain != request.failureDomain)
         value += kOtherDomainPenalty;
@@ -258,6 +261,7 @@
     Endpoint *endpoint = find(pool, id);
     if (!endpoint)
         return;
+    endpoint->usualWaiting += kWaitingGain * (report.waiting - endpoint->usualWaiting);
     noteReport(*endpoint, report, madeAt);
     pool.reportsContention = pool.reportsContention || report.contention;
     pool.rates.meanWaiting += kWaitingGain * (report.waiting - pool.rates.meanWaiting);
--- a/Source/Core/Routing/PromptChoice.cpp
+++ b/Source/Core/Routing/PromptChoice.cpp
@@ -3,26 +3,28 @@
 #include "Common/Hash.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
+#include <span>
 
 namespace Tanagerbay::Routing {
 
 namespace {
 
-// Homes of a shared part. With a second one, a part whose first home is slow for a while is not
-// read everywhere.
-constexpr std::size_t kHomes = 2;
+// Beliefs that a part is cached at its homes, in hash order, without an own send there. With several
+// homes, a part whose first one is slow for a while is not read everywhere.
+constexpr std::array<double, 3> kHomeBeliefs = {0.8, 0.8, 0.8};
 // Endpoints that are drawn beside the homes: one in the domain of the inputs, and of all.
 constexpr std::size_t kDrawnInDomain = 1;
-constexpr std::size_t kDrawn = 1;
+constexpr std::size_t kDrawn = 2;
 // An endpoint that isn't the first home is chosen only if it is sooner by this much, since a part
 // that is read once more takes memory there.
-constexpr double kMinGain = 0.1;
-constexpr Common::Milliseconds kMinGainTime{5};
+constexpr double kMinGain = 0;
+constexpr Common::Milliseconds kMinGainTime{0};
 // Weights are powers of this number, so that instances whose estimates differ a little agree on
 // nearly all homes.
-constexpr double kWeightStep = 1.4142135623730951;
+constexpr double kWeightStep = 1.189207115002721;
 
 // Endpoints of the lowest rank that there is.
 std::vector<std::size_t> lowestRank(const Pool &pool, const AffinityRequest &request,
@@ -60,8 +62,9 @@
     return -std::log(std::min(uniform, std::nextafter(1.0, 0.0))) / weightOf(endpoint);
 }
 
-// Adds the so many first endpoints in hash order that are not there yet.
-void addFirst(std::vector<PromptCandidate> &candidates, std::size_t count, bool isHome,
+// Adds the so many first endpoints in hash order that are not there yet, with the beliefs that they
+// have as homes.
+void addFirst(std::vector<PromptCandidate> &candidates, std::size_t count, std::span<const double> homeBeliefs,
               const Pool &pool, const std::vector<std::size_t> &indexes, std::uint64_t seed)
 {
     std::vector<std::pair<double, std::size_t>> order;
@@ -73,8 +76,8 @@
     }
     const auto last = order.begin() + static_cast<std::ptrdiff_t>(std::min(count, order.size()));
     std::partial_sort(order.begin(), last, order.end());
-    for (auto each = order.begin(); each != last; ++each)
-        candidates.push_back({each->second, isHome});
+    for (std::size_t i = 0; i < static_cast<std::size_t>(last - order.begin()); ++i)
+        candidates.push_back({order[i].second, i < homeBeliefs.size() ? homeBeliefs[i] : 0});
 }
 
 } // namespace
@@ -86,16 +89,16 @@
     const std::vector<std::size_t> all = lowestRank(pool, request, now);
     std::vector<PromptCandidate> candidates;
     if (!request.key.empty())
-        addFirst(candidates, kHomes, true, pool, all, Common::hash64(request.key));
+        addFirst(candidates, kHomeBeliefs.size(), kHomeBeliefs, pool, all, Common::hash64(request.key));
     const std::uint64_t drawSeed = Common::hash64(draw, 1);
     std::vector<std::size_t> inDomain;
     std::copy_if(all.begin(), all.end(), std::back_inserter(inDomain), [&](std::size_t index) {
         return pool.endpoints[index].failureDomain == work.inputDomain;
     });
-    addFirst(candidates, kDrawnInDomain, false, pool, inDomain, drawSeed);
+    addFirst(candidates, kDrawnInDomain, {}, pool, inDomain, drawSeed);
     // Without homes, as many endpoints are compared.
-    const std::size_t homes = request.key.empty() ? kHomes : 0;
-    addFirst(candidates, kDrawn + homes, false, pool, all, drawSeed);
+    const std::size_t homes = request.key.empty() ? kHomeBeliefs.size() : 0;
+    addFirst(candidates, kDrawn + homes, {}, pool, all, drawSeed);
     return candidates;
 }
 
@@ -105,16 +108,16 @@
 {
     if (!pool.reportsContention) {
         const auto index = chooseByAffinity(pool, request, now);
-        return index ? std::optional(PromptChoice{*index, PromptChoiceReason::ByHash, false})
+        return index ? std::optional(PromptChoice{*index, PromptChoiceReason::ByHash, 0})
                      : std::nullopt;
     }
     const auto candidates = promptCandidates(pool, request, work, draw, now);
     std::optional<PromptChoice> best;
     Common::Duration bestTime{0};
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const auto &[index, isHome] = candidates[i];
+        const auto &[index, homeBelief] = candidates[i];
         const Common::Duration time
-            = expectedFirstEvent(pool, pool.endpoints[index], work, now, isHome);
+            = expectedFirstEvent(pool, pool.endpoints[index], work, now, homeBelief);
         const auto sooner = best && best->reason == PromptChoiceReason::Home
             ? std::chrono::duration_cast<Common::Duration>(time * (1 + kMinGain)) + kMinGainTime
             : time;
@@ -123,9 +126,9 @@
         PromptChoiceReason reason = PromptChoiceReason::SoonerElsewhere;
         if (candidates.size() == 1)
             reason = PromptChoiceReason::OnlyOne;
-        else if (isHome)
+        else if (homeBelief > 0)
             reason = i == 0 ? PromptChoiceReason::Home : PromptChoiceReason::OtherHome;
-        best = PromptChoice{index, reason, isHome};
+        best = PromptChoice{index, reason, homeBelief};
         bestTime = time;
     }
     return best;
--- a/Source/Core/Routing/PromptChoice.h
+++ b/Source/Core/Routing/PromptChoice.h
@@ -44,14 +44,15 @@
 struct PromptCandidate
 {
     std::size_t index = 0;
-    bool isHome = false;
+    // Belief that the shared parts are cached there without an own send; zero where it is no home.
+    double homeBelief = 0;
 };
 
 struct PromptChoice
 {
     std::size_t index = 0;
     PromptChoiceReason reason = PromptChoiceReason::ByHash;
-    bool isHome = false;
+    double homeBelief = 0;
 };
 
 // Returns the endpoints to be compared, the first home first. `draw` names the request: with the
--- a/Source/UnitTests/Routing/PoolTest.cpp
+++ b/Source/UnitTests/Routing/PoolTest.cpp
@@ -175,6 +175,20 @@
     BOOST_TEST(estimatedOutstanding(endpoint) == 6.0);
 }
 
+BOOST_AUTO_TEST_CASE(choose_contentionOnAMachine_isAvoidedWhileTheReportIsRecent)
+{
+    LoadReport report;
+    report.slots = 8;
+    report.contention = 4;
+    for (std::size_t i = 0; i < 6; ++i) {
+        if (i != 4)
+            noteReport(this->pool, this->pool.endpoints[i].id, report, this->now);
+    }
+    BOOST_TEST(this->choices(300)[4] > 120);
+    this->now += std::chrono::seconds(10);
+    BOOST_TEST(this->choices(300)[4] == 0);
+}
+
 BOOST_AUTO_TEST_CASE(entries_endpointAtNewAddress_losesItsHealth)
 {
     this->fail(0, 3);
--- a/Source/UnitTests/Routing/PromptLoadTest.cpp
+++ b/Source/UnitTests/Routing/PromptLoadTest.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <iomanip>
 #include <iostream>
 #include <random>
@@ -21,7 +22,8 @@
 
 constexpr std::size_t kEngines = 60;
 constexpr std::size_t kInstances = 90;
-constexpr int kRequests = 12'000;
+constexpr int kRequests = 24'000;
+constexpr double kSessions = 1046;
 constexpr double kPerSecond = 200;
 constexpr double kTokensPerSecond = 50'000;
 constexpr std::uint64_t kRootTokens = 2520;
@@ -84,7 +86,7 @@
 struct Fleet
 {
     std::vector<Engine> engines = std::vector<Engine>(kEngines);
-    std::vector<Pool> pools;
+    std::deque<Pool> pools;
     std::mt19937_64 random{7};
     Policy policy;
     double lag;
@@ -160,6 +162,11 @@
         work.senders = kInstances;
         const auto choice
             = chooseForPrompt(pool, {prompt.session, {}}, work, prompt.id, timeOf(now));
+        const Endpoint &endpoint = pool.endpoints[choice->index];
+        const double tokens = tokensAhead(pool, endpoint, timeOf(now))
+            + tokensToRead(pool, endpoint, work, choice->homeBelief, timeOf(now));
+        const double slower = paceOf(choice->index) * contentionAt(choice->index, now);
+        noteRead(pool.rates, tokens, (this->readAt(choice->index, prompt, now) - now) / slower);
         noteSent(pool, choice->index, work, timeOf(now));
         return choice->index;
     }
@@ -173,8 +180,8 @@
         double now = 0;
         for (int number = 0; number < kRequests; ++number) {
             now += pause(this->random);
-            // The cube makes a tenth of the sessions take nearly half of the requests.
-            const int session = static_cast<int>(1000 * std::pow(draw(this->random), 3));
+            // Zipf's law with an exponent of 0.3: the first session takes 8 of 1,000 requests.
+            const int session = static_cast<int>(kSessions * std::pow(draw(this->random), 1 / 0.7));
             const Prompt prompt{
                 "root" + std::to_string(session % 4), "session" + std::to_string(session),
                 static_cast<std::uint64_t>(size(this->random)) + 100, std::to_string(number)};
