Routing: Drop what the choice by expected time does not use

Cause: a gain of zero and a pool-wide mean of waiting requests were left over from trials. No other behaviour.

--- a/Source/Core/Routing/EngineRates.h
+++ b/Source/Core/Routing/EngineRates.h
@@ -28,8 +28,6 @@
     double tokenCovariance = 4e6 / 38'000;
     // Smoothed mean time between two events of a stream; zero before the first sample.
     double meanGapSeconds = 0;
-    // Smoothed mean of the waiting requests that endpoints report.
-    double meanWaiting = 0;
 };
 
 // Seconds for one token of a prompt, and for a first event apart from the reading.
--- a/Source/Core/Routing/ExpectedTime.cpp
+++ b/Source/Core/Routing/ExpectedTime.cpp
@@ -65,8 +65,8 @@
 }
 
 // Seconds of an engine of usual pace without contention.
-double usualSeconds(const Pool &pool, const Endpoint &endpoint, const PromptWork &work, double homeBelief,
-                    Common::Time now)
+double usualSeconds(const Pool &pool, const Endpoint &endpoint, const PromptWork &work,
+                    double homeBelief, Common::Time now)
 {
     const double tokens
         = tokensAhead(pool, endpoint, now) + tokensToRead(pool, endpoint, work, homeBelief, now);
@@ -95,8 +95,8 @@
     return 1 + (contention - 1) * part;
 }
 
-double tokensToRead(const Pool &pool, const Endpoint &endpoint, const PromptWork &work, double homeBelief,
-                    Common::Time now)
+double tokensToRead(const Pool &pool, const Endpoint &endpoint, const PromptWork &work,
+                    double homeBelief, Common::Time now)
 {
     double tokens = static_cast<double>(work.ownTokens);
     double belief = 1;
--- a/Source/Core/Routing/ExpectedTime.h
+++ b/Source/Core/Routing/ExpectedTime.h
@@ -33,8 +33,8 @@
 // Tokens of the prompt that the endpoint still has to read: a cached part saves its tokens if all
 // parts before it are cached too. `homeBelief` is the belief that a part is cached there without an
 // own send, since other instances send it there.
-double tokensToRead(const Pool &pool, const Endpoint &endpoint, const PromptWork &work, double homeBelief,
-                    Common::Time now);
+double tokensToRead(const Pool &pool, const Endpoint &endpoint, const PromptWork &work,
+                    double homeBelief, Common::Time now);
 
 // Tokens of other requests that the endpoint reads before: those of the reported waiting requests
 // and of this instance's sends since.
@@ -42,7 +42,8 @@
 
 // Returns the time from a send now to the first event.
 Common::Duration expectedFirstEvent(const Pool &pool, const Endpoint &endpoint,
-                                    const PromptWork &work, Common::Time now, double homeBelief = 0);
+                                    const PromptWork &work, Common::Time now,
+                                    double homeBelief = 0);
 
 // Returns the time from a send now to the last of `events` events.
 Common::Duration expectedEnd(const Pool &pool, const Endpoint &endpoint, const PromptWork &work,
--- a/Source/Core/Routing/Pool.cpp
+++ b/Source/Core/Routing/Pool.cpp
@@ -264,7 +264,6 @@
     endpoint->usualWaiting += kWaitingGain * (report.waiting - endpoint->usualWaiting);
     noteReport(*endpoint, report, madeAt);
     pool.reportsContention = pool.reportsContention || report.contention;
-    pool.rates.meanWaiting += kWaitingGain * (report.waiting - pool.rates.meanWaiting);
 }
 
 void holdBack(Pool &pool, const Common::EndpointId &id, Common::Duration period, Common::Time now)
--- a/Source/Core/Routing/PromptChoice.cpp
+++ b/Source/Core/Routing/PromptChoice.cpp
@@ -12,16 +12,12 @@
 
 namespace {
 
-// Beliefs that a part is cached at its homes, in hash order, without an own send there. With several
-// homes, a part whose first one is slow for a while is not read everywhere.
+// Beliefs that a part is cached at its homes, in hash order, without an own send there. With
+// several homes, a part whose first one is slow for a while is not read everywhere.
 constexpr std::array<double, 3> kHomeBeliefs = {0.8, 0.8, 0.8};
 // Endpoints that are drawn beside the homes: one in the domain of the inputs, and of all.
 constexpr std::size_t kDrawnInDomain = 1;
 constexpr std::size_t kDrawn = 2;
-// An endpoint that isn't the first home is chosen only if it is sooner by this much, since a part
-// that is read once more takes memory there.
-constexpr double kMinGain = 0;
-constexpr Common::Milliseconds kMinGainTime{0};
 // Weights are powers of this number, so that instances whose estimates differ a little agree on
 // nearly all homes.
 constexpr double kWeightStep = 1.189207115002721;
@@ -64,8 +60,9 @@
 
 // Adds the so many first endpoints in hash order that are not there yet, with the beliefs that they
 // have as homes.
-void addFirst(std::vector<PromptCandidate> &candidates, std::size_t count, std::span<const double> homeBeliefs,
-              const Pool &pool, const std::vector<std::size_t> &indexes, std::uint64_t seed)
+void addFirst(std::vector<PromptCandidate> &candidates, std::size_t count,
+              std::span<const double> homeBeliefs, const Pool &pool,
+              const std::vector<std::size_t> &indexes, std::uint64_t seed)
 {
     std::vector<std::pair<double, std::size_t>> order;
     for (const std::size_t index : indexes) {
@@ -89,7 +86,8 @@
     const std::vector<std::size_t> all = lowestRank(pool, request, now);
     std::vector<PromptCandidate> candidates;
     if (!request.key.empty())
-        addFirst(candidates, kHomeBeliefs.size(), kHomeBeliefs, pool, all, Common::hash64(request.key));
+        addFirst(candidates, kHomeBeliefs.size(), kHomeBeliefs, pool, all,
+                 Common::hash64(request.key));
     const std::uint64_t drawSeed = Common::hash64(draw, 1);
     std::vector<std::size_t> inDomain;
     std::copy_if(all.begin(), all.end(), std::back_inserter(inDomain), [&](std::size_t index) {
@@ -118,10 +116,7 @@
         const auto &[index, homeBelief] = candidates[i];
         const Common::Duration time
             = expectedFirstEvent(pool, pool.endpoints[index], work, now, homeBelief);
-        const auto sooner = best && best->reason == PromptChoiceReason::Home
-            ? std::chrono::duration_cast<Common::Duration>(time * (1 + kMinGain)) + kMinGainTime
-            : time;
-        if (best && sooner >= bestTime)
+        if (best && time >= bestTime)
             continue;
         PromptChoiceReason reason = PromptChoiceReason::SoonerElsewhere;
         if (candidates.size() == 1)
--- a/Source/UnitTests/Routing/ExpectedTimeTest.cpp
+++ b/Source/UnitTests/Routing/ExpectedTimeTest.cpp
@@ -47,7 +47,8 @@
 
     double tokens(std::size_t index, double homeBelief = 0) const
     {
-        return tokensToRead(this->pool, this->pool.endpoints[index], this->work, homeBelief, this->now);
+        return tokensToRead(this->pool, this->pool.endpoints[index], this->work, homeBelief,
+                            this->now);
     }
 };
 
