--- a/Source/Core/Catalog/Catalog.h
+++ b/Source/Core/Catalog/Catalog.h
@@ -100,14 +100,27 @@
     std::uint32_t tokensPerEvent = 1;
 };
 
+// How the processes of a service start.
+struct ColdStart
+{
+    // For how long a process is cold after it has started during traffic.
+    Common::Milliseconds period{0};
+    // Requests a second that a cold process takes from all instances together.
+    double perSecond = 0;
+};
+
 struct Service
 {
     std::string name;
     std::uint32_t maxConnections = 0;
+    // Path at which the endpoints tell whether they are healthy; empty if not known.
+    std::string healthPath;
     // Set for services that process stages.
     std::optional<Batching> batching;
     // Set for model engines.
     std::optional<Engine> engine;
+    // Unset where a process takes requests as usual from its start on.
+    std::optional<ColdStart> coldStart;
 };
 
 // Limits on the size and the duration of what callers send.
--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -1,5 +1,6 @@
 #include "Entry/EndpointDiscovery.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -154,6 +155,11 @@
     this->restartHandler = std::move(action);
 }
 
+void EndpointDiscovery::onListed(ListedHandler action)
+{
+    this->listedHandler = std::move(action);
+}
+
 void EndpointDiscovery::onPoolsChanged(std::function<void()> action)
 {
     this->poolsHandler = std::move(action);
@@ -259,15 +265,26 @@
     this->changed = true;
 }
 
+Routing::ProcessNews EndpointDiscovery::processNewsOf(const ListedEndpoint &listed) const
+{
+    const auto known = this->list.known.find(listed.entry.id);
+    if (known != this->list.known.end() && isFromSameProcess(known->second.listed, listed))
+        return Routing::ProcessNews::Known;
+    return this->hasReadAll ? Routing::ProcessNews::Started : Routing::ProcessNews::FirstReading;
+}
+
 void EndpointDiscovery::noteListed(const ListedEndpoint &listed, EntrySource source,
                                    Common::Time now)
 {
     const auto known = this->list.known.find(listed.entry.id);
     const Routing::EndpointEntry before
         = known == this->list.known.end() ? listed.entry : known->second.listed.entry;
+    const Routing::ProcessNews process = this->processNewsOf(listed);
     const EntryChange change = applyEntry(this->list, listed, source);
     if (change == EntryChange::Outdated)
         this->state.metrics.count("endpoint_entries_outdated");
+    else if (this->listedHandler)
+        this->listedHandler(listed, process);
     if (change != EntryChange::Changed)
         return;
     this->changed = true;
@@ -307,6 +324,7 @@
     }
     for (const ListedEndpoint &listed : reading.present)
         this->noteListed(listed, source, now);
+    this->hasReadAll = this->hasReadAll || reading.isComplete;
     this->applyExpirations(now);
 }
 
@@ -328,12 +346,14 @@
 
 void EndpointDiscovery::rebuildPools()
 {
-    std::map<std::string, std::vector<Routing::EndpointEntry>> entries = routingEntries(this->list);
+    std::map<std::string, std::vector<Routing::EndpointEntry>> entries
+        = routingEntries(this->list, this->state.evacuations);
     for (const auto &[service, pool] : this->state.pools)
         entries[service];
     const Common::Time now = clockNow();
     std::erase_if(this->stated,
                   [this](const auto &entry) { return !this->list.known.contains(entry.first); });
+    this->countEvacuated(entries);
     for (const auto &[service, listed] : entries) {
         Routing::Pool &pool = this->state.poolOf(service);
         Routing::noteVersions(this->state.versions, service, pool, now);
@@ -345,6 +365,24 @@
     this->stages.refresh();
 }
 
+void EndpointDiscovery::applyEvacuations()
+{
+    this->rebuildPools();
+}
+
+void EndpointDiscovery::countEvacuated(
+    const std::map<std::string, std::vector<Routing::EndpointEntry>> &entries)
+{
+    for (const auto &[service, listed] : entries) {
+        const auto count = std::count_if(listed.begin(), listed.end(),
+                                         [](const auto &entry) { return entry.isEvacuated; });
+        const std::string name = labelled("evacuated_endpoints", "service", service);
+        // Deployments without evacuations have no such figure.
+        if (count > 0 || this->state.metrics.gauges.contains(name))
+            this->state.metrics.gauges[name] = static_cast<double>(count);
+    }
+}
+
 void EndpointDiscovery::avoid(const Common::EndpointId &endpoint, Common::Duration period)
 {
     if (Entry::avoid(this->list, endpoint, clockNow() + period))
--- a/Source/Core/Entry/EndpointList.cpp
+++ b/Source/Core/Entry/EndpointList.cpp
@@ -38,6 +38,13 @@
 
 } // namespace
 
+bool isFromSameProcess(const ListedEndpoint &earlier, const ListedEndpoint &later)
+{
+    const bool hasStartedAnew
+        = later.entry.incarnation == 0 && later.sequence != 0 && later.sequence < earlier.sequence;
+    return isSameProcess(earlier, later) && !hasStartedAnew;
+}
+
 EntryChange applyEntry(EndpointList &list, const ListedEndpoint &entry, EntrySource source)
 {
     const auto isOrderKnown = [&list, source](std::uint64_t knownEpoch) {
@@ -161,13 +168,15 @@
     return changed;
 }
 
-std::map<std::string, std::vector<Routing::EndpointEntry>> routingEntries(const EndpointList &list)
+std::map<std::string, std::vector<Routing::EndpointEntry>>
+routingEntries(const EndpointList &list, const Evacuations &evacuations)
 {
     std::map<std::string, std::vector<Routing::EndpointEntry>> entries;
     for (const auto &[id, known] : list.known) {
         Routing::EndpointEntry entry = known.listed.entry;
         if (known.avoidedUntil || known.hasAnnouncedLeaving)
             entry.state = Routing::EndpointState::Leaving;
+        entry.isEvacuated = isEvacuated(evacuations, entry.failureDomain);
         entries[known.listed.service].push_back(std::move(entry));
     }
     return entries;
--- a/Source/Core/Entry/EndpointList.h
+++ b/Source/Core/Entry/EndpointList.h
@@ -7,7 +7,7 @@
 // against what was known before is lost.
 #pragma once
 
-#include "Entry/Ports.h"
+#include "Entry/Evacuations.h"
 
 namespace Tanagerbay::Entry {
 
@@ -57,6 +57,10 @@
     FullState,
 };
 
+// Whether the later of two entries of an endpoint is from the same process. One without a start
+// time is told from the next by its address, its version and its sequence, which starts anew.
+bool isFromSameProcess(const ListedEndpoint &earlier, const ListedEndpoint &later);
+
 // Applies an entry that the store lists. `list.epoch` is the epoch of the reading.
 EntryChange applyEntry(EndpointList &list, const ListedEndpoint &entry,
                        EntrySource source = EntrySource::Change);
@@ -85,6 +89,7 @@
 bool applyExpirations(EndpointList &list, Common::Time now);
 
 // Returns the endpoints by service, as routing uses them.
-std::map<std::string, std::vector<Routing::EndpointEntry>> routingEntries(const EndpointList &list);
+std::map<std::string, std::vector<Routing::EndpointEntry>>
+routingEntries(const EndpointList &list, const Evacuations &evacuations = {});
 
 } // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -74,28 +74,31 @@
 EntryInstance::EntryInstance(Settings settings, const Platform &platform, Reload reload)
     : state(std::move(settings), platform.dialect), store(platform.makeStore(this->state)),
       reload(std::move(reload)), datagrams(this->state), gossip(this->state, this->datagrams),
-      mesh(this->state), relay(this->state, this->mesh), crashWatch(this->state, this->gossip),
-      limits(this->state, this->gossip), paths(this->state, this->gossip, this->stageOwner),
-      versionRows(this->state, *this->store, this->relay), stageOwner(this->state),
-      stageClient(this->state, this->mesh, this->stageOwner),
-      catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay),
+      mesh(this->state), relay(this->state, this->mesh), evacuations(this->state, this->gossip),
+      crashWatch(this->state, this->gossip), limits(this->state, this->gossip),
+      paths(this->state, this->gossip, this->stageOwner), paces(this->state, this->gossip),
+      memory(this->state), versionRows(this->state, *this->store, this->relay),
+      stageOwner(this->state), stageClient(this->state, this->mesh, this->stageOwner),
+      catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay, this->evacuations),
       endpoints(this->state, this->stageOwner, *this->store, this->relay),
       streams(this->state, this->datagrams, *this->store, this->endpoints),
-      parts{this->state,      this->catalogs, this->endpoints, this->stageClient,
-            this->crashWatch, this->streams,  this->limits,    this->paths}
+      parts{this->state,   this->catalogs, this->endpoints, this->stageClient, this->crashWatch,
+            this->streams, this->limits,   this->paths,     this->paces}
 {
 }
 
 EntryInstance::~EntryInstance() = default;
 
 std::unique_ptr<Http::Server> EntryInstance::makeServer(const Common::Address &address,
-                                                        Http::Handler handler, bool servesCallers)
+                                                        Http::Handler handler,
+                                                        Http::ServerOptions options)
 {
-    Http::ServerOptions options;
-    options.keepsHalfClosed = servesCallers;
     options.address = address;
     options.maxBodyBytes = kMaxBodyBytes;
     options.maxConnections = this->state.settings.maxConnections;
+    options.memory = &this->state.memory;
+    if (!options.usesBody)
+        options.usesBody = [](const Http::Request &) { return false; };
     auto server = std::make_unique<Http::Server>(
         std::vector<asio::io_context *>{&this->state.context}, options, std::move(handler));
     server->onHandlerFault([this](std::string_view fault) {
@@ -114,7 +117,12 @@
     const auto handleCaller = [this](Http::Exchange &exchange) {
         return this->handleRequest(exchange, RequestSource::Caller);
     };
-    this->callerServer = this->makeServer(settings.callers, handleCaller, true);
+    this->memory.start();
+    Http::ServerOptions requestOptions;
+    requestOptions.usesBody = [this](const Http::Request &head) { return this->hasRoute(head); };
+    Http::ServerOptions callerOptions = requestOptions;
+    callerOptions.keepsHalfClosed = true;
+    this->callerServer = this->makeServer(settings.callers, handleCaller, callerOptions);
     this->directoryServer = this->makeServer(settings.directory, [this](Http::Exchange &exchange) {
         return this->handleDirectory(exchange);
     });
@@ -122,10 +130,11 @@
         return this->handleReadiness(exchange);
     });
     if (settings.forwarding.isSet()) {
+        const auto handleForwarded = [this](Http::Exchange &exchange) {
+            return this->handleRequest(exchange, RequestSource::Instance);
+        };
         this->forwardServer
-            = this->makeServer(settings.forwarding, [this](Http::Exchange &exchange) {
-                  return this->handleRequest(exchange, RequestSource::Instance);
-              });
+            = this->makeServer(settings.forwarding, handleForwarded, requestOptions);
     }
     std::vector<Http::Server *> servers = this->requestServers();
     servers.push_back(this->directoryServer.get());
@@ -152,6 +161,13 @@
     return "";
 }
 
+bool EntryInstance::hasRoute(const Http::Request &head) const
+{
+    const auto request = this->state.dialect.readRequest(head);
+    return request && this->state.catalog
+        && Catalog::findRoute(*this->state.catalog, request->host, request->path);
+}
+
 std::vector<Http::Server *> EntryInstance::requestServers() const
 {
     std::vector<Http::Server *> servers{this->callerServer.get()};
@@ -179,6 +195,8 @@
         this->mesh.send(peer, {{"type", "members?"}});
     });
     this->relay.onReport([this](const ReaderReport &report) {
+        // First, so that new endpoints of an evacuated domain are not used for a moment.
+        this->evacuations.applyReport(report.evacuations, "reader");
         this->endpoints.applyReport(report);
         this->catalogs.applyReport(report);
     });
@@ -199,6 +217,9 @@
                Common::Time sentAt) { this->limits.noteAnswer(endpoint, answer, sentAt); });
     this->limits.onChange([this] { this->stageOwner.refresh(); });
     this->limits.start();
+    this->endpoints.onListed([this](const ListedEndpoint &listed, Routing::ProcessNews process) {
+        this->limits.coldEndpoints().noteEntry(listed, process);
+    });
     this->endpoints.onPoolsChanged([this] {
         this->limits.applyToPools();
         this->streams.noteVersions();
@@ -210,6 +231,7 @@
             this->paths.noteUnreachable(endpoint);
     });
     this->paths.start();
+    this->paces.start();
     this->crashWatch.onChange([this] { this->endQuarantinedRequests(); });
     this->crashWatch.start();
     this->streams.start();
@@ -220,6 +242,11 @@
             for (RequestFlow &request : this->openRequests)
                 request.noteRestarted(id, incarnation, knownUntil);
         });
+    this->evacuations.onReturn([this](const Common::FailureDomain &domain) {
+        this->limits.coldEndpoints().noteReturned(domain);
+    });
+    this->evacuations.onChange([this] { this->endpoints.applyEvacuations(); });
+    this->evacuations.start();
     this->catalogs.onChange([this] { this->applyCatalog(); });
     this->catalogs.start();
     this->endpoints.start();
@@ -271,8 +298,10 @@
 {
     this->state.lastRequestAt = clockNow();
     const RequestCount count(this->state.requestsInProgress);
+    std::string body = exchange.takeBody();
     auto request = this->state.dialect.readRequest(exchange.request());
     if (request) {
+        request->body = std::move(body);
         request->receivedAt = exchange.receivedAt();
         RequestFlow flow(this->parts, exchange, std::move(*request), source);
         this->openRequests.push_back(flow);
@@ -345,6 +374,14 @@
                            {"catalogVersion", member.report.catalogVersion}});
     }
     dump["instances"] = std::move(members);
+    boost::json::array evacuated;
+    for (const auto &[domain, belief] : this->state.evacuations.byDomain) {
+        if (belief.isEvacuated)
+            evacuated.push_back({{"domain", domain.value},
+                                 {"epoch", belief.position.epoch},
+                                 {"version", belief.position.version}});
+    }
+    dump["evacuated"] = std::move(evacuated);
     dump["quarantined"] = this->crashWatch.dump();
     boost::json::array endpoints;
     for (const auto &[service, pool] : this->state.pools) {
@@ -357,10 +394,12 @@
                                  {"inFlight", endpoint.ownInFlight},
                                  {"errorRate", endpoint.health.errorRate},
                                  {"slowness", Routing::currentSlowness(endpoint.health, now)},
+                                 {"evacuated", endpoint.isEvacuated},
                                  {"eligible", Routing::isEligible(endpoint, now)}});
-            if (endpoint.statedLimit) {
+            if (const auto limit = Routing::takenPerSecond(endpoint)) {
                 boost::json::object &dumped = endpoints.back().as_object();
-                dumped["limitPerSecond"] = *endpoint.statedLimit;
+                dumped["limitPerSecond"] = *limit;
+                dumped["cold"] = endpoint.coldPerSecond.has_value();
                 const bool isSender = endpoint.gate.interval != Routing::kNoSends;
                 dumped["sendIntervalMs"] = isSender
                     ? boost::json::value(Common::toMilliseconds(endpoint.gate.interval))
@@ -407,6 +446,10 @@
     this->state.settings.seeds = settings->seeds;
     this->state.settings.store = settings->store;
     this->state.settings.bounds = settings->bounds;
+    this->state.settings.stageOrder = settings->stageOrder;
+    this->stageOwner.refresh();
+    this->state.settings.memoryBytes = settings->memoryBytes;
+    this->state.settings.maxDescriptors = settings->maxDescriptors;
     this->state.logState(
         LogLine("settings-reloaded").text("store", Common::formatAddress(settings->store)));
 }
@@ -528,6 +571,7 @@
 {
     while (true) {
         co_await this->state.sleepFor(kHousekeepingInterval);
+        this->memory.look(clockNow());
         this->state.log.flush();
         this->state.client.closeIdle(clockNow() - kIdleConnectionTimeout);
     }
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -140,6 +140,8 @@
     unsigned status = 0;
     // Request ID echoed in the response; empty if the response has none.
     std::string requestId;
+    // The endpoint that the response names as its writer; empty if it names none.
+    Common::EndpointId statedEndpoint;
     // Whether the endpoint signed the response.
     bool isSigned = false;
     bool reportsNotRun = false;
@@ -160,6 +162,8 @@
     std::optional<double> rateLimit;
     // The answer states a limit that is no number of requests.
     bool hasUnreadableLimit = false;
+    // How long the endpoint stays cold; zero if it states that it is warm.
+    std::optional<Common::Milliseconds> coldLeft;
 };
 
 struct DirectoryRequest
@@ -232,6 +236,9 @@
     Routing::EndpointEntry entry;
     // Rises with each entry that a process of the endpoint writes; starts anew with its process.
     std::uint64_t sequence = 0;
+    // How long the process stays cold by this entry, as of its reading; zero if it states that it
+    // is warm.
+    std::optional<Common::Milliseconds> coldLeft = std::nullopt;
 };
 
 // A process of an endpoint that announced that it leaves.
@@ -266,12 +273,30 @@
     StorePosition position;
 };
 
+enum class EvacuationRowState {
+    Evacuated,
+    TakenBack,
+    // The row could not be parsed; it changes nothing.
+    Unreadable,
+};
+
+// A row by which the operator evacuates a failure domain, or its removal.
+struct EvacuationRow
+{
+    Common::FailureDomain domain;
+    EvacuationRowState state = EvacuationRowState::Evacuated;
+    // Version of the store that changed the row.
+    std::uint64_t version = 0;
+};
+
 struct CatalogUpdate
 {
     // Whether the full state was read, rather than changes only.
     bool isComplete = false;
     // The newest document; unset if nothing has changed.
     std::optional<std::string> document;
+    // All rows of a complete reading, otherwise the last change of each.
+    std::vector<EvacuationRow> evacuations;
     StorePosition position;
 };
 
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -138,17 +138,24 @@
 
 Http::Awaitable<std::optional<Refusal>> RequestFlow::checkRoute()
 {
+    const Refusal notReady(RefusalReason::NotReady, true, kDefaultRetryAfter);
+    // The route may have become known only after the body was dropped for lack of it.
+    const bool isBodyDropped = this->exchange.request().isBodyDropped;
     auto reason = this->findRouteAndWorkspace();
+    if (!reason && isBodyDropped)
+        co_return notReady;
     if (!reason)
         co_return std::nullopt;
     if (*reason == RefusalReason::NotReady)
-        co_return Refusal{*reason, true, kDefaultRetryAfter};
+        co_return notReady;
     if (this->cannotConfirmBeforeExit(clockNow()))
         co_return this->refusalForShutdown();
     // The local catalog may be stale: the operator may just have added the route or the key.
     if (!co_await this->dependencies.catalogs.confirm())
-        co_return Refusal{RefusalReason::NotReady, true, kDefaultRetryAfter};
+        co_return notReady;
     reason = this->findRouteAndWorkspace();
+    if (!reason && isBodyDropped)
+        co_return notReady;
     if (!reason)
         co_return std::nullopt;
     co_return Refusal{*reason, true, std::nullopt};
@@ -241,11 +248,16 @@
     return plan;
 }
 
-Common::Duration RequestFlow::retryAfterWithJitter()
+Common::Duration RequestFlow::retryAfterWithJitter(std::optional<Common::Duration> roomIn)
 {
     std::uniform_real_distribution<double> spread(0.5, 1.5);
     const double seconds = Common::toSeconds(this->route->objective) * spread(this->state.random);
-    return std::chrono::duration_cast<Common::Duration>(std::chrono::duration<double>(seconds));
+    const auto delay
+        = std::chrono::duration_cast<Common::Duration>(std::chrono::duration<double>(seconds));
+    if (!roomIn)
+        return delay;
+    std::uniform_real_distribution<double> draw(0, 1);
+    return std::max(delay, Serving::retryAfterHold(*roomIn, draw(this->state.random)));
 }
 
 Common::Duration RequestFlow::retryAfterNoEndpoint()
@@ -271,6 +283,7 @@
     }
     const StagePlan plan
         = this->makeStagePlan(this->state.poolOf(this->service).endpoints[*chosen]);
+    this->stageInputDomain = plan.consumerDomain;
     this->lastPhase = Serving::RequestPhase::Stages;
     this->stageRun = std::make_unique<StageRun>(this->state, this->dependencies.stages, plan);
     auto fault = co_await this->stageRun->run();
@@ -295,10 +308,14 @@
     }
     if (fault) {
         const bool mayHaveRun = this->attempts.mayHaveRun;
-        Refusal refusal{RefusalReason::NotRunInTime, !mayHaveRun, this->retryAfterWithJitter()};
+        Refusal refusal{RefusalReason::NotRunInTime, !mayHaveRun,
+                        this->retryAfterWithJitter(this->stageRun->roomIn())};
+        this->state.metrics.count(labelled("stage_refusals", "route", this->route->name));
         co_await this->refuse(refusal, Common::nameOf(*fault));
         co_return false;
     }
+    if (*this->stagedAt > this->request.receivedAt + this->route->objective)
+        this->state.metrics.count(labelled("stage_delays", "route", this->route->name));
     this->stageResultsReleased = false;
     this->stageResults = this->stageRun->finalResults();
     co_return true;
@@ -311,8 +328,7 @@
     Routing::Pool &pool = this->state.poolOf(this->service);
     const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
     if (entry && entry->engine)
-        return Routing::chooseByAffinity(
-            pool, {this->affinityKey(), this->triedEndpoints, this->requiredVersion}, now);
+        return this->chooseForPrompt(pool, now);
     Routing::ChoiceRequest choice;
     choice.failureDomain = this->state.settings.failureDomain;
     choice.tried = this->triedEndpoints;
@@ -389,6 +405,11 @@
         }
         if (this->stageRun && this->stageResultsReleased && !co_await this->runStages())
             co_return;
+        co_await this->askCandidates();
+        if (this->callerGone || this->earlyEnd) {
+            co_await this->endUnanswered(NextStep::Refuse, SendResult());
+            co_return;
+        }
         if (this->isHeldBackByQuarantine()) {
             co_await this->refuse(this->refusalForQuarantine(), "before a send");
             co_return;
@@ -400,6 +421,7 @@
             continue;
         const Routing::Endpoint endpoint = pool.endpoints[*currentChoice];
         this->triedEndpoints.push_back(endpoint.id);
+        this->countColdHold(clockNow());
         this->takePermit(endpoint.id, 1, clockNow());
         hasTurn = false;
         SendResult sent = co_await this->sendTo(endpoint);
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -6,11 +6,13 @@
 #include "Entry/CrashWatch.h"
 #include "Entry/EndpointDiscovery.h"
 #include "Entry/LimitWatch.h"
+#include "Entry/PaceWatch.h"
 #include "Entry/PathWatch.h"
 #include "Entry/ProcessQuestion.h"
 #include "Entry/StageRun.h"
 #include "Entry/StreamRegistry.h"
 #include "Http/Server.h"
+#include "Routing/PromptChoice.h"
 #include "Serving/Attempt.h"
 #include "Serving/EventSequence.h"
 #include "Serving/GracefulShutdown.h"
@@ -31,6 +33,7 @@
     StreamRegistry &streams;
     LimitWatch &limits;
     PathWatch &paths;
+    PaceWatch &paces;
 };
 
 // Who sent a request to this instance.
@@ -96,10 +99,13 @@
         std::optional<Http::Response> failure;
         // The connection ended before the answer was complete.
         bool connectionLost = false;
+        // It was lost behind a caller that did not read.
+        bool isHeldBack = false;
         // The endpoint reported that a stage result is no longer available.
         bool inputsGone = false;
         std::string detail;
-        // Nothing was sent, since the endpoint had stated a limit after it was chosen.
+        // Nothing was sent, since the endpoint had stated a limit or was evacuated after it was
+        // chosen.
         bool isTurnedBack = false;
         // The stream's answer ended in order without framing, and nobody has confirmed its end.
         bool hasDoubtfulEnd = false;
@@ -149,8 +155,9 @@
     Common::Time expectedAbandonAt() const;
     // Time without an event after which callers abandon a stream.
     Common::Duration abandonTimeout() const;
-    // Returns a retry delay with random jitter, so that refused callers do not retry at once.
-    Common::Duration retryAfterWithJitter();
+    // Returns a retry delay with random jitter, so that refused callers do not retry at once, and
+    // not before there is room.
+    Common::Duration retryAfterWithJitter(std::optional<Common::Duration> roomIn);
     // Returns the retry delay of a request that finds no endpoint to be sent to.
     Common::Duration retryAfterNoEndpoint();
     // Whether the request begins work, rather than going on with a stream.
@@ -171,6 +178,8 @@
     std::optional<std::size_t> chooseSoonest(Common::Time now);
     // Takes the permit for so many sends to the endpoint, if it limits them.
     void takePermit(const Common::EndpointId &id, int sends, Common::Time now);
+    // Counts a send from which a cold endpoint was held back.
+    void countColdHold(Common::Time now);
     // Returns whether the request may still be sent, immediately before its first byte is written.
     bool maySendNow(const Common::EndpointId &id);
     // Whether the limit of an endpoint keeps the request from being sent to it.
@@ -178,6 +187,17 @@
     Common::Duration retryAfterLimit(Common::Time now);
     Http::Awaitable<void> sendUntilAnswered();
     std::optional<std::size_t> chooseEndpoint(Common::Time now);
+    std::optional<std::size_t> chooseForPrompt(const Routing::Pool &pool, Common::Time now);
+    Routing::PromptWork promptWork(Common::Time now) const;
+    // Asks the endpoints that the choice compares for their load, if a wrong choice could make the
+    // first event late.
+    Http::Awaitable<void> askCandidates();
+    // Record that the prompt is sent to an endpoint of a pool that reports contention, that its
+    // first event has come, and that its stream has ended.
+    void beginPrompt(const Common::EndpointId &id, Common::Time now);
+    void notePromptBegun(const Common::EndpointId &id, Common::Time now);
+    void notePromptEnded(const Common::EndpointId &id, Common::Time now);
+    void addPromptSend(LogLine &line) const;
     // Returns why a request must not be retried on another endpoint; empty if it may be. Consumes
     // one extra send of the service's retry budget if the retry needs it.
     std::string_view retryDenialReason(const SendResult &last, Common::Time now);
@@ -350,6 +370,27 @@
     bool isTurnedBack = false;
     std::optional<Common::Time> firstEventAt;
     std::optional<Common::Time> stagedAt;
+    // The domain for which the stages were planned.
+    std::optional<Common::FailureDomain> stageInputDomain;
+    // The last choice by expected time.
+    std::optional<Routing::PromptChoice> promptChoice;
+    // What was expected of the last send of a prompt.
+    struct PromptSend
+    {
+        Common::Time sentAt;
+        std::optional<Common::Time> beganAt;
+        // Tokens that were to be read before the first event.
+        double tokens = 0;
+        // Those of this prompt.
+        double ownTokens = 0;
+        Common::Duration expected{0};
+        // At the send, and since the first event at that.
+        double contention = 1;
+        std::optional<Routing::PromptChoiceReason> reason;
+    };
+    std::optional<PromptSend> promptSend;
+    // Endpoints that did not answer the last question for their load in time.
+    std::vector<Common::EndpointId> silentEndpoints;
     // The endpoint process of the last send.
     Serving::StreamOrigin sentTo;
     // What marks the end of the last answer.
--- a/Source/Core/Entry/RequestPermit.cpp
+++ b/Source/Core/Entry/RequestPermit.cpp
@@ -156,6 +156,9 @@
     Routing::takePermit(endpoint.gate, now, sends);
     if (!this->hasPermit)
         return;
+    if (endpoint.coldPerSecond)
+        this->state.metrics.count(labelled("sends_to_cold_endpoints", "service", this->service),
+                                  static_cast<std::uint64_t>(sends));
     this->state.metrics.count(labelled("permits_taken", "service", this->service),
                               static_cast<std::uint64_t>(sends));
     this->state.log.write(LogLine("permit-taken")
@@ -166,14 +169,32 @@
                           now);
 }
 
+void RequestFlow::countColdHold(Common::Time now)
+{
+    const std::vector<Routing::Endpoint> &endpoints = this->state.poolOf(this->service).endpoints;
+    const bool isAnyHeld = std::any_of(
+        endpoints.begin(), endpoints.end(), [this, now](const Routing::Endpoint &each) {
+            return Routing::isHeldWhileCold(each, now) && !Routing::takesNoNewWork(each)
+                && Routing::hasVersion(each, this->requiredVersion);
+        });
+    if (isAnyHeld)
+        this->state.metrics.count(
+            labelled("sends_beside_cold_endpoints", "service", this->service));
+}
+
 bool RequestFlow::maySendNow(const Common::EndpointId &id)
 {
     const Routing::Pool &pool = this->state.poolOf(this->service);
     const auto found = pool.indexById.find(id);
-    this->isTurnedBack = !this->hasPermit && found != pool.indexById.end()
-        && Routing::isLimited(pool.endpoints[found->second].gate);
+    const Routing::Endpoint *endpoint
+        = found == pool.indexById.end() ? nullptr : &pool.endpoints[found->second];
+    const bool isEvacuated = endpoint && endpoint->isEvacuated;
+    this->isTurnedBack
+        = isEvacuated || (endpoint && !this->hasPermit && Routing::isLimited(endpoint->gate));
     if (this->isTurnedBack)
-        this->state.metrics.count(labelled("sends_turned_back", "service", this->service));
+        this->state.metrics.count(
+            labelled(isEvacuated ? "sends_turned_back_by_evacuation" : "sends_turned_back",
+                     "service", this->service));
     return !this->isTurnedBack;
 }
 
@@ -183,11 +204,12 @@
     if (found == this->state.pools.end())
         return false;
     const std::vector<Routing::Endpoint> &endpoints = found->second.endpoints;
-    return std::any_of(
-        endpoints.begin(), endpoints.end(), [this, now](const Routing::Endpoint &each) {
-            return Routing::isLimited(each.gate) && Routing::isHeld(each, now)
-                && !Routing::isLeaving(each) && Routing::hasVersion(each, this->requiredVersion);
-        });
+    return std::any_of(endpoints.begin(), endpoints.end(),
+                       [this, now](const Routing::Endpoint &each) {
+                           return Routing::isLimited(each.gate) && Routing::isHeld(each, now)
+                               && !Routing::takesNoNewWork(each)
+                               && Routing::hasVersion(each, this->requiredVersion);
+                       });
 }
 
 Common::Duration RequestFlow::retryAfterLimit(Common::Time now)
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -135,6 +135,7 @@
         return process;
     };
     options.acceptPeer = [this, &endpoint](std::uint64_t process) {
+        this->dependencies.limits.coldEndpoints().noteProcess(endpoint, process);
         this->isOtherProcess = !this->mayGoOnAt(endpoint.id, process);
         return !this->isOtherProcess;
     };
--- a/Source/Core/Entry/Settings.cpp
+++ b/Source/Core/Entry/Settings.cpp
@@ -13,6 +13,9 @@
 constexpr std::int64_t kMaxPort = 65535;
 constexpr double kMaxCores = 4096;
 constexpr double kMaxMbps = 1e6;
+constexpr double kMaxMemoryMb = 1e7;
+constexpr double kBytesPerMb = 1 << 20;
+constexpr std::int64_t kMaxDescriptors = 100'000'000;
 
 Common::Address readAddress(ObjectReader &reader, std::string_view key, bool required)
 {
@@ -50,6 +53,9 @@
     bounds.extraSends.slack = reader.number("extraSendSlack", 0, kMaxSlack, 0.0);
     bounds.extraSends.window
         = readTime(reader, "extraSendWindowSeconds", kSecond, Milliseconds(10'000));
+    const double coldSlack = reader.number("coldSlack", 0, kMaxSlack, 0.0);
+    if (reader.member("coldOvershoot"))
+        bounds.coldEndpoints = {reader.number("coldOvershoot", 0, kMaxRatio, 0.0), coldSlack};
     reader.finish();
     return bounds;
 }
@@ -105,11 +111,21 @@
         = static_cast<std::size_t>(reader.integer("mostConnections", 1, 1'000'000, 3000));
     settings.cores = reader.number("cores", 0, kMaxCores, 0.0);
     settings.linkMbps = reader.number("linkMbps", 0, kMaxMbps, 0.0);
+    settings.memoryBytes
+        = static_cast<std::size_t>(reader.number("memoryMb", 0, kMaxMemoryMb, 0.0) * kBytesPerMb);
+    settings.maxDescriptors
+        = static_cast<std::size_t>(reader.integer("mostDescriptors", 0, kMaxDescriptors, 0));
     constexpr std::int64_t kMaxFirstEvent = 1'000'000;
     settings.firstEvent = static_cast<std::uint64_t>(
         reader.integer("firstEvent", 0, kMaxFirstEvent, Serving::kFirstEventNumber));
     for (std::string &service : reader.textArray("closeDelimitedServices", false))
         settings.closeDelimitedServices.insert(std::move(service));
+    const std::string order
+        = reader.text("stageOrder", std::string(Common::nameOf(settings.stageOrder)));
+    if (const auto named = Common::valueNamed<StageOrder>(order))
+        settings.stageOrder = *named;
+    else
+        reader.fault("stageOrder", "must be least-cost or on-time-first, is " + order);
     static const boost::json::value kEmpty = boost::json::object();
     const auto section = [&reader](std::string_view key) -> const boost::json::value & {
         const boost::json::value *member = reader.member(key);
--- a/Source/Core/Entry/Settings.h
+++ b/Source/Core/Entry/Settings.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "Common/Address.h"
+#include "Common/EnumNames.h"
 #include "Common/Ids.h"
 #include "Common/JsonReader.h"
 #include "Common/Time.h"
+#include "Routing/ColdEndpoints.h"
 #include "Serving/EventSequence.h"
 #include "Serving/FleetBudget.h"
 
@@ -12,6 +14,26 @@
 
 namespace Tanagerbay::Entry {
 
+// Order of stage work where routes or workspaces of different priorities share a stage.
+enum class StageOrder {
+    // By what waiting and refusal cost callers; see Staging/CostOrder.h.
+    LeastCost,
+    // What can be on time first, in whatever priority.
+    OnTimeFirst,
+};
+
+} // namespace Tanagerbay::Entry
+
+template <>
+struct Tanagerbay::Common::EnumNames<Tanagerbay::Entry::StageOrder>
+{
+    using Order = Entry::StageOrder;
+    static constexpr NameTable<Order, 2> table
+        = {{{Order::LeastCost, "least-cost"}, {Order::OnTimeFirst, "on-time-first"}}};
+};
+
+namespace Tanagerbay::Entry {
+
 // Guarantees and limits of the platform.
 struct Bounds
 {
@@ -24,6 +46,8 @@
     // Maximum time for which a caller may cache an answer of the directory.
     Common::Milliseconds maxDirectoryTtl{5000};
     Serving::FleetBudgetLimits extraSends;
+    // Unset where the platform does not bound what a cold endpoint may get.
+    std::optional<Routing::ColdBounds> coldEndpoints;
 };
 
 struct Settings
@@ -53,11 +77,16 @@
     // unknown.
     double cores = 0;
     double linkMbps = 0;
+    // Memory that the process may use, and the descriptors that it may have open. Zero if unknown:
+    // what is held for callers is not bounded in sum then.
+    std::size_t memoryBytes = 0;
+    std::size_t maxDescriptors = 0;
     // Number of the first event of each stream.
     std::uint64_t firstEvent = Serving::kFirstEventNumber;
     // Services that frame no streams and close the connection of one only behind its last event.
     // Others have to frame the streams that may run once.
     std::set<std::string> closeDelimitedServices;
+    StageOrder stageOrder = StageOrder::LeastCost;
     Bounds bounds;
 };
 
--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -1,5 +1,7 @@
 #include "Entry/StageOwner.h"
 
+#include "Staging/CostOrder.h"
+
 #include <algorithm>
 
 #include <boost/asio/co_spawn.hpp>
@@ -49,23 +51,29 @@
         return nullptr;
     Queue &queue = this->queues[service];
     queue.queue.service = service;
-    queue.queue.batching = *catalogService->batching;
-    queue.queue.isOnRoutes = Catalog::isOnRoutes(*this->state.catalog, service);
+    this->configure(queue.queue, *catalogService);
     queue.wakeTimer = std::make_unique<asio::steady_timer>(this->state.context);
     queue.freeTimer = std::make_unique<asio::steady_timer>(this->state.context);
     Staging::applyEndpoints(queue.queue, this->state.poolOf(service).endpoints, clockNow());
     return &queue;
 }
 
+void StageOwner::configure(Staging::StageQueue &queue, const Catalog::Service &service)
+{
+    queue.batching = *service.batching;
+    queue.isOnRoutes = Catalog::isOnRoutes(*this->state.catalog, queue.service);
+    const bool weighsCosts = this->state.settings.stageOrder == StageOrder::LeastCost
+        && Staging::hasSeveralPriorities(*this->state.catalog, queue.service);
+    queue.order = weighsCosts ? Staging::QueueOrder::LeastCost : Staging::QueueOrder::OnTimeFirst;
+}
+
 void StageOwner::refresh()
 {
     for (auto &[service, queue] : this->queues) {
         const Catalog::Service *catalogService
             = this->state.catalog ? Catalog::findService(*this->state.catalog, service) : nullptr;
-        if (catalogService && catalogService->batching) {
-            queue.queue.batching = *catalogService->batching;
-            queue.queue.isOnRoutes = Catalog::isOnRoutes(*this->state.catalog, service);
-        }
+        if (catalogService && catalogService->batching)
+            this->configure(queue.queue, *catalogService);
         Staging::applyEndpoints(queue.queue, this->state.poolOf(service).endpoints, clockNow());
         this->dispatch(service);
     }
@@ -97,6 +105,7 @@
                        asio::detached);
     }
     this->notifySettled(*queue, settled);
+    reportCosts(this->state, queue->queue, queue->costReport, now);
     this->armWakeTimer(service, *queue);
 }
 
@@ -195,6 +204,8 @@
     options.deadline = sentAt + kFreeTimeout;
     options.connectTimeout = kConnectTimeout;
     options.maxBodyBytes = kMaxResultsBytes;
+    options.beforeFirstByte
+        = [this, &service, &order] { return !this->isEvacuated(service, order.endpoint); };
     // The copy of a reply to a call shows that the reply to this order is still to come.
     options.acceptReply = [this](const Http::Response &reply) {
         return this->state.dialect.readStageResults(reply.body) ? Http::ReplyUse::Reject
@@ -232,6 +243,13 @@
         this->responseHandler(endpoint, head);
 }
 
+bool StageOwner::isEvacuated(const std::string &service, const Common::EndpointId &id)
+{
+    const Routing::Pool &pool = this->state.poolOf(service);
+    const auto found = pool.indexById.find(id);
+    return found != pool.indexById.end() && pool.endpoints[found->second].isEvacuated;
+}
+
 void StageOwner::onLimit(
     std::function<void(const Routing::Endpoint &, const EndpointResponseHead &, Common::Time)>
         action)
@@ -352,6 +370,9 @@
     bool isTurnedBack = false;
     options.beforeFirstByte = [this, &service, &call, &isTurnedBack] {
         isTurnedBack = !Staging::mayBegin(this->queues[service].queue, call);
+        if (isTurnedBack && this->isEvacuated(service, call.endpoint.id))
+            this->state.metrics.count(
+                labelled("sends_turned_back_by_evacuation", "service", service));
         return !isTurnedBack;
     };
     const Common::Time calledAt = clockNow();
--- a/Source/Core/Entry/State.h
+++ b/Source/Core/Entry/State.h
@@ -4,11 +4,13 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "Entry/Evacuations.h"
 #include "Entry/EventLog.h"
 #include "Entry/Metrics.h"
 #include "Entry/Ports.h"
 #include "Entry/Settings.h"
 #include "Http/Client.h"
+#include "Http/MemoryAccount.h"
 #include "Membership/Members.h"
 #include "Routing/VersionHistory.h"
 #include "Serving/GracefulShutdown.h"
@@ -37,6 +39,8 @@
     bool isReady() const;
     void logState(const LogLine &line);
 
+    // Before the context, whose connections use it until they are destroyed.
+    Http::MemoryAccount memory;
     boost::asio::io_context context;
     Settings settings;
     const Dialect dialect;
@@ -48,6 +52,7 @@
     Catalog::CatalogPtr catalog;
     std::map<std::string, Routing::Pool> pools;
     Routing::VersionHistory versions;
+    Evacuations evacuations;
     std::unordered_map<std::string, Serving::FleetBudget> budgets;
     // Requests that wait for a permit, by service.
     std::unordered_map<std::string, Serving::PermitQueue> permits;
@@ -59,8 +64,6 @@
     // Whether this instance reaches no endpoint, while others do.
     bool hasLostPaths = false;
     std::size_t requestsInProgress = 0;
-    // Bytes of responses that are kept until they are complete.
-    std::size_t heldResponseBytes = 0;
     Common::Time lastRequestAt;
 };
 
--- a/Source/Core/Http/Types.h
+++ b/Source/Core/Http/Types.h
@@ -35,6 +35,8 @@
     std::string target;
     Headers headers;
     std::string body;
+    // Whether the request came with bytes of a body that were not kept.
+    bool isBodyDropped = false;
 };
 
 struct Response
--- a/Source/Core/Routing/Endpoint.cpp
+++ b/Source/Core/Routing/Endpoint.cpp
@@ -57,6 +57,11 @@
     return endpoint.state != EndpointState::Live || endpoint.report.leaving;
 }
 
+bool takesNoNewWork(const Endpoint &endpoint)
+{
+    return isLeaving(endpoint) || endpoint.isEvacuated;
+}
+
 bool hasVersion(const Endpoint &endpoint, const std::optional<std::string> &required)
 {
     return !required || endpoint.version == *required;
@@ -72,6 +77,18 @@
     return now < sendableFrom(endpoint);
 }
 
+bool isHeldWhileCold(const Endpoint &endpoint, Common::Time now)
+{
+    return endpoint.coldPerSecond && now < opensAt(endpoint.gate);
+}
+
+std::optional<double> takenPerSecond(const Endpoint &endpoint)
+{
+    if (!endpoint.statedLimit || !endpoint.coldPerSecond)
+        return endpoint.statedLimit ? endpoint.statedLimit : endpoint.coldPerSecond;
+    return std::min(*endpoint.statedLimit, *endpoint.coldPerSecond);
+}
+
 void holdBack(Endpoint &endpoint, Common::Duration period, Common::Time now)
 {
     const Common::Duration bounded = std::clamp<Common::Duration>(period, {}, kMaxHold);
@@ -85,17 +102,20 @@
 
 bool isEligible(const Endpoint &endpoint, Common::Time now)
 {
-    if (isLeaving(endpoint) || isHeld(endpoint, now) || isEjected(endpoint, now))
+    if (takesNoNewWork(endpoint) || isHeld(endpoint, now) || isEjected(endpoint, now))
         return false;
     const std::uint32_t cap = endpoint.health.slowStartLimit;
     return cap == 0 || endpoint.ownInFlight < cap;
 }
 
-void noteReport(Endpoint &endpoint, const LoadReport &report)
+void noteReport(Endpoint &endpoint, const LoadReport &report, Common::Time madeAt)
 {
     endpoint.report = report;
     endpoint.report.slots = std::max(report.slots, 1u);
     endpoint.ownInFlightAtReport = endpoint.ownInFlight;
+    endpoint.reportedAt = madeAt;
+    std::erase_if(endpoint.sendsSinceReport,
+                  [madeAt](Common::Time sentAt) { return sentAt <= madeAt; });
 }
 
 double currentSlowness(const Health &health, Common::Time now)
--- a/Source/Core/Routing/Endpoint.h
+++ b/Source/Core/Routing/Endpoint.h
@@ -6,11 +6,13 @@
 #include "Common/EnumNames.h"
 #include "Common/Ids.h"
 #include "Common/Time.h"
+#include "Routing/EngineRates.h"
 #include "Routing/SendGate.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Tanagerbay::Routing {
 
@@ -36,6 +38,9 @@
     // Number of calls that the endpoint processes concurrently.
     std::uint32_t slots = 1;
     bool leaving = false;
+    // How many times longer than usual work takes on the endpoint's machine at that moment; unset
+    // where the endpoint does not report it.
+    std::optional<double> contention;
 
     std::uint32_t outstanding() const
     {
@@ -70,16 +75,28 @@
     std::uint64_t incarnation = 0;
     // Version of the software that the process runs; empty where it is not known.
     std::string version;
+    // The operator has evacuated the endpoint's failure domain.
+    bool isEvacuated = false;
     LoadReport report;
     // This instance's calls in flight when the report arrived.
     std::uint32_t ownInFlightAtReport = 0;
+    // When the report was made, as far as known. Long ago where there was none.
+    Common::Time reportedAt;
+    // Smoothed mean of the waiting requests that it reports.
+    double usualWaiting = 0;
+    // This instance's prompts that the report does not count.
+    std::vector<Common::Time> sendsSinceReport;
+    LastingPace lastingPace;
     std::uint32_t ownInFlight = 0;
     Health health;
     // The endpoint has asked this instance to send it nothing before this time.
     Common::Time heldUntil;
-    // Limit on the requests a second that the endpoint states for all instances together, and this
-    // instance's part of it.
+    // Limit on the requests a second that the endpoint states for all instances together.
     std::optional<double> statedLimit;
+    // Requests a second that the endpoint takes from all instances together while it is cold; unset
+    // while it is believed warm.
+    std::optional<double> coldPerSecond;
+    // This instance's part of the stricter of both.
     SendGate gate;
     std::uint64_t callsBegun = 0;
     std::uint64_t callsFailed = 0;
@@ -94,6 +111,10 @@
 // Whether the endpoint leaves, by its entry or by its own report.
 bool isLeaving(const Endpoint &endpoint);
 
+// Whether the endpoint gets no new work, even if there is no other: it leaves, or its failure
+// domain is evacuated. Work in progress at the latter ends in its own time, and it may come back.
+bool takesNoNewWork(const Endpoint &endpoint);
+
 // Returns when the endpoint's hold has ended and its limit permits a send of this instance.
 // `Time::max()` if the limit permits none.
 Common::Time sendableFrom(const Endpoint &endpoint);
@@ -102,8 +123,15 @@
 // permit a send. Nothing is sent to such an endpoint, even if there is no other.
 bool isHeld(const Endpoint &endpoint, Common::Time now);
 
-// Whether the endpoint may be chosen: it is neither leaving, held nor ejected, and its slow-start
-// limit is not reached.
+// Whether the endpoint is cold and permits this instance no send at present.
+bool isHeldWhileCold(const Endpoint &endpoint, Common::Time now);
+
+// Returns how many requests a second the endpoint takes from all instances together, by its stated
+// limit or because it is cold; nothing if it is not limited.
+std::optional<double> takenPerSecond(const Endpoint &endpoint);
+
+// Whether the endpoint may be chosen: it takes new work, is neither held nor ejected, and its
+// slow-start limit is not reached.
 bool isEligible(const Endpoint &endpoint, Common::Time now);
 
 // Whether the endpoint runs the required software version, if one is required.
@@ -113,8 +141,9 @@
 // shortened by a later, shorter one.
 void holdBack(Endpoint &endpoint, Common::Duration period, Common::Time now);
 
-// Records a load report that came with a reply or from a poll.
-void noteReport(Endpoint &endpoint, const LoadReport &report);
+// Records a load report that came with a reply or from a poll. `madeAt` is when it was made; where
+// it is not known, what the report says of the moment is not believed.
+void noteReport(Endpoint &endpoint, const LoadReport &report, Common::Time madeAt = {});
 
 // Records a successful call. `relative` is its pace divided by the pool's mean pace.
 void noteSuccess(Endpoint &endpoint, double relative, Common::Time now);
--- a/Source/Core/Routing/Pool.cpp
+++ b/Source/Core/Routing/Pool.cpp
@@ -1,5 +1,7 @@
 #include "Routing/Pool.h"
 
+#include "Routing/ExpectedTime.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -23,6 +25,7 @@
 // An endpoint slower than this gets one call at a time, as a probe for its recovery.
 constexpr double kProbeSlowness = 3;
 constexpr double kPaceGain = 0.02;
+constexpr double kWaitingGain = 0.02;
 
 bool contains(const std::vector<Common::EndpointId> &ids, const Common::EndpointId &id)
 {
@@ -42,13 +45,14 @@
 {
     const double occupancy = estimatedOutstanding(endpoint) / endpoint.report.slots;
     double value = currentSlowness(endpoint.health, now) * (1 + occupancy);
+    value *= currentContention(endpoint, now);
     value *= 1 + kErrorPenalty * endpoint.health.errorRate;
     if (endpoint.failureDomain != request.failureDomain)
         value += kOtherDomainPenalty;
     return value;
 }
 
-// Returns the endpoint whose ejection ends first among those that are neither leaving nor held and
+// Returns the endpoint whose ejection ends first among those that take new work, are not held and
 // have not been tried. Used where there is no candidate: the fault may have ended by now.
 std::optional<std::size_t> chooseFallback(const Pool &pool, const ChoiceRequest &request,
                                           Common::Time now)
@@ -56,8 +60,8 @@
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
         const Endpoint &endpoint = pool.endpoints[i];
-        if (isLeaving(endpoint) || isHeld(endpoint, now) || contains(request.tried, endpoint.id)
-            || !hasVersion(endpoint, request.version))
+        if (takesNoNewWork(endpoint) || isHeld(endpoint, now)
+            || contains(request.tried, endpoint.id) || !hasVersion(endpoint, request.version))
             continue;
         if (!best || endpoint.health.ejectedUntil < pool.endpoints[*best].health.ejectedUntil)
             best = i;
@@ -205,6 +209,7 @@
         endpoint.address = entry.address;
         endpoint.failureDomain = entry.failureDomain;
         endpoint.state = entry.state;
+        endpoint.isEvacuated = entry.isEvacuated;
         next.push_back(std::move(endpoint));
     }
     pool.indexesByDomain.clear();
@@ -239,7 +244,7 @@
         --endpoint->ownInFlight;
     endpoint->busy += report.busy;
     if (report.load)
-        noteReport(*endpoint, *report.load);
+        noteReport(*endpoint, *report.load, now);
     if (report.end == CallEnd::Cancelled)
         return;
     if (report.end == CallEnd::Failed || report.end == CallEnd::Unreachable) {
@@ -251,6 +256,17 @@
         pool.durations.add(report.duration);
 }
 
+void noteReport(Pool &pool, const Common::EndpointId &id, const LoadReport &report,
+                Common::Time madeAt)
+{
+    Endpoint *endpoint = find(pool, id);
+    if (!endpoint)
+        return;
+    endpoint->usualWaiting += kWaitingGain * (report.waiting - endpoint->usualWaiting);
+    noteReport(*endpoint, report, madeAt);
+    pool.reportsContention = pool.reportsContention || report.contention;
+}
+
 void holdBack(Pool &pool, const Common::EndpointId &id, Common::Duration period, Common::Time now)
 {
     if (Endpoint *endpoint = find(pool, id))
@@ -262,7 +278,7 @@
 {
     std::optional<Common::Time> first;
     for (const Endpoint &endpoint : pool.endpoints) {
-        if (isLeaving(endpoint) || !hasVersion(endpoint, version))
+        if (takesNoNewWork(endpoint) || !hasVersion(endpoint, version))
             continue;
         if (!isHeld(endpoint, now))
             return std::nullopt;
@@ -280,7 +296,7 @@
     for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
         const Endpoint &endpoint = pool.endpoints[i];
         const Common::Time from = sendableFrom(endpoint);
-        if (isLeaving(endpoint) || contains(request.tried, endpoint.id)
+        if (takesNoNewWork(endpoint) || contains(request.tried, endpoint.id)
             || !hasVersion(endpoint, request.version) || from == Common::Time::max())
             continue;
         if (isLimited(endpoint.gate))
@@ -301,11 +317,12 @@
 {
     double perSecond = 0;
     for (const Endpoint &endpoint : pool.endpoints) {
-        if (isLeaving(endpoint) || !hasVersion(endpoint, version))
+        if (takesNoNewWork(endpoint) || !hasVersion(endpoint, version))
             continue;
-        if (!endpoint.statedLimit)
+        const auto taken = takenPerSecond(endpoint);
+        if (!taken)
             return std::nullopt;
-        perSecond += *endpoint.statedLimit;
+        perSecond += *taken;
     }
     if (perSecond <= 0)
         return std::nullopt;
@@ -319,7 +336,7 @@
     for (const Endpoint &endpoint : pool.endpoints) {
         capacity.own += endpoint.ownInFlight;
         const bool isEjected = now < endpoint.health.ejectedUntil;
-        if (isLeaving(endpoint) || isHeld(endpoint, now) || isEjected)
+        if (takesNoNewWork(endpoint) || isHeld(endpoint, now) || isEjected)
             continue;
         capacity.slots += endpoint.report.slots;
         capacity.others += estimatedOutstanding(endpoint) - endpoint.ownInFlight;
--- a/Source/Core/Routing/Pool.h
+++ b/Source/Core/Routing/Pool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/LatencySketch.h"
+#include "Routing/CachedParts.h"
 #include "Routing/Endpoint.h"
 #include "Routing/PrefixIndex.h"
 #include "Routing/RetryBudget.h"
@@ -46,6 +47,8 @@
     std::string version = {};
     // Number of calls that the endpoint processes concurrently, where the list states it.
     std::uint32_t slots = 1;
+    // The operator has evacuated its failure domain.
+    bool isEvacuated = false;
 };
 
 struct Pool
@@ -64,6 +67,10 @@
     std::size_t roundRobin = 0;
     // Smoothed mean pace of the pool, to which each endpoint's pace is compared.
     double meanPaceSeconds = 0;
+    // An endpoint has reported contention, so that prompts are placed by expected time.
+    bool reportsContention = false;
+    EngineRates rates;
+    CachedParts cachedParts;
 };
 
 struct ChoiceRequest
@@ -91,7 +98,8 @@
 // flight to a removed endpoint are not cancelled.
 void applyEntries(Pool &pool, const std::vector<EndpointEntry> &entries);
 
-// Chooses an endpoint and returns its index, or nothing where all are leaving, held or tried.
+// Chooses an endpoint and returns its index, or nothing where all are leaving, evacuated, held or
+// tried.
 // Where no endpoint is eligible, the one whose ejection ends first is chosen.
 std::optional<std::size_t> choose(Pool &pool, const ChoiceRequest &request, Common::Time now,
                                   std::mt19937_64 &random);
@@ -124,12 +132,17 @@
 // Records the end of a call. Endpoints that have been removed in the meantime are ignored.
 void endCall(Pool &pool, const CallReport &report, Common::Time now);
 
+// Records a load report of an endpoint that was made at `madeAt`. One that has been removed in the
+// meantime is ignored.
+void noteReport(Pool &pool, const Common::EndpointId &id, const LoadReport &report,
+                Common::Time madeAt);
+
 // Records that an endpoint wants nothing from this instance for the period. One that has been
 // removed in the meantime is ignored.
 void holdBack(Pool &pool, const Common::EndpointId &id, Common::Duration period, Common::Time now);
 
 // Returns when the first endpoint can be sent a request again, where every endpoint of the required
-// version that is not leaving is held; otherwise nothing.
+// version that takes new work is held; otherwise nothing.
 std::optional<Common::Time> allHeldUntil(const Pool &pool, Common::Time now,
                                          const std::optional<std::string> &version = std::nullopt);
 
@@ -138,12 +151,12 @@
 std::optional<NextSend> nextSend(const Pool &pool, const ChoiceRequest &request, Common::Time now);
 
 // Returns the mean time between two requests that the endpoints of the required version take from
-// all instances together; nothing if there is none or one of them states no limit.
+// all instances together; nothing if there is none or one of them is not limited.
 std::optional<Common::Duration>
 meanInterval(const Pool &pool, const std::optional<std::string> &version = std::nullopt);
 
 // Capacity and load of the pool. `slots` and `others` are summed over the endpoints that are
-// neither leaving nor ejected, `own` over all endpoints.
+// neither leaving, evacuated nor ejected, `own` over all endpoints.
 struct Capacity
 {
     std::uint32_t slots = 0;
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -100,16 +100,18 @@
     case PieceAnswer::Made:
         if (endpoint)
             holdResult(queue, *endpoint, result.handle, found->second.request.resultBytes, now);
+        noteServed(queue.shares, found->second.request.priority, now);
         erasePiece(queue, ticket);
-        settled.push_back({ticket, PieceOutcome::Made, result.handle, call.endpoint});
+        settled.push_back({ticket, PieceOutcome::Made, result.handle, call.endpoint, {}});
         return;
     case PieceAnswer::Late:
+        noteTurnedAway(queue.shares, found->second.request.priority, now);
         erasePiece(queue, ticket);
-        settled.push_back({ticket, PieceOutcome::Expired, {}, {}});
+        settled.push_back({ticket, PieceOutcome::Expired, {}, {}, {}});
         return;
     case PieceAnswer::InputGone:
         erasePiece(queue, ticket);
-        settled.push_back({ticket, PieceOutcome::InputGone, {}, {}});
+        settled.push_back({ticket, PieceOutcome::InputGone, {}, {}, {}});
         return;
     case PieceAnswer::NoRoom:
         if (endpoint)
@@ -119,7 +121,7 @@
     case PieceAnswer::Error:
         if (countFailure(queue, ticket)) {
             erasePiece(queue, ticket);
-            settled.push_back({ticket, PieceOutcome::Failed, {}, {}});
+            settled.push_back({ticket, PieceOutcome::Failed, {}, {}, {}});
             return;
         }
         requeue(queue, ticket);
@@ -138,7 +140,8 @@
 
 bool wantsFrees(const Routing::Endpoint &endpoint, Time now)
 {
-    return !Routing::isHeld(endpoint, now) && !Routing::isLimited(endpoint.gate);
+    return !endpoint.isEvacuated && !Routing::isHeld(endpoint, now)
+        && !Routing::isLimited(endpoint.gate);
 }
 
 } // namespace
@@ -201,6 +204,7 @@
         endpoint.endpoint.failureDomain = entry.failureDomain;
         endpoint.endpoint.incarnation = entry.incarnation;
         endpoint.endpoint.state = entry.state;
+        endpoint.endpoint.isEvacuated = entry.isEvacuated;
         endpoint.endpoint.heldUntil = std::max(endpoint.endpoint.heldUntil, entry.heldUntil);
         applyLimit(queue, endpoint.endpoint, entry.statedLimit);
         endpoint.isListed = entry.state == Routing::EndpointState::Live;
@@ -323,7 +327,7 @@
             continue;
         if (fault == CallFault::Lost && countFailure(queue, ticket)) {
             erasePiece(queue, ticket);
-            settled.push_back({ticket, PieceOutcome::Failed, {}, {}});
+            settled.push_back({ticket, PieceOutcome::Failed, {}, {}, {}});
             continue;
         }
         requeue(queue, ticket);
@@ -379,8 +383,11 @@
 bool mayBegin(const StageQueue &queue, const PlannedCall &call)
 {
     const auto found = queue.endpoints.find(call.endpoint.id);
-    return Routing::isLimited(call.endpoint.gate) || found == queue.endpoints.end()
-        || !Routing::isLimited(found->second.endpoint.gate);
+    if (found == queue.endpoints.end())
+        return true;
+    const Routing::Endpoint &endpoint = found->second.endpoint;
+    return !endpoint.isEvacuated
+        && (Routing::isLimited(call.endpoint.gate) || !Routing::isLimited(endpoint.gate));
 }
 
 std::vector<FreeOrder> takeFreeOrders(StageQueue &queue, Time now)
@@ -410,7 +417,8 @@
     if (queue.waiting.order.empty())
         return wake;
     for (const auto &[id, endpoint] : queue.endpoints) {
-        if (!endpoint.isListed || endpoint.callsInFlight >= queue.batching.concurrentCalls)
+        if (!endpoint.isListed || endpoint.endpoint.isEvacuated
+            || endpoint.callsInFlight >= queue.batching.concurrentCalls)
             continue;
         consider(std::max({endpoint.fullUntil, endpoint.endpoint.health.ejectedUntil,
                            Routing::sendableFrom(endpoint.endpoint)}));
--- a/Source/UnitTests/Entry/EndpointListTest.cpp
+++ b/Source/UnitTests/Entry/EndpointListTest.cpp
@@ -54,6 +54,16 @@
 
 BOOST_FIXTURE_TEST_SUITE(EndpointLists, EndpointListFixture)
 
+BOOST_AUTO_TEST_CASE(isFromSameProcess_startTimeOrSequenceStartsAnew_isAnother)
+{
+    BOOST_TEST(isFromSameProcess(this->entry(7, 3), this->entry(7, 4)));
+    BOOST_TEST(!isFromSameProcess(this->entry(7, 3), this->entry(8, 4)));
+    // Entries of one process that are read in another order.
+    BOOST_TEST(isFromSameProcess(this->entry(7, 4), this->entry(7, 3)));
+    BOOST_TEST(isFromSameProcess(this->entry(0, 3), this->entry(0, 4)));
+    BOOST_TEST(!isFromSameProcess(this->entry(0, 30), this->entry(0, 1)));
+}
+
 // Guards against a version that stays that of the process before, where processes name no start
 // time.
 BOOST_AUTO_TEST_CASE(restart_unknownStartTimeAndOtherVersion_changesTheVersion)
@@ -238,4 +248,18 @@
     BOOST_TEST(this->isRouted());
 }
 
+// An evacuation is no leaving: the process comes back when it is taken back.
+BOOST_AUTO_TEST_CASE(domainIsEvacuated_entriesSayThat_andAreNotLeaving)
+{
+    ListedEndpoint listed = this->entry(7, 1);
+    listed.entry.failureDomain = Common::FailureDomain("a");
+    this->apply(listed);
+    Evacuations evacuations;
+    evacuations.byDomain[Common::FailureDomain("a")].isEvacuated = true;
+    const auto evacuated = routingEntries(this->list, evacuations).at("app").front();
+    BOOST_TEST(evacuated.isEvacuated);
+    BOOST_TEST((evacuated.state == EndpointState::Live));
+    BOOST_TEST(!routingEntries(this->list).at("app").front().isEvacuated);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Entry/SettingsTest.cpp
+++ b/Source/UnitTests/Entry/SettingsTest.cpp
@@ -57,6 +57,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(boundsOfColdEndpoints_areSetOrNot_areTakenOrNone)
+{
+    BOOST_TEST(!this->parse().bounds.coldEndpoints.has_value());
+    this->document["bounds"].as_object()["coldSlack"] = 5;
+    BOOST_TEST(!this->parse().bounds.coldEndpoints.has_value());
+    this->document["bounds"].as_object()["coldOvershoot"] = 1.5;
+    const auto bounds = this->parse().bounds.coldEndpoints;
+    BOOST_REQUIRE(bounds.has_value());
+    BOOST_TEST(bounds->overshoot == 1.5);
+    BOOST_TEST(bounds->slack == 5);
+    BOOST_TEST(this->faults.empty());
+    this->document["bounds"].as_object()["coldOvershoot"] = -1;
+    this->parse();
+    BOOST_TEST(!this->faults.empty());
+}
+
 // Guards against ends that are believed without the operator's word.
 BOOST_AUTO_TEST_CASE(closeDelimitedServices_areNotSet_areNone)
 {
@@ -81,4 +97,38 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(stageOrder_isNotSet_isByCost)
+{
+    BOOST_TEST((this->parse().stageOrder == Entry::StageOrder::LeastCost));
+}
+
+BOOST_AUTO_TEST_CASE(stageOrder_isSet_isTakenOrAFault)
+{
+    this->document["stageOrder"] = "on-time-first";
+    BOOST_TEST((this->parse().stageOrder == Entry::StageOrder::OnTimeFirst));
+    BOOST_TEST(this->faults.empty());
+    this->document["stageOrder"] = "random";
+    this->parse();
+    BOOST_TEST(!this->faults.empty());
+}
+
+// Guards against a deployment that says nothing of its machines and is refused, or bounded.
+BOOST_AUTO_TEST_CASE(memoryAndDescriptors_areNotSet_areUnknown)
+{
+    const Entry::Settings settings = this->parse();
+    BOOST_TEST(settings.memoryBytes == 0u);
+    BOOST_TEST(settings.maxDescriptors == 0u);
+    BOOST_TEST(this->faults.empty());
+}
+
+BOOST_AUTO_TEST_CASE(memoryAndDescriptors_areSet_areTaken)
+{
+    this->document["memoryMb"] = 120.5;
+    this->document["mostDescriptors"] = 3075;
+    const Entry::Settings settings = this->parse();
+    BOOST_TEST(settings.memoryBytes == 126'353'408u);
+    BOOST_TEST(settings.maxDescriptors == 3075u);
+    BOOST_TEST(this->faults.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
