Entry: Log how an endpoint's process is known

send-ended and request-ended name the answer to the question which process it is (processAnswer: stated, unstated, refused or unanswered), its status, the age of the list at the send (listAgeMs), and of a stream that has begun whether its process stated itself or was listed (begunBy). process_questions counts the same results: another status than 200 was counted as unstated, and no answer was not counted.

No logic is changed.

--- a/Source/Core/Entry/ProcessQuestion.h
+++ b/Source/Core/Entry/ProcessQuestion.h
@@ -32,6 +32,35 @@
 
 namespace Tanagerbay::Entry {
 
+// What is known of the process behind a connection.
+enum class ProcessStatement {
+    // It was not asked.
+    None,
+    Stated,
+    // It has answered without stating its start time.
+    Unstated,
+    // It has answered with an error.
+    Refused,
+    Unanswered,
+};
+
+} // namespace Tanagerbay::Entry
+
+template <>
+struct Tanagerbay::Common::EnumNames<Tanagerbay::Entry::ProcessStatement>
+{
+    using Statement = Entry::ProcessStatement;
+    static constexpr NameTable<Statement, 5> table = {{
+        {Statement::None, "none"},
+        {Statement::Stated, "stated"},
+        {Statement::Unstated, "unstated"},
+        {Statement::Refused, "refused"},
+        {Statement::Unanswered, "unanswered"},
+    }};
+};
+
+namespace Tanagerbay::Entry {
+
 struct ProcessReply
 {
     ProcessAnswer answer = ProcessAnswer::Unanswered;
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -412,6 +412,12 @@
     bool isOtherProcess = false;
     // The endpoint has not answered the question for its process yet.
     bool isAskingPeer = false;
+    // What the process of the last send has said of itself on its connection, now or before.
+    ProcessStatement statement = ProcessStatement::None;
+    // Status of its answer if it was asked now.
+    std::optional<unsigned> statementStatus;
+    // Age of the list when the endpoint of the last send was chosen.
+    std::optional<Common::Duration> listAge;
     // `Responding` follows from the exchange and is never stored here.
     Serving::RequestPhase lastPhase = Serving::RequestPhase::Admission;
 };
--- a/Source/Core/Entry/RequestLog.cpp
+++ b/Source/Core/Entry/RequestLog.cpp
@@ -13,10 +13,17 @@
         line.number("lastBegunEvent", static_cast<std::int64_t>(this->progress.lastBegunEvent));
     if (this->sentTo.incarnation != 0)
         line.number("process", static_cast<std::int64_t>(this->sentTo.incarnation));
+    if (this->statement != ProcessStatement::None)
+        line.text("processAnswer", Common::nameOf(this->statement));
+    if (this->statementStatus)
+        line.number("processStatus", *this->statementStatus);
+    if (this->listAge)
+        line.milliseconds("listAgeMs", *this->listAge);
     if (this->origin) {
         line.text("begunAt", this->origin->endpoint.value)
             .number("begunProcess", static_cast<std::int64_t>(this->origin->incarnation))
-            .text("begunVersion", this->origin->version);
+            .text("begunVersion", this->origin->version)
+            .text("begunBy", this->origin->isStated ? "stated" : "listed");
     }
 }
 
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -205,6 +205,10 @@
     options.beforeFirstByte = [this, &endpoint] { return this->maySendNow(endpoint.id); };
     this->isOtherProcess = false;
     this->isAskingPeer = false;
+    this->statement = ProcessStatement::None;
+    this->statementStatus.reset();
+    const auto readAt = this->dependencies.endpoints.lastReadingBegan();
+    this->listAge = readAt ? std::optional(startedAt - *readAt) : std::nullopt;
     if (this->isStream() && endpoint.incarnation != 0
         && (this->route->resumable || this->requiredVersion))
         this->addPeerQuestion(options, endpoint);
@@ -216,6 +220,11 @@
         const Http::CallError &error = opened.error();
         result.outcome = error.written ? SendOutcome::Unknown : SendOutcome::NotSent;
         result.isTurnedBack = this->isTurnedBack;
+        if (this->isAskingPeer) {
+            this->statement = ProcessStatement::Unanswered;
+            this->state.metrics.count(
+                labelled("process_questions", "result", Common::nameOf(this->statement)));
+        }
         // A process that has ended costs no time, so that any number of them may be asked.
         result.isOtherProcess = this->isOtherProcess
             || (this->isAskingPeer && error.failure == Http::CallFailure::ConnectionLost);
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -17,6 +17,8 @@
 constexpr Common::Milliseconds kProcessAnswerTimeout{250};
 constexpr Common::Milliseconds kSoleProcessAnswerTimeout{1500};
 
+constexpr unsigned kStatusOk = 200;
+
 bool leadsTo(const Catalog::Route &route, const std::string &service)
 {
     return std::any_of(
@@ -129,12 +131,18 @@
         this->applyResponseHead(
             endpoint, this->state.dialect.readResponseHead(response.status, response.headers),
             askedAt);
+        this->statementStatus = response.status;
         const auto process = this->state.dialect.readProcessAnswer(response.body);
+        if (!process)
+            this->statement = response.status == kStatusOk ? ProcessStatement::Unstated
+                                                           : ProcessStatement::Refused;
         this->state.metrics.count(
-            labelled("process_questions", "result", process ? "stated" : "unstated"));
+            labelled("process_questions", "result",
+                     Common::nameOf(process ? ProcessStatement::Stated : this->statement)));
         return process;
     };
     options.acceptPeer = [this, &endpoint](std::uint64_t process) {
+        this->statement = ProcessStatement::Stated;
         this->dependencies.limits.coldEndpoints().noteProcess(endpoint, process);
         this->isOtherProcess = !this->mayGoOnAt(endpoint.id, process);
         return !this->isOtherProcess;
