Entry: Take no process for the listed one that has not stated itself

Cause: an endpoint is asked on each connection which process it is, since its row may be that of a process that has ended. An answer without the start time, or one with another status than 200, let the request pass all the same, and the version was then taken from that row, up to a heartbeat and its delay old. A stream that began so counted as one of the version before, and one that went on could go on there.

Change: what is not stated is not known. Such a stream may begin, but its version is known only once the process has stated itself in answer to a later question, or once its row is still listed when it would have lapsed without a heartbeat since the connection was made (ProcessEvidence). A take-up asks once. A stream goes on at a process that does not state itself only on a connection that has become old enough in the same sense. An instance of an earlier release is told of such a stream without its process, so that it refuses it; what it tells without a stated process is taken for the list's.

Where workers state themselves nothing changes.

Why it works: a connection belongs to one process for its whole life, and a process that is known to have run after the connection was made, and was listed before, is the one behind it.

The test of messages of an earlier release expected a version that is known without a statement, which is the fault; it now requires the version to be presumed and not known. That of a doubted end sets a stated process and drops the fields of two releases. requiresPeer is gone: acceptPeer judges all connections, and its test rejects those without a start time.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -92,6 +92,7 @@
 {
     this->knownUntil = this->confirmedAt.value_or(this->state.startedAt);
     this->confirmedAt = std::max(this->confirmedAt.value_or(readAt), readAt);
+    noteReading(this->evidence, readAt, this->state.settings.bounds.endpointHeartbeat);
 }
 
 std::optional<Common::Time> EndpointDiscovery::lastReadingBegan() const
@@ -120,28 +121,40 @@
     return found->second.listed.entry.version;
 }
 
+std::optional<std::string> EndpointDiscovery::versionOf(const Serving::StreamOrigin &origin) const
+{
+    const auto version = this->versionOf(origin.endpoint, origin.incarnation);
+    if (origin.isStated || !version)
+        return version;
+    const bool isCertain = *version == origin.version
+        && this->hasRunSince(origin.endpoint, origin.incarnation, origin.connectedBy);
+    return isCertain ? version : std::nullopt;
+}
+
 void EndpointDiscovery::noteStated(const Common::EndpointId &id, std::uint64_t incarnation,
-                                   Common::Time at)
+                                   Common::Time askedAt)
 {
-    const auto [entry, added] = this->stated.try_emplace(id, StatedProcess{incarnation, at});
-    if (!added && entry->second.incarnation != incarnation)
-        entry->second = {incarnation, at};
+    Entry::noteStated(this->evidence, {id, incarnation}, askedAt, clockNow());
 }
 
 bool EndpointDiscovery::hadStated(const Common::EndpointId &id, std::uint64_t incarnation,
                                   Common::Time time) const
 {
-    const auto found = this->stated.find(id);
-    return found != this->stated.end() && found->second.incarnation == incarnation
-        && found->second.at <= time;
+    return Entry::hadStated(this->evidence, {id, incarnation}, time);
+}
+
+bool EndpointDiscovery::hasRunSince(const Common::EndpointId &id, std::uint64_t incarnation,
+                                    Common::Time time) const
+{
+    return this->listsProcess(id, incarnation)
+        && Entry::hasRunSince(this->evidence, {id, incarnation}, time,
+                              this->state.settings.bounds.endpointHeartbeat);
 }
 
-bool EndpointDiscovery::hasConfirmed(const Serving::StreamOrigin &origin) const
+bool EndpointDiscovery::ranAt(const Common::EndpointId &id, std::uint64_t incarnation,
+                              Common::Time time) const
 {
-    if (origin.isStated)
-        return origin.isVersionKnown;
-    return this->confirmedAt && *this->confirmedAt > origin.sentAt
-        && this->listsProcess(origin.endpoint, origin.incarnation);
+    return wasListed(this->evidence, id, time) && this->hasRunSince(id, incarnation, time);
 }
 
 void EndpointDiscovery::readSoon()
@@ -183,6 +196,7 @@
     const ReadingUse use = useOfReading(this->position, reading->position, reading->isComplete);
     if (this->position.epoch != 0 && reading->position.epoch > this->position.epoch) {
         this->storeRecoveredAt = now;
+        noteStoreRestored(this->evidence);
         this->state.logState(
             LogLine("store-restored")
                 .text("read", "endpoints")
@@ -288,6 +302,8 @@
     if (change != EntryChange::Changed)
         return;
     this->changed = true;
+    if (process != Routing::ProcessNews::Known)
+        this->evidence.listedSince[listed.entry.id] = now;
     if (before.incarnation != listed.entry.incarnation && before.version != listed.entry.version
         && this->restartHandler)
         this->restartHandler(before.id, before.incarnation, this->knownUntil);
@@ -351,8 +367,10 @@
     for (const auto &[service, pool] : this->state.pools)
         entries[service];
     const Common::Time now = clockNow();
-    std::erase_if(this->stated,
-                  [this](const auto &entry) { return !this->list.known.contains(entry.first); });
+    const auto isGone
+        = [this](const auto &entry) { return !this->list.known.contains(entry.first); };
+    std::erase_if(this->evidence.stated, isGone);
+    std::erase_if(this->evidence.listedSince, isGone);
     this->countEvacuated(entries);
     for (const auto &[service, listed] : entries) {
         Routing::Pool &pool = this->state.poolOf(service);
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -3,6 +3,7 @@
 
 #include "Common/Backoff.h"
 #include "Entry/EndpointList.h"
+#include "Entry/ProcessEvidence.h"
 #include "Entry/StageOwner.h"
 #include "Entry/StoreReading.h"
 #include "Entry/StoreRelay.h"
@@ -47,15 +48,19 @@
     // Returns the software version of a process. Returns nothing if the list does not show it.
     std::optional<std::string> versionOf(const Common::EndpointId &id,
                                          std::uint64_t incarnation) const;
-    // Records that an endpoint's process has stated its start time.
-    void noteStated(const Common::EndpointId &id, std::uint64_t incarnation, Common::Time at);
+    // Returns the software version of the process that began the stream. Returns nothing if the
+    // list does not show it, or if another process may have begun the stream.
+    std::optional<std::string> versionOf(const Serving::StreamOrigin &origin) const;
+    // Records that an endpoint's process has stated its start time. It was asked at `askedAt` or
+    // later.
+    void noteStated(const Common::EndpointId &id, std::uint64_t incarnation, Common::Time askedAt);
     // Whether this process of the endpoint had stated its start time at `time` or before, and no
     // other one has since.
     bool hadStated(const Common::EndpointId &id, std::uint64_t incarnation,
                    Common::Time time) const;
-    // Whether a reading that began after the stream was sent still showed the process that is taken
-    // for its origin.
-    bool hasConfirmed(const Serving::StreamOrigin &origin) const;
+    // Whether the process that the list shows for the endpoint, and showed at `time`, is known to
+    // have run then.
+    bool ranAt(const Common::EndpointId &id, std::uint64_t incarnation, Common::Time time) const;
     // Makes the next reading begin at once.
     void readSoon();
     // Takes note of an endpoint whose leaving another instance has learned of.
@@ -80,6 +85,9 @@
     void noteListed(const ListedEndpoint &listed, EntrySource source, Common::Time now);
     // What the entry says of the endpoint's process beside what is known.
     Routing::ProcessNews processNewsOf(const ListedEndpoint &listed) const;
+    // Whether a process that had been listed before `time` is known to have run since.
+    bool hasRunSince(const Common::EndpointId &id, std::uint64_t incarnation,
+                     Common::Time time) const;
     void noteDropped(const Common::EndpointId &id, Common::Time now);
     void drop(const Common::EndpointId &id, Common::Time now);
     void applyExpirations(Common::Time now);
@@ -90,15 +98,8 @@
     StageOwner &stages;
     Store &store;
     StoreRelay &relay;
-    // The process that an endpoint was last, by its own statement, and since when it has said so.
-    struct StatedProcess
-    {
-        std::uint64_t incarnation = 0;
-        Common::Time at;
-    };
-
     EndpointList list;
-    std::map<Common::EndpointId, StatedProcess> stated;
+    ProcessEvidence evidence;
     ReportedEndpoints reported;
     StorePosition reportedPosition;
     // When the last reading began that the list is based on, by this instance or a reader.
--- /dev/null
+++ b/Source/Core/Entry/ProcessEvidence.h
@@ -0,0 +1,67 @@
+// Which process of an endpoint ran at a given time.
+//
+// A row of the list is as old as the process's last heartbeat and its delay, so that it may be that
+// of a process that has ended. That a process ran is shown by its own statement, or by its row once
+// that would have lapsed without a heartbeat written since.
+#pragma once
+
+#include "Common/Ids.h"
+#include "Common/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace Tanagerbay::Entry {
+
+// The process that an endpoint was last, by its own statement.
+struct StatedProcess
+{
+    std::uint64_t incarnation = 0;
+    // When it had first stated its start time.
+    Common::Time since;
+    // When it was last asked a question that it has answered.
+    Common::Time lastAskedAt;
+};
+
+// A process of an endpoint as the list names it.
+struct ListedProcess
+{
+    Common::EndpointId endpoint;
+    std::uint64_t incarnation = 0;
+};
+
+struct ProcessEvidence
+{
+    std::map<Common::EndpointId, StatedProcess> stated;
+    // Since when the list has named the endpoint's process.
+    std::map<Common::EndpointId, Common::Time> listedSince;
+    // When the last reading of the list began.
+    std::optional<Common::Time> readAt;
+    // Since when the list has been read without a long gap, and the store has lost nothing.
+    std::optional<Common::Time> followedSince;
+};
+
+// Records a statement: the question was sent at `askedAt` or later.
+void noteStated(ProcessEvidence &evidence, const ListedProcess &process, Common::Time askedAt,
+                Common::Time now);
+
+// Records that a reading of the list began. Rows that should have lapsed may still be listed after
+// the store was away, so that a gap of more than two heartbeats begins the history anew.
+void noteReading(ProcessEvidence &evidence, Common::Time readAt, Common::Duration heartbeat);
+
+// Records that the store has returned from an older copy.
+void noteStoreRestored(ProcessEvidence &evidence);
+
+// Whether this process had stated its start time at `time` or before, and no other one has since.
+bool hadStated(const ProcessEvidence &evidence, const ListedProcess &process, Common::Time time);
+
+// Whether a process that the list names now, and had named before `time`, still ran at `time`. The
+// caller knows that it had: it may be another instance that saw it.
+bool hasRunSince(const ProcessEvidence &evidence, const ListedProcess &process, Common::Time time,
+                 Common::Duration heartbeat);
+
+// Whether this instance's list has named the endpoint's process since `time` or before.
+bool wasListed(const ProcessEvidence &evidence, const Common::EndpointId &id, Common::Time time);
+
+} // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -67,7 +67,7 @@
     EndpointDiscovery &endpoints = this->dependencies.endpoints;
     const bool hasRunSince
         = endpoints.hadStated(endpoint->id, *reply.startTime, this->sentTo.sentAt);
-    endpoints.noteStated(endpoint->id, *reply.startTime, clockNow());
+    endpoints.noteStated(endpoint->id, *reply.startTime, now);
     co_return hasRunSince ? ProcessAnswer::Same : reply.answer;
 }
 
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -137,10 +137,15 @@
     // Makes the send of a stream ask for the process behind its connection, since the list is
     // outdated for some time after a restart.
     void addPeerQuestion(Http::CallOptions &options, const Routing::Endpoint &endpoint);
-    // Whether this process may be sent the request.
-    bool mayGoOnAt(const Common::EndpointId &endpoint, std::uint64_t process) const;
+    // Notes what is known of the process behind a connection to the endpoint. Returns whether it
+    // may be sent the request.
+    bool acceptPeer(const Routing::Endpoint &endpoint, const Http::Peer &peer);
+    bool mayGoOnAt(const Routing::Endpoint &endpoint, const Http::Peer &peer) const;
     // Records which process was sent the request.
-    void notePeer(std::uint64_t process);
+    void notePeer(const Http::Peer &peer);
+    // Asks the endpoint where a stream began whether the listed process still runs there, if
+    // nothing else tells which process began the stream.
+    Http::Awaitable<void> confirmOrigin();
     // Looks the version of the process up that began the stream, if it was not listed at that time.
     void learnVersion();
     // Whether an endpoint that is not leaving runs the version that the request requires.
--- a/Source/Core/Entry/RequestLog.cpp
+++ b/Source/Core/Entry/RequestLog.cpp
@@ -3,6 +3,18 @@
 
 namespace Tanagerbay::Entry {
 
+namespace {
+
+// How the process that began a stream is known.
+std::string_view processSourceOf(const Serving::StreamOrigin &origin)
+{
+    if (origin.isStated)
+        return origin.isVersionKnown ? "stated" : "stated-unlisted";
+    return origin.isVersionKnown ? "listed-confirmed" : "listed";
+}
+
+} // namespace
+
 void RequestFlow::addEvidence(LogLine &line) const
 {
     if (this->lastFraming)
@@ -23,7 +35,7 @@
         line.text("begunAt", this->origin->endpoint.value)
             .number("begunProcess", static_cast<std::int64_t>(this->origin->incarnation))
             .text("begunVersion", this->origin->version)
-            .text("begunBy", this->origin->isStated ? "stated" : "listed");
+            .text("begunBy", processSourceOf(*this->origin));
     }
 }
 
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -190,6 +190,8 @@
         call.urgency = std::min(kMinUrgencyValue + this->priority, kMaxUrgencyValue);
     this->sentTo = {this->service,        endpoint.version, endpoint.id,
                     endpoint.incarnation, startedAt,        this->deadline};
+    this->sentTo.isVersionKnown = false;
+    this->sentTo.connectedBy = startedAt;
     this->lastPhase = Serving::RequestPhase::Sent;
     this->eventsBeforeSend = this->events.eventCount();
     this->lastFraming.reset();
@@ -209,9 +211,13 @@
     this->statementStatus.reset();
     const auto readAt = this->dependencies.endpoints.lastReadingBegan();
     this->listAge = readAt ? std::optional(startedAt - *readAt) : std::nullopt;
-    if (this->isStream() && endpoint.incarnation != 0
-        && (this->route->resumable || this->requiredVersion))
-        this->addPeerQuestion(options, endpoint);
+    if (this->isStream() && (this->route->resumable || this->requiredVersion)) {
+        if (endpoint.incarnation != 0)
+            this->addPeerQuestion(options, endpoint);
+        options.acceptPeer = [this, &endpoint](const Http::Peer &peer) {
+            return this->acceptPeer(endpoint, peer);
+        };
+    }
     auto opened = co_await this->state.client.open(
         endpoint.address, this->state.dialect.writeCall(this->request, call), std::move(options));
     Routing::CallReport report;
@@ -236,8 +242,7 @@
             this->dependencies.paths.noteUnreachable(endpoint.id);
         report.end = isUnreachable ? Routing::CallEnd::Unreachable : Routing::CallEnd::Failed;
     } else {
-        if (const auto process = opened->peerProcess())
-            this->notePeer(*process);
+        this->notePeer(opened->peer());
         const unsigned status = opened->status();
         const EndpointResponseHead answer
             = this->state.dialect.readResponseHead(status, opened->headers());
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -61,6 +61,7 @@
         }
         this->service = this->origin->service;
         this->learnVersion();
+        co_await this->confirmOrigin();
         if (!this->origin->isVersionKnown) {
             this->noteResumption("version-not-listed");
             co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
@@ -116,7 +117,6 @@
     options.peerQuestion->request = this->state.dialect.writeProcessQuestion();
     options.peerQuestion->timeout
         = this->chooseEndpoint(askedAt) ? kProcessAnswerTimeout : kSoleProcessAnswerTimeout;
-    options.requiresPeer = this->requiredVersion.has_value();
     // The question is a request to the endpoint too.
     options.peerQuestion->beforeAsking = [this, &endpoint] {
         if (!this->maySendNow(endpoint.id))
@@ -133,7 +133,9 @@
             askedAt);
         this->statementStatus = response.status;
         const auto process = this->state.dialect.readProcessAnswer(response.body);
-        if (!process)
+        if (process)
+            this->dependencies.endpoints.noteStated(endpoint.id, *process, askedAt);
+        else
             this->statement = response.status == kStatusOk ? ProcessStatement::Unstated
                                                            : ProcessStatement::Refused;
         this->state.metrics.count(
@@ -141,36 +143,76 @@
                      Common::nameOf(process ? ProcessStatement::Stated : this->statement)));
         return process;
     };
-    options.acceptPeer = [this, &endpoint](std::uint64_t process) {
+}
+
+bool RequestFlow::acceptPeer(const Routing::Endpoint &endpoint, const Http::Peer &peer)
+{
+    if (peer.startTime) {
         this->statement = ProcessStatement::Stated;
-        this->dependencies.limits.coldEndpoints().noteProcess(endpoint, process);
-        this->isOtherProcess = !this->mayGoOnAt(endpoint.id, process);
-        return !this->isOtherProcess;
-    };
+        this->dependencies.limits.coldEndpoints().noteProcess(endpoint, *peer.startTime);
+    }
+    this->isOtherProcess = !this->mayGoOnAt(endpoint, peer);
+    return !this->isOtherProcess;
 }
 
-bool RequestFlow::mayGoOnAt(const Common::EndpointId &endpoint, std::uint64_t process) const
+bool RequestFlow::mayGoOnAt(const Routing::Endpoint &endpoint, const Http::Peer &peer) const
 {
-    return !this->requiredVersion
-        || this->dependencies.endpoints.versionOf(endpoint, process) == this->requiredVersion;
+    if (!this->requiredVersion)
+        return true;
+    const EndpointDiscovery &endpoints = this->dependencies.endpoints;
+    if (peer.startTime)
+        return endpoints.versionOf(endpoint.id, *peer.startTime) == this->requiredVersion;
+    return endpoints.versionOf(endpoint.id, endpoint.incarnation) == this->requiredVersion
+        && endpoints.ranAt(endpoint.id, endpoint.incarnation, peer.connectedAt);
 }
 
-void RequestFlow::notePeer(std::uint64_t process)
+void RequestFlow::notePeer(const Http::Peer &peer)
 {
-    const auto version = this->dependencies.endpoints.versionOf(this->sentTo.endpoint, process);
-    this->dependencies.endpoints.noteStated(this->sentTo.endpoint, process, clockNow());
-    this->sentTo.incarnation = process;
-    this->sentTo.isStated = true;
+    const EndpointDiscovery &endpoints = this->dependencies.endpoints;
+    this->sentTo.connectedBy = peer.connectedAt;
+    this->sentTo.isStated = peer.startTime.has_value();
+    if (!peer.startTime) {
+        this->sentTo.isVersionKnown = endpoints.versionOf(this->sentTo).has_value();
+        return;
+    }
+    const auto version = endpoints.versionOf(this->sentTo.endpoint, *peer.startTime);
+    this->sentTo.incarnation = *peer.startTime;
     this->sentTo.isVersionKnown = version.has_value();
     this->sentTo.version = version.value_or("");
 }
 
+Http::Awaitable<void> RequestFlow::confirmOrigin()
+{
+    const bool mayAsk = !this->origin->isVersionKnown && !this->origin->isStated
+        && this->origin->incarnation != 0;
+    if (!mayAsk)
+        co_return;
+    const Common::Time now = clockNow();
+    const std::vector<Routing::Endpoint> &endpoints = this->state.poolOf(this->service).endpoints;
+    const auto found = std::find_if(endpoints.begin(), endpoints.end(), [this](const auto &each) {
+        return each.id == this->origin->endpoint && !each.isEvacuated;
+    });
+    // The question is a request to the endpoint too.
+    if (found == endpoints.end() || Routing::isLimited(found->gate) || Routing::isHeld(*found, now))
+        co_return;
+    const Routing::Endpoint endpoint = *found;
+    Http::CallOptions options;
+    options.handle = &this->call;
+    options.deadline = std::min<Common::Time>(this->deadline, now + kProcessAnswerTimeout);
+    options.connectTimeout = kProcessAnswerTimeout;
+    const ProcessReply reply = co_await askForProcess(this->state, endpoint, options);
+    if (reply.head)
+        this->applyResponseHead(endpoint, *reply.head, now);
+    if (reply.startTime)
+        this->dependencies.endpoints.noteStated(endpoint.id, *reply.startTime, now);
+    this->learnVersion();
+}
+
 void RequestFlow::learnVersion()
 {
     if (!this->origin || this->origin->isVersionKnown)
         return;
-    const auto version
-        = this->dependencies.endpoints.versionOf(this->origin->endpoint, this->origin->incarnation);
+    const auto version = this->dependencies.endpoints.versionOf(*this->origin);
     if (!version)
         return;
     this->origin->version = *version;
--- a/Source/Core/Entry/Settings.cpp
+++ b/Source/Core/Entry/Settings.cpp
@@ -46,6 +46,8 @@
     constexpr Milliseconds kSecond{1000};
     bounds.gracePeriod = readTime(reader, "graceSeconds", kSecond, bounds.gracePeriod);
     bounds.leavingDelay = readTime(reader, "leavingDelayMs", kMillisecond, bounds.leavingDelay);
+    bounds.endpointHeartbeat
+        = readTime(reader, "endpointHeartbeatMs", kMillisecond, bounds.endpointHeartbeat);
     bounds.catalogDelay = readTime(reader, "catalogDelayMs", kMillisecond, bounds.catalogDelay);
     bounds.maxDirectoryTtl
         = readTime(reader, "mostDirectoryTtlSeconds", kSecond, bounds.maxDirectoryTtl);
--- a/Source/Core/Entry/Settings.h
+++ b/Source/Core/Entry/Settings.h
@@ -41,6 +41,9 @@
     Common::Milliseconds gracePeriod{8000};
     // An endpoint that leaves must get no new work after this period.
     Common::Milliseconds leavingDelay{2000};
+    // Interval at which an endpoint renews its row in the store. The row lapses after three of
+    // them.
+    Common::Milliseconds endpointHeartbeat{1200};
     // A new version of the catalog must be in force within this period.
     Common::Milliseconds catalogDelay{2000};
     // Maximum time for which a caller may cache an answer of the directory.
--- a/Source/Core/Entry/StreamMessages.cpp
+++ b/Source/Core/Entry/StreamMessages.cpp
@@ -34,9 +34,22 @@
     DoubtedEnd = VersionFieldCount,
     DoubtedEndpoint,
     LastBegunEvent,
+    EvidenceFieldCount,
+    ConnectedAgeMs = EvidenceFieldCount,
+    ConnectedFieldCount,
+    // What the list named when the stream was sent, of an origin that is not confirmed. Instances
+    // of earlier releases take it for confirmed if it stands in the fields above.
+    ListedIncarnation = ConnectedFieldCount,
+    ListedVersion,
     AllFieldCount
 };
 
+// Whether the process that began the stream is not certain.
+bool isPresumed(const Serving::StreamOrigin &origin)
+{
+    return !origin.isStated && !origin.isVersionKnown;
+}
+
 std::optional<std::uint64_t> unsignedOf(const json::value &value)
 {
     if (value.is_uint64())
@@ -90,11 +103,22 @@
         if (!origin.isVersionKnown)
             origin.version.clear();
     }
-    if (fields.size() >= AllFieldCount) {
+    if (fields.size() >= EvidenceFieldCount) {
         origin.doubtedEnd = unsignedOf(fields[DoubtedEnd]);
         origin.doubtedEndpoint = Common::EndpointId(textOf(fields[DoubtedEndpoint]).value_or(""));
         origin.lastBegunEvent = unsignedOf(fields[LastBegunEvent]).value_or(0);
     }
+    const auto connectedAge = fields.size() >= ConnectedFieldCount
+        ? millisecondsOf(fields[ConnectedAgeMs])
+        : std::nullopt;
+    origin.connectedBy = now - connectedAge.value_or(Common::Milliseconds(0));
+    // An instance of an earlier release takes what the list names for certain.
+    if (!connectedAge && !origin.isStated)
+        origin.isVersionKnown = false;
+    if (fields.size() >= AllFieldCount && isPresumed(origin)) {
+        origin.incarnation = unsignedOf(fields[ListedIncarnation]).value_or(0);
+        origin.version = textOf(fields[ListedVersion]).value_or("");
+    }
     return true;
 }
 
@@ -111,7 +135,7 @@
         fields.emplace_back(origin.isVersionKnown ? std::string_view(origin.version)
                                                   : kUnlistedVersion);
         fields.emplace_back(origin.endpoint.value);
-        fields.emplace_back(origin.incarnation);
+        fields.emplace_back(isPresumed(origin) ? 0 : origin.incarnation);
         fields.emplace_back(ageMs(origin.sentAt, now));
         fields.emplace_back(origin.isStated);
         fields.emplace_back(origin.isVersionKnown);
@@ -121,6 +145,11 @@
             fields.emplace_back(nullptr);
         fields.emplace_back(origin.doubtedEndpoint.value);
         fields.emplace_back(origin.lastBegunEvent);
+        fields.emplace_back(ageMs(origin.connectedBy, now));
+        if (isPresumed(origin)) {
+            fields.emplace_back(origin.incarnation);
+            fields.emplace_back(origin.version);
+        }
     }
     return fields;
 }
--- a/Source/Core/Entry/StreamRecordRows.cpp
+++ b/Source/Core/Entry/StreamRecordRows.cpp
@@ -75,17 +75,25 @@
     record.origin.endpoint = Common::EndpointId(std::string((*fields)[Endpoint].get_string()));
     record.origin.incarnation = incarnation;
     record.isConfirmed = (*fields)[IsConfirmed].get_bool();
+    record.origin.isVersionKnown = record.isConfirmed;
     if (record.attempt.empty())
         return std::nullopt;
     return StatedTimes{Common::Milliseconds(sentAt), Common::Milliseconds(expiresAt)};
 }
 
+// The connection was established after the send had begun, unless it was used again.
+Common::Time sentBy(const Serving::StreamOrigin &origin)
+{
+    return std::max(origin.sentAt, origin.connectedBy);
+}
+
 // A record from elsewhere may state any times.
 void setTimes(Serving::StreamOrigin &origin, Common::Milliseconds age, Common::Milliseconds left,
               Common::Time now)
 {
     const Common::Milliseconds none{0};
     origin.sentAt = now - std::clamp(age, none, Serving::kMaxStreamOriginLifetime);
+    origin.connectedBy = origin.sentAt;
     origin.expiresAt = now + std::clamp(left, none, Serving::kMaxStreamOriginLifetime);
 }
 
@@ -111,7 +119,7 @@
     json::array entries;
     for (const StreamRecord &record : records)
         entries.push_back(encode(record,
-                                 {milliseconds(now - record.origin.sentAt),
+                                 {milliseconds(now - sentBy(record.origin)),
                                   milliseconds(record.origin.expiresAt - now)}));
     return entries;
 }
@@ -146,7 +154,7 @@
         if (row.versions.size() == kMaxVersions && !row.versions.contains(version))
             break;
         json::array entry = encode(record,
-                                   {toStoreTime(clock, record.origin.sentAt),
+                                   {toStoreTime(clock, sentBy(record.origin)),
                                     toStoreTime(clock, record.origin.expiresAt)});
         const std::size_t size = json::serialize(entry).size() + 1;
         // One that is longer than a row may be cannot be kept.
@@ -236,10 +244,10 @@
 }
 
 bool isCertain(const StreamRecord &record, std::uint64_t rowEpoch, std::uint64_t listEpoch,
-               bool isListed)
+               bool hasRunSince)
 {
     // A store that has returned from an older copy may list a process that had ended before.
-    return record.isConfirmed || (isListed && rowEpoch == listEpoch);
+    return record.isConfirmed || (hasRunSince && rowEpoch == listEpoch);
 }
 
 } // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/StreamRecordRows.h
+++ b/Source/Core/Entry/StreamRecordRows.h
@@ -16,8 +16,8 @@
 {
     std::string attempt;
     Serving::StreamOrigin origin;
-    // Whether a reading of the endpoints that began after the stream was sent still showed the
-    // process of the origin. Otherwise the stream may have begun at the successor of that process.
+    // Whether the process of the origin is certain. Otherwise the stream may have begun at the
+    // successor of that process.
     bool isConfirmed = false;
 };
 
@@ -90,9 +90,9 @@
 void forgetStored(StreamRecordRows &rows);
 
 // Returns whether a record that was read from the store tells where the stream certainly began.
-// `isListed` tells whether a reading of the endpoints, begun after the record was read, shows the
-// process of its origin; `listEpoch` is the epoch of that reading.
+// `hasRunSince` tells whether the list, read after the record was, shows that the process of its
+// origin has run since; `listEpoch` is the epoch of that reading.
 bool isCertain(const StreamRecord &record, std::uint64_t rowEpoch, std::uint64_t listEpoch,
-               bool isListed);
+               bool hasRunSince);
 
 } // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/StreamRecorder.cpp
+++ b/Source/Core/Entry/StreamRecorder.cpp
@@ -36,6 +36,12 @@
 // Rows that are made in advance while the store cannot be reached.
 constexpr std::size_t kMaxUnstoredRows = 20;
 
+// Whether a version is known or at least presumed that a record can name.
+bool hasVersion(const Serving::StreamOrigin &origin)
+{
+    return origin.isVersionKnown || !origin.isStated;
+}
+
 } // namespace
 
 StreamRecorder::StreamRecorder(State &state, PeerDatagrams &datagrams, Store &store,
@@ -62,10 +68,10 @@
 
 void StreamRecorder::noteBegun(const std::string &attempt, const Serving::StreamOrigin &origin)
 {
-    if (!this->services.contains(origin.service) || !origin.isVersionKnown)
+    if (!this->services.contains(origin.service) || !hasVersion(origin))
         return;
     std::vector<StreamRecord> records;
-    records.push_back({attempt, origin, this->endpoints.hasConfirmed(origin)});
+    records.push_back({attempt, origin, origin.isVersionKnown});
     this->report(std::move(records), clockNow());
 }
 
@@ -146,13 +152,13 @@
 void StreamRecorder::holdOrigins(const std::set<std::string> &added)
 {
     for (const auto &[attempt, origin] : this->origins.byAttempt) {
-        if (!added.contains(origin.service) || !origin.isVersionKnown)
+        if (!added.contains(origin.service) || !hasVersion(origin))
             continue;
         // The first holder of an origin records it, so that this is done once. An instance that is
         // leaving has no rank, and may be the last one that knows.
         const auto rank = Membership::rankFor(this->state.members, attempt).own;
         if (rank.value_or(0) == 0)
-            this->held.push_back({attempt, origin, this->endpoints.hasConfirmed(origin)});
+            this->held.push_back({attempt, origin, origin.isVersionKnown});
     }
 }
 
@@ -244,14 +250,15 @@
     std::int64_t uncertain = 0;
     for (const StreamRowContent &row : this->loaded) {
         for (const StreamRecord &record : row.records) {
-            const bool isListed
-                = this->endpoints.listsProcess(record.origin.endpoint, record.origin.incarnation);
-            if (!isCertain(record, row.epoch, this->endpoints.epoch(), isListed)) {
-                ++uncertain;
-                continue;
-            }
-            ++certain;
-            Serving::addOrigin(this->origins, record.attempt, record.origin, now);
+            const bool hasRunSince = this->endpoints.versionOf(record.origin).has_value();
+            Serving::StreamOrigin origin = record.origin;
+            origin.isVersionKnown
+                = isCertain(record, row.epoch, this->endpoints.epoch(), hasRunSince);
+            ++(origin.isVersionKnown ? certain : uncertain);
+            // One that is not certain may become so. A store that has returned from an older copy
+            // may list a process that had ended before.
+            if (origin.isVersionKnown || row.epoch == this->endpoints.epoch())
+                Serving::addOrigin(this->origins, record.attempt, origin, now);
         }
     }
     this->loaded.clear();
--- a/Source/Core/Entry/StreamRegistry.cpp
+++ b/Source/Core/Entry/StreamRegistry.cpp
@@ -64,7 +64,7 @@
     for (auto &[attempt, origin] : this->origins.byAttempt) {
         if (origin.isVersionKnown)
             continue;
-        if (const auto version = this->endpoints.versionOf(origin.endpoint, origin.incarnation)) {
+        if (const auto version = this->endpoints.versionOf(origin)) {
             origin.version = *version;
             origin.isVersionKnown = true;
         }
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -72,8 +72,7 @@
     // may arrive.
     bool hasCarriedRequest = false;
     bool wasPeerAsked = false;
-    // Start time of the process behind the connection, which it keeps for its whole life.
-    std::optional<std::uint64_t> peerProcess;
+    Peer peer;
     // The reply may arrive before the request has been written.
     WriteState write = WriteState::Done;
     std::shared_ptr<std::set<ClientConnection *>> active;
@@ -128,7 +127,7 @@
     std::size_t maxIdleConnections = 0;
     bool reused = false;
     bool isFirstOnConnection = false;
-    std::optional<std::uint64_t> peerProcess;
+    Peer peer;
     // The complete reply has to be accepted before its connection is released.
     bool isHeldUntilAccepted = false;
     std::optional<BodyEnd> end;
@@ -141,8 +140,8 @@
 constexpr std::uint32_t kMaxReplyHeaderBytes = 32 << 10;
 constexpr unsigned kStatusOk = 200;
 constexpr std::uint64_t kMaxPeerAnswerBytes = 1 << 20;
-// New connections on which the peer is asked. One that closes each of them after its answer is sent
-// the request without a question.
+// New connections on which the peer is asked. One that closes each of them after its answer is not
+// asked on the next one.
 constexpr int kMaxPeerQuestions = 2;
 // Share of the idle time-out announced in `Keep-Alive` during which a connection is reused.
 constexpr double kReusableIdleTimeShare = 0.5;
@@ -380,9 +379,9 @@
         response.headers.fields.push_back(
             {std::string(field.name_string()), std::string(field.value())});
     response.body = std::move(parser.get().body());
-    connection->peerProcess = question.read(response);
+    connection->peer.startTime = question.read(response);
     // Another status says nothing about the process.
-    connection->wasPeerAsked = connection->peerProcess || response.status == kStatusOk;
+    connection->wasPeerAsked = connection->peer.startTime || response.status == kStatusOk;
     if (!parser.get().keep_alive() || connection->buffer.size() != 0)
         connection->stream.close();
     co_return std::nullopt;
@@ -396,8 +395,6 @@
     // Whether an earlier connection has carried the request.
     bool written = false;
     int questions = 0;
-    // Whether the peer has stated its start time on any connection.
-    bool isPeerStated = false;
     while (true) {
         if (this->pool->closed || (options.handle && options.handle->isCancelled()))
             co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "cancelled"});
@@ -417,6 +414,7 @@
             }
             if (this->pool->closed)
                 co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "cancelled"});
+            connection->peer.connectedAt = Common::clockNow();
         }
         const bool mustAsk
             = options.peerQuestion && !connection->wasPeerAsked && questions < kMaxPeerQuestions;
@@ -431,15 +429,15 @@
                 failed->written = written;
                 co_return tl::unexpected(std::move(*failed));
             }
-            isPeerStated = isPeerStated || connection->peerProcess;
             if (isStale) {
                 fresh = true;
                 continue;
             }
         }
         const bool isOpen = connection->stream.socket().is_open();
-        if (options.acceptPeer && connection->peerProcess
-            && !options.acceptPeer(*connection->peerProcess)) {
+        // A peer that closes the connection without stating anything may state it on the next one.
+        const bool mustJudge = options.acceptPeer && (isOpen || connection->peer.startTime);
+        if (mustJudge && !options.acceptPeer(connection->peer)) {
             if (isOpen)
                 this->pool->release(address, std::move(connection), options.maxIdleConnections);
             co_return tl::unexpected(
@@ -449,9 +447,6 @@
             fresh = true;
             continue;
         }
-        if (options.requiresPeer && isPeerStated && !connection->peerProcess)
-            co_return tl::unexpected(CallError{CallFailure::ConnectionLost, written,
-                                               "the peer closes each connection that tells"});
         if (options.beforeFirstByte && !options.beforeFirstByte())
             co_return tl::unexpected(CallError{CallFailure::Cancelled, written, "abandoned"});
 
@@ -461,7 +456,7 @@
         state.connection = std::move(connection);
         state.reused = state.connection->reused;
         state.isFirstOnConnection = !std::exchange(state.connection->hasCarriedRequest, true);
-        state.peerProcess = state.connection->peerProcess;
+        state.peer = state.connection->peer;
         state.pool = this->pool;
         state.address = address;
         state.handle = options.handle;
@@ -663,9 +658,9 @@
     return this->state->parser->chunked() ? BodyFraming::Chunks : BodyFraming::Length;
 }
 
-std::optional<std::uint64_t> ResponseStream::peerProcess() const
+Peer ResponseStream::peer() const
 {
-    return this->state->peerProcess;
+    return this->state->peer;
 }
 
 Headers ResponseStream::headers() const
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -115,6 +115,15 @@
     Reject,
 };
 
+// What is known of the process behind a connection, which it keeps for its whole life.
+struct Peer
+{
+    // Unset if the process was not asked, or has not stated it.
+    std::optional<std::uint64_t> startTime;
+    // When the connection was established, or soon after.
+    Common::Time connectedAt;
+};
+
 // Asked once on each connection, before the first request that needs to know the process behind it.
 struct PeerQuestion
 {
@@ -147,12 +156,9 @@
     std::size_t maxIdleConnections = 64;
     CallHandle *handle = nullptr;
     std::optional<PeerQuestion> peerQuestion;
-    // Whether the request must not be sent on a connection whose process is unknown, if the peer
-    // states its start time on others.
-    bool requiresPeer = false;
-    // Runs with the answer to the question, if the peer has stated one. If it returns false, the
-    // call ends as cancelled, nothing is written, and the connection stays usable.
-    std::function<bool(std::uint64_t)> acceptPeer;
+    // Runs with what is known of the peer, after the question if there is one. If it returns false,
+    // the call ends as cancelled, nothing is written, and the connection stays usable.
+    std::function<bool(const Peer &)> acceptPeer;
     // Runs immediately before the first byte is written. If it returns false, the call ends as
     // cancelled and nothing is written.
     std::function<bool()> beforeFirstByte;
@@ -189,8 +195,7 @@
     // then can the response be no copy of an earlier one.
     bool isFirstOnConnection() const;
     BodyFraming framing() const;
-    // Start time of the process behind the connection. Unset if it was not asked, or did not tell.
-    std::optional<std::uint64_t> peerProcess() const;
+    Peer peer() const;
     // Whether the request was handed to the system completely.
     bool isRequestWritten() const;
     // Returns the next bytes of the body, which are valid until the next read, or how it ended.
--- a/Source/Core/Serving/StreamOrigins.h
+++ b/Source/Core/Serving/StreamOrigins.h
@@ -21,7 +21,8 @@
 struct StreamOrigin
 {
     std::string service;
-    // Version of the software that the process runs, unless it is not known.
+    // Version of the software that the process runs. If that is not known: the version that the
+    // list named when the request was sent, or empty.
     std::string version;
     Common::EndpointId endpoint;
     // Start time of the process; zero if not known.
@@ -33,7 +34,8 @@
     // Whether the process stated `incarnation` on the connection that brought the stream. Otherwise
     // it is what the list named when the request was sent, which may have been outdated.
     bool isStated = false;
-    // Not set if the list has not named the process yet. The stream goes on nowhere until it does.
+    // Not set if the list has not named the process yet, or if another process than the listed one
+    // may have begun the stream. The stream goes on nowhere until it is set.
     bool isVersionKnown = true;
     // Number of the event after which an answer without framing ended in order, if nobody has
     // confirmed that the stream ends there.
@@ -42,6 +44,8 @@
     Common::EndpointId doubtedEndpoint = {};
     // Number of the last event that any answer has begun, as far as it was told.
     std::uint64_t lastBegunEvent = 0;
+    // When the connection had been established that brought the stream. It belongs to one process.
+    Common::Time connectedBy = {};
 };
 
 // An endpoint's process that was replaced by one with another version. What was sent to it at
--- a/Source/UnitTests/Entry/StreamMessagesTest.cpp
+++ b/Source/UnitTests/Entry/StreamMessagesTest.cpp
@@ -63,8 +63,10 @@
         BOOST_REQUIRE(read.has_value());
         BOOST_TEST((read->origin.doubtedEnd == end));
     }
+    this->message.origin.isStated = true;
     boost::json::array earlier = toJson(this->message, this->now);
-    earlier.pop_back();
+    // Without the fields of this and the next release.
+    earlier.resize(12);
     const auto read = readStreamMessage(earlier, this->now);
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST(!read->origin.doubtedEnd);
@@ -83,14 +85,37 @@
     BOOST_TEST(!read->origin.isVersionKnown);
 }
 
-// Instances of earlier releases do not send these members.
-BOOST_AUTO_TEST_CASE(origin_ofAnEarlierRelease_isReadAsListed)
+// Instances of earlier releases do not send these members, and take what the list named for
+// certain: guards against a version that belongs to the process before.
+BOOST_AUTO_TEST_CASE(origin_ofAnEarlierRelease_isReadAsListedAndNotConfirmed)
 {
     const auto read = readStreamMessage(
         boost::json::parse(R"(["began",0,"a",9000,"app","v1","e1",17,2000])"), this->now);
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST(!read->origin.isStated);
-    BOOST_TEST(read->origin.isVersionKnown);
+    BOOST_TEST(!read->origin.isVersionKnown);
+    BOOST_TEST(read->origin.version == "v1");
+    BOOST_TEST(read->origin.incarnation == 17u);
+    BOOST_TEST((read->origin.connectedBy == this->now));
+}
+
+// Guards against a stream whose process is not certain, and that counts as certain at an instance
+// that is told of it.
+BOOST_AUTO_TEST_CASE(origin_notConfirmed_isTheSame)
+{
+    this->message.origin.isVersionKnown = false;
+    this->message.origin.connectedBy = this->now - std::chrono::seconds(1);
+    const auto read = this->sent(this->message);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(!read->origin.isStated);
+    BOOST_TEST(!read->origin.isVersionKnown);
+    BOOST_TEST(read->origin.version == "v1.1");
+    BOOST_TEST(read->origin.incarnation == 17u);
+    BOOST_TEST((read->origin.connectedBy == this->message.origin.connectedBy));
+    const boost::json::array fields = toJson(this->message, this->now);
+    // What instances of earlier releases look up in the list.
+    BOOST_TEST(fields[7].to_number<std::uint64_t>() == 0u);
+    BOOST_TEST(fields[5].get_string() != "v1.1");
 }
 
 BOOST_AUTO_TEST_CASE(question_writtenAndRead_isTheSame)
--- a/Source/UnitTests/Http/PeerQuestionTest.cpp
+++ b/Source/UnitTests/Http/PeerQuestionTest.cpp
@@ -39,8 +39,8 @@
             co_await this->silence.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
         Http::Response response;
-        response.status = 200;
-        response.body = "7";
+        response.status = isQuestion ? this->questionStatus : 200;
+        response.body = isQuestion ? this->questionBody : "";
         co_await exchange.respond(std::move(response));
     }
 
@@ -61,13 +61,15 @@
                         return response.body == "7" ? std::optional(kProcess) : std::nullopt;
                     },
                     kQuestionTimeout};
-                options.requiresPeer = this->requiresPeer;
-                options.acceptPeer = [this](std::uint64_t) { return this->isAccepted; };
+                options.acceptPeer = [this](const Http::Peer &peer) {
+                    this->peers.push_back(peer);
+                    return this->isAccepted && (peer.startTime || !this->requiresPeer);
+                };
                 Http::Request request{"GET", "/x", {}, ""};
                 const Common::Address address{"127.0.0.1", this->server->port()};
                 auto opened = co_await this->client.open(address, std::move(request), options);
                 if (opened) {
-                    this->process = opened->peerProcess();
+                    this->process = opened->peer().startTime;
                     this->isFirstOnConnection = opened->isFirstOnConnection();
                     co_await opened->read(options.deadline);
                     co_await opened->read(options.deadline);
@@ -89,6 +91,10 @@
     bool isAccepted = true;
     bool requiresPeer = false;
     bool isSilent = false;
+    unsigned questionStatus = 200;
+    std::string questionBody = "7";
+    // Those that were to be accepted.
+    std::vector<Http::Peer> peers;
     std::size_t questions = 0;
     std::size_t requests = 0;
     std::optional<Http::CallError> error;
@@ -182,4 +188,37 @@
     BOOST_TEST(this->requests == 0u);
 }
 
+// Guards against a process that counts as known because it has answered.
+BOOST_AUTO_TEST_CASE(answerDoesNotState_processMustBeKnown_nothingIsSent)
+{
+    this->requiresPeer = true;
+    const std::vector<std::pair<unsigned, std::string>> answers
+        = {{200, ""}, {200, "8"}, {204, ""}, {404, ""}, {429, ""}, {500, ""}, {503, ""}, {504, ""}};
+    for (const auto &[status, body] : answers) {
+        this->questionStatus = status;
+        this->questionBody = body;
+        this->peers.clear();
+        this->call();
+        BOOST_REQUIRE(this->error);
+        BOOST_TEST(!this->error->written);
+        BOOST_REQUIRE(this->peers.size() == 1u);
+        BOOST_TEST(!this->peers[0].startTime);
+    }
+    BOOST_TEST(this->requests == 0u);
+}
+
+// Guards against a connection that counts as new each time it is used: what is known of its process
+// begins when it was established.
+BOOST_AUTO_TEST_CASE(severalRequests_oneConnection_isAsOldAsAtFirst)
+{
+    const Common::Time startedAt = Common::clockNow();
+    this->call();
+    const Common::Time answeredAt = Common::clockNow();
+    this->call();
+    BOOST_REQUIRE(this->peers.size() == 2u);
+    BOOST_TEST((this->peers[0].connectedAt >= startedAt));
+    BOOST_TEST((this->peers[1].connectedAt <= answeredAt));
+    BOOST_TEST((this->peers[1].connectedAt == this->peers[0].connectedAt));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
