Entry: Mark the records of streams whose process is not certain

Records of where streams began, in datagrams and rows, had no mark of the release: what an instance of an earlier release wrote as confirmed counted as certain, although it takes any reading that began after the send for a confirmation, which is the fault that mends; and what is only presumed was read by such an instance as certain. During an upgrade a stream could go on at another software version.

A record has the field whether its version is known, and is presumed without it. One that is presumed names its process and version in fields of its own; instances of earlier releases read a version that no endpoint has, as in the messages.

Two unit tests are new, one for each direction.

--- a/Source/Core/Entry/StreamRecordRows.cpp
+++ b/Source/Core/Entry/StreamRecordRows.cpp
@@ -30,9 +30,21 @@
     SentAt,
     ExpiresAt,
     IsConfirmed,
-    FieldCount
+    FieldCount,
+    // Instances of earlier releases do not write the fields from here on. What they take for
+    // confirmed may be the successor of the process that the list named.
+    IsKnown = FieldCount,
+    KnownFieldCount,
+    // What the list named when the stream was sent, of a record that is not confirmed. Instances of
+    // earlier releases take it for certain if it stands in the fields above.
+    ListedIncarnation = KnownFieldCount,
+    ListedVersion,
+    AllFieldCount
 };
 
+// What instances of earlier releases read as a version that no endpoint has.
+constexpr const char *kUnlistedVersion = "(not listed)";
+
 // Times as a message or a row states them.
 struct StatedTimes
 {
@@ -48,9 +60,24 @@
 json::array encode(const StreamRecord &record, const StatedTimes &times)
 {
     const Serving::StreamOrigin &origin = record.origin;
-    return {record.attempt,          origin.service,     origin.version,
-            origin.endpoint.value,   origin.incarnation, times.sentAt.count(),
-            times.expiresAt.count(), record.isConfirmed};
+    json::array fields{record.attempt,
+                       origin.service,
+                       kUnlistedVersion,
+                       origin.endpoint.value,
+                       0,
+                       times.sentAt.count(),
+                       times.expiresAt.count(),
+                       false,
+                       record.isConfirmed};
+    if (record.isConfirmed) {
+        fields[Version] = origin.version;
+        fields[Incarnation] = origin.incarnation;
+        fields[IsConfirmed] = true;
+    } else {
+        fields.emplace_back(origin.incarnation);
+        fields.emplace_back(origin.version);
+    }
+    return fields;
 }
 
 // Reads all but the times, which are returned.
@@ -74,8 +101,16 @@
     record.origin.version = (*fields)[Version].get_string();
     record.origin.endpoint = Common::EndpointId(std::string((*fields)[Endpoint].get_string()));
     record.origin.incarnation = incarnation;
-    record.isConfirmed = (*fields)[IsConfirmed].get_bool();
+    record.isConfirmed = fields->size() >= KnownFieldCount && (*fields)[IsKnown].is_bool()
+        && (*fields)[IsKnown].get_bool();
     record.origin.isVersionKnown = record.isConfirmed;
+    if (fields->size() >= AllFieldCount && !record.isConfirmed) {
+        const auto listed = (*fields)[ListedIncarnation].to_number<std::uint64_t>(errors[0]);
+        if (errors[0] || !(*fields)[ListedVersion].is_string())
+            return std::nullopt;
+        record.origin.incarnation = listed;
+        record.origin.version = (*fields)[ListedVersion].get_string();
+    }
     if (record.attempt.empty())
         return std::nullopt;
     return StatedTimes{Common::Milliseconds(sentAt), Common::Milliseconds(expiresAt)};
--- a/Source/UnitTests/Entry/StreamRecordRowsTest.cpp
+++ b/Source/UnitTests/Entry/StreamRecordRowsTest.cpp
@@ -117,6 +117,40 @@
     BOOST_TEST(content->records[0].attempt == "longer");
 }
 
+// Guards against a record that counts as certain because an instance of an earlier release took
+// what the list named for it.
+BOOST_AUTO_TEST_CASE(record_ofAnEarlierRelease_isNotConfirmed)
+{
+    const auto records = readStreamRecords(
+        boost::json::parse(R"([["a","llm","v1","e1",17,2000,9000,true]])"), this->now);
+    BOOST_REQUIRE(records.size() == 1u);
+    BOOST_TEST(!records[0].isConfirmed);
+    BOOST_TEST(!records[0].origin.isVersionKnown);
+    BOOST_TEST(records[0].origin.version == "v1");
+    BOOST_TEST(records[0].origin.incarnation == 17u);
+}
+
+// Guards against a record whose process is not certain, and that counts as certain at another
+// instance: of an earlier release too, which looks up the fields that it knows in the list.
+BOOST_AUTO_TEST_CASE(record_notConfirmed_isTheSame)
+{
+    for (const bool isConfirmed : {false, true}) {
+        StreamRecord made = this->record("a", 9);
+        made.isConfirmed = isConfirmed;
+        const boost::json::array written = toJson({made}, this->now);
+        const boost::json::array &fields = written[0].get_array();
+        BOOST_TEST((fields[2].get_string() == "v1") == isConfirmed);
+        BOOST_TEST((fields[4].to_number<std::uint64_t>() == 17u) == isConfirmed);
+        BOOST_TEST(fields[7].get_bool() == isConfirmed);
+        const auto read = readStreamRecords(written, this->now);
+        BOOST_REQUIRE(read.size() == 1u);
+        BOOST_TEST(read[0].isConfirmed == isConfirmed);
+        BOOST_TEST(read[0].origin.isVersionKnown == isConfirmed);
+        BOOST_TEST(read[0].origin.version == "v1");
+        BOOST_TEST(read[0].origin.incarnation == 17u);
+    }
+}
+
 // Guards against records that live forever because a clock was wrong.
 BOOST_AUTO_TEST_CASE(recordNamesAFarExpiry_rowIsRead_lifetimeIsBounded)
 {
