Entry: Bound the questions of a stream that goes on

A stream that was taken up asked each endpoint of its version which process it is, one after the other, where none states it: as many connections, questions and log lines as the service has endpoints, and most of them while these are overloaded. Each question is a request to them, outside the retry budget.

A stream is refused, or ends, after three endpoints whose process is not known. The case manyWorkersDoNotStateTheirProcess_streamIsResumed_fewAreAsked fails with the program before.

The question to the endpoint where a stream began is left out where the list names another process by now, which it could not confirm, uses idle connections like any call, and is counted. stream-resumed tells a process that has not stated itself (process-not-known) from one that no row names yet (version-not-listed).

--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -35,6 +35,9 @@
 constexpr Common::Milliseconds kMinAbandonTimeout{2000};
 constexpr int kAbandonTimeoutObjectives = 4;
 constexpr int kAbandonTimeoutGaps = 8;
+// Endpoints whose process is not known that are asked for it before a stream is refused. Where one
+// does not state it, most do not.
+constexpr int kMaxUnknownPeers = 3;
 // Callers choose the number and the names of prompt parts, so that a log line bounds both.
 constexpr std::size_t kMaxLoggedParts = 8;
 constexpr std::size_t kMaxLoggedPartLength = 16;
@@ -323,7 +326,7 @@
 
 std::optional<std::size_t> RequestFlow::chooseEndpoint(Common::Time now)
 {
-    if (this->isVersionUncertain)
+    if (this->isVersionUncertain || this->unknownPeers >= kMaxUnknownPeers)
         return std::nullopt;
     Routing::Pool &pool = this->state.poolOf(this->service);
     const Catalog::Service *entry = Catalog::findService(*this->catalog, this->service);
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -417,10 +417,14 @@
     bool isOtherProcess = false;
     // The endpoint has not answered the question for its process yet.
     bool isAskingPeer = false;
-    // What the process of the last send has said of itself on its connection, now or before.
+    // What the process of the last send has said of itself: `Stated` if it was now or before, the
+    // others if it was asked now.
     ProcessStatement statement = ProcessStatement::None;
     // Status of its answer if it was asked now.
     std::optional<unsigned> statementStatus;
+    // How often a stream did not go on at an endpoint of its version, since the process behind the
+    // connection is not known.
+    int unknownPeers = 0;
     // Age of the list when the endpoint of the last send was chosen.
     std::optional<Common::Duration> listAge;
     // `Responding` follows from the exchange and is never stored here.
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -19,6 +19,12 @@
 
 constexpr unsigned kStatusOk = 200;
 
+// What an answer with this status says that states no start time.
+ProcessStatement statementOf(unsigned status)
+{
+    return status == kStatusOk ? ProcessStatement::Unstated : ProcessStatement::Refused;
+}
+
 bool leadsTo(const Catalog::Route &route, const std::string &service)
 {
     return std::any_of(
@@ -63,7 +69,8 @@
         this->learnVersion();
         co_await this->confirmOrigin();
         if (!this->origin->isVersionKnown) {
-            this->noteResumption("version-not-listed");
+            this->noteResumption(this->origin->isStated ? "version-not-listed"
+                                                        : "process-not-known");
             co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
         }
         this->requiredVersion = this->origin->version;
@@ -136,8 +143,7 @@
         if (process)
             this->dependencies.endpoints.noteStated(endpoint.id, *process, askedAt);
         else
-            this->statement = response.status == kStatusOk ? ProcessStatement::Unstated
-                                                           : ProcessStatement::Refused;
+            this->statement = statementOf(response.status);
         this->state.metrics.count(
             labelled("process_questions", "result",
                      Common::nameOf(process ? ProcessStatement::Stated : this->statement)));
@@ -152,6 +158,8 @@
         this->dependencies.limits.coldEndpoints().noteProcess(endpoint, *peer.startTime);
     }
     this->isOtherProcess = !this->mayGoOnAt(endpoint, peer);
+    if (this->isOtherProcess && !peer.startTime)
+        ++this->unknownPeers;
     return !this->isOtherProcess;
 }
 
@@ -190,14 +198,14 @@
     const Common::Time now = clockNow();
     const std::vector<Routing::Endpoint> &endpoints = this->state.poolOf(this->service).endpoints;
     const auto found = std::find_if(endpoints.begin(), endpoints.end(), [this](const auto &each) {
-        return each.id == this->origin->endpoint && !each.isEvacuated;
+        return each.id == this->origin->endpoint && each.incarnation == this->origin->incarnation
+            && !each.isEvacuated;
     });
     // The question is a request to the endpoint too.
     if (found == endpoints.end() || Routing::isLimited(found->gate) || Routing::isHeld(*found, now))
         co_return;
     const Routing::Endpoint endpoint = *found;
-    Http::CallOptions options;
-    options.handle = &this->call;
+    Http::CallOptions options = this->callOptions(now);
     options.deadline = std::min<Common::Time>(this->deadline, now + kProcessAnswerTimeout);
     options.connectTimeout = kProcessAnswerTimeout;
     const ProcessReply reply = co_await askForProcess(this->state, endpoint, options);
@@ -205,6 +213,10 @@
         this->applyResponseHead(endpoint, *reply.head, now);
     if (reply.startTime)
         this->dependencies.endpoints.noteStated(endpoint.id, *reply.startTime, now);
+    const ProcessStatement statement = reply.startTime ? ProcessStatement::Stated
+        : reply.head                                   ? statementOf(reply.head->status)
+                                                       : ProcessStatement::Unanswered;
+    this->state.metrics.count(labelled("process_questions", "result", Common::nameOf(statement)));
     this->learnVersion();
 }
 
