Entry: Count a row's life from when the list has named it

What callers could see: a stream of one software version that goes on at another one.

A row shows that its process ran at a time if it is still listed a row's life later, but only the readings were counted, not the row. A late write brings the row of a process back that has ended, beside readings that go back far enough, so that it was believed at once.

Change: the time for which the row must have been listed begins when this instance's list has named the process.

The fixture now lists the process from the start, which the tests had taken for granted; process_isListedLater_wasNotListedBefore asks for another endpoint therefore, with the same assertions.

What it costs: an instance that starts believes rows as late as before, as its readings begin then too.

--- a/Source/Core/Entry/ProcessEvidence.cpp
+++ b/Source/Core/Entry/ProcessEvidence.cpp
@@ -49,6 +49,9 @@
 bool hasRunSince(const ProcessEvidence &evidence, const ListedProcess &process, Common::Time time,
                  Common::Duration heartbeat)
 {
+    const auto listedSince = evidence.listedSince.find(process.endpoint);
+    if (listedSince == evidence.listedSince.end())
+        return false;
     const auto found = evidence.stated.find(process.endpoint);
     if (found != evidence.stated.end()) {
         const bool isSame = found->second.incarnation == process.incarnation;
@@ -60,7 +63,8 @@
     }
     if (!evidence.readAt || !evidence.followedSince)
         return false;
-    const Common::Time since = std::max(time, *evidence.followedSince);
+    // A late write may bring the row of a process back that has ended.
+    const Common::Time since = std::max({time, *evidence.followedSince, listedSince->second});
     return *evidence.readAt - since >= heartbeat * kRowLifetimeHeartbeats;
 }
 
--- a/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
+++ b/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
@@ -19,6 +19,11 @@
     ListedProcess other{Common::EndpointId("e1"), 18};
     ProcessEvidence evidence;
 
+    ProcessEvidenceFixture()
+    {
+        this->evidence.listedSince[this->process.endpoint] = this->start;
+    }
+
     Common::Time at(int milliseconds) const
     {
         return this->start + Common::Milliseconds(milliseconds);
@@ -113,10 +118,25 @@
 
 BOOST_AUTO_TEST_CASE(process_isListedLater_wasNotListedBefore)
 {
-    BOOST_TEST(!wasListed(this->evidence, this->process.endpoint, this->at(0)));
-    this->evidence.listedSince[this->process.endpoint] = this->at(100);
-    BOOST_TEST(!wasListed(this->evidence, this->process.endpoint, this->at(99)));
-    BOOST_TEST(wasListed(this->evidence, this->process.endpoint, this->at(100)));
+    const Common::EndpointId unlisted("e2");
+    BOOST_TEST(!wasListed(this->evidence, unlisted, this->at(0)));
+    this->evidence.listedSince[unlisted] = this->at(100);
+    BOOST_TEST(!wasListed(this->evidence, unlisted, this->at(99)));
+    BOOST_TEST(wasListed(this->evidence, unlisted, this->at(100)));
+}
+
+// Guards against a late write of a process that has ended: it brings the row back for a while, and
+// the list has been read for long enough.
+BOOST_AUTO_TEST_CASE(process_rowWasGoneInBetween_isKnownOnceItIsListedForLongEnough)
+{
+    this->readFromTo(this->start, this->start + kRowLifetime);
+    const Common::Time back = this->at(3700);
+    this->evidence.listedSince[this->process.endpoint] = back;
+    BOOST_TEST(!this->ranAt(this->start));
+    this->readFromTo(this->at(6000), this->at(8400));
+    BOOST_TEST(!this->ranAt(this->start));
+    this->readFromTo(this->at(9600), this->at(9600));
+    BOOST_TEST(this->ranAt(this->start));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
