Entry: Tell processes without a start time apart since they are listed

What callers could see: a stream of one software version that goes on at another one, where workers write no start time (`born`) into their rows.

A process without a start time is known by its version and the sequence of its rows. If v1 is restarted as v2 and then again as v1, the row names v1 as before, and what began at v2 while the row still named v1 counted as v1's: - a row's process was believed to have run before this instance's list named it; - a restart that only the sequence shows changes nothing for routing, so that `listedSince` stayed that of the process before (noteListed returned first), and readers did not report it; - a follower, which knows the sequence of the last report only, could not see it by itself.

Change: one without a start time must have been named by this instance's list since. `listedSince` begins anew with each restart (Entry::noteListed, now a function without a network). Readers report such a restart; a follower takes each report of such a row, and its first reading after reports, for a restart. So does any reading of a row that has no sequence either.

Evidence: of the tests, processWithoutStartTime_isListedLater_isNeverKnownToHaveRunBefore, ..._sequenceStartsAnew_..., ..._sequenceIsNotKnown_... (the reports) and changesOf_processWithoutStartTimeStartsAnew_isReported failed with the logic before. process_otherVersionWithTheSameStartTime_isListedSinceThen passed before and guards the version change within a start time.

What it costs: rows with a start time behave as before. Without one, take-ups of streams that began before this instance listed the process are refused for as long as several versions serve; a report of such a row, also of its cold time or state, begins anew at the followers.

Not covered: two restarts within one reading of the list after which the sequence is not lower than it was read before.

--- a/Source/Core/Entry/EndpointChanges.cpp
+++ b/Source/Core/Entry/EndpointChanges.cpp
@@ -13,7 +13,7 @@
 {
     return a.service == b.service && a.entry.address == b.entry.address
         && a.entry.incarnation == b.entry.incarnation && a.entry.state == b.entry.state
-        && a.entry.version == b.entry.version;
+        && a.entry.version == b.entry.version && isFromSameProcess(a, b);
 }
 
 // Whether the entry of a process says what follows from the one reported before, as time goes by:
--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -263,7 +263,8 @@
             this->noteDropped(entry.id, now);
     }
     for (const ListedEndpoint &listed : report.changes->listed)
-        this->noteListed(listed, EntrySource::Change, now);
+        this->noteListed(listed, EntrySource::Report, now);
+    this->hasFollowed = true;
     this->position = report.changes->to;
     this->relay.setPosition(this->position);
     this->applyExpirations(now);
@@ -294,7 +295,7 @@
     const Routing::EndpointEntry before
         = known == this->list.known.end() ? listed.entry : known->second.listed.entry;
     const Routing::ProcessNews process = this->processNewsOf(listed);
-    const EntryChange change = applyEntry(this->list, listed, source);
+    const EntryChange change = Entry::noteListed(this->evidence, this->list, listed, source, now);
     if (change == EntryChange::Outdated)
         this->state.metrics.count("endpoint_entries_outdated");
     else if (this->listedHandler)
@@ -302,8 +303,6 @@
     if (change != EntryChange::Changed)
         return;
     this->changed = true;
-    if (process != Routing::ProcessNews::Known)
-        this->evidence.listedSince[listed.entry.id] = now;
     if (before.incarnation != listed.entry.incarnation && before.version != listed.entry.version
         && this->restartHandler)
         this->restartHandler(before.id, before.incarnation, this->knownUntil);
@@ -319,6 +318,8 @@
 void EndpointDiscovery::applyReading(const EndpointsUpdate &reading, Common::Time now)
 {
     this->list.epoch = this->position.epoch;
+    if (std::exchange(this->hasFollowed, false))
+        noteReadAfterReports(this->evidence, this->list, now);
     const EntrySource source = reading.isComplete ? EntrySource::FullState : EntrySource::Change;
     if (reading.isComplete) {
         std::set<Common::EndpointId> present;
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -120,6 +120,8 @@
     // When the store was last back, from an outage or from an older copy.
     std::optional<Common::Time> storeRecoveredAt;
     bool changed = false;
+    // Whether the list is based on a report of another instance since this one last read it.
+    bool hasFollowed = false;
     // Whether the list has been read in full.
     bool hasReadAll = false;
 };
--- a/Source/Core/Entry/EndpointList.cpp
+++ b/Source/Core/Entry/EndpointList.cpp
@@ -48,7 +48,7 @@
 EntryChange applyEntry(EndpointList &list, const ListedEndpoint &entry, EntrySource source)
 {
     const auto isOrderKnown = [&list, source](std::uint64_t knownEpoch) {
-        return source == EntrySource::Change || knownEpoch == list.epoch;
+        return source != EntrySource::FullState || knownEpoch == list.epoch;
     };
     const auto gone = list.dropped.find(entry.entry.id);
     if (gone != list.dropped.end()) {
--- a/Source/Core/Entry/EndpointList.h
+++ b/Source/Core/Entry/EndpointList.h
@@ -55,6 +55,8 @@
     Change,
     // Listed by a reading of the full state. May come from the copy with which the epoch began.
     FullState,
+    // Reported by a reader, because something has changed.
+    Report,
 };
 
 // Whether the later of two entries of an endpoint is from the same process. One without a start
--- a/Source/Core/Entry/ProcessEvidence.cpp
+++ b/Source/Core/Entry/ProcessEvidence.cpp
@@ -25,6 +25,30 @@
         entry->second = stated;
 }
 
+EntryChange noteListed(ProcessEvidence &evidence, EndpointList &list, const ListedEndpoint &entry,
+                       EntrySource source, Common::Time now)
+{
+    const auto known = list.known.find(entry.entry.id);
+    const bool isKnown
+        = known != list.known.end() && isFromSameProcess(known->second.listed, entry);
+    // A reader reports only what has changed, which may be the process. Without a sequence, nothing
+    // tells it from the next one.
+    const bool mayBeAnother
+        = entry.entry.incarnation == 0 && (source == EntrySource::Report || entry.sequence == 0);
+    const EntryChange change = applyEntry(list, entry, source);
+    if (change != EntryChange::Outdated && (!isKnown || mayBeAnother))
+        evidence.listedSince[entry.entry.id] = now;
+    return change;
+}
+
+void noteReadAfterReports(ProcessEvidence &evidence, const EndpointList &list, Common::Time now)
+{
+    for (const auto &[id, known] : list.known) {
+        if (known.listed.entry.incarnation == 0)
+            evidence.listedSince[id] = now;
+    }
+}
+
 void noteReading(ProcessEvidence &evidence, Common::Time readAt, Common::Duration heartbeat)
 {
     const bool isFollowed
@@ -52,6 +76,8 @@
     const auto listedSince = evidence.listedSince.find(process.endpoint);
     if (listedSince == evidence.listedSince.end())
         return false;
+    if (process.incarnation == 0 && listedSince->second > time)
+        return false;
     const auto found = evidence.stated.find(process.endpoint);
     if (found != evidence.stated.end()) {
         const bool isSame = found->second.incarnation == process.incarnation;
--- a/Source/Core/Entry/ProcessEvidence.h
+++ b/Source/Core/Entry/ProcessEvidence.h
@@ -5,8 +5,7 @@
 // that would have lapsed without a heartbeat written since.
 #pragma once
 
-#include "Common/Ids.h"
-#include "Common/Time.h"
+#include "Entry/EndpointList.h"
 
 #include <cstdint>
 #include <map>
@@ -46,6 +45,14 @@
 void noteStated(ProcessEvidence &evidence, const ListedProcess &process, Common::Time askedAt,
                 Common::Time now);
 
+// Applies an entry to the list, and records since when the list has named its process.
+EntryChange noteListed(ProcessEvidence &evidence, EndpointList &list, const ListedEndpoint &entry,
+                       EntrySource source, Common::Time now);
+
+// Records that this instance reads the list after it has followed another one. Reports do not tell
+// how the sequence of a row went on, which alone tells processes without a start time apart.
+void noteReadAfterReports(ProcessEvidence &evidence, const EndpointList &list, Common::Time now);
+
 // Records that a reading of the list began. Rows that should have lapsed may still be listed after
 // the store was away, so that a gap of more than two heartbeats begins the history anew.
 void noteReading(ProcessEvidence &evidence, Common::Time readAt, Common::Duration heartbeat);
@@ -57,7 +64,8 @@
 bool hadStated(const ProcessEvidence &evidence, const ListedProcess &process, Common::Time time);
 
 // Whether a process that the list names now, and had named before `time`, still ran at `time`. The
-// caller knows that it had: it may be another instance that saw it.
+// caller knows that it had: it may be another instance that saw it. One without a start time must
+// have been named by this instance's list ever since.
 bool hasRunSince(const ProcessEvidence &evidence, const ListedProcess &process, Common::Time time,
                  Common::Duration heartbeat);
 
--- a/Source/UnitTests/Entry/EndpointChangesTest.cpp
+++ b/Source/UnitTests/Entry/EndpointChangesTest.cpp
@@ -51,6 +51,21 @@
     BOOST_TEST(none.dropped.empty());
 }
 
+// Guards against followers that take a process without a start time for the one before it.
+BOOST_AUTO_TEST_CASE(changesOf_processWithoutStartTimeStartsAnew_isReported)
+{
+    const auto isReported = [this](std::uint64_t sequence) {
+        ListedEndpoint made = entry("e1", sequence);
+        made.entry.incarnation = 0;
+        applyEntry(this->list, made);
+        return !changesOf(this->list, this->reported).listed.empty();
+    };
+    BOOST_TEST(isReported(40));
+    BOOST_TEST(!isReported(41));
+    BOOST_TEST(isReported(1));
+    BOOST_TEST(!isReported(2));
+}
+
 // Guards against followers that go on as before when an endpoint turns cold again, and against
 // reports at each heartbeat of one that warms.
 BOOST_AUTO_TEST_CASE(changesOf_endpointTurnsCold_isReportedOnceUntilItIsWarm)
--- a/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
+++ b/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
@@ -17,6 +17,7 @@
     Common::Time start = Common::Time(std::chrono::seconds(1000));
     ListedProcess process{Common::EndpointId("e1"), 17};
     ListedProcess other{Common::EndpointId("e1"), 18};
+    EndpointList list;
     ProcessEvidence evidence;
 
     ProcessEvidenceFixture()
@@ -40,6 +41,17 @@
     {
         return hasRunSince(this->evidence, this->process, time, kHeartbeat);
     }
+
+    // A row of a process without a start time.
+    ListedEndpoint unstartedRow(const std::string &version, std::uint64_t sequence) const
+    {
+        ListedEndpoint made;
+        made.service = "app";
+        made.entry.id = this->process.endpoint;
+        made.entry.version = version;
+        made.sequence = sequence;
+        return made;
+    }
 };
 
 } // namespace
@@ -139,4 +151,63 @@
     BOOST_TEST(this->ranAt(this->start));
 }
 
+// Guards against a process without a start time that is taken for the one before, which another
+// version had replaced for a while.
+BOOST_AUTO_TEST_CASE(processWithoutStartTime_isListedLater_isNeverKnownToHaveRunBefore)
+{
+    this->process.incarnation = 0;
+    this->evidence.listedSince[this->process.endpoint] = this->at(1200);
+    this->readFromTo(this->start, this->start + 2 * kRowLifetime);
+    BOOST_TEST(!this->ranAt(this->at(1199)));
+    BOOST_TEST(this->ranAt(this->at(1200)));
+}
+
+// Guards against the same where nothing differs but the sequence of the rows, as no reading has
+// shown the process in between.
+BOOST_AUTO_TEST_CASE(processWithoutStartTime_sequenceStartsAnew_isListedSinceThen)
+{
+    const auto apply = [this](const ListedEndpoint &row, EntrySource source, Common::Time now) {
+        return noteListed(this->evidence, this->list, row, source, now);
+    };
+    apply(this->unstartedRow("v1", 40), EntrySource::FullState, this->start);
+    apply(this->unstartedRow("v1", 41), EntrySource::Change, this->at(1200));
+    BOOST_TEST(wasListed(this->evidence, this->process.endpoint, this->start));
+    const EntryChange change
+        = apply(this->unstartedRow("v1", 1), EntrySource::Change, this->at(2400));
+    BOOST_TEST((change == EntryChange::None));
+    BOOST_TEST(!wasListed(this->evidence, this->process.endpoint, this->at(2399)));
+    BOOST_TEST(wasListed(this->evidence, this->process.endpoint, this->at(2400)));
+}
+
+// Guards against a follower that does not see a restart, as it knows the sequence of the last
+// report only: a process without a start time counts as new with each report of it, and with the
+// first reading after one. So does one without a sequence with each reading.
+BOOST_AUTO_TEST_CASE(processWithoutStartTime_sequenceIsNotKnown_isListedSinceThen)
+{
+    const auto isNewAt = [this](EntrySource source, std::uint64_t sequence, int time) {
+        noteListed(this->evidence, this->list, this->unstartedRow("v1", sequence), source,
+                   this->at(time));
+        return !wasListed(this->evidence, this->process.endpoint, this->at(time - 1));
+    };
+    BOOST_TEST(isNewAt(EntrySource::Report, 1, 100));
+    BOOST_TEST(isNewAt(EntrySource::Report, 2, 200));
+    noteReadAfterReports(this->evidence, this->list, this->at(300));
+    BOOST_TEST(isNewAt(EntrySource::Change, 3, 300));
+    BOOST_TEST(!isNewAt(EntrySource::Change, 4, 400));
+    BOOST_TEST(isNewAt(EntrySource::Change, 0, 500));
+    BOOST_TEST(isNewAt(EntrySource::Change, 0, 600));
+}
+
+// Guards against two processes of one start time, one of which the list has named before.
+BOOST_AUTO_TEST_CASE(process_otherVersionWithTheSameStartTime_isListedSinceThen)
+{
+    ListedEndpoint row = this->unstartedRow("v1", 40);
+    row.entry.incarnation = this->process.incarnation;
+    noteListed(this->evidence, this->list, row, EntrySource::Change, this->at(100));
+    row.entry.version = "v2";
+    row.sequence = 1;
+    noteListed(this->evidence, this->list, row, EntrySource::Change, this->at(200));
+    BOOST_TEST(!wasListed(this->evidence, this->process.endpoint, this->at(199)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
