Entry: Believe no statement across that of another process

What callers could see: a stream of one software version that goes on at another one.

Of two processes that have stated themselves, only the last one was kept: - a process that states itself, another one, and the first again counted as having run all the time, also when the connection may have been made to the other one; - an answer of the process before that arrives behind one of the next process replaced it, so that the row of the one that had ended was believed again.

Change: a statement proves nothing about times up to the last statement of another process, and an answer to an earlier question than another process has answered is ignored.

Evidence: process_statesItselfAgainAfterAnother_hasRunSinceThenOnly and process_answersAnEarlierQuestionAfterAnother_isNotKnownToHaveRun failed before (4 assertions); the tests of EndpointList, EndpointChanges and ProcessEvidence pass, linked by hand.

What it costs: a stream whose worker's statement was overtaken so stays unknown until the next statement, or for good if it began before the other process was heard.

--- a/Source/Core/Entry/ProcessEvidence.cpp
+++ b/Source/Core/Entry/ProcessEvidence.cpp
@@ -15,14 +15,16 @@
 void noteStated(ProcessEvidence &evidence, const ListedProcess &process, Common::Time askedAt,
                 Common::Time now)
 {
-    const StatedProcess stated{process.incarnation, now, askedAt};
-    const auto [entry, added] = evidence.stated.try_emplace(process.endpoint, stated);
-    if (added)
-        return;
-    if (entry->second.incarnation == process.incarnation)
-        entry->second.lastAskedAt = std::max(entry->second.lastAskedAt, askedAt);
-    else
-        entry->second = stated;
+    StatedProcess latest{process.incarnation, now, askedAt, now};
+    const auto [entry, added] = evidence.stated.try_emplace(process.endpoint, latest);
+    StatedProcess &stated = entry->second;
+    if (stated.incarnation == process.incarnation) {
+        stated.lastAskedAt = std::max(stated.lastAskedAt, askedAt);
+        stated.heardAt = std::max(stated.heardAt, now);
+    } else if (askedAt >= stated.lastAskedAt) {
+        latest.otherHeardAt = stated.heardAt;
+        stated = latest;
+    }
 }
 
 EntryChange noteListed(ProcessEvidence &evidence, EndpointList &list, const ListedEndpoint &entry,
@@ -81,6 +83,8 @@
     const auto found = evidence.stated.find(process.endpoint);
     if (found != evidence.stated.end()) {
         const bool isSame = found->second.incarnation == process.incarnation;
+        if (isSame && time <= found->second.otherHeardAt)
+            return false;
         if (isSame && found->second.lastAskedAt >= time)
             return true;
         // The list may not name yet the process that has stated this.
--- a/Source/Core/Entry/ProcessEvidence.h
+++ b/Source/Core/Entry/ProcessEvidence.h
@@ -21,6 +21,11 @@
     Common::Time since;
     // When it was last asked a question that it has answered.
     Common::Time lastAskedAt;
+    // When its last statement was heard.
+    Common::Time heardAt;
+    // When another process had last stated itself. Connections that were made before may be to that
+    // one, although this one has run before it and after it.
+    std::optional<Common::Time> otherHeardAt = {};
 };
 
 // A process of an endpoint as the list names it.
@@ -41,7 +46,8 @@
     std::optional<Common::Time> followedSince;
 };
 
-// Records a statement: the question was sent at `askedAt` or later.
+// Records a statement: the question was sent at `askedAt` or later. One in answer to an earlier
+// question than another process has answered is ignored: it may have been overtaken.
 void noteStated(ProcessEvidence &evidence, const ListedProcess &process, Common::Time askedAt,
                 Common::Time now);
 
--- a/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
+++ b/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
@@ -210,4 +210,28 @@
     BOOST_TEST(!wasListed(this->evidence, this->process.endpoint, this->at(199)));
 }
 
+// Guards against two processes behind one address: what one states says nothing about a connection
+// that was made before the other one answered.
+BOOST_AUTO_TEST_CASE(process_statesItselfAgainAfterAnother_hasRunSinceThenOnly)
+{
+    noteStated(this->evidence, this->process, this->at(100), this->at(150));
+    noteStated(this->evidence, this->other, this->at(200), this->at(250));
+    noteStated(this->evidence, this->process, this->at(300), this->at(350));
+    BOOST_TEST(!this->ranAt(this->at(100)));
+    BOOST_TEST(!this->ranAt(this->at(250)));
+    BOOST_TEST(this->ranAt(this->at(251)));
+    BOOST_TEST(!hadStated(this->evidence, this->process, this->at(349)));
+}
+
+// Guards against an answer of the process before that arrives late, and hides that of the next one:
+// its row would be believed for as long as the next one cannot write.
+BOOST_AUTO_TEST_CASE(process_answersAnEarlierQuestionAfterAnother_isNotKnownToHaveRun)
+{
+    this->readFromTo(this->start, this->start + kRowLifetime);
+    noteStated(this->evidence, this->other, this->at(200), this->at(250));
+    noteStated(this->evidence, this->process, this->at(150), this->at(260));
+    BOOST_TEST(!this->ranAt(this->start));
+    BOOST_TEST(!this->ranAt(this->at(150)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
