Entry, platform: Take a start time of zero for none

What callers could see: a stream of one software version that goes on at another one. Not seen; it needs a worker that states a start time of zero.

Cause: rows without a start time count as ones of zero. A process that stated zero was taken for the one of such a row without any doubt, and for one that two processes state.

--- a/Source/Core/Entry/ProcessEvidence.cpp
+++ b/Source/Core/Entry/ProcessEvidence.cpp
@@ -15,6 +15,9 @@
 void noteStated(ProcessEvidence &evidence, const ListedProcess &process, Common::Time askedAt,
                 Common::Time now)
 {
+    // Zero names no process.
+    if (process.incarnation == 0)
+        return;
     StatedProcess latest{process.incarnation, now, askedAt, now};
     const auto [entry, added] = evidence.stated.try_emplace(process.endpoint, latest);
     StatedProcess &stated = entry->second;
--- a/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
+++ b/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
@@ -210,6 +210,14 @@
     BOOST_TEST(!wasListed(this->evidence, this->process.endpoint, this->at(199)));
 }
 
+// Guards against a start time of zero, which is none, that two processes state.
+BOOST_AUTO_TEST_CASE(processWithoutStartTime_statesZero_isNotKnownToHaveRun)
+{
+    this->process.incarnation = 0;
+    noteStated(this->evidence, this->process, this->at(100), this->at(150));
+    BOOST_TEST(!this->ranAt(this->at(100)));
+}
+
 // Guards against two processes behind one address: what one states says nothing about a connection
 // that was made before the other one answered.
 BOOST_AUTO_TEST_CASE(process_statesItselfAgainAfterAnother_hasRunSinceThenOnly)
