Entry: Count a restored store's rows from the end of the reading that showed it

What callers could see: a stream of one software version that goes on at another one, after the store has returned from an older copy.

Cause: the rows of the copy lapse a row's life after the store has returned, but that was counted from the begin of the reading that showed it. The store may have returned up to the end of that reading, so that a slow one made a row count that had not had the time to lapse.

Change: it is counted from the end of the reading.

Evidence: process_readingSawTheStoreReturnLate_isKnownALifetimeAfterItsEnd failed before. reading_beganBeforeAnEarlierOne_neitherProvesNorLosesAnything passed before; it guards readings of two readers that overtake each other. The argument of noteStoreRestored is new, so that process_storeHasReturnedFromACopy_isKnownLater names the time of its last reading.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -196,7 +196,7 @@
     const ReadingUse use = useOfReading(this->position, reading->position, reading->isComplete);
     if (this->position.epoch != 0 && reading->position.epoch > this->position.epoch) {
         this->storeRecoveredAt = now;
-        noteStoreRestored(this->evidence);
+        noteStoreRestored(this->evidence, now);
         this->state.logState(
             LogLine("store-restored")
                 .text("read", "endpoints")
--- a/Source/Core/Entry/ProcessEvidence.cpp
+++ b/Source/Core/Entry/ProcessEvidence.cpp
@@ -59,12 +59,13 @@
     const bool isFollowed
         = evidence.readAt && readAt - *evidence.readAt <= heartbeat * kMaxGapHeartbeats;
     if (!isFollowed || !evidence.followedSince)
-        evidence.followedSince = readAt;
+        evidence.followedSince = std::max(readAt, evidence.restoredAt.value_or(readAt));
     evidence.readAt = std::max(evidence.readAt.value_or(readAt), readAt);
 }
 
-void noteStoreRestored(ProcessEvidence &evidence)
+void noteStoreRestored(ProcessEvidence &evidence, Common::Time now)
 {
+    evidence.restoredAt = now;
     evidence.followedSince.reset();
 }
 
--- a/Source/Core/Entry/ProcessEvidence.h
+++ b/Source/Core/Entry/ProcessEvidence.h
@@ -44,6 +44,8 @@
     std::optional<Common::Time> readAt;
     // Since when the list has been read without a long gap, and the store has lost nothing.
     std::optional<Common::Time> followedSince;
+    // When the store was last known to have returned from an older copy.
+    std::optional<Common::Time> restoredAt;
 };
 
 // Records a statement: the question was sent at `askedAt` or later. One in answer to an earlier
@@ -63,8 +65,8 @@
 // the store was away, so that a gap of more than two heartbeats begins the history anew.
 void noteReading(ProcessEvidence &evidence, Common::Time readAt, Common::Duration heartbeat);
 
-// Records that the store has returned from an older copy.
-void noteStoreRestored(ProcessEvidence &evidence);
+// Records that the store has returned from an older copy, as was learned now.
+void noteStoreRestored(ProcessEvidence &evidence, Common::Time now);
 
 // Whether this process had stated its start time at `time` or before, and no other one has since.
 bool hadStated(const ProcessEvidence &evidence, const ListedProcess &process, Common::Time time);
--- a/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
+++ b/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
@@ -92,7 +92,7 @@
 BOOST_AUTO_TEST_CASE(process_storeHasReturnedFromACopy_isKnownLater)
 {
     this->readFromTo(this->start, this->start + kRowLifetime);
-    noteStoreRestored(this->evidence);
+    noteStoreRestored(this->evidence, this->start + kRowLifetime);
     BOOST_TEST(!this->ranAt(this->start));
     const Common::Time back = this->start + kRowLifetime + kReadInterval;
     this->readFromTo(back, back + kRowLifetime);
@@ -242,4 +242,25 @@
     BOOST_TEST(!this->ranAt(this->at(150)));
 }
 
+// Guards against rows of an older copy that lapse a lifetime after the store has returned, not
+// after the begin of the reading that showed it.
+BOOST_AUTO_TEST_CASE(process_readingSawTheStoreReturnLate_isKnownALifetimeAfterItsEnd)
+{
+    noteStoreRestored(this->evidence, this->at(1000));
+    this->readFromTo(this->start, this->start + kRowLifetime);
+    BOOST_TEST(!this->ranAt(this->start));
+    this->readFromTo(this->at(6000), this->at(6000));
+    BOOST_TEST(this->ranAt(this->start));
+}
+
+// Guards against a reading that overtakes a later one, of another reader: the history goes on.
+BOOST_AUTO_TEST_CASE(reading_beganBeforeAnEarlierOne_neitherProvesNorLosesAnything)
+{
+    this->readFromTo(this->start, this->at(3600));
+    noteReading(this->evidence, this->at(1000), kHeartbeat);
+    BOOST_TEST(!this->ranAt(this->start));
+    noteReading(this->evidence, this->at(4800), kHeartbeat);
+    BOOST_TEST(this->ranAt(this->start));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
