--- a/Source/Core/Entry/ProcessEvidence.cpp
+++ b/Source/Core/Entry/ProcessEvidence.cpp
@@ -15,14 +15,43 @@
 void noteStated(ProcessEvidence &evidence, const ListedProcess &process, Common::Time askedAt,
                 Common::Time now)
 {
-    const StatedProcess stated{process.incarnation, now, askedAt};
-    const auto [entry, added] = evidence.stated.try_emplace(process.endpoint, stated);
-    if (added)
+    // Zero names no process.
+    if (process.incarnation == 0)
         return;
-    if (entry->second.incarnation == process.incarnation)
-        entry->second.lastAskedAt = std::max(entry->second.lastAskedAt, askedAt);
-    else
-        entry->second = stated;
+    StatedProcess latest{process.incarnation, now, askedAt, now};
+    const auto [entry, added] = evidence.stated.try_emplace(process.endpoint, latest);
+    StatedProcess &stated = entry->second;
+    if (stated.incarnation == process.incarnation) {
+        stated.lastAskedAt = std::max(stated.lastAskedAt, askedAt);
+        stated.heardAt = std::max(stated.heardAt, now);
+    } else if (askedAt >= stated.lastAskedAt) {
+        latest.otherHeardAt = stated.heardAt;
+        stated = latest;
+    }
+}
+
+EntryChange noteListed(ProcessEvidence &evidence, EndpointList &list, const ListedEndpoint &entry,
+                       EntrySource source, Common::Time now)
+{
+    const auto known = list.known.find(entry.entry.id);
+    const bool isKnown
+        = known != list.known.end() && isFromSameProcess(known->second.listed, entry);
+    // A reader reports only what has changed, which may be the process. Without a sequence, nothing
+    // tells it from the next one.
+    const bool mayBeAnother
+        = entry.entry.incarnation == 0 && (source == EntrySource::Report || entry.sequence == 0);
+    const EntryChange change = applyEntry(list, entry, source);
+    if (change != EntryChange::Outdated && (!isKnown || mayBeAnother))
+        evidence.listedSince[entry.entry.id] = now;
+    return change;
+}
+
+void noteReadAfterReports(ProcessEvidence &evidence, const EndpointList &list, Common::Time now)
+{
+    for (const auto &[id, known] : list.known) {
+        if (known.listed.entry.incarnation == 0)
+            evidence.listedSince[id] = now;
+    }
 }
 
 void noteReading(ProcessEvidence &evidence, Common::Time readAt, Common::Duration heartbeat)
@@ -30,12 +59,13 @@
     const bool isFollowed
         = evidence.readAt && readAt - *evidence.readAt <= heartbeat * kMaxGapHeartbeats;
     if (!isFollowed || !evidence.followedSince)
-        evidence.followedSince = readAt;
+        evidence.followedSince = std::max(readAt, evidence.restoredAt.value_or(readAt));
     evidence.readAt = std::max(evidence.readAt.value_or(readAt), readAt);
 }
 
-void noteStoreRestored(ProcessEvidence &evidence)
+void noteStoreRestored(ProcessEvidence &evidence, Common::Time now)
 {
+    evidence.restoredAt = now;
     evidence.followedSince.reset();
 }
 
@@ -49,9 +79,16 @@
 bool hasRunSince(const ProcessEvidence &evidence, const ListedProcess &process, Common::Time time,
                  Common::Duration heartbeat)
 {
+    const auto listedSince = evidence.listedSince.find(process.endpoint);
+    if (listedSince == evidence.listedSince.end())
+        return false;
+    if (process.incarnation == 0 && listedSince->second > time)
+        return false;
     const auto found = evidence.stated.find(process.endpoint);
     if (found != evidence.stated.end()) {
         const bool isSame = found->second.incarnation == process.incarnation;
+        if (isSame && time <= found->second.otherHeardAt)
+            return false;
         if (isSame && found->second.lastAskedAt >= time)
             return true;
         // The list may not name yet the process that has stated this.
@@ -60,7 +97,8 @@
     }
     if (!evidence.readAt || !evidence.followedSince)
         return false;
-    const Common::Time since = std::max(time, *evidence.followedSince);
+    // A late write may bring the row of a process back that has ended.
+    const Common::Time since = std::max({time, *evidence.followedSince, listedSince->second});
     return *evidence.readAt - since >= heartbeat * kRowLifetimeHeartbeats;
 }
 
--- a/Source/Core/Entry/ProcessEvidence.h
+++ b/Source/Core/Entry/ProcessEvidence.h
@@ -5,8 +5,7 @@
 // that would have lapsed without a heartbeat written since.
 #pragma once
 
-#include "Common/Ids.h"
-#include "Common/Time.h"
+#include "Entry/EndpointList.h"
 
 #include <cstdint>
 #include <map>
@@ -22,6 +21,11 @@
     Common::Time since;
     // When it was last asked a question that it has answered.
     Common::Time lastAskedAt;
+    // When its last statement was heard.
+    Common::Time heardAt;
+    // When another process had last stated itself. Connections that were made before may be to that
+    // one, although this one has run before it and after it.
+    std::optional<Common::Time> otherHeardAt = {};
 };
 
 // A process of an endpoint as the list names it.
@@ -40,24 +44,36 @@
     std::optional<Common::Time> readAt;
     // Since when the list has been read without a long gap, and the store has lost nothing.
     std::optional<Common::Time> followedSince;
+    // When the store was last known to have returned from an older copy.
+    std::optional<Common::Time> restoredAt;
 };
 
-// Records a statement: the question was sent at `askedAt` or later.
+// Records a statement: the question was sent at `askedAt` or later. One in answer to an earlier
+// question than another process has answered is ignored: it may have been overtaken.
 void noteStated(ProcessEvidence &evidence, const ListedProcess &process, Common::Time askedAt,
                 Common::Time now);
 
+// Applies an entry to the list, and records since when the list has named its process.
+EntryChange noteListed(ProcessEvidence &evidence, EndpointList &list, const ListedEndpoint &entry,
+                       EntrySource source, Common::Time now);
+
+// Records that this instance reads the list after it has followed another one. Reports do not tell
+// how the sequence of a row went on, which alone tells processes without a start time apart.
+void noteReadAfterReports(ProcessEvidence &evidence, const EndpointList &list, Common::Time now);
+
 // Records that a reading of the list began. Rows that should have lapsed may still be listed after
 // the store was away, so that a gap of more than two heartbeats begins the history anew.
 void noteReading(ProcessEvidence &evidence, Common::Time readAt, Common::Duration heartbeat);
 
-// Records that the store has returned from an older copy.
-void noteStoreRestored(ProcessEvidence &evidence);
+// Records that the store has returned from an older copy, as was learned now.
+void noteStoreRestored(ProcessEvidence &evidence, Common::Time now);
 
 // Whether this process had stated its start time at `time` or before, and no other one has since.
 bool hadStated(const ProcessEvidence &evidence, const ListedProcess &process, Common::Time time);
 
 // Whether a process that the list names now, and had named before `time`, still ran at `time`. The
-// caller knows that it had: it may be another instance that saw it.
+// caller knows that it had: it may be another instance that saw it. One without a start time must
+// have been named by this instance's list ever since.
 bool hasRunSince(const ProcessEvidence &evidence, const ListedProcess &process, Common::Time time,
                  Common::Duration heartbeat);
 
--- a/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
+++ b/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
@@ -17,8 +17,14 @@
     Common::Time start = Common::Time(std::chrono::seconds(1000));
     ListedProcess process{Common::EndpointId("e1"), 17};
     ListedProcess other{Common::EndpointId("e1"), 18};
+    EndpointList list;
     ProcessEvidence evidence;
 
+    ProcessEvidenceFixture()
+    {
+        this->evidence.listedSince[this->process.endpoint] = this->start;
+    }
+
     Common::Time at(int milliseconds) const
     {
         return this->start + Common::Milliseconds(milliseconds);
@@ -35,6 +41,17 @@
     {
         return hasRunSince(this->evidence, this->process, time, kHeartbeat);
     }
+
+    // A row of a process without a start time.
+    ListedEndpoint unstartedRow(const std::string &version, std::uint64_t sequence) const
+    {
+        ListedEndpoint made;
+        made.service = "app";
+        made.entry.id = this->process.endpoint;
+        made.entry.version = version;
+        made.sequence = sequence;
+        return made;
+    }
 };
 
 } // namespace
@@ -75,7 +92,7 @@
 BOOST_AUTO_TEST_CASE(process_storeHasReturnedFromACopy_isKnownLater)
 {
     this->readFromTo(this->start, this->start + kRowLifetime);
-    noteStoreRestored(this->evidence);
+    noteStoreRestored(this->evidence, this->start + kRowLifetime);
     BOOST_TEST(!this->ranAt(this->start));
     const Common::Time back = this->start + kRowLifetime + kReadInterval;
     this->readFromTo(back, back + kRowLifetime);
@@ -113,10 +130,137 @@
 
 BOOST_AUTO_TEST_CASE(process_isListedLater_wasNotListedBefore)
 {
-    BOOST_TEST(!wasListed(this->evidence, this->process.endpoint, this->at(0)));
-    this->evidence.listedSince[this->process.endpoint] = this->at(100);
-    BOOST_TEST(!wasListed(this->evidence, this->process.endpoint, this->at(99)));
-    BOOST_TEST(wasListed(this->evidence, this->process.endpoint, this->at(100)));
+    const Common::EndpointId unlisted("e2");
+    BOOST_TEST(!wasListed(this->evidence, unlisted, this->at(0)));
+    this->evidence.listedSince[unlisted] = this->at(100);
+    BOOST_TEST(!wasListed(this->evidence, unlisted, this->at(99)));
+    BOOST_TEST(wasListed(this->evidence, unlisted, this->at(100)));
+}
+
+// Guards against a late write of a process that has ended: it brings the row back for a while, and
+// the list has been read for long enough.
+BOOST_AUTO_TEST_CASE(process_rowWasGoneInBetween_isKnownOnceItIsListedForLongEnough)
+{
+    this->readFromTo(this->start, this->start + kRowLifetime);
+    const Common::Time back = this->at(3700);
+    this->evidence.listedSince[this->process.endpoint] = back;
+    BOOST_TEST(!this->ranAt(this->start));
+    this->readFromTo(this->at(6000), this->at(8400));
+    BOOST_TEST(!this->ranAt(this->start));
+    this->readFromTo(this->at(9600), this->at(9600));
+    BOOST_TEST(this->ranAt(this->start));
+}
+
+// Guards against a process without a start time that is taken for the one before, which another
+// version had replaced for a while.
+BOOST_AUTO_TEST_CASE(processWithoutStartTime_isListedLater_isNeverKnownToHaveRunBefore)
+{
+    this->process.incarnation = 0;
+    this->evidence.listedSince[this->process.endpoint] = this->at(1200);
+    this->readFromTo(this->start, this->start + 2 * kRowLifetime);
+    BOOST_TEST(!this->ranAt(this->at(1199)));
+    BOOST_TEST(this->ranAt(this->at(1200)));
+}
+
+// Guards against the same where nothing differs but the sequence of the rows, as no reading has
+// shown the process in between.
+BOOST_AUTO_TEST_CASE(processWithoutStartTime_sequenceStartsAnew_isListedSinceThen)
+{
+    const auto apply = [this](const ListedEndpoint &row, EntrySource source, Common::Time now) {
+        return noteListed(this->evidence, this->list, row, source, now);
+    };
+    apply(this->unstartedRow("v1", 40), EntrySource::FullState, this->start);
+    apply(this->unstartedRow("v1", 41), EntrySource::Change, this->at(1200));
+    BOOST_TEST(wasListed(this->evidence, this->process.endpoint, this->start));
+    const EntryChange change
+        = apply(this->unstartedRow("v1", 1), EntrySource::Change, this->at(2400));
+    BOOST_TEST((change == EntryChange::None));
+    BOOST_TEST(!wasListed(this->evidence, this->process.endpoint, this->at(2399)));
+    BOOST_TEST(wasListed(this->evidence, this->process.endpoint, this->at(2400)));
+}
+
+// Guards against a follower that does not see a restart, as it knows the sequence of the last
+// report only: a process without a start time counts as new with each report of it, and with the
+// first reading after one. So does one without a sequence with each reading.
+BOOST_AUTO_TEST_CASE(processWithoutStartTime_sequenceIsNotKnown_isListedSinceThen)
+{
+    const auto isNewAt = [this](EntrySource source, std::uint64_t sequence, int time) {
+        noteListed(this->evidence, this->list, this->unstartedRow("v1", sequence), source,
+                   this->at(time));
+        return !wasListed(this->evidence, this->process.endpoint, this->at(time - 1));
+    };
+    BOOST_TEST(isNewAt(EntrySource::Report, 1, 100));
+    BOOST_TEST(isNewAt(EntrySource::Report, 2, 200));
+    noteReadAfterReports(this->evidence, this->list, this->at(300));
+    BOOST_TEST(isNewAt(EntrySource::Change, 3, 300));
+    BOOST_TEST(!isNewAt(EntrySource::Change, 4, 400));
+    BOOST_TEST(isNewAt(EntrySource::Change, 0, 500));
+    BOOST_TEST(isNewAt(EntrySource::Change, 0, 600));
+}
+
+// Guards against two processes of one start time, one of which the list has named before.
+BOOST_AUTO_TEST_CASE(process_otherVersionWithTheSameStartTime_isListedSinceThen)
+{
+    ListedEndpoint row = this->unstartedRow("v1", 40);
+    row.entry.incarnation = this->process.incarnation;
+    noteListed(this->evidence, this->list, row, EntrySource::Change, this->at(100));
+    row.entry.version = "v2";
+    row.sequence = 1;
+    noteListed(this->evidence, this->list, row, EntrySource::Change, this->at(200));
+    BOOST_TEST(!wasListed(this->evidence, this->process.endpoint, this->at(199)));
+}
+
+// Guards against a start time of zero, which is none, that two processes state.
+BOOST_AUTO_TEST_CASE(processWithoutStartTime_statesZero_isNotKnownToHaveRun)
+{
+    this->process.incarnation = 0;
+    noteStated(this->evidence, this->process, this->at(100), this->at(150));
+    BOOST_TEST(!this->ranAt(this->at(100)));
+}
+
+// Guards against two processes behind one address: what one states says nothing about a connection
+// that was made before the other one answered.
+BOOST_AUTO_TEST_CASE(process_statesItselfAgainAfterAnother_hasRunSinceThenOnly)
+{
+    noteStated(this->evidence, this->process, this->at(100), this->at(150));
+    noteStated(this->evidence, this->other, this->at(200), this->at(250));
+    noteStated(this->evidence, this->process, this->at(300), this->at(350));
+    BOOST_TEST(!this->ranAt(this->at(100)));
+    BOOST_TEST(!this->ranAt(this->at(250)));
+    BOOST_TEST(this->ranAt(this->at(251)));
+    BOOST_TEST(!hadStated(this->evidence, this->process, this->at(349)));
+}
+
+// Guards against an answer of the process before that arrives late, and hides that of the next one:
+// its row would be believed for as long as the next one cannot write.
+BOOST_AUTO_TEST_CASE(process_answersAnEarlierQuestionAfterAnother_isNotKnownToHaveRun)
+{
+    this->readFromTo(this->start, this->start + kRowLifetime);
+    noteStated(this->evidence, this->other, this->at(200), this->at(250));
+    noteStated(this->evidence, this->process, this->at(150), this->at(260));
+    BOOST_TEST(!this->ranAt(this->start));
+    BOOST_TEST(!this->ranAt(this->at(150)));
+}
+
+// Guards against rows of an older copy that lapse a lifetime after the store has returned, not
+// after the begin of the reading that showed it.
+BOOST_AUTO_TEST_CASE(process_readingSawTheStoreReturnLate_isKnownALifetimeAfterItsEnd)
+{
+    noteStoreRestored(this->evidence, this->at(1000));
+    this->readFromTo(this->start, this->start + kRowLifetime);
+    BOOST_TEST(!this->ranAt(this->start));
+    this->readFromTo(this->at(6000), this->at(6000));
+    BOOST_TEST(this->ranAt(this->start));
+}
+
+// Guards against a reading that overtakes a later one, of another reader: the history goes on.
+BOOST_AUTO_TEST_CASE(reading_beganBeforeAnEarlierOne_neitherProvesNorLosesAnything)
+{
+    this->readFromTo(this->start, this->at(3600));
+    noteReading(this->evidence, this->at(1000), kHeartbeat);
+    BOOST_TEST(!this->ranAt(this->start));
+    noteReading(this->evidence, this->at(4800), kHeartbeat);
+    BOOST_TEST(this->ranAt(this->start));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
