Entry: Let a row confirm a process behind one that had stated itself

A statement of another process kept the row of an endpoint from confirming the listed process for as long as the endpoint was listed. Where a version that states itself was replaced, under the same ID, by one that does not, no stream of the later one could be taken up at an instance that had asked the earlier one.

The statement counts against the row only if the list has not come to name its process after that statement.

--- a/Source/Core/Entry/ProcessEvidence.cpp
+++ b/Source/Core/Entry/ProcessEvidence.cpp
@@ -91,8 +91,10 @@
             return false;
         if (isSame && found->second.lastAskedAt >= time)
             return true;
-        // The list may not name yet the process that has stated this.
-        if (!isSame && process.incarnation != 0)
+        // The list may not name yet the process that has stated this. One that it has come to name
+        // since is later.
+        const bool isListedLater = listedSince->second > found->second.heardAt;
+        if (!isSame && process.incarnation != 0 && !isListedLater)
             return false;
     }
     if (!evidence.readAt || !evidence.followedSince)
--- a/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
+++ b/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
@@ -263,4 +263,16 @@
     BOOST_TEST(this->ranAt(this->start));
 }
 
+// Guards against a process that never states itself and is not known for good, because the one
+// before it had stated itself.
+BOOST_AUTO_TEST_CASE(process_earlierOneHadStatedItself_isKnownByItsRow)
+{
+    noteStated(this->evidence, this->other, this->at(100), this->at(150));
+    this->evidence.listedSince[this->process.endpoint] = this->at(1000);
+    this->readFromTo(this->at(1000), this->at(1000) + kRowLifetime);
+    BOOST_TEST(this->ranAt(this->at(1000)));
+    noteStated(this->evidence, this->other, this->at(2000), this->at(2050));
+    BOOST_TEST(!this->ranAt(this->at(1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
