Entry: Do not believe the only listed version beside an unlisted process

Callers could get events of one software version behind events of another one (ORDER): a worker is restarted under its ID as another version and begins streams before the list shows it; the instances that know of these streams end together; their callers take them up.

Cause: where nobody knows a stream, `findOrigin` took the only version of the list for the stream's. The list is up to a heartbeat and its delay behind.

While an endpoint of the service has stated a process that the list does not name, the only version is not believed: refused as stream-unknown, not run, with the Retry-After as before. The statement counts until the list names the process, or for a minute, also after the row has lapsed. An instance that has just started has no statements, so that the first such take-up of 250 ms asks the endpoints of the service (`ProcessCensus`: 16 at most, for 250 ms at most, none with a stated limit or a hold). If an unlisted process shows up only on the request's own connection, the request is refused and not tried elsewhere.

Cost: 9 questions for each 250 ms with such take-ups and 9 endpoints, 16 with 96 endpoints, for each instance; one round trip for such a take-up, 250 ms if an endpoint is silent. Such take-ups are also refused for as long as a worker that was restarted as the same version is not listed.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -134,7 +134,24 @@
 void EndpointDiscovery::noteStated(const Common::EndpointId &id, std::uint64_t incarnation,
                                    Common::Time askedAt)
 {
-    Entry::noteStated(this->evidence, {id, incarnation}, askedAt, clockNow());
+    const Common::Time now = clockNow();
+    Entry::noteStated(this->evidence, {id, incarnation}, askedAt, now);
+    const auto found = this->list.known.find(id);
+    // Where no start time is listed, nothing can differ from it.
+    if (found != this->list.known.end() && found->second.listed.entry.incarnation != 0)
+        noteStatedBeside(this->evidence, {id, incarnation}, found->second.listed.service,
+                         found->second.listed.entry.incarnation, now);
+}
+
+Common::Time EndpointDiscovery::lastStatedAt(const Common::EndpointId &id) const
+{
+    const auto found = this->evidence.stated.find(id);
+    return found == this->evidence.stated.end() ? Common::Time::min() : found->second.lastAskedAt;
+}
+
+bool EndpointDiscovery::hasUnlistedProcess(const std::string &service) const
+{
+    return hasUnlisted(this->evidence, service, clockNow() - Routing::kVersionMemory);
 }
 
 bool EndpointDiscovery::hadStated(const Common::EndpointId &id, std::uint64_t incarnation,
@@ -304,6 +321,7 @@
     this->changed = true;
     if (process != Routing::ProcessNews::Known)
         this->evidence.listedSince[listed.entry.id] = now;
+    noteNamed(this->evidence, {listed.entry.id, listed.entry.incarnation});
     if (before.incarnation != listed.entry.incarnation && before.version != listed.entry.version
         && this->restartHandler)
         this->restartHandler(before.id, before.incarnation, this->knownUntil);
@@ -371,6 +389,7 @@
         = [this](const auto &entry) { return !this->list.known.contains(entry.first); };
     std::erase_if(this->evidence.stated, isGone);
     std::erase_if(this->evidence.listedSince, isGone);
+    dropUnlistedBefore(this->evidence, now - Routing::kVersionMemory);
     this->countEvacuated(entries);
     for (const auto &[service, listed] : entries) {
         Routing::Pool &pool = this->state.poolOf(service);
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -54,6 +54,11 @@
     // Records that an endpoint's process has stated its start time. It was asked at `askedAt` or
     // later.
     void noteStated(const Common::EndpointId &id, std::uint64_t incarnation, Common::Time askedAt);
+    // When the endpoint was last asked for its process and has answered; `Time::min()` if never.
+    Common::Time lastStatedAt(const Common::EndpointId &id) const;
+    // Whether an endpoint of the service has stated a process that the list does not show, so that
+    // what the list shows is not all that serves.
+    bool hasUnlistedProcess(const std::string &service) const;
     // Whether this process of the endpoint had stated its start time at `time` or before, and no
     // other one has since.
     bool hadStated(const Common::EndpointId &id, std::uint64_t incarnation,
--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -81,9 +81,10 @@
       stageOwner(this->state), stageClient(this->state, this->mesh, this->stageOwner),
       catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay, this->evacuations),
       endpoints(this->state, this->stageOwner, *this->store, this->relay),
+      processes(this->state, this->endpoints, this->limits),
       streams(this->state, this->datagrams, *this->store, this->endpoints),
       parts{this->state,   this->catalogs, this->endpoints, this->stageClient, this->crashWatch,
-            this->streams, this->limits,   this->paths,     this->paces}
+            this->streams, this->limits,   this->paths,     this->paces,       this->processes}
 {
 }
 
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -76,6 +76,7 @@
     StageClient stageClient;
     CatalogSync catalogs;
     EndpointDiscovery endpoints;
+    ProcessCensus processes;
     StreamRegistry streams;
     RequestDependencies parts;
     OpenRequests openRequests;
--- /dev/null
+++ b/Source/Core/Entry/ProcessCensus.cpp
@@ -0,0 +1,96 @@
+#include "Entry/ProcessCensus.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Tanagerbay::Entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// How long a question may take, and how long its answer serves later requests. A stream that they
+// take up has begun before.
+constexpr Common::Milliseconds kAnswerTimeout{250};
+// Each question is a request to its endpoint.
+constexpr std::size_t kMaxAsked = 16;
+
+} // namespace
+
+ProcessCensus::ProcessCensus(State &state, EndpointDiscovery &endpoints, LimitWatch &limits)
+    : state(state), endpoints(endpoints), limits(limits)
+{
+}
+
+Http::Awaitable<void> ProcessCensus::ask(std::string service)
+{
+    const Common::Time now = clockNow();
+    std::shared_ptr<Round> &last = this->rounds[service];
+    if (!last || now - last->startedAt >= kAnswerTimeout)
+        last = this->begin(service, now);
+    const std::shared_ptr<Round> round = last;
+    boost::system::error_code ignored;
+    if (round->open > 0)
+        co_await round->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+std::shared_ptr<ProcessCensus::Round> ProcessCensus::begin(const std::string &service,
+                                                           Common::Time now)
+{
+    auto round = std::make_shared<Round>(this->state.context);
+    round->startedAt = now;
+    round->done.expires_at(now + kAnswerTimeout);
+    const std::vector<Routing::Endpoint> asked = this->endpointsToAsk(service, now);
+    round->open = asked.size();
+    for (const Routing::Endpoint &endpoint : asked)
+        asio::co_spawn(this->state.context, this->askOne(service, endpoint, round), asio::detached);
+    return round;
+}
+
+std::vector<Routing::Endpoint> ProcessCensus::endpointsToAsk(const std::string &service,
+                                                             Common::Time now)
+{
+    std::vector<Routing::Endpoint> asked;
+    for (const Routing::Endpoint &endpoint : this->state.poolOf(service).endpoints) {
+        const bool isKnown = now - kAnswerTimeout <= this->endpoints.lastStatedAt(endpoint.id);
+        // The question is a request to the endpoint too.
+        const bool mayAsk = !endpoint.isEvacuated && !Routing::isLimited(endpoint.gate)
+            && !Routing::isHeld(endpoint, now);
+        if (mayAsk && !isKnown && endpoint.incarnation != 0)
+            asked.push_back(endpoint);
+    }
+    std::stable_sort(asked.begin(), asked.end(), [this](const auto &left, const auto &right) {
+        return this->endpoints.lastStatedAt(left.id) < this->endpoints.lastStatedAt(right.id);
+    });
+    if (asked.size() > kMaxAsked)
+        asked.erase(asked.begin() + kMaxAsked, asked.end());
+    return asked;
+}
+
+Http::Awaitable<void> ProcessCensus::askOne(std::string service, Routing::Endpoint endpoint,
+                                            std::shared_ptr<Round> round)
+{
+    const Common::Time askedAt = clockNow();
+    Http::CallOptions options;
+    options.deadline = askedAt + kAnswerTimeout;
+    options.connectTimeout = kAnswerTimeout;
+    const ProcessReply reply = co_await askForProcess(this->state, endpoint, options);
+    if (reply.head) {
+        Routing::Pool &pool = this->state.poolOf(service);
+        if (reply.head->holdFor)
+            Routing::holdBack(pool, endpoint.id, *reply.head->holdFor, clockNow());
+        this->limits.noteAnswer(endpoint, *reply.head, askedAt);
+        this->endpoints.noteResponse(endpoint, *reply.head);
+    }
+    if (reply.startTime && !reply.head->isOtherEndpoint)
+        this->endpoints.noteStated(endpoint.id, *reply.startTime, askedAt);
+    this->state.metrics.count(labelled("process_census", "result", Common::nameOf(reply.answer)));
+    if (--round->open == 0)
+        round->done.cancel();
+}
+
+} // namespace Tanagerbay::Entry
--- /dev/null
+++ b/Source/Core/Entry/ProcessCensus.h
@@ -0,0 +1,49 @@
+// Asks the endpoints of a service which processes they are, where a request depends on there being
+// no other process than those that the list shows.
+#pragma once
+
+#include "Entry/EndpointDiscovery.h"
+#include "Entry/LimitWatch.h"
+#include "Entry/ProcessQuestion.h"
+
+#include <map>
+#include <memory>
+
+namespace Tanagerbay::Entry {
+
+class ProcessCensus
+{
+public:
+    ProcessCensus(State &state, EndpointDiscovery &endpoints, LimitWatch &limits);
+
+    // Asks those that have not stated themselves within the last moment, the ones first that have
+    // not for the longest time, a bounded number. `EndpointDiscovery` knows what they state.
+    // Returns when all have answered, or after a short time. Requests of the same moment share the
+    // answers.
+    Http::Awaitable<void> ask(std::string service);
+
+private:
+    struct Round
+    {
+        explicit Round(boost::asio::io_context &context) : done(context)
+        {
+        }
+
+        Common::Time startedAt;
+        boost::asio::steady_timer done;
+        std::size_t open = 0;
+    };
+
+    std::shared_ptr<Round> begin(const std::string &service, Common::Time now);
+    std::vector<Routing::Endpoint> endpointsToAsk(const std::string &service, Common::Time now);
+    Http::Awaitable<void> askOne(std::string service, Routing::Endpoint endpoint,
+                                 std::shared_ptr<Round> round);
+
+    State &state;
+    EndpointDiscovery &endpoints;
+    LimitWatch &limits;
+    // The last one of each service.
+    std::map<std::string, std::shared_ptr<Round>> rounds;
+};
+
+} // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/ProcessEvidence.cpp
+++ b/Source/Core/Entry/ProcessEvidence.cpp
@@ -25,6 +25,38 @@
         entry->second = stated;
 }
 
+void noteStatedBeside(ProcessEvidence &evidence, const ListedProcess &process,
+                      const std::string &service, std::uint64_t listed, Common::Time now)
+{
+    const auto found = evidence.unlisted.find(process.endpoint);
+    if (process.incarnation != listed) {
+        evidence.unlisted[process.endpoint] = {service, process.incarnation, listed, now};
+        return;
+    }
+    if (found != evidence.unlisted.end() && found->second.listed == listed)
+        evidence.unlisted.erase(found);
+}
+
+void noteNamed(ProcessEvidence &evidence, const ListedProcess &process)
+{
+    const auto found = evidence.unlisted.find(process.endpoint);
+    if (found != evidence.unlisted.end() && found->second.incarnation == process.incarnation)
+        evidence.unlisted.erase(found);
+}
+
+bool hasUnlisted(const ProcessEvidence &evidence, const std::string &service, Common::Time since)
+{
+    return std::any_of(evidence.unlisted.begin(), evidence.unlisted.end(), [&](const auto &entry) {
+        return entry.second.service == service && entry.second.statedAt >= since;
+    });
+}
+
+void dropUnlistedBefore(ProcessEvidence &evidence, Common::Time before)
+{
+    std::erase_if(evidence.unlisted,
+                  [before](const auto &entry) { return entry.second.statedAt < before; });
+}
+
 void noteReading(ProcessEvidence &evidence, Common::Time readAt, Common::Duration heartbeat)
 {
     const bool isFollowed
--- a/Source/Core/Entry/ProcessEvidence.h
+++ b/Source/Core/Entry/ProcessEvidence.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 
 namespace Tanagerbay::Entry {
 
@@ -31,9 +32,22 @@
     std::uint64_t incarnation = 0;
 };
 
+// A process that has stated itself and that the list had not named by then.
+struct UnlistedProcess
+{
+    std::string service;
+    std::uint64_t incarnation = 0;
+    // The process that the list named for the endpoint.
+    std::uint64_t listed = 0;
+    // When it last stated itself.
+    Common::Time statedAt;
+};
+
 struct ProcessEvidence
 {
     std::map<Common::EndpointId, StatedProcess> stated;
+    // Kept when the row of their endpoint lapses: they may run and be unable to tell the store.
+    std::map<Common::EndpointId, UnlistedProcess> unlisted;
     // Since when the list has named the endpoint's process.
     std::map<Common::EndpointId, Common::Time> listedSince;
     // When the last reading of the list began.
@@ -46,6 +60,21 @@
 void noteStated(ProcessEvidence &evidence, const ListedProcess &process, Common::Time askedAt,
                 Common::Time now);
 
+// Records a statement of an endpoint's process while the list names `listed` for it. What was
+// stated before is forgotten if the endpoint is the listed process after all.
+void noteStatedBeside(ProcessEvidence &evidence, const ListedProcess &process,
+                      const std::string &service, std::uint64_t listed, Common::Time now);
+
+// Records that the list names this process now.
+void noteNamed(ProcessEvidence &evidence, const ListedProcess &process);
+
+// Whether a process of the service has stated itself at `since` or later that the list has not
+// named yet.
+bool hasUnlisted(const ProcessEvidence &evidence, const std::string &service, Common::Time since);
+
+// Forgets unlisted processes that have not stated themselves since `before`.
+void dropUnlistedBefore(ProcessEvidence &evidence, Common::Time before);
+
 // Records that a reading of the list began. Rows that should have lapsed may still be listed after
 // the store was away, so that a gap of more than two heartbeats begins the history anew.
 void noteReading(ProcessEvidence &evidence, Common::Time readAt, Common::Duration heartbeat);
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -8,6 +8,7 @@
 #include "Entry/LimitWatch.h"
 #include "Entry/PaceWatch.h"
 #include "Entry/PathWatch.h"
+#include "Entry/ProcessCensus.h"
 #include "Entry/ProcessQuestion.h"
 #include "Entry/StageRun.h"
 #include "Entry/StreamRegistry.h"
@@ -34,6 +35,7 @@
     LimitWatch &limits;
     PathWatch &paths;
     PaceWatch &paces;
+    ProcessCensus &processes;
 };
 
 // Who sent a request to this instance.
@@ -131,6 +133,9 @@
     // Finds out which version began the stream that the request takes up. Returns the refusal if
     // that is not known, or if the route does not lead there any more.
     Http::Awaitable<std::optional<Refusal>> findOrigin();
+    // Returns the only version at which a stream can have begun that nobody knows; nothing if there
+    // may have been several.
+    std::optional<std::string> presumedVersion();
     void noteResumption(std::string_view result);
     // Records which endpoint wrote the first event, before the caller gets it.
     void noteStreamBegun();
@@ -147,6 +152,7 @@
     // nothing else tells which process began the stream.
     Http::Awaitable<void> confirmOrigin();
     // Looks the version of the process up that began the stream, if it was not listed at that time.
+    // Doubts one that was presumed, if a process has turned up that is not listed.
     void learnVersion();
     // Whether an endpoint that is not leaving runs the version that the request requires.
     bool isVersionListed() const;
@@ -411,6 +417,8 @@
     std::optional<Serving::StreamOrigin> origin;
     // If set, only endpoints that run this software version may be sent the request.
     std::optional<std::string> requiredVersion;
+    // Nobody knows where the stream began: `requiredVersion` is the only one that the list names.
+    bool isVersionPresumed = false;
     // The process that began the stream may have been another one than `origin` tells, or its
     // version is not known.
     bool isVersionUncertain = false;
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -48,12 +48,22 @@
         clockNow());
 }
 
+std::optional<std::string> RequestFlow::presumedVersion()
+{
+    // One service and one version: there is nothing else where the stream can have begun.
+    if (this->route->services.size() != 1
+        || this->dependencies.endpoints.hasUnlistedProcess(this->service))
+        return std::nullopt;
+    return Routing::onlyVersionSince(this->state.versions, this->service,
+                                     this->state.poolOf(this->service),
+                                     clockNow() - Routing::kVersionMemory);
+}
+
 Http::Awaitable<std::optional<Refusal>> RequestFlow::findOrigin()
 {
     std::string attempt = this->request.resumedAttempt;
     this->origin = co_await this->dependencies.streams.find(
         std::move(attempt), Serving::originExpiry(this->deadline, clockNow()));
-    const Common::Time now = clockNow();
     if (this->origin) {
         if (!leadsTo(*this->route, this->origin->service)) {
             this->noteResumption("route-moved");
@@ -76,19 +86,23 @@
         this->noteResumption("known");
         co_return std::nullopt;
     }
-    // One service and one version: there is nothing else where the stream can have begun.
-    if (this->route->services.size() == 1)
-        this->requiredVersion = Routing::onlyVersionSince(this->state.versions, this->service,
-                                                          this->state.poolOf(this->service),
-                                                          now - Routing::kVersionMemory);
-    this->noteResumption(this->requiredVersion ? "only-version" : "unknown");
-    if (this->requiredVersion)
+    // The list is behind: it may not show yet that an endpoint was restarted as another version.
+    if (this->presumedVersion())
+        co_await this->dependencies.processes.ask(this->service);
+    this->requiredVersion = this->presumedVersion();
+    this->isVersionPresumed = this->requiredVersion.has_value();
+    const bool hasUnlisted = this->dependencies.endpoints.hasUnlistedProcess(this->service);
+    this->noteResumption(this->isVersionPresumed ? "only-version"
+                             : hasUnlisted       ? "process-not-listed"
+                                                 : "unknown");
+    if (this->isVersionPresumed)
         co_return std::nullopt;
     co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
 }
 
 void RequestFlow::noteStreamBegun()
 {
+    this->isVersionPresumed = false;
     if (!this->route->resumable)
         return;
     if (!this->origin)
@@ -152,6 +166,9 @@
         this->dependencies.limits.coldEndpoints().noteProcess(endpoint, *peer.startTime);
     }
     this->isOtherProcess = !this->mayGoOnAt(endpoint, peer);
+    // The stream may have begun at this very process.
+    if (this->isVersionPresumed && this->isOtherProcess && peer.startTime)
+        this->isVersionUncertain = true;
     return !this->isOtherProcess;
 }
 
@@ -210,6 +227,8 @@
 
 void RequestFlow::learnVersion()
 {
+    if (this->isVersionPresumed && this->dependencies.endpoints.hasUnlistedProcess(this->service))
+        this->isVersionUncertain = true;
     if (!this->origin || this->origin->isVersionKnown)
         return;
     const auto version = this->dependencies.endpoints.versionOf(*this->origin);
@@ -234,6 +253,8 @@
 
 RefusalReason RequestFlow::reasonNoEndpoint() const
 {
+    if (this->isVersionPresumed && this->isVersionUncertain)
+        return RefusalReason::StreamUnknown;
     if (this->requiredVersion && !this->isVersionListed())
         return RefusalReason::VersionGone;
     return this->isRateLimited(clockNow()) ? RefusalReason::RateLimited : RefusalReason::NoEndpoint;
--- a/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
+++ b/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
@@ -119,4 +119,40 @@
     BOOST_TEST(wasListed(this->evidence, this->process.endpoint, this->at(100)));
 }
 
+// Guards against a list that is taken for complete although an endpoint has stated a process that
+// it does not name.
+BOOST_AUTO_TEST_CASE(process_statedAndNotListed_isRememberedUntilTheListNamesIt)
+{
+    noteStatedBeside(this->evidence, this->process, "app", this->process.incarnation, this->start);
+    BOOST_TEST(!hasUnlisted(this->evidence, "app", this->start));
+    noteStatedBeside(this->evidence, this->other, "app", this->process.incarnation, this->start);
+    BOOST_TEST(hasUnlisted(this->evidence, "app", this->start));
+    BOOST_TEST(!hasUnlisted(this->evidence, "other", this->start));
+    BOOST_TEST(!hasUnlisted(this->evidence, "app", this->at(1)));
+    noteNamed(this->evidence, this->process);
+    BOOST_TEST(hasUnlisted(this->evidence, "app", this->start));
+    noteNamed(this->evidence, this->other);
+    BOOST_TEST(!hasUnlisted(this->evidence, "app", this->start));
+}
+
+// Guards against refusals because of a statement that was wrong: the endpoint is the listed process
+// all the same. One that replaced the other is no proof of that.
+BOOST_AUTO_TEST_CASE(process_statedAndNotListed_isForgottenIfTheListedOneStatesItselfAgain)
+{
+    noteStatedBeside(this->evidence, this->other, "app", this->process.incarnation, this->start);
+    noteStatedBeside(this->evidence, {this->process.endpoint, 19}, "app", 19, this->at(1));
+    BOOST_TEST(hasUnlisted(this->evidence, "app", this->start));
+    noteStatedBeside(this->evidence, this->process, "app", this->process.incarnation, this->at(2));
+    BOOST_TEST(!hasUnlisted(this->evidence, "app", this->start));
+}
+
+BOOST_AUTO_TEST_CASE(process_statedLongAgo_isForgotten)
+{
+    noteStatedBeside(this->evidence, this->other, "app", this->process.incarnation, this->at(1));
+    dropUnlistedBefore(this->evidence, this->at(1));
+    BOOST_TEST(this->evidence.unlisted.size() == 1u);
+    dropUnlistedBefore(this->evidence, this->at(2));
+    BOOST_TEST(this->evidence.unlisted.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
