Serving: Doubt a stream that two versions have begun under one name

Callers could get events of one software version behind events of another one (ORDER): an instance without paths passes a request on to a second instance, loses the connection before the first event, and asks a third under the same name. Both begin the stream. If another version serves the second time, the caller has its events, while the holders of the stream keep the first origin and let a take-up go on there.

Cause: `addOrigin` kept the first origin whatever came behind it.

A second process whose version differs, or where one of both is not known, makes the version unknown for good: the origin is marked as contradicted and names no process any more, so that nothing can look its version up. The mark is passed on in a field that is added to the messages; instances of earlier releases read an origin without a process and a version, and refuse as well. The same process told twice, and a second process with the same known version, change nothing.

`origin_toldAgainWithTheSameVersion_isKnown` passes before and after.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -123,6 +123,8 @@
 
 std::optional<std::string> EndpointDiscovery::versionOf(const Serving::StreamOrigin &origin) const
 {
+    if (origin.isContradicted)
+        return std::nullopt;
     const auto version = this->versionOf(origin.endpoint, origin.incarnation);
     if (origin.isStated || !version)
         return version;
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -73,7 +73,8 @@
         this->learnVersion();
         co_await this->confirmOrigin();
         if (!this->origin->isVersionKnown) {
-            this->noteResumption("version-not-listed");
+            this->noteResumption(this->origin->isContradicted ? "contradicted"
+                                                              : "version-not-listed");
             co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
         }
         this->requiredVersion = this->origin->version;
--- a/Source/Core/Entry/StreamMessages.cpp
+++ b/Source/Core/Entry/StreamMessages.cpp
@@ -41,6 +41,8 @@
     // of earlier releases take it for confirmed if it stands in the fields above.
     ListedIncarnation = ConnectedFieldCount,
     ListedVersion,
+    ListedFieldCount,
+    IsContradicted = ListedFieldCount,
     AllFieldCount
 };
 
@@ -115,10 +117,12 @@
     // An instance of an earlier release takes what the list names for certain.
     if (!connectedAge && !origin.isStated)
         origin.isVersionKnown = false;
-    if (fields.size() >= AllFieldCount && isPresumed(origin)) {
+    if (fields.size() >= ListedFieldCount && isPresumed(origin)) {
         origin.incarnation = unsignedOf(fields[ListedIncarnation]).value_or(0);
         origin.version = textOf(fields[ListedVersion]).value_or("");
     }
+    origin.isContradicted = fields.size() >= AllFieldCount && fields[IsContradicted].is_bool()
+        && fields[IsContradicted].get_bool();
     return true;
 }
 
@@ -150,6 +154,9 @@
             fields.emplace_back(origin.incarnation);
             fields.emplace_back(origin.version);
         }
+        // Such an origin names no process, so that the fields above are there.
+        if (origin.isContradicted)
+            fields.emplace_back(true);
     }
     return fields;
 }
--- a/Source/Core/Entry/StreamRecorder.cpp
+++ b/Source/Core/Entry/StreamRecorder.cpp
@@ -39,7 +39,7 @@
 // Whether a version is known or at least presumed that a record can name.
 bool hasVersion(const Serving::StreamOrigin &origin)
 {
-    return origin.isVersionKnown || !origin.isStated;
+    return origin.isVersionKnown || (!origin.isStated && !origin.isContradicted);
 }
 
 } // namespace
--- a/Source/Core/Entry/StreamRegistry.cpp
+++ b/Source/Core/Entry/StreamRegistry.cpp
@@ -76,7 +76,11 @@
 {
     const Common::Time now = clockNow();
     Serving::addOrigin(this->origins, key, origin, now);
-    const StreamMessage message{StreamMessageKind::Began, 0, key, origin};
+    StreamMessage message{StreamMessageKind::Began, 0, key, origin};
+    // Others need not find out again that the stream was begun by another process too.
+    const auto *known = Serving::findOrigin(this->origins, key, origin.expiresAt, now);
+    if (known && known->isContradicted)
+        message.origin = *known;
     for (const Membership::Member *holder :
          Membership::holdersOf(this->state.members, key, kHolders, false, now))
         this->send(holder->report.peerAddress, message);
@@ -173,12 +177,14 @@
     search.unanswered.erase(sender);
     search.unansweredHolders.erase(sender);
     // Another instance may not know yet that the endpoint was restarted.
-    if (message.kind == StreamMessageKind::Found
-        && !Serving::isUncertain(this->origins, message.origin)) {
+    if (message.kind == StreamMessageKind::Found) {
         Serving::addOrigin(this->origins, search.attempt, message.origin, now);
         const auto *known
             = Serving::findOrigin(this->origins, search.attempt, search.neededUntil, now);
-        search.origin = known ? *known : message.origin;
+        if (known)
+            search.origin = *known;
+        else if (!Serving::isUncertain(this->origins, message.origin))
+            search.origin = message.origin;
     }
     if (!this->isWaiting(search))
         search.timer.cancel();
--- a/Source/Core/Serving/StreamOrigins.cpp
+++ b/Source/Core/Serving/StreamOrigins.cpp
@@ -34,11 +34,39 @@
     origins.byExpiry.insert({expiresAt, entry->first});
 }
 
+// Whether the stream has begun at two processes that may run different versions, as what is told of
+// it names another one than what is known.
+bool contradicts(const StreamOrigin &told, const StreamOrigin &known)
+{
+    if (told.isContradicted)
+        return true;
+    const bool isSameEndpoint = told.endpoint == known.endpoint;
+    // An instance that has passed the request on does not know where the stream began.
+    if (told.endpoint.empty() || (isSameEndpoint && told.incarnation == known.incarnation))
+        return false;
+    if (told.isVersionKnown && known.isVersionKnown)
+        return told.version != known.version;
+    // Instances of earlier releases do not pass on which process it is while that is not confirmed.
+    const bool mayBeSame = isSameEndpoint && (told.incarnation == 0 || known.incarnation == 0);
+    return !mayBeSame;
+}
+
+// Makes the version unknown for good. Nothing is left by which it could be looked up, by instances
+// of earlier releases either.
+void contradict(StreamOrigin &origin)
+{
+    origin.isContradicted = true;
+    origin.isVersionKnown = false;
+    origin.isStated = false;
+    origin.version.clear();
+    origin.incarnation = 0;
+}
+
 } // namespace
 
 bool isUncertain(const StreamOrigins &origins, const StreamOrigin &origin)
 {
-    if (origin.isStated)
+    if (origin.isStated || origin.isContradicted)
         return false;
     const auto replaced = origins.replaced.find({origin.endpoint, origin.incarnation});
     return replaced != origins.replaced.end() && origin.sentAt >= replaced->second.since;
@@ -53,17 +81,29 @@
                Common::Time now)
 {
     removeExpired(origins, now);
-    if (origin.expiresAt <= now || isUncertain(origins, origin))
+    if (origin.expiresAt <= now)
         return;
+    const auto found = origins.byAttempt.find(attempt);
+    if (isUncertain(origins, origin)) {
+        // It has begun nevertheless, at whatever version.
+        StreamOrigin unknown = origin;
+        unknown.isVersionKnown = false;
+        if (found != origins.byAttempt.end() && contradicts(unknown, found->second))
+            contradict(found->second);
+        return;
+    }
     // An instance that has passed the request on does not know where the stream began.
-    if (origin.endpoint.empty() && !origins.byAttempt.contains(attempt))
+    if (origin.endpoint.empty() && found == origins.byAttempt.end())
         return;
     const auto [entry, added] = origins.byAttempt.try_emplace(attempt, origin);
     if (!added) {
         StreamOrigin &known = entry->second;
         const bool isSameProcess
             = known.endpoint == origin.endpoint && known.incarnation == origin.incarnation;
-        if (isSameProcess && !known.isVersionKnown && origin.isVersionKnown) {
+        if (!known.isContradicted && contradicts(origin, known))
+            contradict(known);
+        if (!known.isContradicted && isSameProcess && !known.isVersionKnown
+            && origin.isVersionKnown) {
             known.version = origin.version;
             known.isVersionKnown = true;
         }
--- a/Source/Core/Serving/StreamOrigins.h
+++ b/Source/Core/Serving/StreamOrigins.h
@@ -37,6 +37,9 @@
     // Not set if the list has not named the process yet, or if another process than the listed one
     // may have begun the stream. The stream goes on nowhere until it is set.
     bool isVersionKnown = true;
+    // Several processes that may run different versions have begun the stream under this name, and
+    // nobody knows whose events the caller has. The version stays unknown.
+    bool isContradicted = false;
     // Number of the event after which an answer without framing ended in order, if nobody has
     // confirmed that the stream ends there.
     std::optional<std::uint64_t> doubtedEnd = {};
@@ -78,7 +81,9 @@
 bool isUncertain(const StreamOrigins &origins, const StreamOrigin &origin);
 
 // Adds the origin of a stream, unless it is uncertain. The first event has one origin only, so that
-// of a known entry only the expiry is extended and what is known of the end is noted.
+// of a known entry only the expiry is extended and what is known of the end is noted. Where a
+// second process has begun the stream and may run another version, the version is unknown from then
+// on.
 void addOrigin(StreamOrigins &origins, const std::string &attempt, const StreamOrigin &origin,
                Common::Time now);
 
--- a/Source/UnitTests/Entry/StreamMessagesTest.cpp
+++ b/Source/UnitTests/Entry/StreamMessagesTest.cpp
@@ -73,6 +73,34 @@
     BOOST_TEST(read->origin.isVersionKnown);
 }
 
+// Guards against a stream of two processes whose version an instance takes for known that is told
+// of it, also one of an earlier release, which does not read the last field.
+BOOST_AUTO_TEST_CASE(origin_contradicted_isTheSame)
+{
+    Serving::StreamOrigins origins;
+    this->message.origin.isStated = true;
+    Serving::addOrigin(origins, "a", this->message.origin, this->now);
+    this->message.origin.version = "v2";
+    this->message.origin.endpoint = Common::EndpointId("e2");
+    Serving::addOrigin(origins, "a", this->message.origin, this->now);
+    this->message.origin = origins.byAttempt.at("a");
+    const auto read = this->sent(this->message);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->origin.isContradicted);
+    BOOST_TEST(!read->origin.isVersionKnown);
+    BOOST_TEST(read->origin.version.empty());
+    boost::json::array earlier = toJson(this->message, this->now);
+    for (const std::size_t size : {17u, 15u, 14u, 11u, 9u}) {
+        earlier.resize(size);
+        const auto known = readStreamMessage(earlier, this->now);
+        BOOST_REQUIRE(known.has_value());
+        BOOST_TEST(!known->origin.isContradicted);
+        BOOST_TEST(!known->origin.isStated);
+        BOOST_TEST(!known->origin.isVersionKnown);
+        BOOST_TEST(known->origin.incarnation == 0u);
+    }
+}
+
 // Guards against a process that has stated its start time being taken for one that has not.
 BOOST_AUTO_TEST_CASE(origin_statedByItsProcess_isTheSame)
 {
--- a/Source/UnitTests/Serving/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Serving/StreamOriginsTest.cpp
@@ -29,6 +29,13 @@
         const StreamOrigin *found = findOrigin(this->origins, attempt, this->now, this->now);
         return found ? found->version : "";
     }
+
+    // Whether the stream is known, so that nothing else is presumed of it, but not its version.
+    bool isContradicted(const std::string &attempt)
+    {
+        const StreamOrigin *found = findOrigin(this->origins, attempt, this->now, this->now);
+        return found && found->isContradicted && !found->isVersionKnown && found->version.empty();
+    }
 };
 
 } // namespace
@@ -124,6 +131,85 @@
     BOOST_TEST(this->versionOf("a").empty());
 }
 
+// The same where one of the two versions is not known: it may be another one.
+BOOST_AUTO_TEST_CASE(origin_begunAgainAtAnUnknownVersion_isUnknown)
+{
+    for (const bool isFirstKnown : {true, false}) {
+        const std::string attempt = isFirstKnown ? "known-first" : "known-second";
+        StreamOrigin first = this->origin("v1", 10);
+        first.isVersionKnown = isFirstKnown;
+        StreamOrigin second = this->origin("v1", 10);
+        second.incarnation = 8;
+        second.isVersionKnown = !isFirstKnown;
+        addOrigin(this->origins, attempt, first, this->now);
+        addOrigin(this->origins, attempt, second, this->now);
+        BOOST_TEST(this->isContradicted(attempt));
+    }
+}
+
+// Guards against a contradiction that one instance forgets: it has heard of both, and of the first
+// one once more, from others that have not.
+BOOST_AUTO_TEST_CASE(origin_contradicted_staysUnknownWhateverIsTold)
+{
+    StreamOrigin first = this->origin("v1", 10);
+    first.isStated = true;
+    StreamOrigin second = this->origin("v2", 10);
+    second.endpoint = Common::EndpointId("e2");
+    second.isStated = true;
+    addOrigin(this->origins, "a", first, this->now);
+    addOrigin(this->origins, "a", second, this->now);
+    for (const StreamOrigin &told : {first, second}) {
+        addOrigin(this->origins, "a", told, this->now);
+        BOOST_TEST(this->isContradicted("a"));
+    }
+    forgetOrigins(this->origins, first.endpoint, first.incarnation, first.sentAt, this->now);
+    forgetOrigins(this->origins, first.endpoint, 0, first.sentAt, this->now);
+    BOOST_TEST(this->isContradicted("a"));
+    // What is passed on makes it unknown elsewhere, whether the stream is known there or not.
+    StreamOrigin passedOn;
+    if (const auto *found = findOrigin(this->origins, "a", this->now, this->now))
+        passedOn = *found;
+    addOrigin(this->origins, "b", first, this->now);
+    for (const char *attempt : {"b", "c"}) {
+        addOrigin(this->origins, attempt, passedOn, this->now);
+        BOOST_TEST(this->isContradicted(attempt));
+    }
+}
+
+// Guards against a contradiction that is overlooked, as the second process is one of which it is
+// not certain that it began the stream: its successor has, then.
+BOOST_AUTO_TEST_CASE(origin_begunAgainAtARestartedEndpoint_isUnknown)
+{
+    addOrigin(this->origins, "a", this->origin("v1", 10), this->now);
+    StreamOrigin again = this->origin("v1", 10);
+    again.endpoint = Common::EndpointId("e2");
+    forgetOrigins(this->origins, again.endpoint, again.incarnation, again.sentAt, this->now);
+    addOrigin(this->origins, "a", again, this->now);
+    BOOST_TEST(this->isContradicted("a"));
+}
+
+// Guards against streams that are refused (LOST) though their version is certain: the same process
+// is told of twice, before and after its version was known, or another one has the same version.
+BOOST_AUTO_TEST_CASE(origin_toldAgainWithTheSameVersion_isKnown)
+{
+    StreamOrigin unknown = this->origin("v1", 10);
+    unknown.isVersionKnown = false;
+    addOrigin(this->origins, "a", unknown, this->now);
+    addOrigin(this->origins, "a", unknown, this->now);
+    addOrigin(this->origins, "a", this->origin("v1", 10), this->now);
+    addOrigin(this->origins, "a", unknown, this->now);
+    StreamOrigin other = this->origin("v1", 10);
+    other.endpoint = Common::EndpointId("e2");
+    addOrigin(this->origins, "a", other, this->now);
+    BOOST_TEST(this->versionOf("a") == "v1");
+    BOOST_TEST(this->origins.byAttempt.at("a").isVersionKnown);
+    // As an instance of an earlier release passes on what is not confirmed.
+    StreamOrigin unnamed = unknown;
+    unnamed.incarnation = 0;
+    addOrigin(this->origins, "a", unnamed, this->now);
+    BOOST_TEST(this->versionOf("a") == "v1");
+}
+
 // Guards against a doubted end that is forgotten, or confused with that of an earlier try.
 BOOST_AUTO_TEST_CASE(origin_addedAgainWithADoubtedEnd_theLastDoubtIsKept)
 {
