--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -79,8 +79,9 @@
         this->learnVersion();
         co_await this->confirmOrigin();
         if (!this->origin->isVersionKnown) {
-            this->noteResumption(this->origin->isStated ? "version-not-listed"
-                                                        : "process-not-known");
+            this->noteResumption(this->origin->isContradicted ? "contradicted"
+                                     : this->origin->isStated ? "version-not-listed"
+                                                              : "process-not-known");
             co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
         }
         this->requiredVersion = this->origin->version;
