Entry: Take no version for a start time that two processes have stated

What callers could see: a stream of one software version that goes on at another one.

The version of a row is taken for that of (ID, start time). Two processes may state the same; the list then names the one that wrote last, while a connection or an origin may be that of the other.

Change: once the list has named two versions for a start time, also with a lapse of the row in between, its version is unknown until the row names another start time. Streams begin there as before, and go on nowhere.

Evidence: versionOf_twoProcessesOfOneStartTime_isUnknownWhileItIsListed and versionOf_rowLapsedBetweenTwoProcessesOfOneStartTime_isUnknown failed with the logic before (4 assertions). versionOf_processesWriteInTurn_isThatOfTheListedOneOnly passed before: with two start times, a clock that steps back, a late write and an older copy of the store name no wrong version. The tests of EndpointList, EndpointChanges and ProcessEvidence pass, linked by hand.

Not covered: what was taken for known before the list has named the second version.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -115,10 +115,7 @@
 std::optional<std::string> EndpointDiscovery::versionOf(const Common::EndpointId &id,
                                                         std::uint64_t incarnation) const
 {
-    const auto found = this->list.known.find(id);
-    if (found == this->list.known.end() || found->second.listed.entry.incarnation != incarnation)
-        return std::nullopt;
-    return found->second.listed.entry.version;
+    return Entry::versionOf(this->list, id, incarnation);
 }
 
 std::optional<std::string> EndpointDiscovery::versionOf(const Serving::StreamOrigin &origin) const
--- a/Source/Core/Entry/EndpointList.cpp
+++ b/Source/Core/Entry/EndpointList.cpp
@@ -36,6 +36,14 @@
         && !mayBeOther;
 }
 
+// Whether the entry's start time is one for which another version is known.
+bool isOfTwoVersions(const ListedEndpoint &entry, std::uint64_t incarnation,
+                     const std::string &version)
+{
+    return entry.entry.incarnation != 0 && entry.entry.incarnation == incarnation
+        && !entry.entry.version.empty() && !version.empty() && entry.entry.version != version;
+}
+
 } // namespace
 
 bool isFromSameProcess(const ListedEndpoint &earlier, const ListedEndpoint &later)
@@ -50,6 +58,7 @@
     const auto isOrderKnown = [&list, source](std::uint64_t knownEpoch) {
         return source != EntrySource::FullState || knownEpoch == list.epoch;
     };
+    bool hasTwoVersions = false;
     const auto gone = list.dropped.find(entry.entry.id);
     if (gone != list.dropped.end()) {
         // Only an entry written after the drop shows that the process lives.
@@ -58,6 +67,8 @@
             && entry.entry.incarnation == last.incarnation && entry.sequence == last.sequence;
         if (isSame || isOlder(entry, last.incarnation, last.sequence, isOrderKnown(last.epoch)))
             return EntryChange::Outdated;
+        hasTwoVersions = isOfTwoVersions(entry, last.incarnation, last.version)
+            || (last.isOfTwoVersions && entry.entry.incarnation == last.incarnation);
         list.dropped.erase(gone);
     }
     const auto [found, added] = list.known.try_emplace(entry.entry.id);
@@ -70,8 +81,14 @@
     const bool isUnchanged = sameProcess && known.listed.service == entry.service
         && known.listed.entry.state == entry.entry.state
         && (entry.entry.version.empty() || known.listed.entry.version == entry.entry.version);
+    const Routing::EndpointEntry &before = known.listed.entry;
+    if (!added && before.incarnation == entry.entry.incarnation) {
+        hasTwoVersions
+            = known.isOfTwoVersions || isOfTwoVersions(entry, before.incarnation, before.version);
+    }
     if (!sameProcess)
         known = KnownEndpoint{};
+    known.isOfTwoVersions = hasTwoVersions;
     // A reader of an earlier release reports no versions.
     const std::string version
         = entry.entry.version.empty() ? known.listed.entry.version : entry.entry.version;
@@ -85,6 +102,16 @@
     return isUnchanged ? EntryChange::None : EntryChange::Changed;
 }
 
+std::optional<std::string> versionOf(const EndpointList &list, const Common::EndpointId &id,
+                                     std::uint64_t incarnation)
+{
+    const auto found = list.known.find(id);
+    if (found == list.known.end() || found->second.listed.entry.incarnation != incarnation
+        || found->second.isOfTwoVersions)
+        return std::nullopt;
+    return found->second.listed.entry.version;
+}
+
 bool dropEndpoint(EndpointList &list, const Common::EndpointId &id,
                   std::optional<Common::Time> removeAt, Common::Time now)
 {
@@ -97,7 +124,9 @@
         return false;
     }
     const ListedEndpoint &listed = found->second.listed;
-    list.dropped[id] = {listed.entry.incarnation, listed.sequence, now, list.epoch};
+    list.dropped[id]
+        = {listed.entry.incarnation,     listed.sequence, now, list.epoch, listed.entry.version,
+           found->second.isOfTwoVersions};
     list.known.erase(found);
     return true;
 }
@@ -118,7 +147,12 @@
     // The report's entry is the later one. A report without one names the last that is known.
     DroppedEndpoint last{incarnation, sequence, now, list.epoch};
     if (incarnation == 0 || incarnation == known)
-        last = {known, std::max(listed.sequence, sequence), now, list.epoch};
+        last = {known,
+                std::max(listed.sequence, sequence),
+                now,
+                list.epoch,
+                listed.entry.version,
+                found->second.isOfTwoVersions};
     list.dropped[id] = last;
     list.known.erase(found);
     return true;
--- a/Source/Core/Entry/EndpointList.h
+++ b/Source/Core/Entry/EndpointList.h
@@ -18,6 +18,8 @@
     std::uint64_t epoch = 0;
     // The endpoint's process has announced that it leaves; this never ends with that process.
     bool hasAnnouncedLeaving = false;
+    // The list has named two versions for the start time, so two processes have stated it.
+    bool isOfTwoVersions = false;
     // When the entry is removed. Set if the store dropped it shortly after an outage of the store.
     std::optional<Common::Time> removeAt;
     // End of the exclusion from routing. Set if an answer reported that the endpoint must not be
@@ -32,6 +34,8 @@
     std::uint64_t sequence = 0;
     Common::Time droppedAt;
     std::uint64_t epoch = 0;
+    std::string version = {};
+    bool isOfTwoVersions = false;
 };
 
 struct EndpointList
@@ -67,6 +71,11 @@
 EntryChange applyEntry(EndpointList &list, const ListedEndpoint &entry,
                        EntrySource source = EntrySource::Change);
 
+// Returns the software version of a process. Returns nothing if the list does not show it, or has
+// shown two for its start time.
+std::optional<std::string> versionOf(const EndpointList &list, const Common::EndpointId &id,
+                                     std::uint64_t incarnation);
+
 // Drops an endpoint that the store no longer lists, or schedules that for `removeAt`. Returns
 // whether it was dropped at once.
 bool dropEndpoint(EndpointList &list, const Common::EndpointId &id,
--- a/Source/UnitTests/Entry/EndpointListTest.cpp
+++ b/Source/UnitTests/Entry/EndpointListTest.cpp
@@ -34,6 +34,20 @@
         return applyEntry(this->list, listed);
     }
 
+    ListedEndpoint versionedEntry(const std::string &version, std::uint64_t incarnation,
+                                  std::uint64_t sequence) const
+    {
+        ListedEndpoint made = this->entry(incarnation, sequence);
+        made.entry.version = version;
+        return made;
+    }
+
+    // The version of the process, or "unknown".
+    std::string version(std::uint64_t incarnation) const
+    {
+        return versionOf(this->list, this->id, incarnation).value_or("unknown");
+    }
+
     // Applies what the store lists after it has returned from an older copy.
     EntryChange applyFromCopy(const ListedEndpoint &listed)
     {
@@ -219,6 +233,51 @@
     BOOST_TEST(routingEntries(this->list).at("app").front().version == "v2");
 }
 
+// Guards against the version of the process before for one whose clock went back before it started,
+// and against a late write of the process before.
+BOOST_AUTO_TEST_CASE(versionOf_processesWriteInTurn_isThatOfTheListedOneOnly)
+{
+    this->apply(this->versionedEntry("v1", 8, 40));
+    BOOST_TEST(this->version(8) == "v1");
+    BOOST_TEST(this->version(7) == "unknown");
+    this->apply(this->versionedEntry("v2", 7, 1));
+    BOOST_TEST(this->version(8) == "unknown");
+    BOOST_TEST(this->version(7) == "v2");
+    this->apply(this->versionedEntry("v1", 8, 41));
+    BOOST_TEST(this->version(8) == "v1");
+    BOOST_TEST(this->version(7) == "unknown");
+    // An older copy, whose process seems to be the later one.
+    this->apply(this->versionedEntry("v2", 7, 2));
+    this->applyFromCopy(this->versionedEntry("v1", 8, 39));
+    BOOST_TEST(this->version(7) == "unknown");
+}
+
+// Guards against a version of two processes that state the same start time: the list does not tell
+// which of them is behind a connection.
+BOOST_AUTO_TEST_CASE(versionOf_twoProcessesOfOneStartTime_isUnknownWhileItIsListed)
+{
+    this->apply(this->versionedEntry("v1", 7, 40));
+    this->apply(this->versionedEntry("v2", 7, 1));
+    BOOST_TEST(this->version(7) == "unknown");
+    this->apply(this->versionedEntry("v2", 7, 2));
+    BOOST_TEST(this->version(7) == "unknown");
+    // A late write of the process before, or an older copy.
+    this->apply(this->versionedEntry("v1", 7, 41));
+    this->applyFromCopy(this->versionedEntry("v1", 7, 39));
+    BOOST_TEST(this->version(7) == "unknown");
+    this->apply(this->versionedEntry("v2", 9, 1));
+    BOOST_TEST(this->version(9) == "v2");
+}
+
+// Guards against the same where the row of the first process lapsed before the second one wrote.
+BOOST_AUTO_TEST_CASE(versionOf_rowLapsedBetweenTwoProcessesOfOneStartTime_isUnknown)
+{
+    this->apply(this->versionedEntry("v1", 7, 40));
+    dropEndpoint(this->list, this->id, std::nullopt, this->now);
+    this->apply(this->versionedEntry("v2", 7, 41));
+    BOOST_TEST(this->version(7) == "unknown");
+}
+
 // Guards against a start time that is compared where a reading of the full state shows the restart:
 // the reading belongs to the epoch of what is known.
 BOOST_AUTO_TEST_CASE(restart_fullStateOfTheSameEpoch_isUsed)
