Entry: Give freed memory back below half of memoryMb too

What stayed was heap, not the program: malloc_trim ran only once the heap exceeded half of memoryMb, and a crowd of 100 bodies in blocks below 128 KiB makes a heap of 13 to 20 MB. Nearly all of it is free afterwards but lies below a used block (mallinfo2's keepcost, the free end, is 3 to 131 kB), where the allocator gives back nothing by itself.

Untouched (arm64), kB: VmRSS before the crowd 14,172 (RssFile 11,068); afterwards 30,040 to 32,416 until the end in 6 of 6 runs, of these RssFile 11,190, RssAnon 18,848 to 21,228. smaps of one: [heap] 20,168 of 32,144, the program's text 3,712, libcrypto's 3,072. The heap (mallinfo2): 530 used, 17,578 to 19,961 free, one arena. Two earlier runs stayed at 29,768 and 25,872.

Change: only the growth of the free bytes by 4 MiB decides, once a second at most, as before. The test and its bound are unchanged.

--- a/Source/Core/Entry/MemoryWatch.cpp
+++ b/Source/Core/Entry/MemoryWatch.cpp
@@ -14,7 +14,8 @@
 // a crowd has held stays with the process.
 constexpr int kMappedBlockBytes = 128 << 10;
 // By how much the free bytes between used blocks must have grown before they are given back. Those
-// given back before still count as free.
+// given back before still count as free. This alone decides: a share of the memory besides would
+// let a process keep what a crowd has held as long as that is less than the share.
 constexpr std::size_t kMaxFreeGrowth = 4 << 20;
 
 } // namespace
@@ -49,17 +50,16 @@
     if (this->state.settings.memoryBytes > 0) {
         const struct ::mallinfo2 heap = ::mallinfo2();
         usedBytes = heap.uordblks + heap.hblkhd;
-        this->trim(usedBytes, heap.fordblks);
+        this->trim(heap.fordblks);
     }
     this->applyBounds(usedBytes);
     this->report(now);
 }
 
-void MemoryWatch::trim(std::size_t usedBytes, std::size_t freeBytes)
+void MemoryWatch::trim(std::size_t freeBytes)
 {
     this->leastFreeBytes = std::min(this->leastFreeBytes, freeBytes);
-    const bool hasGrown = freeBytes > this->leastFreeBytes + kMaxFreeGrowth;
-    if (!hasGrown || usedBytes + freeBytes <= this->state.settings.memoryBytes / 2)
+    if (freeBytes <= this->leastFreeBytes + kMaxFreeGrowth)
         return;
     ::malloc_trim(0);
     this->leastFreeBytes = freeBytes;
--- a/Source/Core/Entry/MemoryWatch.h
+++ b/Source/Core/Entry/MemoryWatch.h
@@ -19,7 +19,7 @@
 private:
     // Has the allocator give freed memory back, if the memory is bounded.
     void boundAllocator();
-    void trim(std::size_t usedBytes, std::size_t freeBytes);
+    void trim(std::size_t freeBytes);
     void applyBounds(std::size_t heapBytes);
     void report(Common::Time now);
 
