--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -1,5 +1,7 @@
 #include "Entry/EntryInstance.h"
 
+#include "Common/Build.h"
+
 #include <algorithm>
 #include <csignal>
 #include <ctime>
@@ -182,7 +184,9 @@
     ::signal(SIGPIPE, SIG_IGN);
     if (const std::string problem = this->startServers(); !problem.empty())
         return problem;
+    this->state.metrics.gauges[labelled("build_info", "build", Common::buildName())] = 1;
     this->state.logState(LogLine("started")
+                             .text("build", Common::buildName())
                              .text("instance", this->state.settings.instance.value)
                              .text("callers", Common::formatAddress(this->state.settings.callers))
                              .text("store", Common::formatAddress(this->state.settings.store)));
--- a/Source/Tanagerbay/Main.cpp
+++ b/Source/Tanagerbay/Main.cpp
@@ -1,4 +1,5 @@
 // Entry point: looks up the subcommand and runs it.
+#include "Common/Build.h"
 #include "Tanagerbay/Commands.h"
 
 #include <array>
@@ -56,7 +57,8 @@
         return Commands::ExitCode::Success;
     }
     if (arguments.front() == "--version") {
-        std::cout << "tanagerbay " << TANAGERBAY_VERSION << "\n";
+        std::cout << "tanagerbay " << TANAGERBAY_VERSION << " (" << Tanagerbay::Common::buildName()
+                  << ")\n";
         return Commands::ExitCode::Success;
     }
     for (const Subcommand &subcommand : kSubcommands) {
