Entry: Log whether the connection of a send had carried a request

Cause: the process behind a connection is asked before its first request only.

Change: connectionReused in send-ended and request-ended.

--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -430,6 +430,9 @@
     ProcessStatement statement = ProcessStatement::None;
     // Status of its answer if it was asked now.
     std::optional<unsigned> statementStatus;
+    // Whether the connection of the last send had carried another request. Its process was asked
+    // before the first one only.
+    std::optional<bool> isConnectionReused;
     // How often a stream did not go on at an endpoint of its version, since the process behind the
     // connection is not known.
     int unknownPeers = 0;
--- a/Source/Core/Entry/RequestLog.cpp
+++ b/Source/Core/Entry/RequestLog.cpp
@@ -29,6 +29,8 @@
         line.text("processAnswer", Common::nameOf(this->statement));
     if (this->statementStatus)
         line.number("processStatus", *this->statementStatus);
+    if (this->isConnectionReused)
+        line.flag("connectionReused", *this->isConnectionReused);
     if (this->listAge)
         line.milliseconds("listAgeMs", *this->listAge);
     if (this->origin) {
--- a/Source/Core/Entry/RequestRelay.cpp
+++ b/Source/Core/Entry/RequestRelay.cpp
@@ -209,6 +209,7 @@
     this->isAskingPeer = false;
     this->statement = ProcessStatement::None;
     this->statementStatus.reset();
+    this->isConnectionReused.reset();
     const auto readAt = this->dependencies.endpoints.lastReadingBegan();
     this->listAge = readAt ? std::optional(startedAt - *readAt) : std::nullopt;
     if (this->isStream() && (this->route->resumable || this->requiredVersion)) {
@@ -243,6 +244,7 @@
         report.end = isUnreachable ? Routing::CallEnd::Unreachable : Routing::CallEnd::Failed;
     } else {
         this->notePeer(opened->peer());
+        this->isConnectionReused = opened->reusedConnection();
         const unsigned status = opened->status();
         const EndpointResponseHead answer
             = this->state.dialect.readResponseHead(status, opened->headers());
