Entry: Believe the only listed version of confirmed processes alone

What callers saw: after a kill of all instances, a stream of v2 that was taken up again went on at v1 (ORDER). One worker had been restarted as v2, the list still named v1, and the worker answered the question for its process with 503, or not within 250 ms, or was one of more than 16.

Cause: where nobody knows a stream, the only listed version is believed unless an endpoint states another process.

Change: the version is believed only if each endpoint of the service is the listed process for certain: it has stated that since it was listed, or its row would have lapsed (isOnlyProcess). One that has stated itself before and does not now counts as another process. Where nothing listens at the address, there is no process to doubt. Otherwise the take-up is refused as not run, and stream-resumed names the endpoints (process-not-confirmed, unconfirmed).

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -173,6 +173,14 @@
     return wasListed(this->evidence, id, time) && this->hasRunSince(id, incarnation, time);
 }
 
+bool EndpointDiscovery::isOnlyProcess(const Common::EndpointId &id, std::uint64_t incarnation) const
+{
+    return this->listsProcess(id, incarnation)
+        && Entry::isOnlyProcess(this->evidence, {id, incarnation},
+                                clockNow() - Routing::kVersionMemory,
+                                this->state.settings.bounds.endpointHeartbeat);
+}
+
 void EndpointDiscovery::readSoon()
 {
     this->needsReading = true;
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -66,6 +66,9 @@
     // Whether the process that the list shows for the endpoint, and showed at `time`, is known to
     // have run then.
     bool ranAt(const Common::EndpointId &id, std::uint64_t incarnation, Common::Time time) const;
+    // Whether the endpoint is known to be the process that the list shows, and to have been no
+    // other one since that was listed.
+    bool isOnlyProcess(const Common::EndpointId &id, std::uint64_t incarnation) const;
     // Makes the next reading begin at once.
     void readSoon();
     // Takes note of an endpoint whose leaving another instance has learned of.
--- a/Source/Core/Entry/ProcessCensus.cpp
+++ b/Source/Core/Entry/ProcessCensus.cpp
@@ -26,7 +26,7 @@
 {
 }
 
-Http::Awaitable<void> ProcessCensus::ask(std::string service)
+Http::Awaitable<std::vector<Common::EndpointId>> ProcessCensus::ask(std::string service)
 {
     const Common::Time now = clockNow();
     std::shared_ptr<Round> &last = this->rounds[service];
@@ -36,6 +36,24 @@
     boost::system::error_code ignored;
     if (round->open > 0)
         co_await round->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_return this->unconfirmed(service, *round);
+}
+
+std::vector<Common::EndpointId> ProcessCensus::unconfirmed(const std::string &service,
+                                                           const Round &round) const
+{
+    std::vector<Common::EndpointId> found;
+    for (const Routing::Endpoint &endpoint : this->state.poolOf(service).endpoints) {
+        if (round.absent.contains(endpoint.id))
+            continue;
+        // A process that has stated itself would do so again, unless it was replaced or is in
+        // trouble.
+        const bool hasStopped = round.unstated.contains(endpoint.id)
+            && this->endpoints.lastStatedAt(endpoint.id) != Common::Time::min();
+        if (hasStopped || !this->endpoints.isOnlyProcess(endpoint.id, endpoint.incarnation))
+            found.push_back(endpoint.id);
+    }
+    return found;
 }
 
 std::shared_ptr<ProcessCensus::Round> ProcessCensus::begin(const std::string &service,
@@ -46,8 +64,10 @@
     round->done.expires_at(now + kAnswerTimeout);
     const std::vector<Routing::Endpoint> asked = this->endpointsToAsk(service, now);
     round->open = asked.size();
-    for (const Routing::Endpoint &endpoint : asked)
+    for (const Routing::Endpoint &endpoint : asked) {
+        round->unstated.insert(endpoint.id);
         asio::co_spawn(this->state.context, this->askOne(service, endpoint, round), asio::detached);
+    }
     return round;
 }
 
@@ -88,6 +108,10 @@
     }
     if (reply.startTime && !reply.head->isOtherEndpoint)
         this->endpoints.noteStated(endpoint.id, *reply.startTime, askedAt);
+    if (reply.answer == ProcessAnswer::Absent)
+        round->absent.insert(endpoint.id);
+    if (reply.startTime)
+        round->unstated.erase(endpoint.id);
     this->state.metrics.count(labelled("process_census", "result", Common::nameOf(reply.answer)));
     if (--round->open == 0)
         round->done.cancel();
--- a/Source/Core/Entry/ProcessCensus.h
+++ b/Source/Core/Entry/ProcessCensus.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace Tanagerbay::Entry {
 
@@ -18,9 +19,10 @@
 
     // Asks those that have not stated themselves within the last moment, the ones first that have
     // not for the longest time, a bounded number. `EndpointDiscovery` knows what they state.
-    // Returns when all have answered, or after a short time. Requests of the same moment share the
-    // answers.
-    Http::Awaitable<void> ask(std::string service);
+    // Returns when all have answered, or after a short time, those that may be another process than
+    // the list shows: they have not stated themselves since that was listed, and their row does not
+    // confirm it; or they did once and do not now. Requests of the same moment share the answers.
+    Http::Awaitable<std::vector<Common::EndpointId>> ask(std::string service);
 
 private:
     struct Round
@@ -32,9 +34,15 @@
         Common::Time startedAt;
         boost::asio::steady_timer done;
         std::size_t open = 0;
+        // No process listened at their addresses.
+        std::set<Common::EndpointId> absent;
+        // They were asked and have not stated themselves.
+        std::set<Common::EndpointId> unstated;
     };
 
     std::shared_ptr<Round> begin(const std::string &service, Common::Time now);
+    std::vector<Common::EndpointId> unconfirmed(const std::string &service,
+                                                const Round &round) const;
     std::vector<Routing::Endpoint> endpointsToAsk(const std::string &service, Common::Time now);
     Http::Awaitable<void> askOne(std::string service, Routing::Endpoint endpoint,
                                  std::shared_ptr<Round> round);
--- a/Source/Core/Entry/ProcessEvidence.cpp
+++ b/Source/Core/Entry/ProcessEvidence.cpp
@@ -136,6 +136,24 @@
     return *evidence.readAt - since >= heartbeat * kRowLifetimeHeartbeats;
 }
 
+bool isOnlyProcess(const ProcessEvidence &evidence, const ListedProcess &process,
+                   Common::Time since, Common::Duration heartbeat)
+{
+    const auto listedSince = evidence.listedSince.find(process.endpoint);
+    if (listedSince == evidence.listedSince.end())
+        return false;
+    Common::Time from = listedSince->second;
+    const auto stated = evidence.stated.find(process.endpoint);
+    const auto otherHeardAt
+        = stated == evidence.stated.end() ? std::nullopt : stated->second.otherHeardAt;
+    if (otherHeardAt && *otherHeardAt >= from) {
+        if (*otherHeardAt >= since)
+            return false;
+        from = *otherHeardAt + Common::Duration(1);
+    }
+    return hasRunSince(evidence, process, from, heartbeat);
+}
+
 bool wasListed(const ProcessEvidence &evidence, const Common::EndpointId &id, Common::Time time)
 {
     const auto found = evidence.listedSince.find(id);
--- a/Source/Core/Entry/ProcessEvidence.h
+++ b/Source/Core/Entry/ProcessEvidence.h
@@ -106,6 +106,12 @@
 bool hasRunSince(const ProcessEvidence &evidence, const ListedProcess &process, Common::Time time,
                  Common::Duration heartbeat);
 
+// Whether the process that the list names is known to be the endpoint's only one since then: it has
+// stated itself since it was listed, and no other one has stated itself since `since`, or its row
+// would have lapsed.
+bool isOnlyProcess(const ProcessEvidence &evidence, const ListedProcess &process,
+                   Common::Time since, Common::Duration heartbeat);
+
 // Whether this instance's list has named the endpoint's process since `time` or before.
 bool wasListed(const ProcessEvidence &evidence, const Common::EndpointId &id, Common::Time time);
 
--- a/Source/Core/Entry/ProcessQuestion.cpp
+++ b/Source/Core/Entry/ProcessQuestion.cpp
@@ -16,8 +16,11 @@
     const auto response
         = co_await state.client.call(endpoint.address, std::move(question), options);
     ProcessReply reply;
-    if (!response)
+    if (!response) {
+        if (response.error().isRefused)
+            reply.answer = ProcessAnswer::Absent;
         co_return reply;
+    }
     reply.head = state.dialect.readResponseHead(response->status, response->headers);
     reply.startTime = state.dialect.readProcessAnswer(response->body);
     if (!reply.startTime)
--- a/Source/Core/Entry/ProcessQuestion.h
+++ b/Source/Core/Entry/ProcessQuestion.h
@@ -13,6 +13,8 @@
     Other,
     // The endpoint has answered without stating its start time.
     Unstated,
+    // No process listens at the endpoint's address.
+    Absent,
     Unanswered,
 };
 
@@ -22,10 +24,11 @@
 struct Tanagerbay::Common::EnumNames<Tanagerbay::Entry::ProcessAnswer>
 {
     using Answer = Entry::ProcessAnswer;
-    static constexpr NameTable<Answer, 4> table = {{
+    static constexpr NameTable<Answer, 5> table = {{
         {Answer::Same, "same"},
         {Answer::Other, "other"},
         {Answer::Unstated, "unstated"},
+        {Answer::Absent, "absent"},
         {Answer::Unanswered, "unanswered"},
     }};
 };
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -136,7 +136,9 @@
     // Returns the only version at which a stream can have begun that nobody knows; nothing if there
     // may have been several.
     std::optional<std::string> presumedVersion();
-    void noteResumption(std::string_view result);
+    // `unconfirmed` are the endpoints that may be another process than the list shows.
+    void noteResumption(std::string_view result,
+                        const std::vector<Common::EndpointId> &unconfirmed = {});
     // Records which endpoint wrote the first event, before the caller gets it.
     void noteStreamBegun();
     // Makes the send of a stream ask for the process behind its connection, since the list is
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -18,6 +18,8 @@
 constexpr Common::Milliseconds kSoleProcessAnswerTimeout{1500};
 
 constexpr unsigned kStatusOk = 200;
+// A service may have hundreds of endpoints.
+constexpr std::size_t kMaxLoggedEndpoints = 8;
 
 // What an answer with this status says that states no start time.
 ProcessStatement statementOf(unsigned status)
@@ -39,8 +41,12 @@
     return this->isStream() && this->request.lastEvent.has_value();
 }
 
-void RequestFlow::noteResumption(std::string_view result)
+void RequestFlow::noteResumption(std::string_view result,
+                                 const std::vector<Common::EndpointId> &unconfirmed)
 {
+    std::string names;
+    for (std::size_t i = 0; i < std::min(unconfirmed.size(), kMaxLoggedEndpoints); ++i)
+        names += (names.empty() ? "" : ",") + unconfirmed[i].value;
     this->state.metrics.count(labelled("streams_resumed", "result", result));
     this->state.log.write(
         LogLine("stream-resumed")
@@ -50,7 +56,8 @@
             .text("result", result)
             .text("service", this->service)
             .text("version", this->origin ? this->origin->version : "")
-            .text("begunAt", this->origin ? this->origin->endpoint.value : ""),
+            .text("begunAt", this->origin ? this->origin->endpoint.value : "")
+            .text("unconfirmed", names),
         clockNow());
 }
 
@@ -95,14 +102,18 @@
         co_return std::nullopt;
     }
     // The list is behind: it may not show yet that an endpoint was restarted as another version.
+    std::vector<Common::EndpointId> unconfirmed;
     if (this->presumedVersion())
-        co_await this->dependencies.processes.ask(this->service);
-    this->requiredVersion = this->presumedVersion();
+        unconfirmed = co_await this->dependencies.processes.ask(this->service);
+    if (unconfirmed.empty())
+        this->requiredVersion = this->presumedVersion();
     this->isVersionPresumed = this->requiredVersion.has_value();
     const bool hasUnlisted = this->dependencies.endpoints.hasUnlistedProcess(this->service);
-    this->noteResumption(this->isVersionPresumed ? "only-version"
-                             : hasUnlisted       ? "process-not-listed"
-                                                 : "unknown");
+    this->noteResumption(this->isVersionPresumed    ? "only-version"
+                             : hasUnlisted          ? "process-not-listed"
+                             : !unconfirmed.empty() ? "process-not-confirmed"
+                                                    : "unknown",
+                         unconfirmed);
     if (this->isVersionPresumed)
         co_return std::nullopt;
     co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -258,6 +258,7 @@
         CallError failed = errorOf(error, *connection, false, options.handle);
         if (failed.failure != CallFailure::Cancelled)
             failed.failure = CallFailure::ConnectFailed;
+        failed.isRefused = error == asio::error::connection_refused;
         co_return failed;
     }
     connection->stream.expires_never();
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -78,6 +78,8 @@
     // False only if no byte of the request was passed to the operating system.
     bool written = false;
     std::string message;
+    // Nothing listens at the address.
+    bool isRefused = false;
 };
 
 // Cancels one call; used on the thread that runs it. A call registers its abort function here while
--- a/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
+++ b/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
@@ -42,6 +42,11 @@
         return hasRunSince(this->evidence, this->process, time, kHeartbeat);
     }
 
+    bool isOnly(Common::Time since) const
+    {
+        return isOnlyProcess(this->evidence, this->process, since, kHeartbeat);
+    }
+
     // A row of a process without a start time.
     ListedEndpoint unstartedRow(const std::string &version, std::uint64_t sequence) const
     {
@@ -302,6 +307,33 @@
     BOOST_TEST(!hasUnlisted(this->evidence, "app", this->start));
 }
 
+// Guards against a listed process that is taken for the only one, though nothing has shown it.
+BOOST_AUTO_TEST_CASE(onlyProcess_hasNotStatedItself_isKnownOnceItsRowWouldHaveLapsed)
+{
+    BOOST_TEST(!this->isOnly(this->start));
+    this->readFromTo(this->start, this->start + kRowLifetime);
+    BOOST_TEST(this->isOnly(this->start));
+}
+
+BOOST_AUTO_TEST_CASE(onlyProcess_hasStatedItselfSinceItWasListed_isKnown)
+{
+    noteStated(this->evidence, this->process, this->start - kHeartbeat, this->start);
+    BOOST_TEST(!this->isOnly(this->start));
+    noteStated(this->evidence, this->process, this->at(1), this->at(2));
+    BOOST_TEST(this->isOnly(this->start));
+}
+
+// Guards against two processes that run side by side and state themselves in turn.
+BOOST_AUTO_TEST_CASE(onlyProcess_otherOneHasStatedItselfSince_isNotKnownUntilThatIsLongAgo)
+{
+    noteStated(this->evidence, this->other, this->at(1), this->at(2));
+    BOOST_TEST(!this->isOnly(this->start));
+    noteStated(this->evidence, this->process, this->at(3), this->at(4));
+    BOOST_TEST(!this->isOnly(this->start));
+    BOOST_TEST(!this->isOnly(this->at(2)));
+    BOOST_TEST(this->isOnly(this->at(3)));
+}
+
 BOOST_AUTO_TEST_CASE(process_statedLongAgo_isForgotten)
 {
     noteStatedBeside(this->evidence, this->other, "app", this->process.incarnation, this->at(1));
