Serving: Take data without a number for an event that has begun

What callers saw: an answer that broke off within an event whose data stood before its number left no trace of that event.

Cause: only a number showed that an event had begun. The format allows the number to stand behind the data.

Change: complete lines with data and no number that can be read show that the next event exists, in an event that was broken off and in one that ended without a number. Lines with a number count by it, as before, so that an event that came twice shows nothing.

What it costs: a stream whose last event is repeated data first and broken off within the repetition is cut, where it was complete before.

--- a/Source/Core/Serving/EventSequence.cpp
+++ b/Source/Core/Serving/EventSequence.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::string_view kNumberField = "id:";
+constexpr std::string_view kDataField = "data:";
 
 // What the `id:` lines of an event hold.
 struct EventNumbers
@@ -60,7 +61,7 @@
         at = end + 1;
         if (line.ends_with('\r'))
             line.remove_suffix(1);
-        const bool isFreeText = line.starts_with("data:") || line.starts_with(':');
+        const bool isFreeText = line.starts_with(kDataField) || line.starts_with(':');
         const bool hasHiddenNumber = !isFreeText && line.find(kNumberField, 1) != line.npos;
         if (hasHiddenNumber || line.find('\r') != line.npos)
             return true;
@@ -78,12 +79,19 @@
     return isOneNumber && !mayHideAnother(event) ? numbers.largest : std::nullopt;
 }
 
-// Whether the event has this number or a larger one. Which number it should have is not known: a
-// damaged digit makes any of it.
-bool hasNumberFrom(std::uint64_t number, std::string_view event)
+bool hasData(std::string_view event)
 {
-    const auto largest = readNumbers(event).largest;
-    return largest && *largest >= number;
+    return event.starts_with(kDataField)
+        || event.find("\n" + std::string(kDataField)) != std::string_view::npos;
+}
+
+// Whether the lines show that there is an event with this number: they have it or a larger one, as
+// a damaged digit makes any of it. Data without a number is that of an event whose number stands
+// behind it or was damaged.
+bool showsEvent(std::uint64_t number, std::string_view lines)
+{
+    const auto largest = readNumbers(lines).largest;
+    return largest ? *largest >= number : hasData(lines);
 }
 
 std::string_view completeLines(std::string_view bytes)
@@ -152,7 +160,7 @@
 
 SequenceFault EventSequence::endWith(SequenceFault fault, std::string_view event)
 {
-    const bool showsNext = hasNumberFrom(this->nextEvent(), event);
+    const bool showsNext = showsEvent(this->nextEvent(), event);
     this->discardPartialEvent();
     this->hasFaultShownNext = showsNext;
     return fault;
@@ -170,8 +178,7 @@
 
 bool EventSequence::showsNextEvent() const
 {
-    return this->hasFaultShownNext
-        || hasNumberFrom(this->nextEvent(), completeLines(this->partial));
+    return this->hasFaultShownNext || showsEvent(this->nextEvent(), completeLines(this->partial));
 }
 
 void EventSequence::discardPartialEvent()
--- a/Source/Core/Serving/EventSequence.h
+++ b/Source/Core/Serving/EventSequence.h
@@ -53,8 +53,8 @@
     // Returns the complete events that have not been taken yet, and removes them.
     std::string takeReady();
     bool hasPartialEvent() const;
-    // Whether the partial event, by its complete lines, or the event of the last fault has the
-    // number of the next event or of a later one, so that the next one exists.
+    // Whether the partial event, by its complete lines, or the event of the last fault shows that
+    // the next event exists: it has its number or a later one, or data without a number.
     bool showsNextEvent() const;
     // Discards the partial event after its endpoint has failed.
     void discardPartialEvent();
