Emulator: Play two builds side by side

Cause: the users upgrade the program while workers restart, and no play of ours ran two builds in one fleet.

--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <deque>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <memory>
 #include <random>
@@ -546,6 +547,8 @@
     int openFiles = 0;
     // Variables that the process gets besides, as NAME=VALUE.
     std::vector<std::string> environment = {};
+    // If set, returns the program of each start instead.
+    std::function<std::string()> programOfStart = {};
 };
 
 // A process of the system, started with the command of the deploy file.
@@ -610,6 +613,8 @@
     {
         const std::string variable = "TANAGERBAY_BOOT=" + this->settingsPath();
         const std::string log = this->logPath();
+        const std::string path
+            = this->launch.programOfStart ? this->launch.programOfStart() : this->launch.program;
         const ::pid_t child = ::fork();
         if (child != 0) {
             this->pid = child;
@@ -629,7 +634,7 @@
             const rlimit limit{most, most};
             ::setrlimit(RLIMIT_NOFILE, &limit);
         }
-        const char *program = this->launch.program.c_str();
+        const char *program = path.c_str();
         ::execl(program, program, "serve", "--settings-variable", "TANAGERBAY_BOOT",
                 static_cast<char *>(nullptr));
         ::_exit(127);
