Generation: Take no version from the instance list for a reply without one

What callers saw: on the own interface, a stream of v1 went on at an engine of v2 (mixed tokens), if that engine had been restarted, the list of instances still named v1, and its reply stated no Software-Version. The same for a stream that such an engine had begun: it went on at v1, and its Stream-Id named v1.

Change: the version is what the reply states, else unknown, which is a version of its own. ChosenEndpoint no longer carries the list's.

--- a/Source/Core/Node/Generation.cpp
+++ b/Source/Core/Node/Generation.cpp
@@ -56,8 +56,7 @@
     std::optional<ChosenEndpoint> chooseEngineToResume();
     std::optional<Common::Error> requireResumedVersion();
     bool isEndedByVersion() const;
-    bool checkVersion(const Http::ResponseStream &reply, const ChosenEndpoint &engine,
-                      Segment &segment) const;
+    bool checkVersion(const Http::ResponseStream &reply, Segment &segment) const;
     Http::Awaitable<Segment> readSegment(Http::ResponseStream &reply, Segment segment);
     Http::Awaitable<bool> forward(std::string_view bytes);
     bool isTooSlow(Common::Time now) const;
@@ -267,16 +266,15 @@
         return std::nullopt;
     Routing::beginCall(this->shard.pool, found->second);
     const Routing::Endpoint &endpoint = this->shard.pool.endpoints[found->second];
-    return ChosenEndpoint{endpoint.id, endpoint.address, endpoint.version};
+    return ChosenEndpoint{endpoint.id, endpoint.address};
 }
 
 // Reads the version of the engine's process from its reply, since the list of endpoints may not
-// know yet that the process was replaced. Returns false if the stream may not go on there.
-bool Relay::checkVersion(const Http::ResponseStream &reply, const ChosenEndpoint &engine,
-                         Segment &segment) const
+// know yet that the process was replaced. It is not known if the reply does not state it. Returns
+// false if the stream may not go on there.
+bool Relay::checkVersion(const Http::ResponseStream &reply, Segment &segment) const
 {
-    const std::string_view stated = reply.header(Wire::kSoftwareVersion);
-    segment.version = stated.empty() ? engine.version : std::string(stated);
+    segment.version = std::string(reply.header(Wire::kSoftwareVersion));
     if (!Common::isVisibleText(segment.version, Common::kMaxVersionLength)) {
         segment.problem = "the engine stated an invalid software version";
         segment.report.end = Routing::CallEnd::Failed;
@@ -331,7 +329,7 @@
     } else {
         segment.report.load = parseLoadReport(reply->header(Wire::kLoadReport));
         segment.report.end = Routing::CallEnd::Failed;
-        if (this->checkVersion(*reply, engine, segment)) {
+        if (this->checkVersion(*reply, segment)) {
             this->streamId = formatStreamId(engine.id, streamName, segment.version);
             segment = co_await this->readSegment(*reply, std::move(segment));
         }
--- a/Source/Core/Node/StageCall.cpp
+++ b/Source/Core/Node/StageCall.cpp
@@ -220,7 +220,7 @@
         return std::nullopt;
     Routing::beginCall(shard.pool, *index);
     const Routing::Endpoint &endpoint = shard.pool.endpoints[*index];
-    return ChosenEndpoint{endpoint.id, endpoint.address, endpoint.version};
+    return ChosenEndpoint{endpoint.id, endpoint.address};
 }
 
 Http::Headers callHeaders(const RequestScope &scope, const Pipeline::AttemptTag &tag,
--- a/Source/Core/Node/StageCall.h
+++ b/Source/Core/Node/StageCall.h
@@ -26,8 +26,6 @@
 {
     Common::EndpointId id;
     Common::Address address;
-    // Version of its software as its entry states it; empty if unknown.
-    std::string version;
 };
 // Chooses an endpoint of the pool and counts a call in progress to it. Returns nothing if no
 // endpoint is available.
--- a/Source/StandIns/Engine.cpp
+++ b/Source/StandIns/Engine.cpp
@@ -167,7 +167,9 @@
     const std::string tag(exchange.request().headers.find(Wire::kAttemptTag));
     head.headers.add(Wire::kAttemptTag, foreign ? "other-run:0:0:0" : tag);
     head.headers.add(Wire::kLoadReport, this->loadReport());
-    if (!this->endpoint.version.empty())
+    const bool isVersionHidden
+        = this->faults.trigger(this->endpoint.id, FaultKind::HiddenVersion, clockNow()).has_value();
+    if (!this->endpoint.version.empty() && !isVersionHidden)
         head.headers.add(Wire::kSoftwareVersion, this->endpoint.version);
     bool streamComplete = co_await exchange.beginStream(std::move(head));
     if (streamComplete)
--- a/Source/StandIns/FaultInjector.h
+++ b/Source/StandIns/FaultInjector.h
@@ -35,6 +35,8 @@
     Truncate,
     // The reply carries the attempt tag of another call.
     ForeignTag,
+    // The reply of an engine does not state its software version.
+    HiddenVersion,
 };
 
 } // namespace Tanagerbay::StandIns
@@ -43,7 +45,7 @@
 struct Tanagerbay::Common::EnumNames<Tanagerbay::StandIns::FaultKind>
 {
     using Kind = StandIns::FaultKind;
-    static constexpr NameTable<Kind, 11> table = {{
+    static constexpr NameTable<Kind, 12> table = {{
         {Kind::Slow, "slow"},
         {Kind::Refuse, "refuse"},
         {Kind::Error, "error"},
@@ -55,6 +57,7 @@
         {Kind::Leaving, "leaving"},
         {Kind::Truncate, "truncate"},
         {Kind::ForeignTag, "foreign-tag"},
+        {Kind::HiddenVersion, "hidden-version"},
     }};
 };
 
--- a/Source/UnitTests/Node/StreamVersionTest.cpp
+++ b/Source/UnitTests/Node/StreamVersionTest.cpp
@@ -264,6 +264,46 @@
     BOOST_TEST(errorMember(stream.lastData, "code") == "version_unavailable");
 }
 
+// Guards against a stream that goes on at an engine whose version is taken from the instance list,
+// as its reply states none: the list may be that of its process before.
+BOOST_FIXTURE_TEST_CASE(engineFailsMidStream_othersRestartedAndStateNoVersion_endsAsBroken,
+                        OneVersion)
+{
+    const auto before = this->tokensByEngine();
+    const Reply reply = this->callAndInterrupt(ask(600), "id: 30\n", [&] {
+        const std::string serving = this->servingEngine(before);
+        for (const std::string &other : othersThan(serving)) {
+            this->restartEngine(other, "v2", false);
+            this->setFault(other, "hidden-version");
+        }
+        this->setFault(serving, "truncate");
+    });
+    this->clearFaults();
+    const Stream stream = readStream(reply.body);
+    BOOST_TEST((versionsOf(stream) == std::set<std::string>{"v1"}));
+    BOOST_REQUIRE(stream.lastType == "error");
+    BOOST_TEST(errorMember(stream.lastData, "code") == "version_unavailable");
+}
+
+// The same for a stream that such an engine has begun.
+BOOST_FIXTURE_TEST_CASE(engineStatesNoVersionAndFailsMidStream_isNotContinuedAtTheListedOne,
+                        OneVersion)
+{
+    const auto before = this->tokensByEngine();
+    for (const std::string &engine : othersThan("")) {
+        this->restartEngine(engine, "v2", false);
+        this->setFault(engine, "hidden-version");
+    }
+    const Reply reply = this->callAndInterrupt(ask(600), "id: 30\n", [&] {
+        const std::string serving = this->servingEngine(before);
+        for (const std::string &other : othersThan(serving))
+            this->restartEngine(other, "v1", false);
+        this->setFault(serving, "truncate");
+    });
+    this->clearFaults();
+    BOOST_TEST((versionsOf(readStream(reply.body)) == std::set<std::string>{"v2"}));
+}
+
 // The engine's process is replaced at the same id and address while it serves the stream.
 BOOST_FIXTURE_TEST_CASE(enginesRestartMidStream_atAnotherVersion_streamIsNotContinuedThere,
                         OneVersion)
