Entry: Doubt a process that has stated itself and does not any more

The worker had stated itself, was restarted as v2 before the list showed it, and answered the question with 503 and Retry-After. The next take-up did not ask it, as it was held, and its former statement confirmed the list again.

Cause: only endpoints that were asked with this very take-up counted as silent, and a statement confirmed for as long as the row was listed. Held, limited and evacuated endpoints are not asked, nor are all of more than 16.

Change: an endpoint that has not stated itself when it was last asked stays unconfirmed until it does, whoever asks; and a statement confirms for as long as it takes to ask all endpoints four times over (1 s with up to 16). A 421 with a start time is no statement here either.

--- a/Source/Core/Entry/ProcessCensus.cpp
+++ b/Source/Core/Entry/ProcessCensus.cpp
@@ -18,6 +18,8 @@
 constexpr Common::Milliseconds kAnswerTimeout{250};
 // Each question is a request to its endpoint.
 constexpr std::size_t kMaxAsked = 16;
+// Rounds begin with requests, so that they may follow each other more slowly than they could.
+constexpr int kMaxRoundIntervals = 4;
 
 } // namespace
 
@@ -43,29 +45,43 @@
                                                            const Round &round) const
 {
     std::vector<Common::EndpointId> found;
-    for (const Routing::Endpoint &endpoint : this->state.poolOf(service).endpoints) {
+    const std::vector<Routing::Endpoint> &endpoints = this->state.poolOf(service).endpoints;
+    const auto rounds = static_cast<std::int64_t>((endpoints.size() + kMaxAsked - 1) / kMaxAsked);
+    const Common::Time since = round.startedAt - kAnswerTimeout * rounds * kMaxRoundIntervals;
+    for (const Routing::Endpoint &endpoint : endpoints) {
         if (round.absent.contains(endpoint.id))
             continue;
-        // A process that has stated itself would do so again, unless it was replaced or is in
-        // trouble.
-        const bool hasStopped = round.unstated.contains(endpoint.id)
-            && this->endpoints.lastStatedAt(endpoint.id) != Common::Time::min();
-        if (hasStopped || !this->endpoints.isOnlyProcess(endpoint.id, endpoint.incarnation))
+        if (this->hasStoppedStating(endpoint.id, since)
+            || !this->endpoints.isOnlyProcess(endpoint.id, endpoint.incarnation))
             found.push_back(endpoint.id);
     }
     return found;
 }
 
+// A process that has stated itself would do so again, unless it was replaced or is in trouble. It
+// may not be asked meanwhile: its answer to the question may have been to wait.
+bool ProcessCensus::hasStoppedStating(const Common::EndpointId &id, Common::Time since) const
+{
+    const Common::Time lastStatedAt = this->endpoints.lastStatedAt(id);
+    if (lastStatedAt == Common::Time::min())
+        return false;
+    const auto found = this->unstated.find(id);
+    return lastStatedAt < since || (found != this->unstated.end() && found->second > lastStatedAt);
+}
+
 std::shared_ptr<ProcessCensus::Round> ProcessCensus::begin(const std::string &service,
                                                            Common::Time now)
 {
     auto round = std::make_shared<Round>(this->state.context);
     round->startedAt = now;
     round->done.expires_at(now + kAnswerTimeout);
+    std::erase_if(this->unstated, [now](const auto &entry) {
+        return now - entry.second > Routing::kVersionMemory;
+    });
     const std::vector<Routing::Endpoint> asked = this->endpointsToAsk(service, now);
     round->open = asked.size();
     for (const Routing::Endpoint &endpoint : asked) {
-        round->unstated.insert(endpoint.id);
+        this->unstated[endpoint.id] = now;
         asio::co_spawn(this->state.context, this->askOne(service, endpoint, round), asio::detached);
     }
     return round;
@@ -106,12 +122,12 @@
         this->limits.noteAnswer(endpoint, *reply.head, askedAt);
         this->endpoints.noteResponse(endpoint, *reply.head);
     }
-    if (reply.startTime && !reply.head->isOtherEndpoint)
+    if (reply.startTime && !reply.head->isOtherEndpoint) {
         this->endpoints.noteStated(endpoint.id, *reply.startTime, askedAt);
+        this->unstated.erase(endpoint.id);
+    }
     if (reply.answer == ProcessAnswer::Absent)
         round->absent.insert(endpoint.id);
-    if (reply.startTime)
-        round->unstated.erase(endpoint.id);
     this->state.metrics.count(labelled("process_census", "result", Common::nameOf(reply.answer)));
     if (--round->open == 0)
         round->done.cancel();
--- a/Source/Core/Entry/ProcessCensus.h
+++ b/Source/Core/Entry/ProcessCensus.h
@@ -21,7 +21,8 @@
     // not for the longest time, a bounded number. `EndpointDiscovery` knows what they state.
     // Returns when all have answered, or after a short time, those that may be another process than
     // the list shows: they have not stated themselves since that was listed, and their row does not
-    // confirm it; or they did once and do not now. Requests of the same moment share the answers.
+    // confirm it; or they did and have not for some time. Requests of the same moment share the
+    // answers.
     Http::Awaitable<std::vector<Common::EndpointId>> ask(std::string service);
 
 private:
@@ -34,15 +35,16 @@
         Common::Time startedAt;
         boost::asio::steady_timer done;
         std::size_t open = 0;
-        // No process listened at their addresses.
+        // They have refused the connection.
         std::set<Common::EndpointId> absent;
-        // They were asked and have not stated themselves.
-        std::set<Common::EndpointId> unstated;
     };
 
     std::shared_ptr<Round> begin(const std::string &service, Common::Time now);
     std::vector<Common::EndpointId> unconfirmed(const std::string &service,
                                                 const Round &round) const;
+    // Whether the endpoint has stated itself before, but neither when it was last asked nor since
+    // `since`.
+    bool hasStoppedStating(const Common::EndpointId &id, Common::Time since) const;
     std::vector<Routing::Endpoint> endpointsToAsk(const std::string &service, Common::Time now);
     Http::Awaitable<void> askOne(std::string service, Routing::Endpoint endpoint,
                                  std::shared_ptr<Round> round);
@@ -52,6 +54,8 @@
     LimitWatch &limits;
     // The last one of each service.
     std::map<std::string, std::shared_ptr<Round>> rounds;
+    // Endpoints that have not stated themselves since they were last asked, and when that was.
+    std::map<Common::EndpointId, Common::Time> unstated;
 };
 
 } // namespace Tanagerbay::Entry
