Serving: Take data that was cut for an event that has begun

Cause: only whole lines were read. That is right for numbers, of which a cut one is another number, but not for data.

Change: a line of data counts from its name on.

Result: EndsOfStreams/answer_endsWithinTheDataOfAnEventWithoutItsNumber_* fails with the sources before and passes; 231,986 assertions of EndsOfStreams, the sequences and the fuzzers pass.

--- a/Source/Core/Serving/EventSequence.cpp
+++ b/Source/Core/Serving/EventSequence.cpp
@@ -178,7 +178,10 @@
 
 bool EventSequence::showsNextEvent() const
 {
-    return this->hasFaultShownNext || showsEvent(this->nextEvent(), completeLines(this->partial));
+    // A number may be cut, data need not be whole.
+    const auto largest = readNumbers(completeLines(this->partial)).largest;
+    return this->hasFaultShownNext
+        || (largest ? *largest >= this->nextEvent() : hasData(this->partial));
 }
 
 void EventSequence::discardPartialEvent()
--- a/Source/Core/Serving/EventSequence.h
+++ b/Source/Core/Serving/EventSequence.h
@@ -53,8 +53,8 @@
     // Returns the complete events that have not been taken yet, and removes them.
     std::string takeReady();
     bool hasPartialEvent() const;
-    // Whether the partial event, by its complete lines, or the event of the last fault shows that
-    // the next event exists: it has its number or a later one, or data without a number.
+    // Whether the partial event or the event of the last fault shows that the next event exists: a
+    // complete line has its number or a later one, or there is data without a number.
     bool showsNextEvent() const;
     // Discards the partial event after its endpoint has failed.
     void discardPartialEvent();
--- a/Source/UnitTests/Serving/StreamProgressTest.cpp
+++ b/Source/UnitTests/Serving/StreamProgressTest.cpp
@@ -101,6 +101,23 @@
     BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::Complete));
 }
 
+// The same where the data itself was cut.
+BOOST_AUTO_TEST_CASE(answer_endsWithinTheDataOfAnEventWithoutItsNumber_isNotComplete)
+{
+    for (const char *begun : {"data: te", "data:", "event: x\ndata: te"}) {
+        this->events = EventSequence();
+        this->progress = {};
+        this->answer(event(1) + begun);
+        this->answer("");
+        BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::BeforeBegunEvent), begun);
+    }
+    this->events = EventSequence();
+    this->progress = {};
+    this->answer(event(1) + "dat");
+    this->answer("");
+    BOOST_TEST((judgeEnd(this->progress, kFramed) == StreamEnd::Complete));
+}
+
 // The same for an answer that was spoiled: what it held behind the fault shows that more follows,
 // however the network cuts it.
 BOOST_AUTO_TEST_CASE(answer_endsBeforeAnEventOfASpoiledAnswer_isNotComplete)
