--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -66,8 +66,8 @@
     // Whether the process that the list shows for the endpoint, and showed at `time`, is known to
     // have run then.
     bool ranAt(const Common::EndpointId &id, std::uint64_t incarnation, Common::Time time) const;
-    // Whether the endpoint is known to be the process that the list shows, and to have been no
-    // other one since that was listed.
+    // Whether the endpoint is known to have been the process that the list shows when that was
+    // listed, and no other one has stated itself since.
     bool isOnlyProcess(const Common::EndpointId &id, std::uint64_t incarnation) const;
     // Makes the next reading begin at once.
     void readSoon();
--- a/Source/Core/Entry/ProcessEvidence.h
+++ b/Source/Core/Entry/ProcessEvidence.h
@@ -106,9 +106,9 @@
 bool hasRunSince(const ProcessEvidence &evidence, const ListedProcess &process, Common::Time time,
                  Common::Duration heartbeat);
 
-// Whether the process that the list names is known to be the endpoint's only one since then: it has
-// stated itself since it was listed, and no other one has stated itself since `since`, or its row
-// would have lapsed.
+// Whether the process that the list names is known to have been the endpoint's when it was listed.
+// It has stated itself since, or its row would have lapsed otherwise. Another one that has stated
+// itself after that, and at `since` or later, may still run.
 bool isOnlyProcess(const ProcessEvidence &evidence, const ListedProcess &process,
                    Common::Time since, Common::Duration heartbeat);
 
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -432,8 +432,8 @@
     ProcessStatement statement = ProcessStatement::None;
     // Status of its answer if it was asked now.
     std::optional<unsigned> statementStatus;
-    // Whether the connection of the last send had carried another request. Its process was asked
-    // before the first one only.
+    // Whether the connection of the last send had carried a request before. A process that has
+    // stated itself on it is not asked again.
     std::optional<bool> isConnectionReused;
     // How often a stream did not go on at an endpoint of its version, since the process behind the
     // connection is not known.
