--- /dev/null
+++ b/review/rig-2/rig.h
@@ -0,0 +1,191 @@
+// Small stand-ins for the scripts of the second review: a store, a TCP proxy, workers, clients, and
+// a starter of `tanagerbay serve` processes. One thread a connection; everything on loopback.
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace Rig {
+
+using Clock = std::chrono::steady_clock;
+
+// Milliseconds since the start of the rig.
+double nowMs();
+void sleepMs(double ms);
+void sleepUntilMs(double ms);
+
+// Writes a line with the time to record.txt, and to standard output if `isShown`.
+void record(const std::string &line, bool isShown = false);
+void openRecord(const std::string &path);
+
+std::uint16_t freePort(const std::string &ip);
+
+struct Message
+{
+    // Request: method and target. Response: status.
+    std::string method;
+    std::string target;
+    int status = 0;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    bool isComplete = false;
+    std::string find(const std::string &name) const;
+};
+
+// Blocking reads and writes on a socket. `carry` keeps bytes that were read ahead.
+bool readMessage(int socket, std::string &carry, bool isResponse, Message &message, int timeoutMs);
+bool writeAll(int socket, const std::string &bytes);
+int listenOn(const std::string &ip, std::uint16_t port);
+int connectTo(const std::string &ip, std::uint16_t port, int timeoutMs);
+
+// The platform's store as its pages tell: rows, transactions, feeds.
+class Store
+{
+public:
+    Store();
+    std::uint16_t port = 0;
+    // Returns the version. The return is the acknowledgement.
+    std::uint64_t put(const std::string &table, const std::string &key, const std::string &value);
+    void remove(const std::string &table, const std::string &key);
+    // Number of answers to readings of this table that came over connections from this source.
+    std::function<void(const std::string &call)> onCall;
+
+private:
+    struct Row
+    {
+        std::string table;
+        std::string key;
+        std::string value;
+        std::uint64_t version = 0;
+        bool isRemoved = false;
+    };
+    void serve(int socket);
+    std::string answer(const Message &request, int &status);
+    std::string rowJson(const Row &row) const;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::pair<std::string, std::string>, Row> rows;
+    std::deque<Row> history;
+    std::uint64_t version = 1;
+};
+
+// Forwards connections on a loopback port to a target.
+class Proxy
+{
+public:
+    Proxy(std::uint16_t targetPort);
+    std::uint16_t port = 0;
+    // The connections that are open now forward nothing more, without a reset. New ones work.
+    void silenceOpen();
+    // Nothing passes, on open connections and on new ones, until it is ended; then all goes on.
+    void setHeld(bool held);
+    // Resets the open connections, and new ones as soon as they are made, until it is ended.
+    void setRefusing(bool refuses);
+    int openCount();
+
+private:
+    struct Link
+    {
+        int caller = -1;
+        int target = -1;
+        std::atomic<bool> isSilent{false};
+        std::atomic<bool> isDone{false};
+    };
+    void pump(std::shared_ptr<Link> link, int from, int to);
+    std::uint16_t targetPort;
+    std::mutex mutex;
+    std::condition_variable released;
+    bool isHeld = false;
+    std::atomic<bool> isRefusing{false};
+    std::vector<std::shared_ptr<Link>> links;
+};
+
+struct Arrival
+{
+    double at = 0;
+    Message request;
+};
+
+// A worker of a service, with an entry in the store that it renews.
+class Worker
+{
+public:
+    Worker(Store &store, std::string id, std::string service, int delayMs);
+    // Writes the entry and renews it every 1.2 s.
+    void startBeating();
+    // Removes its entry from the store, as a worker that leaves without `draining`; it goes on
+    // serving. Returns the time of the acknowledgement.
+    double leaveUnannounced();
+    // Ends the process: connections are closed, new ones refused.
+    void end();
+    std::vector<Arrival> arrivals();
+    std::string id;
+    std::string service;
+    std::uint16_t port = 0;
+    std::uint64_t born = 0;
+    // Makes the answer to a request, without the connection's headers; the default is a 200.
+    std::function<std::string(const Message &request)> answerer;
+    std::string zone = "z1";
+
+private:
+    void serve(int socket);
+    std::string entry(const std::string &state);
+    Store &store;
+    int delayMs;
+    int listener = -1;
+    std::mutex mutex;
+    std::vector<Arrival> received;
+    std::set<int> sockets;
+    std::atomic<bool> isBeating{false};
+    std::atomic<bool> hasEnded{false};
+    std::uint64_t sequence = 0;
+};
+
+// A process of the command in the deploy file.
+class Entry
+{
+public:
+    Entry(std::string name, std::string ip, std::uint16_t peerPort, std::uint16_t forwardPort,
+          std::uint16_t storePort, std::vector<std::string> seeds);
+    ~Entry();
+    bool isReady();
+    std::string log();
+    std::string ip;
+    std::string name;
+    std::uint16_t callers = 0;
+    std::uint16_t readiness = 0;
+    ::pid_t pid = -1;
+
+private:
+    std::string folder;
+};
+
+struct Answer
+{
+    int status = 0;
+    bool isComplete = false;
+    Message message;
+};
+
+// Sends one request over a new connection.
+Answer call(const Entry &entry, const std::string &method, const std::string &path,
+            const std::string &id, const std::string &key, int deadlineMs,
+            const std::string &moreHeaders = "", const std::string &body = "");
+
+bool isTroubled();
+
+} // namespace Rig
