Review cases 7 and 8: workers that have left are sent requests

7: removals right after a machine's partition from the store are put off by the grace for a store that returns. 8: the first report of a restarted reader lets its followers skip removals.

--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -81,10 +81,10 @@
     return "";
 }
 
-std::string responseBytes(int status, const std::string &body)
+std::string responseBytes(int status, const std::string &body, const std::string &era)
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\n"
-        + "Store-Era: 1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        + (era.empty() ? "" : "Store-Era: " + era + "\r\n") + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 } // namespace
@@ -390,7 +390,7 @@
         int status = 200;
         const std::string body = this->answer(request, status);
         sleepMs(4);
-        if (!writeAll(socket, responseBytes(status, body)))
+        if (!writeAll(socket, responseBytes(status, body, this->era)))
             break;
         if (this->onCall)
             this->onCall(request.target);
@@ -538,6 +538,14 @@
     return nowMs();
 }
 
+double Worker::drain()
+{
+    const std::lock_guard lock(this->mutex);
+    this->isBeating = false;
+    this->store.put("servers", this->id, this->entry("draining"));
+    return nowMs();
+}
+
 void Worker::end()
 {
     this->hasEnded = true;
@@ -598,7 +606,8 @@
 
 namespace {
 
-std::vector<::pid_t> started;
+std::mutex startedMutex;
+std::set<::pid_t> started;
 
 void endAll()
 {
@@ -620,6 +629,7 @@
     this->folder = ::mkdtemp(pattern);
     this->callers = freePort(this->ip);
     this->readiness = freePort(this->ip);
+    this->control = freePort(this->ip);
     const auto at = [this](std::uint16_t port) { return this->ip + ":" + std::to_string(port); };
     json::array seedList;
     for (const std::string &seed : seeds)
@@ -629,7 +639,7 @@
     settings["listen"] = {{"callers", at(this->callers)},
                           {"readiness", at(this->readiness)},
                           {"directory", at(freePort(this->ip))},
-                          {"control", at(freePort(this->ip))}};
+                          {"control", at(this->control)}};
     settings["peers"] = {{"port", peerPort},
                          {"forwardPort", forwardPort},
                          {"metricsPort", freePort(this->ip)},
@@ -644,26 +654,57 @@
                           {"extraSendWindowSeconds", 10}, {"leavingDelayMs", 2000},
                           {"endpointHeartbeatMs", 1200},  {"catalogDelayMs", 2000},
                           {"mostDirectoryTtlSeconds", 5}, {"graceSeconds", 8}};
-    const std::string path = this->folder + "/settings.json";
-    std::ofstream(path) << json::serialize(settings);
-    this->pid = ::fork();
-    if (this->pid == 0) {
-        const int log = ::open((this->folder + "/out").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    this->settingsPath = this->folder + "/settings.json";
+    std::ofstream(this->settingsPath) << json::serialize(settings);
+    this->start();
+}
+
+void Entry::start()
+{
+    const ::pid_t child = ::fork();
+    if (child == 0) {
+        const int log
+            = ::open((this->folder + "/out").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(log, 1);
         ::dup2(log, 2);
-        ::setenv("TANAGERBAY_BOOT", path.c_str(), 1);
+        ::setenv("TANAGERBAY_BOOT", this->settingsPath.c_str(), 1);
         ::execl("target/tanagerbay", "target/tanagerbay", "serve", "--settings-variable",
                 "TANAGERBAY_BOOT", static_cast<char *>(nullptr));
         std::_Exit(127);
     }
-    started.push_back(this->pid);
+    this->pid = child;
+    const std::lock_guard lock(startedMutex);
+    started.insert(child);
+}
+
+void Entry::kill()
+{
+    const ::pid_t old = this->pid;
+    ::kill(old, SIGKILL);
+    ::waitpid(old, nullptr, 0);
+    const std::lock_guard lock(startedMutex);
+    started.erase(old);
+}
+
+void Entry::restartGracefully(double pauseMs)
+{
+    const ::pid_t old = this->pid;
+    ::kill(old, SIGTERM);
+    ::waitpid(old, nullptr, 0);
+    {
+        const std::lock_guard lock(startedMutex);
+        started.erase(old);
+    }
+    sleepMs(pauseMs);
+    this->start();
 }
 
 Entry::~Entry()
 {
     ::kill(this->pid, SIGKILL);
     ::waitpid(this->pid, nullptr, 0);
-    started.erase(std::remove(started.begin(), started.end(), this->pid), started.end());
+    const std::lock_guard lock(startedMutex);
+    started.erase(this->pid);
     ::unlink((this->folder + "/settings.json").c_str());
     ::unlink((this->folder + "/out").c_str());
     ::rmdir(this->folder.c_str());
@@ -676,17 +717,36 @@
     return text.str();
 }
 
-bool Entry::isReady()
+namespace {
+
+Message get(const std::string &ip, std::uint16_t port, const std::string &target)
 {
-    const int socket = connectTo(this->ip, this->readiness, 500);
+    Message answer;
+    const int socket = connectTo(ip, port, 500);
     if (socket < 0)
-        return false;
-    writeAll(socket, "GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        return answer;
     std::string carry;
-    Message answer;
-    const bool isRead = readMessage(socket, carry, true, answer, 1000);
+    if (writeAll(socket, "GET " + target + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"))
+        readMessage(socket, carry, true, answer, 1000);
     ::close(socket);
-    return isRead && answer.status == 200;
+    return answer;
+}
+
+} // namespace
+
+bool Entry::isReady()
+{
+    return get(this->ip, this->readiness, "/v1/ready").status == 200;
+}
+
+bool Entry::isReader()
+{
+    return this->state().find("\"isReader\":true") != std::string::npos;
+}
+
+std::string Entry::state()
+{
+    return get(this->ip, this->control, "/v1/state").body;
 }
 
 Answer call(const Entry &entry, const std::string &method, const std::string &path,
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -58,6 +58,8 @@
 public:
     Store();
     std::uint16_t port = 0;
+    // Value of the header `Store-Era`; none is sent if it is empty.
+    std::string era = "1";
     // Returns the version. The return is the acknowledgement.
     std::uint64_t put(const std::string &table, const std::string &key, const std::string &value);
     void remove(const std::string &table, const std::string &key);
@@ -130,6 +132,8 @@
     // Removes its entry from the store, as a worker that leaves without `draining`; it goes on
     // serving. Returns the time of the acknowledgement.
     double leaveUnannounced();
+    // Writes that it is draining; its entry stays. Returns the time of the acknowledgement.
+    double drain();
     // Ends the process: connections are closed, new ones refused.
     void end();
     std::vector<Arrival> arrivals();
@@ -162,16 +166,28 @@
     Entry(std::string name, std::string ip, std::uint16_t peerPort, std::uint16_t forwardPort,
           std::uint16_t storePort, std::vector<std::string> seeds);
     ~Entry();
+    // Starts the process with the settings that were written.
+    void start();
+    // SIGKILL.
+    void kill();
+    // Sends SIGTERM, waits for the end, and starts the process again after a pause.
+    void restartGracefully(double pauseMs);
     bool isReady();
+    // Whether the process says at its control address that it reads the store for others.
+    bool isReader();
+    // What it tells there.
+    std::string state();
     std::string log();
     std::string ip;
     std::string name;
     std::uint16_t callers = 0;
     std::uint16_t readiness = 0;
-    ::pid_t pid = -1;
+    std::uint16_t control = 0;
+    std::atomic<::pid_t> pid{-1};
 
 private:
     std::string folder;
+    std::string settingsPath;
 };
 
 struct Answer
