--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -490,12 +490,23 @@
     this->port = portOf(this->listener);
     std::thread([this] {
         while (!this->hasEnded) {
-            const int socket = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
+            ::sockaddr_in peer{};
+            ::socklen_t size = sizeof peer;
+            const int socket = ::accept4(this->listener, reinterpret_cast<::sockaddr *>(&peer),
+                                         &size, SOCK_CLOEXEC);
             if (socket < 0)
                 continue;
+            char ip[INET_ADDRSTRLEN] = "";
+            ::inet_ntop(AF_INET, &peer.sin_addr, ip, sizeof ip);
             {
                 const std::lock_guard lock(this->mutex);
-                this->sockets.insert(socket);
+                if (this->cutIp == ip) {
+                    const ::linger reset{1, 0};
+                    ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+                    ::close(socket);
+                    continue;
+                }
+                this->sockets[socket] = ip;
             }
             std::thread([this, socket] { this->serve(socket); }).detach();
         }
@@ -552,10 +563,20 @@
     ::shutdown(this->listener, SHUT_RDWR);
     ::close(this->listener);
     const std::lock_guard lock(this->mutex);
-    for (const int socket : this->sockets)
+    for (const auto &[socket, ip] : this->sockets)
         ::shutdown(socket, SHUT_RDWR);
 }
 
+void Worker::cutOff(const std::string &ip)
+{
+    const std::lock_guard lock(this->mutex);
+    this->cutIp = ip;
+    for (const auto &[socket, from] : this->sockets) {
+        if (from == ip)
+            ::shutdown(socket, SHUT_RDWR);
+    }
+}
+
 std::vector<Arrival> Worker::arrivals()
 {
     const std::lock_guard lock(this->mutex);
@@ -620,7 +641,7 @@
 } // namespace
 
 Entry::Entry(std::string name, std::string ip, std::uint16_t peerPort, std::uint16_t forwardPort,
-             std::uint16_t storePort, std::vector<std::string> seeds)
+             std::uint16_t storePort, std::vector<std::string> seeds, bool connectsFromOwn)
     : ip(std::move(ip)), name(std::move(name))
 {
     static const int registered = std::atexit(endAll);
@@ -644,6 +665,9 @@
                          {"forwardPort", forwardPort},
                          {"metricsPort", freePort(this->ip)},
                          {"seeds", std::move(seedList)}};
+    // So that stand-ins can tell the machines apart.
+    if (connectsFromOwn)
+        settings["peers"].as_object()["connectFrom"] = this->ip;
     settings["store"] = "127.0.0.1:" + std::to_string(storePort);
     settings["cores"] = 0.25;
     settings["linkMbps"] = 1000.0;
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -137,6 +137,8 @@
     // Ends the process: connections are closed, new ones refused.
     void end();
     std::vector<Arrival> arrivals();
+    // Resets the connections that come from this address, old and new.
+    void cutOff(const std::string &ip);
     std::string id;
     std::string service;
     std::uint16_t port = 0;
@@ -153,7 +155,8 @@
     int listener = -1;
     std::mutex mutex;
     std::vector<Arrival> received;
-    std::set<int> sockets;
+    std::map<int, std::string> sockets;
+    std::string cutIp;
     std::atomic<bool> isBeating{false};
     std::atomic<bool> hasEnded{false};
     std::uint64_t sequence = 0;
@@ -164,7 +167,7 @@
 {
 public:
     Entry(std::string name, std::string ip, std::uint16_t peerPort, std::uint16_t forwardPort,
-          std::uint16_t storePort, std::vector<std::string> seeds);
+          std::uint16_t storePort, std::vector<std::string> seeds, bool connectsFromOwn = false);
     ~Entry();
     // Starts the process with the settings that were written.
     void start();
