--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -388,12 +388,14 @@
     Message request;
     while (readMessage(socket, carry, false, request, 600'000) && request.isComplete) {
         int status = 200;
-        const std::string body = this->answer(request, status);
+        std::string body = "{}";
+        if (this->isDown)
+            status = 503;
+        else
+            body = this->answer(request, status);
         sleepMs(4);
         if (!writeAll(socket, responseBytes(status, body, this->era)))
             break;
-        if (this->onCall)
-            this->onCall(request.target);
     }
     ::close(socket);
 }
@@ -651,6 +653,7 @@
     this->callers = freePort(this->ip);
     this->readiness = freePort(this->ip);
     this->control = freePort(this->ip);
+    this->directory = freePort(this->ip);
     const auto at = [this](std::uint16_t port) { return this->ip + ":" + std::to_string(port); };
     json::array seedList;
     for (const std::string &seed : seeds)
@@ -659,7 +662,7 @@
     settings["failureDomain"] = "z1";
     settings["listen"] = {{"callers", at(this->callers)},
                           {"readiness", at(this->readiness)},
-                          {"directory", at(freePort(this->ip))},
+                          {"directory", at(this->directory)},
                           {"control", at(this->control)}};
     settings["peers"] = {{"port", peerPort},
                          {"forwardPort", forwardPort},
@@ -710,25 +713,27 @@
     started.erase(old);
 }
 
-void Entry::restartGracefully(double pauseMs)
+void Entry::stopGracefully()
 {
     const ::pid_t old = this->pid;
     ::kill(old, SIGTERM);
     ::waitpid(old, nullptr, 0);
-    {
-        const std::lock_guard lock(startedMutex);
-        started.erase(old);
-    }
+    const std::lock_guard lock(startedMutex);
+    started.erase(old);
+    this->pid = -1;
+}
+
+void Entry::restartGracefully(double pauseMs)
+{
+    this->stopGracefully();
     sleepMs(pauseMs);
     this->start();
 }
 
 Entry::~Entry()
 {
-    ::kill(this->pid, SIGKILL);
-    ::waitpid(this->pid, nullptr, 0);
-    const std::lock_guard lock(startedMutex);
-    started.erase(this->pid);
+    if (this->pid > 0)
+        this->kill();
     ::unlink((this->folder + "/settings.json").c_str());
     ::unlink((this->folder + "/out").c_str());
     ::rmdir(this->folder.c_str());
@@ -741,8 +746,6 @@
     return text.str();
 }
 
-namespace {
-
 Message get(const std::string &ip, std::uint16_t port, const std::string &target)
 {
     Message answer;
@@ -756,8 +759,6 @@
     return answer;
 }
 
-} // namespace
-
 bool Entry::isReady()
 {
     return get(this->ip, this->readiness, "/v1/ready").status == 200;
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -63,8 +63,8 @@
     // Returns the version. The return is the acknowledgement.
     std::uint64_t put(const std::string &table, const std::string &key, const std::string &value);
     void remove(const std::string &table, const std::string &key);
-    // Number of answers to readings of this table that came over connections from this source.
-    std::function<void(const std::string &call)> onCall;
+    // Answers 503 to all calls.
+    std::atomic<bool> isDown{false};
 
 private:
     struct Row
@@ -171,6 +171,8 @@
     ~Entry();
     // Starts the process with the settings that were written.
     void start();
+    // Sends SIGTERM and waits for the end.
+    void stopGracefully();
     // SIGKILL.
     void kill();
     // Sends SIGTERM, waits for the end, and starts the process again after a pause.
@@ -186,6 +188,7 @@
     std::uint16_t callers = 0;
     std::uint16_t readiness = 0;
     std::uint16_t control = 0;
+    std::uint16_t directory = 0;
     std::atomic<::pid_t> pid{-1};
 
 private:
@@ -205,6 +208,9 @@
             const std::string &id, const std::string &key, int deadlineMs,
             const std::string &moreHeaders = "", const std::string &body = "");
 
+// Sends a GET request without a body over a new connection.
+Message get(const std::string &ip, std::uint16_t port, const std::string &target);
+
 bool isTroubled();
 
 } // namespace Rig
