--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -520,11 +520,11 @@
     return json::serialize(json::object{{"service", this->service},
                                         {"address", "127.0.0.1:" + std::to_string(this->port)},
                                         {"zone", this->zone},
-                                        {"version", "1.0"},
+                                        {"version", this->version},
                                         {"slots", 64},
                                         {"state", state},
                                         {"cold_left_ms", 0},
-                                        {"born", this->born},
+                                        {"born", this->born.load()},
                                         {"sequence", ++this->sequence}});
 }
 
@@ -551,6 +551,21 @@
     return nowMs();
 }
 
+void Worker::loseStore()
+{
+    const std::lock_guard lock(this->mutex);
+    this->isBeating = false;
+}
+
+void Worker::startAgain(const std::string &newVersion)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->born;
+    this->version = newVersion;
+    for (const auto &[socket, ip] : this->sockets)
+        ::shutdown(socket, SHUT_RDWR);
+}
+
 double Worker::drain()
 {
     const std::lock_guard lock(this->mutex);
@@ -593,7 +608,7 @@
         std::string bytes;
         if (request.target == "/v1/report") {
             const std::string body = json::serialize(
-                json::object{{"born", this->born}, {"waiting", 0}, {"running", 0}});
+                json::object{{"born", this->born.load()}, {"waiting", 0}, {"running", 0}});
             bytes = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
                 + std::to_string(body.size()) + "\r\n\r\n" + body;
         } else {
@@ -603,6 +618,11 @@
             }
             record("worker " + this->id + " " + request.method + " " + request.target + " attempt "
                    + request.find("Attempt-Id") + " tenant " + request.find("Tenant"));
+            if (this->streamer) {
+                if (!this->streamer(socket, request))
+                    break;
+                continue;
+            }
             if (this->answerer) {
                 bytes = this->answerer(request);
             } else if (!request.find("Expect-Instance").empty()
@@ -776,7 +796,7 @@
 
 Answer call(const Entry &entry, const std::string &method, const std::string &path,
             const std::string &id, const std::string &key, int deadlineMs,
-            const std::string &moreHeaders, const std::string &body)
+            const std::string &moreHeaders, const std::string &body, int leavesAfterMs)
 {
     Answer answer;
     const int socket = connectTo(entry.ip, entry.callers, 1000);
@@ -792,7 +812,8 @@
     bytes += "\r\n" + body;
     std::string carry;
     if (writeAll(socket, bytes)
-        && readMessage(socket, carry, true, answer.message, deadlineMs + 500)) {
+        && readMessage(socket, carry, true, answer.message,
+                       leavesAfterMs < 0 ? deadlineMs + 500 : leavesAfterMs)) {
         answer.status = answer.message.status;
         answer.isComplete = answer.message.isComplete;
     }
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -142,10 +142,18 @@
     std::string id;
     std::string service;
     std::uint16_t port = 0;
-    std::uint64_t born = 0;
+    std::atomic<std::uint64_t> born{0};
     // Makes the answer to a request, without the connection's headers; the default is a 200.
     std::function<std::string(const Message &request)> answerer;
+    // Writes the answer to a request itself, if it is set. Returns whether the connection is kept.
+    std::function<bool(int socket, const Message &request)> streamer;
     std::string zone = "z1";
+    // Of its software, in its entry.
+    std::string version = "1.0";
+    // Cuts the worker off from the store: it renews its entry no more, and the entry stays.
+    void loseStore();
+    // The process ends and starts again at once under the same id, with another version.
+    void startAgain(const std::string &newVersion);
 
 private:
     void serve(int socket);
@@ -203,10 +211,11 @@
     Message message;
 };
 
-// Sends one request over a new connection.
+// Sends one request over a new connection, and closes it after the deadline or earlier.
 Answer call(const Entry &entry, const std::string &method, const std::string &path,
             const std::string &id, const std::string &key, int deadlineMs,
-            const std::string &moreHeaders = "", const std::string &body = "");
+            const std::string &moreHeaders = "", const std::string &body = "",
+            int leavesAfterMs = -1);
 
 // Sends a GET request without a body over a new connection.
 Message get(const std::string &ip, std::uint16_t port, const std::string &target);
