--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -517,7 +517,8 @@
 
 std::string Worker::entry(const std::string &state)
 {
-    return json::serialize(json::object{{"service", this->service},
+    this->lastEntry
+        = json::serialize(json::object{{"service", this->service},
                                         {"address", "127.0.0.1:" + std::to_string(this->port)},
                                         {"zone", this->zone},
                                         {"version", this->version},
@@ -526,6 +527,7 @@
                                         {"cold_left_ms", 0},
                                         {"born", this->born.load()},
                                         {"sequence", ++this->sequence}});
+    return this->lastEntry;
 }
 
 void Worker::startBeating()
@@ -551,6 +553,18 @@
     return nowMs();
 }
 
+void Worker::beat()
+{
+    const std::lock_guard lock(this->mutex);
+    this->store.put("servers", this->id, this->entry("ready"));
+}
+
+void Worker::writeLate()
+{
+    const std::lock_guard lock(this->mutex);
+    this->store.put("servers", this->id, this->entryBefore);
+}
+
 void Worker::loseStore()
 {
     const std::lock_guard lock(this->mutex);
@@ -562,6 +576,8 @@
     const std::lock_guard lock(this->mutex);
     ++this->born;
     this->version = newVersion;
+    this->entryBefore = this->lastEntry;
+    this->sequence = 0;
     for (const auto &[socket, ip] : this->sockets)
         ::shutdown(socket, SHUT_RDWR);
 }
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -152,12 +152,18 @@
     std::string version = "1.0";
     // Cuts the worker off from the store: it renews its entry no more, and the entry stays.
     void loseStore();
+    // Renews the entry now; the next time follows 1.2 s later.
+    void beat();
+    // The last entry of the process before, which the store takes late.
+    void writeLate();
     // The process ends and starts again at once under the same id, with another version.
     void startAgain(const std::string &newVersion);
 
 private:
     void serve(int socket);
     std::string entry(const std::string &state);
+    std::string lastEntry;
+    std::string entryBefore;
     Store &store;
     int delayMs;
     int listener = -1;
--- a/review/rig-2/unlisted-version.cpp
+++ b/review/rig-2/unlisted-version.cpp
@@ -17,6 +17,7 @@
 constexpr double kEventMs = 60;
 constexpr int kEvents = 200;
 constexpr double kBeatMs = 1200;
+constexpr double kCutMs = 5000;
 
 const char kConfiguration[]
     = R"({"version":3,"routes":[{"name":"talk","host":"a.example","path_prefix":"/talk/",)"
@@ -120,6 +121,9 @@
         sleepUntilMs(cutAt + 3 * kBeatMs);
         store.remove("servers", reborn.id);
         record("the entry of " + reborn.id + " lapses", true);
+        sleepUntilMs(cutAt + kCutMs);
+        reborn.startBeating();
+        record("the partition has ended, " + reborn.id + " writes its entry", true);
     });
     sleepMs(300);
     struct Talk
