--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,8 +1,8 @@
 #!/bin/bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/tanagerbay ] && [ -x build/review-2/silent-feed ] || exit 2
-timeout 100 build/review-2/silent-feed "$PWD/review/8/record.txt"
+[ -x target/tanagerbay ] && [ -x build/review-2/lost-removal ] || exit 2
+timeout 100 build/review-2/lost-removal "$PWD/review/8/record.txt"
 code=$?
 [ $code -le 1 ] && exit $code
 exit 2
