--- a/review/rig-2/foreign-results.cpp
+++ b/review/rig-2/foreign-results.cpp
@@ -184,5 +184,5 @@
                + std::to_string(repeated) + ", requests run with results of another request: "
                + std::to_string(foreign),
            true);
-    std::_Exit(served < 100 ? 2 : foreign > 0 ? 1 : 0);
+    finish(served < 100 ? 2 : foreign > 0 ? 1 : 0);
 }
--- a/review/rig-2/forwarded-again.cpp
+++ b/review/rig-2/forwarded-again.cpp
@@ -123,5 +123,5 @@
            true);
     const bool isPlayed = served > 20;
     entries.clear();
-    std::_Exit(!isPlayed ? 2 : tooMany > 3 ? 1 : 0);
+    finish(!isPlayed ? 2 : tooMany > 3 ? 1 : 0);
 }
--- a/review/rig-2/late-leave.cpp
+++ b/review/rig-2/late-leave.cpp
@@ -135,5 +135,5 @@
     }
     const bool isPlayed = served > 200;
     entries.clear();
-    std::_Exit(!isPlayed ? 2 : late > 0 ? 1 : 0);
+    finish(!isPlayed ? 2 : late > 0 ? 1 : 0);
 }
--- a/review/rig-2/lost-removal.cpp
+++ b/review/rig-2/lost-removal.cpp
@@ -210,5 +210,5 @@
            true);
     const bool isPlayed = served > 1000;
     entries.clear();
-    std::_Exit(!isPlayed ? 2 : late > 0 ? 1 : 0);
+    finish(!isPlayed ? 2 : late > 0 ? 1 : 0);
 }
--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <sstream>
 
 #include <arpa/inet.h>
@@ -12,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -667,9 +669,11 @@
 
 std::mutex startedMutex;
 std::set<::pid_t> started;
+std::set<std::string> folders;
 
 void endAll()
 {
+    const std::lock_guard lock(startedMutex);
     for (const ::pid_t pid : started) {
         if (::kill(pid, SIGKILL) == 0)
             ::waitpid(pid, nullptr, 0);
@@ -686,6 +690,7 @@
     (void)registered;
     char pattern[] = "/tmp/rig2-XXXXXX";
     this->folder = ::mkdtemp(pattern);
+    folders.insert(this->folder);
     this->callers = freePort(this->ip);
     this->readiness = freePort(this->ip);
     this->control = freePort(this->ip);
@@ -726,6 +731,8 @@
 {
     const ::pid_t child = ::fork();
     if (child == 0) {
+        // If this program is killed, its processes end with it. They are started by its first thread.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int log
             = ::open((this->folder + "/out").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(log, 1);
@@ -837,6 +844,14 @@
     return answer;
 }
 
+void finish(int code)
+{
+    endAll();
+    for (const std::string &folder : folders)
+        std::filesystem::remove_all(folder);
+    std::_Exit(code);
+}
+
 bool isTroubled()
 {
     const char *trouble = std::getenv("TROUBLE");
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -228,4 +228,7 @@
 
 bool isTroubled();
 
+// Ends all processes that were started, and this one, whatever its threads do.
+[[noreturn]] void finish(int code);
+
 } // namespace Rig
--- a/review/rig-2/silent-feed.cpp
+++ b/review/rig-2/silent-feed.cpp
@@ -145,5 +145,5 @@
     if (served < 50)
         return 2;
     entries.clear();
-    std::_Exit(late > 0 ? 1 : 0);
+    finish(late > 0 ? 1 : 0);
 }
--- a/review/rig-2/unlisted-version.cpp
+++ b/review/rig-2/unlisted-version.cpp
@@ -99,7 +99,7 @@
             while (!entry->isReady()) {
                 if (nowMs() > until) {
                     record("an entry did not become ready", true);
-                    std::_Exit(2);
+                    finish(2);
                 }
                 sleepMs(20);
             }
@@ -214,5 +214,5 @@
            true);
     const bool isPlayed = begun > 40 && (begunAtReborn > 2 || !isTroubled());
     entries.clear();
-    std::_Exit(!isPlayed ? 2 : mixed > 2 ? 1 : 0);
+    finish(!isPlayed ? 2 : mixed > 2 ? 1 : 0);
 }
