--- a/review/rig-2/late-leave.cpp
+++ b/review/rig-2/late-leave.cpp
@@ -53,7 +53,7 @@
         while (!entry->isReady()) {
             if (nowMs() > until) {
                 record("an entry did not become ready", true);
-                return 2;
+                finish(2);
             }
             sleepMs(20);
         }
