Streams: log who was asked for a stream's beginning, and the list's age

Change: knownHere, asked, unanswered and listAgeMs in the line; StreamRegistry::find returns them with the origin. Result: no logic changed.

--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -137,7 +137,7 @@
     // may have been several.
     std::optional<std::string> presumedVersion();
     // `unconfirmed` are the endpoints that may be another process than the list shows.
-    void noteResumption(std::string_view result,
+    void noteResumption(std::string_view result, const StreamSearch &search,
                         const std::vector<Common::EndpointId> &unconfirmed = {});
     // Records which endpoint wrote the first event, before the caller gets it.
     void noteStreamBegun();
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -41,24 +41,30 @@
     return this->isStream() && this->request.lastEvent.has_value();
 }
 
-void RequestFlow::noteResumption(std::string_view result,
+void RequestFlow::noteResumption(std::string_view result, const StreamSearch &search,
                                  const std::vector<Common::EndpointId> &unconfirmed)
 {
+    const Common::Time now = clockNow();
+    const auto readAt = this->dependencies.endpoints.lastReadingBegan();
     std::string names;
     for (std::size_t i = 0; i < std::min(unconfirmed.size(), kMaxLoggedEndpoints); ++i)
         names += (names.empty() ? "" : ",") + unconfirmed[i].value;
     this->state.metrics.count(labelled("streams_resumed", "result", result));
-    this->state.log.write(
-        LogLine("stream-resumed")
-            .text("request", this->request.id)
-            .text("resumes", this->loggedResumedAttempt())
-            .number("lastEvent", static_cast<std::int64_t>(*this->request.lastEvent))
-            .text("result", result)
-            .text("service", this->service)
-            .text("version", this->origin ? this->origin->version : "")
-            .text("begunAt", this->origin ? this->origin->endpoint.value : "")
-            .text("unconfirmed", names),
-        clockNow());
+    LogLine line("stream-resumed");
+    line.text("request", this->request.id)
+        .text("resumes", this->loggedResumedAttempt())
+        .number("lastEvent", static_cast<std::int64_t>(*this->request.lastEvent))
+        .text("result", result)
+        .text("service", this->service)
+        .text("version", this->origin ? this->origin->version : "")
+        .text("begunAt", this->origin ? this->origin->endpoint.value : "")
+        .text("unconfirmed", names)
+        .flag("knownHere", search.isKnownHere)
+        .number("asked", static_cast<std::int64_t>(search.askedCount))
+        .number("unanswered", static_cast<std::int64_t>(search.unansweredCount));
+    if (readAt)
+        line.milliseconds("listAgeMs", now - *readAt);
+    this->state.log.write(line, now);
 }
 
 std::optional<std::string> RequestFlow::presumedVersion()
@@ -75,11 +81,12 @@
 Http::Awaitable<std::optional<Refusal>> RequestFlow::findOrigin()
 {
     std::string attempt = this->request.resumedAttempt;
-    this->origin = co_await this->dependencies.streams.find(
+    const StreamSearch search = co_await this->dependencies.streams.find(
         std::move(attempt), Serving::originExpiry(this->deadline, clockNow()));
+    this->origin = search.origin;
     if (this->origin) {
         if (!leadsTo(*this->route, this->origin->service)) {
-            this->noteResumption("route-moved");
+            this->noteResumption("route-moved", search);
             co_return Refusal{RefusalReason::VersionGone, true, kRetryAfterResumption};
         }
         this->service = this->origin->service;
@@ -88,7 +95,8 @@
         if (!this->origin->isVersionKnown) {
             this->noteResumption(this->origin->isContradicted ? "contradicted"
                                      : this->origin->isStated ? "version-not-listed"
-                                                              : "process-not-known");
+                                                              : "process-not-known",
+                                 search);
             co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
         }
         this->requiredVersion = this->origin->version;
@@ -98,7 +106,7 @@
             this->progress.doubtedEndpoint = this->origin->doubtedEndpoint;
             this->preferOtherThanDoubted();
         }
-        this->noteResumption("known");
+        this->noteResumption("known", search);
         co_return std::nullopt;
     }
     // The list is behind: it may not show yet that an endpoint was restarted as another version.
@@ -113,7 +121,7 @@
                              : hasUnlisted          ? "process-not-listed"
                              : !unconfirmed.empty() ? "process-not-confirmed"
                                                     : "unknown",
-                         unconfirmed);
+                         search, unconfirmed);
     if (this->isVersionPresumed)
         co_return std::nullopt;
     co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
--- a/Source/Core/Entry/StreamRegistry.cpp
+++ b/Source/Core/Entry/StreamRegistry.cpp
@@ -113,13 +113,13 @@
     });
 }
 
-Http::Awaitable<std::optional<Serving::StreamOrigin>> StreamRegistry::find(std::string attempt,
-                                                                           Common::Time neededUntil)
+Http::Awaitable<StreamSearch> StreamRegistry::find(std::string attempt, Common::Time neededUntil)
 {
+    StreamSearch result;
     const Common::Time now = clockNow();
     const std::string key = keyOf(attempt);
     if (key.empty())
-        co_return std::nullopt;
+        co_return result;
     Search search(this->state.context);
     search.attempt = key;
     search.neededUntil = neededUntil;
@@ -134,6 +134,8 @@
     asked.insert(asked.end(), keepers.begin(), keepers.end());
     for (const Membership::Member *holder : asked)
         search.unanswered.emplace(holder->report.peerAddress, holder->report.id);
+    result.isKnownHere = search.origin.has_value();
+    result.askedCount = search.awaited().size();
     StreamMessage question{StreamMessageKind::Find, ++this->lastNumber, key, {}};
     question.origin.expiresAt = neededUntil;
     this->searches[question.number] = &search;
@@ -145,7 +147,10 @@
         co_await search.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     this->searches.erase(question.number);
-    co_return Serving::latestOrigin(this->origins, key, search.origin, neededUntil, clockNow());
+    result.unansweredCount = search.awaited().size();
+    result.origin
+        = Serving::latestOrigin(this->origins, key, search.origin, neededUntil, clockNow());
+    co_return result;
 }
 
 void StreamRegistry::handle(const StreamMessage &message, const Common::Address &sender)
--- a/Source/Core/Entry/StreamRegistry.h
+++ b/Source/Core/Entry/StreamRegistry.h
@@ -10,6 +10,19 @@
 
 namespace Tanagerbay::Entry {
 
+// No aggregate, since coroutines return it. See Tools/check-awaited-temporaries.
+struct StreamSearch
+{
+    StreamSearch() = default;
+
+    // Unset if nobody knows where the stream began.
+    std::optional<Serving::StreamOrigin> origin;
+    bool isKnownHere = false;
+    // Number of other instances that were asked, and of those that have not answered.
+    std::size_t askedCount = 0;
+    std::size_t unansweredCount = 0;
+};
+
 class StreamRegistry
 {
 public:
@@ -24,12 +37,11 @@
     void noteBegun(const std::string &attempt, const Serving::StreamOrigin &origin);
     // Records what is known of the end of an attempt's stream that is not complete.
     void noteIncomplete(const std::string &attempt, const Serving::StreamOrigin &origin);
-    // Returns where the stream began that the attempt brought, from this instance's memory or that
-    // of others, which may hold what the store kept. Returns nothing if none of them knows. Its
-    // holders are asked in any case, since others may have learned more of the stream's end.
-    // `neededUntil` is until when the stream may be taken up once more.
-    Http::Awaitable<std::optional<Serving::StreamOrigin>> find(std::string attempt,
-                                                               Common::Time neededUntil);
+    // Finds out where the stream began that the attempt brought, from this instance's memory or
+    // that of others, which may hold what the store kept. Its holders are asked in any case, since
+    // others may have learned more of the stream's end. `neededUntil` is until when the stream may
+    // be taken up once more.
+    Http::Awaitable<StreamSearch> find(std::string attempt, Common::Time neededUntil);
     // Forgets streams that may have begun at another process than the one that was recorded. See
     // `Serving::forgetOrigins`.
     void forget(const Common::EndpointId &endpoint, std::uint64_t incarnation, Common::Time since);
