Versions: keep processes that the list does not name in the store, and read it before a version is presumed

Cause: a stream that nobody knows goes on at the only version that is listed unless an endpoint has stated a process that the list does not name. What was stated is kept in the memory of those who heard it. If they end, and the process has ended, or its row has lapsed, nothing contradicts the list: a refused connection counts as no process, and the table of versions holds listed versions only. Change: such a process is a version of its own in the history of versions and in the table `versions`, until the list names it. A version is presumed only after the table has been read again; if the store does not answer, the take-up is refused (store-not-read). The list's names of processes are remembered for a minute, so that a late statement of a process that was listed counts as its version.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -93,6 +93,7 @@
     this->knownUntil = this->confirmedAt.value_or(this->state.startedAt);
     this->confirmedAt = std::max(this->confirmedAt.value_or(readAt), readAt);
     noteReading(this->evidence, readAt, this->state.settings.bounds.endpointHeartbeat);
+    noteListedVersions(this->evidence, this->list, clockNow());
 }
 
 std::optional<Common::Time> EndpointDiscovery::lastReadingBegan() const
@@ -137,9 +138,17 @@
     Entry::noteStated(this->evidence, {id, incarnation}, askedAt, now);
     const auto found = this->list.known.find(id);
     // Where no start time is listed, nothing can differ from it.
-    if (found != this->list.known.end() && found->second.listed.entry.incarnation != 0)
-        noteStatedBeside(this->evidence, {id, incarnation}, found->second.listed.service,
-                         found->second.listed.entry.incarnation, now);
+    if (found == this->list.known.end() || found->second.listed.entry.incarnation == 0)
+        return;
+    const ListedEndpoint &listed = found->second.listed;
+    noteStatedBeside(this->evidence, {id, incarnation}, listed.service, listed.entry.incarnation,
+                     now);
+    if (incarnation == listed.entry.incarnation)
+        return;
+    if (const auto version = namedVersion(this->evidence, {id, incarnation}))
+        Routing::noteVersion(this->state.versions, listed.service, *version, now);
+    else if (this->unlistedHandler)
+        this->unlistedHandler(listed.service, {id, incarnation});
 }
 
 Common::Time EndpointDiscovery::lastStatedAt(const Common::EndpointId &id) const
@@ -197,6 +206,18 @@
     this->listedHandler = std::move(action);
 }
 
+void EndpointDiscovery::onUnlisted(UnlistedHandler action)
+{
+    this->unlistedHandler = std::move(action);
+}
+
+void EndpointDiscovery::resolveVersions()
+{
+    Routing::resolveUnlisted(this->state.versions, [this](const Routing::ProcessKey &process) {
+        return namedVersion(this->evidence, {process.endpoint, process.incarnation});
+    });
+}
+
 void EndpointDiscovery::onPoolsChanged(std::function<void()> action)
 {
     this->poolsHandler = std::move(action);
@@ -404,6 +425,7 @@
         Routing::noteVersions(this->state.versions, service, pool, now);
         Routing::applyEntries(pool, listed);
     }
+    this->resolveVersions();
     Routing::dropVersionsBefore(this->state.versions, now - Routing::kVersionMemory);
     if (this->poolsHandler)
         this->poolsHandler();
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -31,6 +31,14 @@
     // pools change.
     using ListedHandler = std::function<void(const ListedEndpoint &, Routing::ProcessNews)>;
     void onListed(ListedHandler action);
+    // Sets the handler that is called when a process of an endpoint states itself that the list
+    // has not named, each time that it does.
+    using UnlistedHandler
+        = std::function<void(const std::string &service, const Routing::ProcessKey &process)>;
+    void onUnlisted(UnlistedHandler action);
+    // Replaces the processes in the history of versions that the list has named since by their
+    // versions.
+    void resolveVersions();
     // Sets the handler that is called when the pools have changed, before they are used.
     void onPoolsChanged(std::function<void()> action);
     // Takes note of what an endpoint's answer says about the endpoint itself.
@@ -116,6 +124,7 @@
     Common::Time knownUntil;
     RestartHandler restartHandler;
     ListedHandler listedHandler;
+    UnlistedHandler unlistedHandler;
     std::function<void()> poolsHandler;
     // A reader's report leaves a gap that only a reading of its own closes.
     bool needsReading = false;
--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -79,14 +79,15 @@
       mesh(this->state), relay(this->state, this->mesh), evacuations(this->state, this->gossip),
       crashWatch(this->state, this->gossip), limits(this->state, this->gossip),
       paths(this->state, this->gossip, this->stageOwner), paces(this->state, this->gossip),
-      memory(this->state), versionRows(this->state, *this->store, this->relay),
+      memory(this->state), versionRows(this->state, *this->store, this->relay, this->datagrams),
       stageOwner(this->state), stageClient(this->state, this->mesh, this->stageOwner),
       catalogs(this->state, this->mesh, this->gossip, *this->store, this->relay, this->evacuations),
       endpoints(this->state, this->stageOwner, *this->store, this->relay),
       processes(this->state, this->endpoints, this->limits),
       streams(this->state, this->datagrams, *this->store, this->endpoints),
-      parts{this->state,   this->catalogs, this->endpoints, this->stageClient, this->crashWatch,
-            this->streams, this->limits,   this->paths,     this->paces,       this->processes}
+      parts{this->state,      this->catalogs,  this->endpoints,  this->stageClient,
+            this->crashWatch, this->streams,   this->limits,     this->paths,
+            this->paces,      this->processes, this->versionRows}
 {
 }
 
@@ -228,7 +229,12 @@
     this->endpoints.onPoolsChanged([this] {
         this->limits.applyToPools();
         this->streams.noteVersions();
+        this->versionRows.noteVersions();
     });
+    this->endpoints.onUnlisted(
+        [this](const std::string &service, const Routing::ProcessKey &process) {
+            this->versionRows.noteUnlisted(service, process);
+        });
     this->stageOwner.onPath([this](const Common::EndpointId &endpoint, bool isAnswered) {
         if (isAnswered)
             this->paths.noteAnswer(false);
--- a/Source/Core/Entry/ProcessEvidence.cpp
+++ b/Source/Core/Entry/ProcessEvidence.cpp
@@ -1,5 +1,7 @@
 #include "Entry/ProcessEvidence.h"
 
+#include "Routing/VersionHistory.h"
+
 #include <algorithm>
 
 namespace Tanagerbay::Entry {
@@ -10,6 +12,13 @@
 constexpr int kRowLifetimeHeartbeats = 4;
 constexpr int kMaxGapHeartbeats = 2;
 
+void noteVersionOf(ProcessEvidence &evidence, const KnownEndpoint &known, Common::Time now)
+{
+    const Routing::EndpointEntry &entry = known.listed.entry;
+    evidence.named[{entry.id, entry.incarnation}]
+        = {known.isOfTwoVersions ? std::nullopt : std::optional(entry.version), now};
+}
+
 } // namespace
 
 void noteStated(ProcessEvidence &evidence, const ListedProcess &process, Common::Time askedAt,
@@ -41,11 +50,30 @@
     const bool mayBeAnother
         = entry.entry.incarnation == 0 && (source == EntrySource::Report || entry.sequence == 0);
     const EntryChange change = applyEntry(list, entry, source);
-    if (change != EntryChange::Outdated && (!isKnown || mayBeAnother))
+    if (change == EntryChange::Outdated)
+        return change;
+    if (!isKnown || mayBeAnother)
         evidence.listedSince[entry.entry.id] = now;
+    noteVersionOf(evidence, list.known.at(entry.entry.id), now);
     return change;
 }
 
+void noteListedVersions(ProcessEvidence &evidence, const EndpointList &list, Common::Time now)
+{
+    for (const auto &[id, known] : list.known)
+        noteVersionOf(evidence, known, now);
+    std::erase_if(evidence.named, [now](const auto &entry) {
+        return now - entry.second.lastNamedAt > Routing::kVersionMemory;
+    });
+}
+
+std::optional<std::string> namedVersion(const ProcessEvidence &evidence,
+                                        const ListedProcess &process)
+{
+    const auto found = evidence.named.find({process.endpoint, process.incarnation});
+    return found == evidence.named.end() ? std::nullopt : found->second.version;
+}
+
 void noteReadAfterReports(ProcessEvidence &evidence, const EndpointList &list, Common::Time now)
 {
     for (const auto &[id, known] : list.known) {
--- a/Source/Core/Entry/ProcessEvidence.h
+++ b/Source/Core/Entry/ProcessEvidence.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace Tanagerbay::Entry {
 
@@ -47,9 +48,19 @@
     Common::Time statedAt;
 };
 
+// What the list has named for a process that it may not name any more.
+struct NamedVersion
+{
+    // Unset if the list has named two for the same start time.
+    std::optional<std::string> version;
+    Common::Time lastNamedAt;
+};
+
 struct ProcessEvidence
 {
     std::map<Common::EndpointId, StatedProcess> stated;
+    // By endpoint and start time.
+    std::map<std::pair<Common::EndpointId, std::uint64_t>, NamedVersion> named;
     // Kept when the row of their endpoint lapses: they may run and be unable to tell the store.
     std::map<Common::EndpointId, UnlistedProcess> unlisted;
     // Since when the list has named the endpoint's process.
@@ -71,6 +82,13 @@
 EntryChange noteListed(ProcessEvidence &evidence, EndpointList &list, const ListedEndpoint &entry,
                        EntrySource source, Common::Time now);
 
+// Records the versions of all processes that the list names now.
+void noteListedVersions(ProcessEvidence &evidence, const EndpointList &list, Common::Time now);
+
+// Returns the version that the list names for a process, or has named for it lately.
+std::optional<std::string> namedVersion(const ProcessEvidence &evidence,
+                                        const ListedProcess &process);
+
 // Records that this instance reads the list after it has followed another one. Reports do not tell
 // how the sequence of a row went on, which alone tells processes without a start time apart.
 void noteReadAfterReports(ProcessEvidence &evidence, const EndpointList &list, Common::Time now);
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -12,6 +12,7 @@
 #include "Entry/ProcessQuestion.h"
 #include "Entry/StageRun.h"
 #include "Entry/StreamRegistry.h"
+#include "Entry/VersionRows.h"
 #include "Http/Server.h"
 #include "Routing/PromptChoice.h"
 #include "Serving/Attempt.h"
@@ -36,6 +37,7 @@
     PathWatch &paths;
     PaceWatch &paces;
     ProcessCensus &processes;
+    VersionRows &versions;
 };
 
 // Who sent a request to this instance.
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -111,13 +111,20 @@
     }
     // The list is behind: it may not show yet that an endpoint was restarted as another version.
     std::vector<Common::EndpointId> unconfirmed;
-    if (this->presumedVersion())
+    bool isStoreRead = true;
+    if (this->presumedVersion()) {
+        // Those who have heard of another version may have ended.
+        isStoreRead = co_await this->dependencies.versions.readNow();
+        this->dependencies.endpoints.resolveVersions();
+    }
+    if (isStoreRead && this->presumedVersion())
         unconfirmed = co_await this->dependencies.processes.ask(this->service);
-    if (unconfirmed.empty())
+    if (isStoreRead && unconfirmed.empty())
         this->requiredVersion = this->presumedVersion();
     this->isVersionPresumed = this->requiredVersion.has_value();
     const bool hasUnlisted = this->dependencies.endpoints.hasUnlistedProcess(this->service);
     this->noteResumption(this->isVersionPresumed    ? "only-version"
+                             : !isStoreRead         ? "store-not-read"
                              : hasUnlisted          ? "process-not-listed"
                              : !unconfirmed.empty() ? "process-not-confirmed"
                                                     : "unknown",
--- a/Source/Core/Routing/VersionHistory.cpp
+++ b/Source/Core/Routing/VersionHistory.cpp
@@ -1,25 +1,77 @@
 #include "Routing/VersionHistory.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace Tanagerbay::Routing {
 
+namespace {
+
+// Followed by the start time of the process and the ID of its endpoint. Instances of earlier
+// releases take it for a version that no endpoint runs any more.
+constexpr std::string_view kUnlistedPrefix = "(not listed) ";
+
+} // namespace
+
 void noteVersions(VersionHistory &history, const std::string &service, const Pool &pool,
                   Common::Time now)
 {
-    for (const Endpoint &endpoint : pool.endpoints) {
-        Common::Time &lastKnownAt = history.byService[service][endpoint.version];
-        lastKnownAt = std::max(lastKnownAt, now);
+    for (const Endpoint &endpoint : pool.endpoints)
+        noteVersion(history, service, endpoint.version, now);
+}
+
+void noteVersion(VersionHistory &history, const std::string &service, const std::string &version,
+                 Common::Time now)
+{
+    Common::Time &lastKnownAt = history.byService[service][version];
+    lastKnownAt = std::max(lastKnownAt, now);
+}
+
+std::string unlistedVersion(const ProcessKey &process)
+{
+    return std::string(kUnlistedPrefix) + std::to_string(process.incarnation) + ' '
+        + process.endpoint.value;
+}
+
+std::optional<ProcessKey> unlistedProcess(std::string_view version)
+{
+    if (!version.starts_with(kUnlistedPrefix))
+        return std::nullopt;
+    const std::string_view rest = version.substr(kUnlistedPrefix.size());
+    const std::size_t space = rest.find(' ');
+    ProcessKey process;
+    const char *const end = rest.data() + std::min(space, rest.size());
+    const auto [stoppedAt, error] = std::from_chars(rest.data(), end, process.incarnation);
+    if (space == std::string_view::npos || error != std::errc() || stoppedAt != end)
+        return std::nullopt;
+    process.endpoint = Common::EndpointId(std::string(rest.substr(space + 1)));
+    return process;
+}
+
+void resolveUnlisted(VersionHistory &history,
+                     const std::function<std::optional<std::string>(const ProcessKey &)> &versionOf)
+{
+    for (auto &[service, versions] : history.byService) {
+        VersionTimes named;
+        std::erase_if(versions, [&](const auto &entry) {
+            const auto process = unlistedProcess(entry.first);
+            const auto version = process ? versionOf(*process) : std::nullopt;
+            if (!version)
+                return false;
+            Common::Time &lastKnownAt = named[*version];
+            lastKnownAt = std::max(lastKnownAt, entry.second);
+            return true;
+        });
+        for (const auto &[version, at] : named)
+            versions[version] = std::max(versions[version], at);
     }
 }
 
 void mergeHistory(VersionHistory &history, const VersionHistory &other)
 {
     for (const auto &[service, versions] : other.byService) {
-        for (const auto &[version, at] : versions) {
-            Common::Time &lastKnownAt = history.byService[service][version];
-            lastKnownAt = std::max(lastKnownAt, at);
-        }
+        for (const auto &[version, at] : versions)
+            noteVersion(history, service, version, at);
     }
     history.completeSince = std::min(history.completeSince, other.completeSince);
 }
--- a/Source/Core/Routing/VersionHistory.h
+++ b/Source/Core/Routing/VersionHistory.h
@@ -4,8 +4,11 @@
 #pragma once
 
 #include "Routing/Pool.h"
+#include "Routing/StatedLimits.h"
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace Tanagerbay::Routing {
@@ -29,6 +32,23 @@
 void noteVersions(VersionHistory &history, const std::string &service, const Pool &pool,
                   Common::Time now);
 
+// Records a version that an endpoint is known to run now.
+void noteVersion(VersionHistory &history, const std::string &service, const std::string &version,
+                 Common::Time now);
+
+// Returns the name under which the history has a process that serves and that the list has not
+// named. Its version is not known, so that it counts as a version of its own.
+std::string unlistedVersion(const ProcessKey &process);
+
+// Returns the process, if the version is the name of one.
+std::optional<ProcessKey> unlistedProcess(std::string_view version);
+
+// Replaces the processes that the list has named since by their versions. `versionOf` returns
+// nothing for those that it has not.
+void resolveUnlisted(
+    VersionHistory &history,
+    const std::function<std::optional<std::string>(const ProcessKey &)> &versionOf);
+
 // Adds what another instance knows.
 void mergeHistory(VersionHistory &history, const VersionHistory &other);
 
--- a/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
+++ b/Source/UnitTests/Entry/ProcessEvidenceTest.cpp
@@ -343,4 +343,36 @@
     BOOST_TEST(this->evidence.unlisted.empty());
 }
 
+// Guards against a process that counts as one that was never listed, as its row came and went
+// before it was heard.
+BOOST_AUTO_TEST_CASE(process_wasListedBefore_itsVersionIsKnownForAWhile)
+{
+    const auto listed = [this](const ListedProcess &each, const std::string &version) {
+        ListedEndpoint made = this->unstartedRow(version, 1);
+        made.entry.incarnation = each.incarnation;
+        return made;
+    };
+    noteListed(this->evidence, this->list, listed(this->process, "v1"), EntrySource::Change,
+               this->at(0));
+    noteListedVersions(this->evidence, this->list, this->at(50'000));
+    noteListed(this->evidence, this->list, listed(this->other, "v2"), EntrySource::Change,
+               this->at(50'001));
+    BOOST_TEST(namedVersion(this->evidence, this->process).value_or("") == "v1");
+    BOOST_TEST(namedVersion(this->evidence, this->other).value_or("") == "v2");
+    noteListedVersions(this->evidence, this->list, this->at(120'000));
+    BOOST_TEST(!namedVersion(this->evidence, this->process).has_value());
+    BOOST_TEST(namedVersion(this->evidence, this->other).value_or("") == "v2");
+}
+
+// Guards against a version that is believed although two processes have the same start time.
+BOOST_AUTO_TEST_CASE(process_listedWithTwoVersions_itsVersionIsNotKnown)
+{
+    for (const char *version : {"v1", "v2"}) {
+        ListedEndpoint made = this->unstartedRow(version, 1);
+        made.entry.incarnation = this->process.incarnation;
+        noteListed(this->evidence, this->list, made, EntrySource::Change, this->at(0));
+    }
+    BOOST_TEST(!namedVersion(this->evidence, this->process).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Entry/VersionRowsTest.cpp
+++ b/Source/UnitTests/Entry/VersionRowsTest.cpp
@@ -26,4 +26,18 @@
     BOOST_TEST(changes.removed.empty());
 }
 
+// Guards against rows that never end, as each reading takes them for new.
+BOOST_AUTO_TEST_CASE(rows_readAgain_keepTheirFirstTime)
+{
+    const Common::Time first(std::chrono::seconds(10));
+    const Common::Time second(std::chrono::seconds(20));
+    RowTimes times;
+    noteRows(times, {{"app", "v1"}, {"app", "v2"}}, first);
+    noteRows(times, {{"app", "v2"}, {"app", "v3"}}, second);
+    BOOST_TEST((times == RowTimes{{{"app", "v2"}, first}, {{"app", "v3"}, second}}));
+    // One that was removed meanwhile is new.
+    noteRows(times, {{"app", "v1"}}, second);
+    BOOST_TEST((times == RowTimes{{{"app", "v1"}, second}}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
