Streams: do not tell a presumed beginning as a known one

Callers saw: events of two software versions in one stream (ORDER), where nobody knew the stream at its second try. Cause: a take-up at a presumed version that breaks again tells the holders that the stream began at the endpoint that went on with it. Later tries find the stream known, also once a second version is listed, and at any instance. Change: StreamOrigin::isPresumed. Such an entry tells of the stream's end only; the search goes on, and a beginning that is told later takes its place. Instances of earlier releases read it as one whose process is not confirmed, and refuse.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -121,7 +121,7 @@
 
 std::optional<std::string> EndpointDiscovery::versionOf(const Serving::StreamOrigin &origin) const
 {
-    if (origin.isContradicted)
+    if (origin.isContradicted || origin.isPresumed)
         return std::nullopt;
     const auto version = this->versionOf(origin.endpoint, origin.incarnation);
     if (origin.isStated || !version)
--- a/Source/Core/Entry/RequestEnd.cpp
+++ b/Source/Core/Entry/RequestEnd.cpp
@@ -157,10 +157,13 @@
     }
     known.lastBegunEvent = this->progress.lastBegunEvent;
     known.expiresAt = Serving::originExpiry(this->deadline, clockNow());
-    this->dependencies.streams.noteIncomplete(this->request.id, known);
+    // Where a stream went on that nobody knew does not tell where it began.
+    const Serving::StreamOrigin begun
+        = this->isOriginPresumed ? Serving::presumedOrigin(known) : known;
+    this->dependencies.streams.noteIncomplete(this->request.id, this->origin ? known : begun);
     // A caller may name this attempt or the one that this attempt resumes.
     if (this->isResumption() && this->request.resumedAttempt != this->request.id)
-        this->dependencies.streams.noteIncomplete(this->request.resumedAttempt, known);
+        this->dependencies.streams.noteIncomplete(this->request.resumedAttempt, begun);
 }
 
 Http::Awaitable<RequestFlow::SendResult>
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -141,6 +141,8 @@
     // `unconfirmed` are the endpoints that may be another process than the list shows.
     void noteResumption(std::string_view result, const StreamSearch &search,
                         const std::vector<Common::EndpointId> &unconfirmed = {});
+    // Takes over what others have told of the stream's end.
+    void takeEvidence(const Serving::StreamOrigin &known);
     // Records which endpoint wrote the first event, before the caller gets it.
     void noteStreamBegun();
     // Makes the send of a stream ask for the process behind its connection, since the list is
@@ -423,6 +425,8 @@
     std::optional<std::string> requiredVersion;
     // Nobody knows where the stream began: `requiredVersion` is the only one that the list names.
     bool isVersionPresumed = false;
+    // The same, also after an event has come from there.
+    bool isOriginPresumed = false;
     // The process that began the stream may have been another one than `origin` tells, or its
     // version is not known.
     bool isVersionUncertain = false;
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -83,8 +83,8 @@
     std::string attempt = this->request.resumedAttempt;
     const StreamSearch search = co_await this->dependencies.streams.find(
         std::move(attempt), Serving::originExpiry(this->deadline, clockNow()));
-    this->origin = search.origin;
-    if (this->origin) {
+    if (search.origin && !search.origin->isPresumed) {
+        this->origin = search.origin;
         if (!leadsTo(*this->route, this->origin->service)) {
             this->noteResumption("route-moved", search);
             co_return Refusal{RefusalReason::VersionGone, true, kRetryAfterResumption};
@@ -100,12 +100,7 @@
             co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
         }
         this->requiredVersion = this->origin->version;
-        this->progress.lastBegunEvent = this->origin->lastBegunEvent;
-        if (this->origin->doubtedEnd == this->request.lastEvent) {
-            this->progress.doubtedEnd = this->origin->doubtedEnd;
-            this->progress.doubtedEndpoint = this->origin->doubtedEndpoint;
-            this->preferOtherThanDoubted();
-        }
+        this->takeEvidence(*this->origin);
         this->noteResumption("known", search);
         co_return std::nullopt;
     }
@@ -129,9 +124,22 @@
                              : !unconfirmed.empty() ? "process-not-confirmed"
                                                     : "unknown",
                          search, unconfirmed);
-    if (this->isVersionPresumed)
-        co_return std::nullopt;
-    co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
+    if (!this->isVersionPresumed)
+        co_return Refusal{RefusalReason::StreamUnknown, true, kRetryAfterResumption};
+    this->isOriginPresumed = true;
+    if (search.origin)
+        this->takeEvidence(*search.origin);
+    co_return std::nullopt;
+}
+
+void RequestFlow::takeEvidence(const Serving::StreamOrigin &known)
+{
+    this->progress.lastBegunEvent = known.lastBegunEvent;
+    if (known.doubtedEnd != this->request.lastEvent)
+        return;
+    this->progress.doubtedEnd = known.doubtedEnd;
+    this->progress.doubtedEndpoint = known.doubtedEndpoint;
+    this->preferOtherThanDoubted();
 }
 
 void RequestFlow::noteStreamBegun()
--- a/Source/Core/Entry/StreamMessages.cpp
+++ b/Source/Core/Entry/StreamMessages.cpp
@@ -43,11 +43,13 @@
     ListedVersion,
     ListedFieldCount,
     IsContradicted = ListedFieldCount,
+    ContradictedFieldCount,
+    IsPresumed = ContradictedFieldCount,
     AllFieldCount
 };
 
 // Whether the process that began the stream is not certain.
-bool isPresumed(const Serving::StreamOrigin &origin)
+bool isUnconfirmed(const Serving::StreamOrigin &origin)
 {
     return !origin.isStated && !origin.isVersionKnown;
 }
@@ -117,12 +119,14 @@
     // An instance of an earlier release takes what the list names for certain.
     if (!connectedAge && !origin.isStated)
         origin.isVersionKnown = false;
-    if (fields.size() >= ListedFieldCount && isPresumed(origin)) {
+    if (fields.size() >= ListedFieldCount && isUnconfirmed(origin)) {
         origin.incarnation = unsignedOf(fields[ListedIncarnation]).value_or(0);
         origin.version = textOf(fields[ListedVersion]).value_or("");
     }
-    origin.isContradicted = fields.size() >= AllFieldCount && fields[IsContradicted].is_bool()
-        && fields[IsContradicted].get_bool();
+    origin.isContradicted = fields.size() >= ContradictedFieldCount
+        && fields[IsContradicted].is_bool() && fields[IsContradicted].get_bool();
+    origin.isPresumed = fields.size() >= AllFieldCount && fields[IsPresumed].is_bool()
+        && fields[IsPresumed].get_bool();
     return true;
 }
 
@@ -139,7 +143,7 @@
         fields.emplace_back(origin.isVersionKnown ? std::string_view(origin.version)
                                                   : kUnlistedVersion);
         fields.emplace_back(origin.endpoint.value);
-        fields.emplace_back(isPresumed(origin) ? 0 : origin.incarnation);
+        fields.emplace_back(isUnconfirmed(origin) ? 0 : origin.incarnation);
         fields.emplace_back(ageMs(origin.sentAt, now));
         fields.emplace_back(origin.isStated);
         fields.emplace_back(origin.isVersionKnown);
@@ -150,12 +154,14 @@
         fields.emplace_back(origin.doubtedEndpoint.value);
         fields.emplace_back(origin.lastBegunEvent);
         fields.emplace_back(ageMs(origin.connectedBy, now));
-        if (isPresumed(origin)) {
+        if (isUnconfirmed(origin)) {
             fields.emplace_back(origin.incarnation);
             fields.emplace_back(origin.version);
         }
         // Such an origin names no process, so that the fields above are there.
-        if (origin.isContradicted)
+        if (origin.isContradicted || origin.isPresumed)
+            fields.emplace_back(origin.isContradicted);
+        if (origin.isPresumed)
             fields.emplace_back(true);
     }
     return fields;
--- a/Source/Core/Entry/StreamRecorder.cpp
+++ b/Source/Core/Entry/StreamRecorder.cpp
@@ -39,7 +39,8 @@
 // Whether a version is known or at least presumed that a record can name.
 bool hasVersion(const Serving::StreamOrigin &origin)
 {
-    return origin.isVersionKnown || (!origin.isStated && !origin.isContradicted);
+    return origin.isVersionKnown
+        || (!origin.isStated && !origin.isContradicted && !origin.isPresumed);
 }
 
 } // namespace
--- a/Source/Core/Entry/StreamRegistry.cpp
+++ b/Source/Core/Entry/StreamRegistry.cpp
@@ -123,8 +123,9 @@
     Search search(this->state.context);
     search.attempt = key;
     search.neededUntil = neededUntil;
-    if (const auto *origin = Serving::findOrigin(this->origins, key, neededUntil, now))
-        search.origin = *origin;
+    const auto *here = Serving::findOrigin(this->origins, key, neededUntil, now);
+    if (here && !here->isPresumed)
+        search.origin = *here;
     for (const Membership::Member *holder :
          Membership::holdersOf(this->state.members, key, kHolders, false, now))
         search.unansweredHolders.emplace(holder->report.peerAddress, holder->report.id);
@@ -186,9 +187,9 @@
         Serving::addOrigin(this->origins, search.attempt, message.origin, now);
         const auto *known
             = Serving::findOrigin(this->origins, search.attempt, search.neededUntil, now);
-        if (known)
+        if (known && !known->isPresumed)
             search.origin = *known;
-        else if (!Serving::isUncertain(this->origins, message.origin))
+        else if (!known && !Serving::isUncertain(this->origins, message.origin))
             search.origin = message.origin;
     }
     if (!this->isWaiting(search))
@@ -201,7 +202,7 @@
     for (const auto &[number, search] : this->searches) {
         const auto *origin
             = Serving::findOrigin(this->origins, search->attempt, search->neededUntil, now);
-        if (origin)
+        if (origin && !origin->isPresumed)
             search->origin = *origin;
         if (!this->isWaiting(*search))
             search->timer.cancel();
--- a/Source/Core/Serving/StreamOrigins.cpp
+++ b/Source/Core/Serving/StreamOrigins.cpp
@@ -40,6 +40,8 @@
 {
     if (told.isContradicted)
         return true;
+    if (told.isPresumed || known.isPresumed)
+        return false;
     const bool isSameEndpoint = told.endpoint == known.endpoint;
     // An instance that has passed the request on does not know where the stream began.
     if (told.endpoint.empty() || (isSameEndpoint && told.incarnation == known.incarnation))
@@ -62,11 +64,33 @@
     origin.incarnation = 0;
 }
 
+// Adds where the stream began to an entry that holds only what is known of its end.
+void addBeginning(StreamOrigin &known, const StreamOrigin &origin)
+{
+    StreamOrigin added = origin;
+    added.expiresAt = known.expiresAt;
+    added.doubtedEnd = known.doubtedEnd;
+    added.doubtedEndpoint = known.doubtedEndpoint;
+    added.lastBegunEvent = known.lastBegunEvent;
+    known = std::move(added);
+}
+
 } // namespace
 
+StreamOrigin presumedOrigin(const StreamOrigin &origin)
+{
+    StreamOrigin presumed = origin;
+    presumed.isPresumed = true;
+    presumed.isVersionKnown = false;
+    presumed.isStated = false;
+    presumed.version.clear();
+    presumed.incarnation = 0;
+    return presumed;
+}
+
 bool isUncertain(const StreamOrigins &origins, const StreamOrigin &origin)
 {
-    if (origin.isStated || origin.isContradicted)
+    if (origin.isStated || origin.isContradicted || origin.isPresumed)
         return false;
     const auto replaced = origins.replaced.find({origin.endpoint, origin.incarnation});
     return replaced != origins.replaced.end() && origin.sentAt >= replaced->second.since;
@@ -100,6 +124,8 @@
         StreamOrigin &known = entry->second;
         const bool isSameProcess
             = known.endpoint == origin.endpoint && known.incarnation == origin.incarnation;
+        if (known.isPresumed && !origin.isPresumed && !origin.endpoint.empty())
+            addBeginning(known, origin);
         if (!known.isContradicted && contradicts(origin, known))
             contradict(known);
         if (!known.isContradicted && isSameProcess && !known.isVersionKnown
--- a/Source/Core/Serving/StreamOrigins.h
+++ b/Source/Core/Serving/StreamOrigins.h
@@ -40,6 +40,9 @@
     // Several processes that may run different versions have begun the stream under this name, and
     // nobody knows whose events the caller has. The version stays unknown.
     bool isContradicted = false;
+    // Nobody knew where the stream began when it was taken up. `endpoint` is the one that went on
+    // with it, and only what is told of the stream's end counts.
+    bool isPresumed = false;
     // Number of the event after which an answer without framing ended in order, if nobody has
     // confirmed that the stream ends there.
     std::optional<std::uint64_t> doubtedEnd = {};
@@ -77,6 +80,10 @@
 // Returns until when a stream may be taken up again whose caller waits until `deadline`.
 Common::Time originExpiry(Common::Time deadline, Common::Time now);
 
+// Returns what is known of a stream that has been taken up at this origin, although nobody knew
+// where it began.
+StreamOrigin presumedOrigin(const StreamOrigin &origin);
+
 // Returns whether the stream may have begun at the successor of the process that the origin names.
 bool isUncertain(const StreamOrigins &origins, const StreamOrigin &origin);
 
--- a/Source/UnitTests/Entry/StreamMessagesTest.cpp
+++ b/Source/UnitTests/Entry/StreamMessagesTest.cpp
@@ -101,6 +101,31 @@
     }
 }
 
+// Guards against an endpoint that went on with a stream nobody knew, taken for the one that began
+// it, also by an instance of an earlier release.
+BOOST_AUTO_TEST_CASE(origin_presumed_isTheSame)
+{
+    this->message.origin.isStated = true;
+    this->message.origin.lastBegunEvent = 5;
+    this->message.origin = Serving::presumedOrigin(this->message.origin);
+    const auto read = this->sent(this->message);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->origin.isPresumed);
+    BOOST_TEST(!read->origin.isContradicted);
+    BOOST_TEST(!read->origin.isVersionKnown);
+    BOOST_TEST(read->origin.lastBegunEvent == 5u);
+    boost::json::array earlier = toJson(this->message, this->now);
+    for (const std::size_t size : {18u, 17u, 15u, 14u, 11u, 9u}) {
+        earlier.resize(size);
+        const auto known = readStreamMessage(earlier, this->now);
+        BOOST_REQUIRE(known.has_value());
+        BOOST_TEST(!known->origin.isPresumed);
+        BOOST_TEST(!known->origin.isStated);
+        BOOST_TEST(!known->origin.isVersionKnown);
+        BOOST_TEST(known->origin.incarnation == 0u);
+    }
+}
+
 // Guards against a process that has stated its start time being taken for one that has not.
 BOOST_AUTO_TEST_CASE(origin_statedByItsProcess_isTheSame)
 {
--- a/Source/UnitTests/Serving/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Serving/StreamOriginsTest.cpp
@@ -80,6 +80,31 @@
     BOOST_TEST(this->origins.byAttempt.at("a").lastBegunEvent == 4u);
 }
 
+// Guards against a stream that goes on at another version (ORDER), as the endpoint that went on
+// with it while nobody knew it is taken for the one that began it.
+BOOST_AUTO_TEST_CASE(origin_presumed_tellsOfTheEndOnly)
+{
+    StreamOrigin told = presumedOrigin(this->origin("v1", 10));
+    told.lastBegunEvent = 4;
+    told.doubtedEnd = 3;
+    addOrigin(this->origins, "a", told, this->now);
+    const StreamOrigin *found = findOrigin(this->origins, "a", this->now, this->now);
+    BOOST_REQUIRE(found);
+    BOOST_TEST(found->isPresumed);
+    BOOST_TEST(!found->isVersionKnown);
+    StreamOrigin begun = this->origin("v2", 10);
+    begun.endpoint = Common::EndpointId("e2");
+    addOrigin(this->origins, "a", begun, this->now);
+    // Whoever has not heard of the beginning tells it again.
+    addOrigin(this->origins, "a", told, this->now);
+    BOOST_TEST(this->versionOf("a") == "v2");
+    found = findOrigin(this->origins, "a", this->now, this->now);
+    BOOST_TEST(found->isVersionKnown);
+    BOOST_TEST(!found->isPresumed);
+    BOOST_TEST(found->lastBegunEvent == 4u);
+    BOOST_TEST(found->doubtedEnd.value_or(0) == 3u);
+}
+
 // Guards against a stream that goes on at another version (ORDER): its endpoint turns out to have
 // been restarted while the instance asks others where the stream began.
 BOOST_AUTO_TEST_CASE(search_endpointWasRestartedMeanwhile_findsNothing)
