Staging: do not reuse connections from before a change of the listed process

Cause: where the listed process of a stage endpoint changes, its known results are forgotten, and connections to its address are kept. A late row names the process before for a heartbeat; a copy of an earlier answer on a kept connection is then no copy of a known one. Change: a change of the listed process counts as the time up to which results are forgotten, so that connections that have been idle since before are not used again (reusableIdleSince); orders to free results keep to it too, as their connections are used for calls afterwards. A process that did start again has no connections, so that this costs nothing then. The review's stand-in kept its last answer by the descriptor of the connection, which a later connection gets again: it would repeat an answer on a connection that had never carried it. It tells connections by the caller's port now; the check is the same, and is broken with as before.

--- a/Source/Core/Entry/StageOwner.cpp
+++ b/Source/Core/Entry/StageOwner.cpp
@@ -203,6 +203,9 @@
     Http::CallOptions options;
     options.deadline = sentAt + kFreeTimeout;
     options.connectTimeout = kConnectTimeout;
+    // The connection is used for calls afterwards.
+    options.reusableIdleSince
+        = Staging::reusableIdleSince(this->queues[service].queue, order.endpoint);
     options.maxBodyBytes = kMaxResultsBytes;
     options.beforeFirstByte
         = [this, &service, &order] { return !this->isEvacuated(service, order.endpoint); };
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -174,13 +174,25 @@
 
 namespace {
 
+// Returns no results, as nothing is known of the process. A late row may name the one before while
+// the other goes on, so that connections to the address may bring copies of answers that were noted
+// for another process.
+ResultOrigins originsOfOtherProcess(Time now)
+{
+    ResultOrigins origins;
+    origins.forgottenUntil = now;
+    return origins;
+}
+
 // Returns the results of the process that were known before it was forgotten.
-ResultOrigins takeFormerOrigins(StageQueue &queue, const Routing::Endpoint &entry)
+ResultOrigins takeFormerOrigins(StageQueue &queue, const Routing::Endpoint &entry, Time now)
 {
     const auto former = queue.formerEndpoints.extract(entry.id);
-    const bool isSameProcess = !former.empty() && former.mapped().address == entry.address
+    if (former.empty())
+        return {};
+    const bool isSameProcess = former.mapped().address == entry.address
         && former.mapped().incarnation == entry.incarnation;
-    return isSameProcess ? std::move(former.mapped().origins) : ResultOrigins();
+    return isSameProcess ? std::move(former.mapped().origins) : originsOfOtherProcess(now);
 }
 
 } // namespace
@@ -190,14 +202,16 @@
     for (auto &[id, endpoint] : queue.endpoints)
         endpoint.isListed = false;
     for (const Routing::Endpoint &entry : listed) {
-        StageEndpoint &endpoint = queue.endpoints[entry.id];
+        const auto [known, isNew] = queue.endpoints.try_emplace(entry.id);
+        StageEndpoint &endpoint = known->second;
         const bool sameProcess = endpoint.endpoint.address == entry.address
             && endpoint.endpoint.incarnation == entry.incarnation;
         if (!sameProcess) {
             // Calls to the earlier process are still open and end as lost.
             dropAllResults(queue, endpoint);
             endpoint = StageEndpoint{};
-            endpoint.origins = takeFormerOrigins(queue, entry);
+            endpoint.origins
+                = isNew ? takeFormerOrigins(queue, entry, now) : originsOfOtherProcess(now);
         }
         endpoint.endpoint.id = entry.id;
         endpoint.endpoint.address = entry.address;
--- a/Source/UnitTests/Staging/StageQueueTest.cpp
+++ b/Source/UnitTests/Staging/StageQueueTest.cpp
@@ -507,6 +507,35 @@
     BOOST_TEST((reusableIdleSince(this->queue, endpoint) < this->now));
 }
 
+// Guards against results that are given to another request (MIXED): a late row names the process
+// before for a while, and the copy of an answer comes over a connection from before the last
+// change.
+BOOST_AUTO_TEST_CASE(answer_rowNamesAnotherProcessForAWhile_olderConnectionsAreNotReused)
+{
+    this->keepOneEndpoint();
+    const Common::EndpointId endpoint = this->listed.front().id;
+    const std::uint64_t running = this->listed.front().incarnation;
+    BOOST_TEST((reusableIdleSince(this->queue, endpoint) == Common::Time::min()));
+    for (const std::uint64_t incarnation : {running + 1, running}) {
+        const Common::Time idleSince = this->now;
+        this->now += milliseconds(1200);
+        this->listed.front().incarnation = incarnation;
+        applyEndpoints(this->queue, this->listed, this->now);
+        BOOST_TEST((reusableIdleSince(this->queue, endpoint) > idleSince));
+        BOOST_TEST((reusableIdleSince(this->queue, endpoint) >= this->now));
+    }
+    // The same after a time in which it was not listed.
+    applyEndpoints(this->queue, {}, this->now);
+    this->now += milliseconds(1200);
+    this->listed.front().incarnation = running + 1;
+    applyEndpoints(this->queue, this->listed, this->now);
+    BOOST_TEST((reusableIdleSince(this->queue, endpoint) >= this->now));
+    // Connections that were made since are kept.
+    this->now += milliseconds(5000);
+    applyEndpoints(this->queue, this->listed, this->now);
+    BOOST_TEST((reusableIdleSince(this->queue, endpoint) < this->now));
+}
+
 // Guards against a memory of all endpoints that were ever listed.
 BOOST_AUTO_TEST_CASE(endpoints_comeAndGo_areForgottenAfterAWhile)
 {
--- a/review/rig-2/foreign-results.cpp
+++ b/review/rig-2/foreign-results.cpp
@@ -6,6 +6,9 @@
 
 #include <boost/json.hpp>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
 using namespace Rig;
 
 namespace json = boost::json;
@@ -36,6 +39,15 @@
         + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// The caller's port, which tells a connection from a later one with the same descriptor.
+std::uint16_t callerOf(int socket)
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    ::getpeername(socket, reinterpret_cast<sockaddr *>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -50,7 +62,7 @@
     Worker model(store, "i-model", "app", 10);
     // The last answer on each connection, and whether the next call gets a copy of it first.
     std::mutex mutex;
-    std::map<int, std::string> lastAnswer;
+    std::map<std::uint16_t, std::string> lastAnswer;
     std::atomic<bool> repeats{false};
     std::atomic<int> calls{0};
     std::atomic<int> handles{0};
@@ -74,8 +86,8 @@
         std::string earlier;
         {
             const std::lock_guard lock(mutex);
-            if (isFaulty && repeats && lastAnswer.contains(socket)) {
-                earlier = lastAnswer[socket];
+            if (isFaulty && repeats && lastAnswer.contains(callerOf(socket))) {
+                earlier = lastAnswer[callerOf(socket)];
                 repeats = false;
             }
         }
@@ -92,7 +104,7 @@
         {
             const std::lock_guard lock(mutex);
             if (isFaulty)
-                lastAnswer[socket] = answer;
+                lastAnswer[callerOf(socket)] = answer;
         }
         return writeAll(socket, answer);
     };
