Readers: begin the first report at the reader's own position

Cause: the position of the last report was {0, 0} before the first one. Where the store states no epoch, or 0, that counts as one of this epoch, so that a reader that has just started claims to report all changes from version 0 on. Followers take over its position and skip removals. Change: the position is unset before the first report, which then begins where it ends (beginOfReport); followers behind it read the store.

--- a/Source/Core/Entry/EndpointChanges.cpp
+++ b/Source/Core/Entry/EndpointChanges.cpp
@@ -28,6 +28,13 @@
 
 } // namespace
 
+StorePosition beginOfReport(const std::optional<StorePosition> &lastReported,
+                            const StorePosition &position)
+{
+    const bool isSameEpoch = lastReported && lastReported->epoch == position.epoch;
+    return isSameEpoch ? *lastReported : position;
+}
+
 bool mayReport(const EndpointList &list)
 {
     return std::none_of(list.known.begin(), list.known.end(),
--- a/Source/Core/Entry/EndpointChanges.h
+++ b/Source/Core/Entry/EndpointChanges.h
@@ -38,6 +38,12 @@
 void addRemoved(EndpointChanges &changes, const EndpointList &list,
                 const std::vector<Common::EndpointId> &removed);
 
+// Returns where a report begins that ends at `position`: where the last one ended, if that was in
+// the same epoch of the store. The first one begins where it ends, since a process that has just
+// started does not know which endpoints have gone before.
+StorePosition beginOfReport(const std::optional<StorePosition> &lastReported,
+                            const StorePosition &position);
+
 // Whether a reader may report its list. While it keeps entries only because it had lost the store,
 // it may not: its followers had not, and have to learn at once which endpoints are gone, from the
 // other reader or the store.
--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -274,9 +274,7 @@
     EndpointChanges changes = changesOf(this->list, this->reported);
     addRemoved(changes, this->list, removed);
     changes.to = this->position;
-    // Positions of an earlier epoch say nothing about this one.
-    const bool isSameEpoch = this->reportedPosition.epoch == this->position.epoch;
-    changes.from = isSameEpoch ? this->reportedPosition : changes.to;
+    changes.from = beginOfReport(this->reportedPosition, changes.to);
     this->reportedPosition = changes.to;
     this->relay.reportEndpoints(std::move(changes), readAt);
 }
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -117,7 +117,8 @@
     EndpointList list;
     ProcessEvidence evidence;
     ReportedEndpoints reported;
-    StorePosition reportedPosition;
+    // Unset until this instance has reported, or has followed a reader's report.
+    std::optional<StorePosition> reportedPosition;
     // When the last reading began that the list is based on, by this instance or a reader.
     std::optional<Common::Time> confirmedAt;
     // The same before the reading that is being applied.
--- a/Source/UnitTests/Entry/EndpointChangesTest.cpp
+++ b/Source/UnitTests/Entry/EndpointChangesTest.cpp
@@ -51,6 +51,21 @@
     BOOST_TEST(none.dropped.empty());
 }
 
+// Guards against followers that never learn of endpoints that are gone (DRAIN): the first report of
+// a reader that has just started claims to hold all changes, where the store states no epoch.
+BOOST_AUTO_TEST_CASE(beginOfReport_firstOneOfAProcess_isItsEnd)
+{
+    for (const std::uint64_t epoch : {0u, 1u}) {
+        const StorePosition position{epoch, 40};
+        BOOST_TEST((beginOfReport(std::nullopt, position) == position));
+        BOOST_TEST((beginOfReport(StorePosition{epoch, 30}, position) == StorePosition{epoch, 30}));
+        BOOST_TEST((beginOfReport(StorePosition{epoch + 1, 30}, position) == position));
+    }
+    const StorePosition first = beginOfReport(std::nullopt, {0, 40});
+    const EndpointChanges report{first, {0, 40}, {}, {}};
+    BOOST_TEST((useOfChanges({0, 30}, report) == ChangesUse::Gap));
+}
+
 // Guards against followers that take a process without a start time for the one before it.
 BOOST_AUTO_TEST_CASE(changesOf_processWithoutStartTimeStartsAnew_isReported)
 {
