--- a/Source/Core/Entry/VersionRows.cpp
+++ b/Source/Core/Entry/VersionRows.cpp
@@ -20,7 +20,7 @@
 // How often a reader of the store looks for versions that have come or gone.
 constexpr Common::Milliseconds kCheckInterval{500};
 // How often it reads the rows that other instances have written.
-constexpr Common::Milliseconds kReadInterval{5000};
+constexpr Common::Milliseconds kReadInterval{15'000};
 // How long a request waits for a reading, and how long its result serves later ones.
 constexpr Common::Milliseconds kReadTimeout{250};
 // Name of the member of a datagram that holds the service and the name of a process.
