Forwarding: share a request's attempts among the instances that get it

Cause: an instance without paths passes a repeatable request on a second time after an unknown outcome without asking for max_attempts, and each of the two others begins with all attempts of the route. Change: the request states how many attempts are left (Tanagerbay-Attempts-Left, read on the port of instances only, never sent to workers). The first instance gets all but one of them, the second the one that is left; what the first has not certainly left unused is gone. With one attempt a request is passed on again only if it has certainly not run.

--- a/Source/Core/Entry/RequestForward.cpp
+++ b/Source/Core/Entry/RequestForward.cpp
@@ -39,7 +39,7 @@
 }
 
 Http::Awaitable<RequestFlow::SendResult>
-RequestFlow::sendToInstance(const Membership::Member &instance)
+RequestFlow::sendToInstance(const Membership::Member &instance, std::uint32_t attemptCount)
 {
     const Common::Time now = clockNow();
     const Common::Address address{instance.report.peerAddress.ip,
@@ -47,7 +47,7 @@
     this->forwardedTo = instance.report.id;
     this->lastPhase = Serving::RequestPhase::Sent;
     Http::Request request = this->state.dialect.writeForwarded(
-        this->request, this->timeLeft(now),
+        this->request, this->timeLeft(now), attemptCount,
         this->events.eventCount() > 0 ? this->events.lastEvent() : std::nullopt);
     auto opened
         = co_await this->state.client.open(address, std::move(request), this->forwardOptions(now));
@@ -77,8 +77,10 @@
 Http::Awaitable<bool> RequestFlow::forward()
 {
     std::vector<Common::InstanceId> asked;
+    std::uint32_t attemptsLeft = this->attempts.maxAttempts;
     SendResult last;
-    while (asked.size() < kMaxInstances && !this->callerGone && !this->earlyEnd) {
+    while (asked.size() < kMaxInstances && attemptsLeft > 0 && !this->callerGone
+           && !this->earlyEnd) {
         const Common::Time now = clockNow();
         if (this->timeLeft(now) <= Common::Duration(0))
             break;
@@ -88,7 +90,9 @@
             break;
         const Common::InstanceId id = instance->report.id;
         asked.push_back(id);
-        last = co_await this->sendToInstance(*instance);
+        const std::uint32_t given
+            = Serving::attemptsToPassOn(this->attempts, attemptsLeft, asked.size() < kMaxInstances);
+        last = co_await this->sendToInstance(*instance, given);
         this->noteSend(last);
         this->state.metrics.count(
             labelled("requests_forwarded", "outcome",
@@ -105,8 +109,10 @@
         Serving::noteOutcome(this->attempts, last.outcome, last.duration);
         const bool isCertainlyNotRun
             = last.outcome == SendOutcome::NotSent || last.outcome == SendOutcome::NotRun;
-        // A failure that the other instance has answered with follows its own repeated sends.
-        const bool mayRepeat = !last.failure && this->attempts.repeatable;
+        // How many of them the other instance has used is not known.
+        if (!isCertainlyNotRun)
+            attemptsLeft -= given;
+        const bool mayRepeat = this->attempts.repeatable && attemptsLeft > 0;
         if (!isCertainlyNotRun && !(mayRepeat && this->takeFromRetryBudget(clockNow())))
             break;
         this->call = Http::CallHandle();
