Versions: begin a reading after the take-ups that share it, and count rows as new after a gap

A take-up shared a reading of up to 250 ms before, which may not hold a process that was written since. A row kept the time of its first reading however long ago that was, so that one that had gone and come back did not count. A row that this instance knew was taken for one of now. Keepers wrote processes that their own list named. Change: take-ups of 50 ms gather before the reading begins. First times are kept only between readings that follow each other, and do not replace what is known. Processes that the list names are resolved as they come in. At most 1,000 wait to be written.

--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -107,11 +107,9 @@
     // The list is behind: it may not show yet that an endpoint was restarted as another version.
     std::vector<Common::EndpointId> unconfirmed;
     bool isStoreRead = true;
-    if (this->presumedVersion()) {
-        // Those who have heard of another version may have ended.
+    // Those who have heard of another version may have ended.
+    if (this->presumedVersion())
         isStoreRead = co_await this->dependencies.versions.readNow();
-        this->dependencies.endpoints.resolveVersions();
-    }
     if (isStoreRead && this->presumedVersion())
         unconfirmed = co_await this->dependencies.processes.ask(this->service);
     if (isStoreRead && unconfirmed.empty())
--- a/Source/Core/Entry/VersionRows.cpp
+++ b/Source/Core/Entry/VersionRows.cpp
@@ -21,8 +21,11 @@
 constexpr Common::Milliseconds kCheckInterval{500};
 // How often it reads the rows that other instances have written.
 constexpr Common::Milliseconds kReadInterval{15'000};
-// How long a request waits for a reading, and how long its result serves later ones.
+// After a longer time without a reading, rows count as new.
+constexpr Common::Milliseconds kMaxReadGap = 2 * kReadInterval;
+// How long requests wait for a reading, and for others that share it.
 constexpr Common::Milliseconds kReadTimeout{250};
+constexpr Common::Milliseconds kGatherTime{50};
 // Name of the member of a datagram that holds the service and the name of a process.
 constexpr const char *kUnlistedMember = "unlistedProcess";
 // Instances that write one process. Several may fail at once, or not reach the store.
@@ -32,6 +35,7 @@
 constexpr Common::Milliseconds kWriteRetryInterval{100};
 // A row is written again after this time, since the readers remove rows of this age.
 constexpr Common::Milliseconds kUnlistedRefreshInterval = Routing::kVersionMemory / 2;
+constexpr std::size_t kMaxUnwritten = 1000;
 // A call may hold 100 entries.
 constexpr std::size_t kMaxAddedRows = 50;
 constexpr std::size_t kMaxRemovedRows = 50;
@@ -73,26 +77,39 @@
 
 void VersionRows::start()
 {
-    this->datagrams.on(
-        kUnlistedMember, [this](const json::object &message, const Common::Address &) {
-            const json::array *fields = message.at(kUnlistedMember).if_array();
-            const bool isReadable = fields && fields->size() >= 2 && (*fields)[0].is_string()
-                && (*fields)[1].is_string();
-            const ServiceVersion row = isReadable
-                ? ServiceVersion{std::string((*fields)[0].get_string()),
-                                 std::string((*fields)[1].get_string())}
-                : ServiceVersion{};
-            if (!Routing::unlistedProcess(row.version)) {
-                this->state.metrics.count("datagrams_invalid");
-                return;
-            }
-            const Common::Time now = clockNow();
-            Routing::noteVersion(this->state.versions, row.service, row.version, now);
-            this->storeUnlisted(row, now);
-        });
+    this->datagrams.on(kUnlistedMember,
+                       [this](const json::object &message, const Common::Address &) {
+                           this->onUnlisted(message.at(kUnlistedMember));
+                       });
     asio::co_spawn(this->state.context, this->follow(), asio::detached);
 }
 
+void VersionRows::onProcesses(std::function<void()> action)
+{
+    this->processesHandler = std::move(action);
+}
+
+void VersionRows::onUnlisted(const json::value &message)
+{
+    const json::array *fields = message.if_array();
+    const bool isReadable
+        = fields && fields->size() >= 2 && (*fields)[0].is_string() && (*fields)[1].is_string();
+    ServiceVersion row;
+    if (isReadable)
+        row = {std::string((*fields)[0].get_string()), std::string((*fields)[1].get_string())};
+    if (!Routing::unlistedProcess(row.version)) {
+        this->state.metrics.count("datagrams_invalid");
+        return;
+    }
+    const Common::Time now = clockNow();
+    Routing::noteVersion(this->state.versions, row.service, row.version, now);
+    if (this->processesHandler)
+        this->processesHandler();
+    // The list of the one that has told it may be behind.
+    if (Routing::hasVersion(this->state.versions, row.service, row.version))
+        this->storeUnlisted(row, now);
+}
+
 void VersionRows::noteVersions()
 {
     if (this->stored && this->relay.isReader()
@@ -143,6 +160,10 @@
     });
     if (this->writtenAt.contains(process))
         return;
+    if (this->unwritten.size() >= kMaxUnwritten) {
+        this->state.metrics.count("processes_not_stored");
+        return;
+    }
     this->unwritten.insert(process);
     if (!std::exchange(this->isWriting, true))
         asio::co_spawn(this->state.context, this->writeUnlisted(), asio::detached);
@@ -161,12 +182,9 @@
             co_await this->state.sleepFor(kWriteRetryInterval);
         const Common::Time now = clockNow();
         for (const ServiceVersion &row : rows) {
-            const auto service = this->state.versions.byService.find(row.service);
-            const bool isNeeded = service != this->state.versions.byService.end()
-                && service->second.contains(row.version);
             if (written)
                 this->writtenAt[row] = now;
-            if (written || !isNeeded)
+            if (written || !Routing::hasVersion(this->state.versions, row.service, row.version))
                 this->unwritten.erase(row);
             // A reader removes what it has stored.
             if (written && this->stored && this->storedIn == *written)
@@ -198,44 +216,51 @@
 
 Http::Awaitable<bool> VersionRows::read()
 {
-    const Common::Time startedAt = clockNow();
     const auto rows = co_await this->store.readVersions();
     if (!rows)
         co_return false;
     this->storedIn = this->store.epoch();
     this->stored.emplace(rows->begin(), rows->end());
-    this->readAt = startedAt;
-    noteRows(this->rowTimes, *rows, clockNow());
-    // A version that is stored, but not listed any more, may have been there until it was first
-    // read. All that instances have known before is stored.
+    const Common::Time now = clockNow();
+    // A row may have gone and come back since.
+    if (now - std::exchange(this->readAt, now) > kMaxReadGap)
+        this->rowTimes.clear();
+    noteRows(this->rowTimes, *rows, now);
+    Routing::dropVersionsBefore(this->state.versions, now - Routing::kVersionMemory);
+    // A version that is stored and that this instance does not know may have been there until it
+    // was first read. All that instances have known before is stored.
     Routing::VersionHistory known{{}, Common::Time::min()};
-    for (const auto &[row, firstReadAt] : this->rowTimes)
-        known.byService[row.service][row.version] = firstReadAt;
+    for (const auto &[row, firstReadAt] : this->rowTimes) {
+        if (!Routing::hasVersion(this->state.versions, row.service, row.version))
+            known.byService[row.service][row.version] = firstReadAt;
+    }
     Routing::mergeHistory(this->state.versions, known);
+    if (this->processesHandler)
+        this->processesHandler();
     co_return true;
 }
 
 Http::Awaitable<bool> VersionRows::readNow()
 {
-    const Common::Time now = clockNow();
-    if (!this->reading || now - this->reading->startedAt >= kReadTimeout) {
+    if (!this->reading || this->reading->hasBegun) {
         this->reading = std::make_shared<Reading>(this->state.context);
-        this->reading->startedAt = now;
-        this->reading->done.expires_at(now + kReadTimeout);
+        this->reading->done.expires_after(kGatherTime + kReadTimeout);
         asio::co_spawn(
             this->state.context,
-            [this, started = this->reading]() -> Http::Awaitable<void> {
-                started->hasSucceeded = co_await this->read();
-                started->isDone = true;
-                started->done.cancel();
+            [this, shared = this->reading]() -> Http::Awaitable<void> {
+                co_await this->state.sleepFor(kGatherTime);
+                shared->hasBegun = true;
+                shared->hasSucceeded = co_await this->read();
+                shared->isDone = true;
+                shared->done.cancel();
             },
             asio::detached);
     }
-    const std::shared_ptr<Reading> shared = this->reading;
+    const std::shared_ptr<Reading> awaited = this->reading;
     boost::system::error_code ignored;
-    if (!shared->isDone)
-        co_await shared->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    co_return shared->hasSucceeded;
+    if (!awaited->isDone)
+        co_await awaited->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_return awaited->hasSucceeded;
 }
 
 Http::Awaitable<void> VersionRows::write()
--- a/Source/Core/Entry/VersionRows.h
+++ b/Source/Core/Entry/VersionRows.h
@@ -8,6 +8,7 @@
 #include "Entry/PeerDatagrams.h"
 #include "Entry/StoreRelay.h"
 
+#include <functional>
 #include <memory>
 #include <set>
 
@@ -23,7 +24,8 @@
 VersionRowChanges versionRowChanges(const std::set<ServiceVersion> &stored,
                                     const Routing::VersionHistory &history);
 
-// When each row was first read. Rows that are no longer stored are forgotten.
+// When each row was first read, in readings that follow each other. Rows that are no longer stored
+// are forgotten.
 using RowTimes = std::map<ServiceVersion, Common::Time>;
 void noteRows(RowTimes &times, const std::vector<ServiceVersion> &rows, Common::Time now);
 
@@ -33,14 +35,17 @@
     VersionRows(State &state, Store &store, StoreRelay &relay, PeerDatagrams &datagrams);
 
     void start();
+    // Sets the handler that is called when processes have been added to the history that the list
+    // may have named.
+    void onProcesses(std::function<void()> action);
     // To be called when the pools have changed: a reader of the store writes versions that are new
     // at once.
     void noteVersions();
     // Records that a process has stated itself that the list has not named, and has it stored by a
     // few instances.
     void noteUnlisted(const std::string &service, const Routing::ProcessKey &process);
-    // Adds what the store holds now to the history. Calls of the same moment share a reading.
-    // Returns whether the store has answered within a short time.
+    // Adds what the store holds now to the history. Calls of the same moment share a reading, which
+    // begins after them. Returns whether the store has answered within a short time.
     Http::Awaitable<bool> readNow();
 
 private:
@@ -51,12 +56,13 @@
         {
         }
 
-        Common::Time startedAt;
         boost::asio::steady_timer done;
+        bool hasBegun = false;
         bool isDone = false;
         bool hasSucceeded = false;
     };
 
+    void onUnlisted(const boost::json::value &message);
     Http::Awaitable<void> follow();
     Http::Awaitable<bool> read();
     Http::Awaitable<void> write();
@@ -68,6 +74,7 @@
     Store &store;
     StoreRelay &relay;
     PeerDatagrams &datagrams;
+    std::function<void()> processesHandler;
     boost::asio::steady_timer waitTimer;
     // The rows as last read or written; unset while they are not known.
     std::optional<std::set<ServiceVersion>> stored;
--- a/Source/Core/Routing/VersionHistory.cpp
+++ b/Source/Core/Routing/VersionHistory.cpp
@@ -27,6 +27,13 @@
     lastKnownAt = std::max(lastKnownAt, now);
 }
 
+bool hasVersion(const VersionHistory &history, const std::string &service,
+                const std::string &version)
+{
+    const auto found = history.byService.find(service);
+    return found != history.byService.end() && found->second.contains(version);
+}
+
 std::string unlistedVersion(const ProcessKey &process)
 {
     return std::string(kUnlistedPrefix) + std::to_string(process.incarnation) + ' '
--- a/Source/Core/Routing/VersionHistory.h
+++ b/Source/Core/Routing/VersionHistory.h
@@ -36,6 +36,10 @@
 void noteVersion(VersionHistory &history, const std::string &service, const std::string &version,
                  Common::Time now);
 
+// Whether the history holds this version of the service.
+bool hasVersion(const VersionHistory &history, const std::string &service,
+                const std::string &version);
+
 // Returns the name under which the history has a process that serves and that the list has not
 // named. Its version is not known, so that it counts as a version of its own.
 std::string unlistedVersion(const ProcessKey &process);
