Census: ask a process again that was listed after its last statement

Callers saw: a stream that nobody knows is refused once more for up to 250 ms after the list has come to name a restarted process. Cause: a statement from before the process was listed does not confirm it, and the endpoint is not asked again within 250 ms of its statement. Change: an endpoint is asked if its process was listed after its last statement, and a round begins if the list has changed since the last one.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -176,10 +176,15 @@
                               this->state.settings.bounds.endpointHeartbeat);
 }
 
+bool EndpointDiscovery::wasListed(const Common::EndpointId &id, Common::Time time) const
+{
+    return Entry::wasListed(this->evidence, id, time);
+}
+
 bool EndpointDiscovery::ranAt(const Common::EndpointId &id, std::uint64_t incarnation,
                               Common::Time time) const
 {
-    return wasListed(this->evidence, id, time) && this->hasRunSince(id, incarnation, time);
+    return this->wasListed(id, time) && this->hasRunSince(id, incarnation, time);
 }
 
 bool EndpointDiscovery::isOnlyProcess(const Common::EndpointId &id, std::uint64_t incarnation) const
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -71,6 +71,8 @@
     // other one has since.
     bool hadStated(const Common::EndpointId &id, std::uint64_t incarnation,
                    Common::Time time) const;
+    // Whether the list has shown the endpoint's process since `time` or before.
+    bool wasListed(const Common::EndpointId &id, Common::Time time) const;
     // Whether the process that the list shows for the endpoint, and showed at `time`, is known to
     // have run then.
     bool ranAt(const Common::EndpointId &id, std::uint64_t incarnation, Common::Time time) const;
--- a/Source/Core/Entry/ProcessCensus.cpp
+++ b/Source/Core/Entry/ProcessCensus.cpp
@@ -32,7 +32,9 @@
 {
     const Common::Time now = clockNow();
     std::shared_ptr<Round> &last = this->rounds[service];
-    if (!last || now - last->startedAt >= kAnswerTimeout)
+    // A process that was not listed when it was asked is not confirmed by its answer.
+    if (!last || now - last->startedAt >= kAnswerTimeout
+        || this->hasNewProcess(service, last->startedAt))
         last = this->begin(service, now);
     const std::shared_ptr<Round> round = last;
     boost::system::error_code ignored;
@@ -41,6 +43,14 @@
     co_return this->unconfirmed(service, *round);
 }
 
+bool ProcessCensus::hasNewProcess(const std::string &service, Common::Time since) const
+{
+    const std::vector<Routing::Endpoint> &endpoints = this->state.poolOf(service).endpoints;
+    return std::any_of(endpoints.begin(), endpoints.end(), [&](const Routing::Endpoint &endpoint) {
+        return !this->endpoints.wasListed(endpoint.id, since);
+    });
+}
+
 std::vector<Common::EndpointId> ProcessCensus::unconfirmed(const std::string &service,
                                                            const Round &round) const
 {
@@ -92,7 +102,9 @@
 {
     std::vector<Routing::Endpoint> asked;
     for (const Routing::Endpoint &endpoint : this->state.poolOf(service).endpoints) {
-        const bool isKnown = now - kAnswerTimeout <= this->endpoints.lastStatedAt(endpoint.id);
+        const Common::Time lastStatedAt = this->endpoints.lastStatedAt(endpoint.id);
+        const bool isKnown = now - kAnswerTimeout <= lastStatedAt
+            && this->endpoints.wasListed(endpoint.id, lastStatedAt);
         // The question is a request to the endpoint too.
         const bool mayAsk = !endpoint.isEvacuated && !Routing::isLimited(endpoint.gate)
             && !Routing::isHeld(endpoint, now);
--- a/Source/Core/Entry/ProcessCensus.h
+++ b/Source/Core/Entry/ProcessCensus.h
@@ -40,6 +40,8 @@
     };
 
     std::shared_ptr<Round> begin(const std::string &service, Common::Time now);
+    // Whether the list shows a process of the service that it did not show at `since`.
+    bool hasNewProcess(const std::string &service, Common::Time since) const;
     std::vector<Common::EndpointId> unconfirmed(const std::string &service,
                                                 const Round &round) const;
     // Whether the endpoint has stated itself before, but neither when it was last asked nor since
