--- a/Source/Core/Entry/VersionRows.cpp
+++ b/Source/Core/Entry/VersionRows.cpp
@@ -177,7 +177,8 @@
             if (rows.size() < kMaxAddedRows)
                 rows.push_back(row);
         }
-        const auto written = co_await this->store.writeVersions(rows, {});
+        const std::vector<ServiceVersion> none;
+        const auto written = co_await this->store.writeVersions(rows, none);
         if (!written)
             co_await this->state.sleepFor(kWriteRetryInterval);
         const Common::Time now = clockNow();
