Versions: keep processes that are not listed apart from versions, and write them from more instances

The processes were entries of the history of versions, which readers write back, which instances tell each other when they meet, and which an instance takes for new when it first reads them: a row that one reader had removed was written again by another one, so that streams that nobody knows could be refused without an end (LOST). Evidence went to three instances in one datagram each, and no further if these had just been killed (ORDER). A version that is listed newly was not written at once, as the history is noted before the pools change. A presumption was not judged again while its request waited. Change: UnlistedProcesses, apart from the history: those that were heard or told of, and those that the store held at the last reading. Readers never write them back; a reader removes a row that the list has named, or a minute after it first read it; whoever has written a row removes it when it is named. They are not told among the versions, and are skipped where an instance of an earlier release tells them. Among up to twelve instances each one writes what it has heard; failed writes back off; a new epoch of the store has them written again. The history is noted before and after the pools change. RequestFlow::learnVersion judges a presumption by the same conditions as it was made. Not changed: a datagram is not acknowledged in larger fleets; a worker that states another start time with each answer makes a row for each.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -145,7 +145,7 @@
                      now);
     if (incarnation == listed.entry.incarnation)
         return;
-    if (const auto version = namedVersion(this->evidence, {id, incarnation}))
+    if (const auto version = this->namedVersion({id, incarnation}))
         Routing::noteVersion(this->state.versions, listed.service, *version, now);
     else if (this->unlistedHandler)
         this->unlistedHandler(listed.service, {id, incarnation});
@@ -216,11 +216,9 @@
     this->unlistedHandler = std::move(action);
 }
 
-void EndpointDiscovery::resolveVersions()
+std::optional<std::string> EndpointDiscovery::namedVersion(const Routing::ProcessKey &process) const
 {
-    Routing::resolveUnlisted(this->state.versions, [this](const Routing::ProcessKey &process) {
-        return namedVersion(this->evidence, {process.endpoint, process.incarnation});
-    });
+    return Entry::namedVersion(this->evidence, {process.endpoint, process.incarnation});
 }
 
 void EndpointDiscovery::onPoolsChanged(std::function<void()> action)
@@ -427,8 +425,8 @@
         Routing::Pool &pool = this->state.poolOf(service);
         Routing::noteVersions(this->state.versions, service, pool, now);
         Routing::applyEntries(pool, listed);
+        Routing::noteVersions(this->state.versions, service, pool, now);
     }
-    this->resolveVersions();
     Routing::dropVersionsBefore(this->state.versions, now - Routing::kVersionMemory);
     if (this->poolsHandler)
         this->poolsHandler();
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -36,9 +36,8 @@
     using UnlistedHandler
         = std::function<void(const std::string &service, const Routing::ProcessKey &process)>;
     void onUnlisted(UnlistedHandler action);
-    // Replaces the processes in the history of versions that the list has named since by their
-    // versions.
-    void resolveVersions();
+    // Returns the version that the list names for a process, or has named for it lately.
+    std::optional<std::string> namedVersion(const Routing::ProcessKey &process) const;
     // Sets the handler that is called when the pools have changed, before they are used.
     void onPoolsChanged(std::function<void()> action);
     // Takes note of what an endpoint's answer says about the endpoint itself.
--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -235,7 +235,9 @@
         [this](const std::string &service, const Routing::ProcessKey &process) {
             this->versionRows.noteUnlisted(service, process);
         });
-    this->versionRows.onProcesses([this] { this->endpoints.resolveVersions(); });
+    this->versionRows.setVersionLookup([this](const Routing::ProcessKey &process) {
+        return this->endpoints.namedVersion(process);
+    });
     this->stageOwner.onPath([this](const Common::EndpointId &endpoint, bool isAnswered) {
         if (isAnswered)
             this->paths.noteAnswer(false);
--- a/Source/Core/Entry/RequestResumption.cpp
+++ b/Source/Core/Entry/RequestResumption.cpp
@@ -71,7 +71,8 @@
 {
     // One service and one version: there is nothing else where the stream can have begun.
     if (this->route->services.size() != 1
-        || this->dependencies.endpoints.hasUnlistedProcess(this->service))
+        || this->dependencies.endpoints.hasUnlistedProcess(this->service)
+        || hasService(this->state.unlisted.heard, this->service))
         return std::nullopt;
     return Routing::onlyVersionSince(this->state.versions, this->service,
                                      this->state.poolOf(this->service),
@@ -107,15 +108,17 @@
     // The list is behind: it may not show yet that an endpoint was restarted as another version.
     std::vector<Common::EndpointId> unconfirmed;
     bool isStoreRead = true;
-    // Those who have heard of another version may have ended.
+    // Those who have heard another process may have ended.
     if (this->presumedVersion())
         isStoreRead = co_await this->dependencies.versions.readNow();
-    if (isStoreRead && this->presumedVersion())
+    const auto isStored = [this] { return hasService(this->state.unlisted.stored, this->service); };
+    if (isStoreRead && !isStored() && this->presumedVersion())
         unconfirmed = co_await this->dependencies.processes.ask(this->service);
-    if (isStoreRead && unconfirmed.empty())
+    if (isStoreRead && !isStored() && unconfirmed.empty())
         this->requiredVersion = this->presumedVersion();
     this->isVersionPresumed = this->requiredVersion.has_value();
-    const bool hasUnlisted = this->dependencies.endpoints.hasUnlistedProcess(this->service);
+    const bool hasUnlisted = this->dependencies.endpoints.hasUnlistedProcess(this->service)
+        || hasService(this->state.unlisted.heard, this->service) || isStored();
     this->noteResumption(this->isVersionPresumed    ? "only-version"
                              : !isStoreRead         ? "store-not-read"
                              : hasUnlisted          ? "process-not-listed"
@@ -272,7 +275,7 @@
 
 void RequestFlow::learnVersion()
 {
-    if (this->isVersionPresumed && this->dependencies.endpoints.hasUnlistedProcess(this->service))
+    if (this->isVersionPresumed && this->presumedVersion() != this->requiredVersion)
         this->isVersionUncertain = true;
     if (!this->origin || this->origin->isVersionKnown)
         return;
--- a/Source/Core/Entry/State.h
+++ b/Source/Core/Entry/State.h
@@ -27,6 +27,19 @@
 
 using Common::clockNow;
 
+// When each row of a table was noted.
+using RowTimes = std::map<ServiceVersion, Common::Time>;
+
+// Processes that have stated themselves and that the list has not named, by their names as
+// versions. See `Routing::unlistedVersion`.
+struct UnlistedProcesses
+{
+    // Those that this instance has heard or was told of, and when last.
+    RowTimes heard;
+    // Those that the store held at the last reading, and when this instance first read them.
+    RowTimes stored;
+};
+
 struct State
 {
     State(Settings settings, const Dialect &dialect);
@@ -52,6 +65,7 @@
     Catalog::CatalogPtr catalog;
     std::map<std::string, Routing::Pool> pools;
     Routing::VersionHistory versions;
+    UnlistedProcesses unlisted;
     Evacuations evacuations;
     std::unordered_map<std::string, Serving::FleetBudget> budgets;
     // Requests that wait for a permit, by service.
--- a/Source/Core/Entry/StreamMessages.cpp
+++ b/Source/Core/Entry/StreamMessages.cpp
@@ -221,7 +221,8 @@
                 continue;
             const auto version = textOf((*entry)[0]);
             const auto age = millisecondsOf((*entry)[1]);
-            if (version && age)
+            // Instances of earlier releases take a process that is not listed for a version.
+            if (version && age && !Routing::unlistedProcess(*version))
                 history.byService[std::string(member.key())][*version] = now - *age;
         }
     }
--- a/Source/Core/Entry/StreamRecorder.cpp
+++ b/Source/Core/Entry/StreamRecorder.cpp
@@ -1,6 +1,7 @@
 #include "Entry/StreamRecorder.h"
 
 #include "Common/Hash.h"
+#include "Entry/VersionRows.h"
 #include "Membership/Holders.h"
 
 #include <algorithm>
@@ -134,7 +135,9 @@
     std::set<std::string> current;
     for (const auto &[service, pool] : this->state.pools) {
         if (Routing::hasSeveralVersions(this->state.versions, service, pool,
-                                        now - Routing::kVersionMemory))
+                                        now - Routing::kVersionMemory)
+            || hasService(this->state.unlisted.heard, service)
+            || hasService(this->state.unlisted.stored, service))
             current.insert(service);
     }
     std::set<std::string> added;
--- a/Source/Core/Entry/StreamRecorder.h
+++ b/Source/Core/Entry/StreamRecorder.h
@@ -1,9 +1,9 @@
 // Keeps in the store where streams began, so that callers can take them up again also after all
 // instances have ended at once.
 //
-// Records are kept only of services that have several software versions: where there is one, a
-// stream can have begun at that one only. A few instances, the keepers, collect the records of all
-// and write them in batches. No request waits for the store.
+// Records are kept only of services that have several software versions, or a process whose version
+// is not known: where there is one, a stream can have begun at that one only. A few instances, the
+// keepers, collect the records of all and write them in batches. No request waits for the store.
 #pragma once
 
 #include "Entry/EndpointDiscovery.h"
--- a/Source/Core/Entry/VersionRows.h
+++ b/Source/Core/Entry/VersionRows.h
@@ -1,10 +1,11 @@
 // Keeps in the store which software versions the endpoints run, so that instances know that also
 // after all of them were started again.
 //
-// A process that has stated itself and that the list does not name is kept as a version of its own:
-// nobody knows its version, and those who have heard it may end at any moment.
+// A process that has stated itself and that the list does not name is kept in the same table under
+// a name of its own: nobody knows its version, and those who have heard it may end at any moment.
 #pragma once
 
+#include "Common/Backoff.h"
 #include "Entry/PeerDatagrams.h"
 #include "Entry/StoreRelay.h"
 
@@ -24,10 +25,18 @@
 VersionRowChanges versionRowChanges(const std::set<ServiceVersion> &stored,
                                     const Routing::VersionHistory &history);
 
-// When each row was first read, in readings that follow each other. Rows that are no longer stored
-// are forgotten.
-using RowTimes = std::map<ServiceVersion, Common::Time>;
-void noteRows(RowTimes &times, const std::vector<ServiceVersion> &rows, Common::Time now);
+// Replaces the rows by those that were read now. Rows that were there before keep their times.
+void replaceRows(RowTimes &times, const std::vector<ServiceVersion> &rows, Common::Time now);
+
+// Whether there is a row of the service.
+bool hasService(const RowTimes &rows, const std::string &service);
+
+// Returns the version that the list has named for a process; nothing if it has not.
+using VersionLookup = std::function<std::optional<std::string>(const Routing::ProcessKey &)>;
+
+// Removes the processes that the list has named, and returns their rows with their versions.
+std::vector<std::pair<ServiceVersion, std::string>> takeNamed(RowTimes &processes,
+                                                              const VersionLookup &versionOf);
 
 class VersionRows
 {
@@ -35,17 +44,15 @@
     VersionRows(State &state, Store &store, StoreRelay &relay, PeerDatagrams &datagrams);
 
     void start();
-    // Sets the handler that is called when processes have been added to the history that the list
-    // may have named.
-    void onProcesses(std::function<void()> action);
+    void setVersionLookup(VersionLookup lookup);
     // To be called when the pools have changed: a reader of the store writes versions that are new
-    // at once.
+    // at once, and processes that the list names now are no longer unknown.
     void noteVersions();
-    // Records that a process has stated itself that the list has not named, and has it stored by a
-    // few instances.
+    // Records that a process has stated itself that the list has not named, and has it stored by
+    // several instances.
     void noteUnlisted(const std::string &service, const Routing::ProcessKey &process);
-    // Adds what the store holds now to the history. Calls of the same moment share a reading, which
-    // begins after them. Returns whether the store has answered within a short time.
+    // Finds out which processes the store holds that no list has named. Calls of the same moment
+    // share a reading, which begins after them. Returns whether the store has answered in time.
     Http::Awaitable<bool> readNow();
 
 private:
@@ -65,7 +72,13 @@
     void onUnlisted(const boost::json::value &message);
     Http::Awaitable<void> follow();
     Http::Awaitable<bool> read();
+    Http::Awaitable<bool> readUnlisted();
+    void replaceUnlisted(const std::vector<ServiceVersion> &rows);
     Http::Awaitable<void> write();
+    // Removes rows of processes that the list has named by now, and old ones.
+    Http::Awaitable<void> removeUnlisted();
+    // Takes the processes that the list has named by now for their versions.
+    void resolve();
     // Writes a process into the store, unless this instance has done so lately.
     void storeUnlisted(const ServiceVersion &process, Common::Time now);
     Http::Awaitable<void> writeUnlisted();
@@ -74,20 +87,25 @@
     Store &store;
     StoreRelay &relay;
     PeerDatagrams &datagrams;
-    std::function<void()> processesHandler;
+    VersionLookup versionOf;
     boost::asio::steady_timer waitTimer;
-    // The rows as last read or written; unset while they are not known.
+    // The rows of versions as last read or written; unset while they are not known.
     std::optional<std::set<ServiceVersion>> stored;
     std::uint64_t storedIn = 0;
-    Common::Time readAt;
-    RowTimes rowTimes;
+    // When the rows of processes were last read.
+    Common::Time unlistedReadAt;
     std::shared_ptr<Reading> reading;
     // When other instances were last told of a process.
-    std::map<ServiceVersion, Common::Time> toldAt;
+    RowTimes toldAt;
     // Processes that this instance has to write, and when it last wrote others.
     std::set<ServiceVersion> unwritten;
-    std::map<ServiceVersion, Common::Time> writtenAt;
+    RowTimes writtenAt;
+    // Epoch of the store in which they were written.
+    std::uint64_t writtenIn = 0;
+    // Processes whose rows have to be removed, since the list has named them.
+    std::set<ServiceVersion> named;
     bool isWriting = false;
+    Common::Backoff backoff;
 };
 
 } // namespace Tanagerbay::Entry
