Forwarding: pass a request on again only if it has certainly not run

Change: the first instance gets all attempts as before. After any outcome but "certainly not run" there is no second one.

--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -53,8 +53,6 @@
     std::optional<std::uint64_t> lastEvent;
     // ID of the caller's attempt that brought the first event of that stream; empty if unknown.
     std::string resumedAttempt;
-    // Number of endpoints that the request may still reach, if another instance has stated it.
-    std::optional<std::uint32_t> attemptsLeft;
     Common::Time receivedAt;
 };
 
@@ -179,11 +177,9 @@
     tl::expected<CallerRequest, std::string> (*readRequest)(const Http::Request &request);
     Http::Response (*writeRefusal)(const Refusal &refusal, std::string_view requestId);
     Http::Request (*writeCall)(const CallerRequest &request, const EndpointCall &call);
-    // Passes a caller's request on to another instance, which may send it to so many endpoints.
-    // `afterEvent` is the last event of its stream that the caller has got, if it has got one by
-    // now.
+    // Passes a caller's request on to another instance. `afterEvent` is the last event of its
+    // stream that the caller has got, if it has got one by now.
     Http::Request (*writeForwarded)(const CallerRequest &request, Common::Duration timeLeft,
-                                    std::uint32_t attempts,
                                     std::optional<std::uint64_t> afterEvent);
     EndpointResponseHead (*readResponseHead)(unsigned status, const Http::Headers &headers);
     // Returns the headers of an endpoint's response that are relayed to the caller.
--- a/Source/Core/Entry/RequestFlow.cpp
+++ b/Source/Core/Entry/RequestFlow.cpp
@@ -185,10 +185,6 @@
         this->priority = *this->workspace->priority;
     this->attempts.repeatable = Catalog::isRepeatable(*this->route);
     this->attempts.maxAttempts = this->route->maxAttempts;
-    // Callers may state anything.
-    if (this->source == RequestSource::Instance && this->request.attemptsLeft)
-        this->attempts.maxAttempts
-            = std::max(1U, std::min(*this->request.attemptsLeft, this->attempts.maxAttempts));
     this->attempts.deadline = this->deadline;
     std::uniform_real_distribution<double> draw(0, 1);
     this->service = Catalog::chooseService(*this->route, draw(this->state.random));
--- a/Source/Core/Entry/RequestFlow.h
+++ b/Source/Core/Entry/RequestFlow.h
@@ -126,9 +126,7 @@
     bool mustForward() const;
     // Passes the request on. Returns false if nobody took it, so that it has certainly not run.
     Http::Awaitable<bool> forward();
-    // The other instance may send the request to so many endpoints.
-    Http::Awaitable<SendResult> sendToInstance(const Membership::Member &instance,
-                                               std::uint32_t attemptCount);
+    Http::Awaitable<SendResult> sendToInstance(const Membership::Member &instance);
     Http::CallOptions forwardOptions(Common::Time now);
     Http::Awaitable<std::optional<Refusal>> checkRoute();
     std::optional<RefusalReason> findRouteAndWorkspace();
--- a/Source/Core/Entry/RequestForward.cpp
+++ b/Source/Core/Entry/RequestForward.cpp
@@ -14,7 +14,7 @@
 
 constexpr Common::Milliseconds kConnectTimeout{250};
 // Instances that are asked to serve one request. Another is asked if the one before has certainly
-// not sent it, or if the request may be repeated.
+// not run it.
 constexpr std::size_t kMaxInstances = 2;
 constexpr unsigned kStatusTooManyRequests = 429;
 constexpr unsigned kStatusUnavailable = 503;
@@ -39,7 +39,7 @@
 }
 
 Http::Awaitable<RequestFlow::SendResult>
-RequestFlow::sendToInstance(const Membership::Member &instance, std::uint32_t attemptCount)
+RequestFlow::sendToInstance(const Membership::Member &instance)
 {
     const Common::Time now = clockNow();
     const Common::Address address{instance.report.peerAddress.ip,
@@ -47,7 +47,7 @@
     this->forwardedTo = instance.report.id;
     this->lastPhase = Serving::RequestPhase::Sent;
     Http::Request request = this->state.dialect.writeForwarded(
-        this->request, this->timeLeft(now), attemptCount,
+        this->request, this->timeLeft(now),
         this->events.eventCount() > 0 ? this->events.lastEvent() : std::nullopt);
     auto opened
         = co_await this->state.client.open(address, std::move(request), this->forwardOptions(now));
@@ -77,10 +77,8 @@
 Http::Awaitable<bool> RequestFlow::forward()
 {
     std::vector<Common::InstanceId> asked;
-    std::uint32_t attemptsLeft = this->attempts.maxAttempts;
     SendResult last;
-    while (asked.size() < kMaxInstances && attemptsLeft > 0 && !this->callerGone
-           && !this->earlyEnd) {
+    while (asked.size() < kMaxInstances && !this->callerGone && !this->earlyEnd) {
         const Common::Time now = clockNow();
         if (this->timeLeft(now) <= Common::Duration(0))
             break;
@@ -90,9 +88,7 @@
             break;
         const Common::InstanceId id = instance->report.id;
         asked.push_back(id);
-        const std::uint32_t given
-            = Serving::attemptsToPassOn(this->attempts, attemptsLeft, asked.size() < kMaxInstances);
-        last = co_await this->sendToInstance(*instance, given);
+        last = co_await this->sendToInstance(*instance);
         this->noteSend(last);
         this->state.metrics.count(
             labelled("requests_forwarded", "outcome",
@@ -107,13 +103,10 @@
                                   .milliseconds("leftMs", this->timeLeft(clockNow())),
                               clockNow());
         Serving::noteOutcome(this->attempts, last.outcome, last.duration);
+        // The other instance may have used all attempts.
         const bool isCertainlyNotRun
             = last.outcome == SendOutcome::NotSent || last.outcome == SendOutcome::NotRun;
-        // How many of them the other instance has used is not known.
         if (!isCertainlyNotRun)
-            attemptsLeft -= given;
-        const bool mayRepeat = this->attempts.repeatable && attemptsLeft > 0;
-        if (!isCertainlyNotRun && !(mayRepeat && this->takeFromRetryBudget(clockNow())))
             break;
         this->call = Http::CallHandle();
     }
--- a/Source/Core/Serving/Attempt.cpp
+++ b/Source/Core/Serving/Attempt.cpp
@@ -38,13 +38,6 @@
     return state.reached < state.maxAttempts;
 }
 
-std::uint32_t attemptsToPassOn(const AttemptState &state, std::uint32_t left,
-                               bool mayAskFurtherInstance)
-{
-    const bool keepsOne = mayAskFurtherInstance && state.repeatable && left > 1;
-    return keepsOne ? left - 1 : left;
-}
-
 bool mayTryLastResort(const AttemptState &state)
 {
     return state.unreachable < kMaxUnreachableForLastResort;
--- a/Source/Core/Serving/Attempt.h
+++ b/Source/Core/Serving/Attempt.h
@@ -73,11 +73,6 @@
 // sends is checked afterwards.
 bool mayTryAnother(const AttemptState &state, SendOutcome last, Common::Time now);
 
-// Returns how many of the attempts that are left another instance gets with the request. One is
-// kept where a further instance could go on: what becomes of those that it gets may stay unknown.
-std::uint32_t attemptsToPassOn(const AttemptState &state, std::uint32_t left,
-                               bool mayAskFurtherInstance);
-
 // Returns whether the request may be sent to an endpoint that is believed to be down, where there
 // is no other.
 bool mayTryLastResort(const AttemptState &state);
--- a/Source/UnitTests/Serving/AttemptTest.cpp
+++ b/Source/UnitTests/Serving/AttemptTest.cpp
@@ -94,23 +94,4 @@
     BOOST_TEST((this->after(SendOutcome::Unknown) == NextStep::Fail));
 }
 
-// Guards against a request that reaches more endpoints than its route allows (BUDGET), as two
-// instances get all its attempts.
-BOOST_AUTO_TEST_CASE(attemptsToPassOn_instancesInTurn_areNoMoreThanThereAre)
-{
-    for (const bool isRepeatable : {false, true}) {
-        this->state.repeatable = isRepeatable;
-        for (const std::uint32_t left : {1U, 2U, 5U}) {
-            const std::uint32_t first = attemptsToPassOn(this->state, left, true);
-            BOOST_TEST(first >= 1U);
-            BOOST_TEST(first + attemptsToPassOn(this->state, left - first, false) == left);
-        }
-    }
-    BOOST_TEST(attemptsToPassOn(this->state, 3, true) == 2U);
-    BOOST_TEST(attemptsToPassOn(this->state, 3, false) == 3U);
-    // The second one gets it only if it has certainly not run.
-    this->state.repeatable = false;
-    BOOST_TEST(attemptsToPassOn(this->state, 3, true) == 3U);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
