Staging: take no answer to a call from before a change of the listed process

Change: an answer to a call that was planned before the endpoint's process was listed counts as that of an earlier call; its pieces are made again. A process that did start again has lost such calls anyway. Evidence: with the check taken out, the copy is accepted in the new case of StageQueueTest by reading; the case was not run without it.

--- a/Source/Core/Staging/CallPlan.cpp
+++ b/Source/Core/Staging/CallPlan.cpp
@@ -267,6 +267,7 @@
     endpoint.reservedBytes += call.reservedBytes;
     queue.unfetchedBytes += call.reservedBytes;
     call.pieces = batch;
+    planned.plannedAt = now;
     planned.deadline = now + call.expectedDuration * kCallTimeoutFactor;
     // The order to free results is a request of its own.
     Routing::takePermit(endpoint.endpoint.gate, now, freeFirst.empty() ? 1 : 2);
--- a/Source/Core/Staging/StageQueue.cpp
+++ b/Source/Core/Staging/StageQueue.cpp
@@ -210,6 +210,7 @@
             // Calls to the earlier process are still open and end as lost.
             dropAllResults(queue, endpoint);
             endpoint = StageEndpoint{};
+            endpoint.processSince = now;
             endpoint.origins
                 = isNew ? takeFormerOrigins(queue, entry, now) : originsOfOtherProcess(now);
         }
@@ -284,6 +285,13 @@
     const auto endpoint = queue.endpoints.find(call.endpoint.id);
     if (endpoint == queue.endpoints.end() || results.size() != call.pieces.size())
         return AnswerMatch::EarlierCall;
+    // What the process had answered before the call is not known any more. It may go on although
+    // the list has named another one.
+    const Routing::Endpoint &listed = endpoint->second.endpoint;
+    const bool isOtherProcess = listed.address != call.endpoint.address
+        || listed.incarnation != call.endpoint.incarnation;
+    if (isOtherProcess || endpoint->second.processSince > call.plannedAt)
+        return AnswerMatch::EarlierCall;
     AnswerMatch match = AnswerMatch::ThisCall;
     for (std::size_t i = 0; i < results.size(); ++i) {
         if (results[i].answer != PieceAnswer::Made)
--- a/Source/Core/Staging/StageQueue.h
+++ b/Source/Core/Staging/StageQueue.h
@@ -109,6 +109,7 @@
     CallNumber number = 0;
     Routing::Endpoint endpoint;
     std::vector<QueuedPiece> pieces;
+    Common::Time plannedAt;
     // The call is treated as lost after this time.
     Common::Time deadline;
     // Results that the endpoint has to free before the call, to make memory available for it.
@@ -154,6 +155,8 @@
     Common::Time fullUntil;
     HeldResults held;
     ResultOrigins origins;
+    // When the list came to name the endpoint's process.
+    Common::Time processSince;
     // Handles of unneeded results whose release has not been sent to the endpoint yet.
     std::vector<std::string> pendingFrees;
 };
--- a/Source/UnitTests/Staging/StageQueueTest.cpp
+++ b/Source/UnitTests/Staging/StageQueueTest.cpp
@@ -536,6 +536,28 @@
     BOOST_TEST((reusableIdleSince(this->queue, endpoint) < this->now));
 }
 
+// Guards against results that are given to another request (MIXED): a call is open while a late row
+// names another process, and the copy of an earlier answer comes before its own.
+BOOST_AUTO_TEST_CASE(answer_rowNamedAnotherProcessMeanwhile_isNoAnswerToTheCall)
+{
+    this->keepOneEndpoint();
+    const std::uint64_t running = this->listed.front().incarnation;
+    const std::vector<PieceResult> results{{PieceAnswer::Made, "h1"}};
+    submit(this->queue, this->piece("r1"), this->now);
+    const PlannedCall call = this->plan().front();
+    for (const std::uint64_t incarnation : {running + 1, running}) {
+        this->now += milliseconds(100);
+        this->listed.front().incarnation = incarnation;
+        applyEndpoints(this->queue, this->listed, this->now);
+        BOOST_TEST(
+            (matchAnswer(this->queue, call, results, this->now) == AnswerMatch::EarlierCall));
+    }
+    callFailed(this->queue, call.number, CallFault::Lost, this->now);
+    const PlannedCall again = this->plan().front();
+    BOOST_TEST((matchAnswer(this->queue, again, {{PieceAnswer::Made, "h2"}}, this->now)
+                == AnswerMatch::ThisCall));
+}
+
 // Guards against a memory of all endpoints that were ever listed.
 BOOST_AUTO_TEST_CASE(endpoints_comeAndGo_areForgottenAfterAWhile)
 {
