Store: wait for changes over new connections, and wait again at once

A wait that is ended made its reader say that it does not watch, so that followers began to wait for themselves where the store was only slow. Change: waiting calls go over new connections; a time-out ends all of them, and connections that were idle by then are not used; a wait that was ended this way is a fault of its own (interrupted), after which the reader waits again at once.

--- a/Source/Core/Entry/CatalogSync.cpp
+++ b/Source/Core/Entry/CatalogSync.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-// How long the store may hold a long-polling read open. A silent connection is detected shortly
-// after this period, and the instance is then without contact to the store for three seconds.
-// Heartbeats of other instances announce new catalog versions as well.
+// How long the store may hold a long-polling read open. A silent connection is detected when
+// another call to the store times out, or shortly after this period. Heartbeats of other instances
+// announce new catalog versions as well.
 constexpr Common::Milliseconds kFeedReadTimeout{3500};
 constexpr Common::BackoffLimits kRetryDelays{Common::Milliseconds(150), Common::Milliseconds(1500)};
 // Until the operator has published a document, the store answers at once.
@@ -99,6 +99,10 @@
 {
     const Common::Time startedAt = clockNow();
     const auto reading = co_await this->store.readCatalog(this->position, kFeedReadTimeout);
+    // The next one goes over another connection at once, and its followers need not wait
+    // themselves.
+    if (!reading && reading.error() == StoreFault::Interrupted)
+        co_return;
     if (!reading) {
         if (reading.error() == StoreFault::HistoryGone)
             this->position.version = 0;
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -211,6 +211,8 @@
     // The store no longer keeps the change history since the given position.
     HistoryGone,
     BadAnswer,
+    // The call waited for changes, and its connection may have gone silent.
+    Interrupted,
 };
 
 } // namespace Tanagerbay::Entry
@@ -219,11 +221,12 @@
 struct Tanagerbay::Common::EnumNames<Tanagerbay::Entry::StoreFault>
 {
     using Fault = Entry::StoreFault;
-    static constexpr NameTable<Fault, 4> table = {{
+    static constexpr NameTable<Fault, 5> table = {{
         {Fault::Unreachable, "unreachable"},
         {Fault::Refused, "refused"},
         {Fault::HistoryGone, "history-gone"},
         {Fault::BadAnswer, "bad-answer"},
+        {Fault::Interrupted, "interrupted"},
     }};
 };
 
