Readers: begin a report anew after a full reading, and after one that was not reported

A full reading names no removals, and those of a reading that is not reported, as the reader had lost the store, are dropped. The next report claimed to hold all changes since the last one, so that followers could skip the removal of an endpoint that the reader had never listed (DRAIN). Change: such a report begins at its own position; followers behind it read the store.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -266,6 +266,9 @@
     if (use == ReadingUse::Apply)
         this->applyReading(*reading, now);
     this->relay.setPosition(this->position);
+    // What has gone by then is not among the changes.
+    if (reading->isComplete || !mayReport(this->list))
+        this->reportedPosition.reset();
     if (mayReport(this->list))
         this->report(startedAt, reading->removed);
     co_return std::chrono::duration_cast<Common::Duration>(this->state.settings.bounds.leavingDelay
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -118,7 +118,7 @@
     EndpointList list;
     ProcessEvidence evidence;
     ReportedEndpoints reported;
-    // Unset until this instance has reported, or has followed a reader's report.
+    // Unset if the next report begins at its own position.
     std::optional<StorePosition> reportedPosition;
     // When the last reading began that the list is based on, by this instance or a reader.
     std::optional<Common::Time> confirmedAt;
