Discovery: measure how long a removed endpoint stays in use

Cause: nothing showed how late an instance learns that an endpoint has left; the removals that are put off after an outage were not logged at all. Change: a histogram, endpoint_removal, of the time from the last reading that listed an endpoint until it is dropped here, an upper bound of the delay after the store's removal; the same as withinMs in endpoint-dropped, which is now also written for removals that were put off.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -309,7 +309,7 @@
     this->list.epoch = report.changes->to.epoch;
     for (const DroppedEntry &entry : report.changes->dropped) {
         if (dropReported(this->list, entry.id, entry.incarnation, entry.sequence, now))
-            this->noteDropped(entry.id, now);
+            this->noteDropped(entry.id, this->knownUntil, now);
     }
     for (const ListedEndpoint &listed : report.changes->listed)
         this->noteListed(listed, EntrySource::Report, now);
@@ -323,9 +323,16 @@
     this->reportedPosition = this->position;
 }
 
-void EndpointDiscovery::noteDropped(const Common::EndpointId &id, Common::Time now)
+void EndpointDiscovery::noteDropped(const Common::EndpointId &id, Common::Time lastListedAt,
+                                    Common::Time now)
 {
-    this->state.log.write(LogLine("endpoint-dropped").text("endpoint", id.value), now);
+    // The store has removed the entry at some time in this period.
+    const Common::Duration period = now - lastListedAt;
+    this->state.metrics.time("endpoint_removal", period);
+    this->state.log.write(LogLine("endpoint-dropped")
+                              .text("endpoint", id.value)
+                              .number("withinMs", Common::toMilliseconds(period)),
+                          now);
     this->changed = true;
 }
 
@@ -400,12 +407,20 @@
     std::optional<Common::Time> removeAt;
     if (this->storeRecoveredAt && now - *this->storeRecoveredAt < kOutageGracePeriod)
         removeAt = *this->storeRecoveredAt + kOutageGracePeriod;
+    const auto found = this->list.known.find(id);
+    if (found != this->list.known.end() && !found->second.removeAt)
+        found->second.lastListedAt = this->knownUntil;
     if (dropEndpoint(this->list, id, removeAt, now))
-        this->noteDropped(id, now);
+        this->noteDropped(id, this->knownUntil, now);
 }
 
 void EndpointDiscovery::applyExpirations(Common::Time now)
 {
+    for (const Common::EndpointId &id : dueRemovals(this->list, now)) {
+        const Common::Time lastListedAt = this->list.known.at(id).lastListedAt;
+        dropEndpoint(this->list, id, std::nullopt, now);
+        this->noteDropped(id, lastListedAt, now);
+    }
     this->changed = Entry::applyExpirations(this->list, now) || this->changed;
     if (std::exchange(this->changed, false))
         this->rebuildPools();
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -105,7 +105,8 @@
     // Whether a process that had been listed before `time` is known to have run since.
     bool hasRunSince(const Common::EndpointId &id, std::uint64_t incarnation,
                      Common::Time time) const;
-    void noteDropped(const Common::EndpointId &id, Common::Time now);
+    // `lastListedAt` is when the last reading began that listed the endpoint.
+    void noteDropped(const Common::EndpointId &id, Common::Time lastListedAt, Common::Time now);
     void drop(const Common::EndpointId &id, Common::Time now);
     void applyExpirations(Common::Time now);
     void rebuildPools();
--- a/Source/Core/Entry/EndpointList.cpp
+++ b/Source/Core/Entry/EndpointList.cpp
@@ -182,22 +182,29 @@
     return true;
 }
 
+std::vector<Common::EndpointId> dueRemovals(const EndpointList &list, Common::Time now)
+{
+    std::vector<Common::EndpointId> due;
+    for (const auto &[id, known] : list.known) {
+        if (known.removeAt && *known.removeAt <= now)
+            due.push_back(id);
+    }
+    return due;
+}
+
 bool applyExpirations(EndpointList &list, Common::Time now)
 {
     std::erase_if(list.dropped, [now](const auto &entry) {
         return now - entry.second.droppedAt > kDroppedMemory;
     });
-    std::vector<Common::EndpointId> due;
     bool changed = false;
     for (auto &[id, known] : list.known) {
-        if (known.removeAt && *known.removeAt <= now)
-            due.push_back(id);
         if (known.avoidedUntil && *known.avoidedUntil <= now) {
             known.avoidedUntil.reset();
             changed = true;
         }
     }
-    for (const Common::EndpointId &id : due)
+    for (const Common::EndpointId &id : dueRemovals(list, now))
         changed = dropEndpoint(list, id, std::nullopt, now) || changed;
     return changed;
 }
--- a/Source/Core/Entry/EndpointList.h
+++ b/Source/Core/Entry/EndpointList.h
@@ -22,6 +22,8 @@
     bool isOfTwoVersions = false;
     // When the entry is removed. Set if the store dropped it shortly after an outage of the store.
     std::optional<Common::Time> removeAt;
+    // When the last reading began that still listed it, if it is to be removed.
+    Common::Time lastListedAt;
     // End of the exclusion from routing. Set if an answer reported that the endpoint must not be
     // used.
     std::optional<Common::Time> avoidedUntil;
@@ -96,6 +98,9 @@
 // Excludes an endpoint from routing until then. Returns whether it was not excluded before.
 bool avoid(EndpointList &list, const Common::EndpointId &id, Common::Time until);
 
+// Returns the endpoints that are to be removed by now.
+std::vector<Common::EndpointId> dueRemovals(const EndpointList &list, Common::Time now);
+
 // Ends exclusions and removes endpoints whose time has come. Returns whether anything changed.
 bool applyExpirations(EndpointList &list, Common::Time now);
 
