Discovery: tell an instance's own cut from an outage of the store

Cause: any failed reading counted as an outage of the store, so that the removals of the next 2 s were put off, from the first reading that succeeded until the first one after these 2 s. The grace period is for entries that lapsed while the store was away. Change: an absence that is shorter than an entry lives without heartbeats lets nothing lapse; after a longer one, an instance asks others for the period in which they read without such a gap, and removes at once if that spans its absence. What was put off ends by a timer, not by the next reading. A return from an older copy is still an outage, whatever others read. Not covered by this commit: all instances cut off at once.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -22,9 +22,8 @@
 // for itself. A reader reports after each of its readings.
 constexpr double kMaxReportAgePerLeavingDelay = 0.75;
 constexpr Common::Milliseconds kKeptUpToDateCheck{250};
-// Entries that expired during an outage of the store are kept this long after its recovery, because
-// endpoints that are alive register again within this period.
-constexpr Common::Milliseconds kOutageGracePeriod{2000};
+// Delay until other instances are asked again whether the store was away. It doubles each time.
+constexpr Common::Milliseconds kOutageQuestionDelay{250};
 // An endpoint that closes a connection may be leaving. It is avoided until its entry in the store
 // can show whether it leaves.
 constexpr Common::Milliseconds kAvoidLeavingPeriod{1500};
@@ -35,14 +34,17 @@
 } // namespace
 
 EndpointDiscovery::EndpointDiscovery(State &state, StageOwner &stages, Store &store,
-                                     StoreRelay &relay)
-    : state(state), stages(stages), store(store), relay(relay), backoff{kRetryDelays, 0},
-      waitTimer(state.context)
+                                     StoreRelay &relay, StoreContactQuestion &contactQuestion)
+    : state(state), stages(stages), store(store), relay(relay),
+      contactQuestion(contactQuestion), backoff{kRetryDelays, 0}, waitTimer(state.context),
+      outageWatch(state.context)
 {
 }
 
 void EndpointDiscovery::start()
 {
+    this->contactQuestion.start([this] { return this->contact.run; },
+                                [this](const ReadingRun &run) { this->noteOtherReadings(run); });
     boost::asio::co_spawn(this->state.context, this->followStore(), boost::asio::detached);
 }
 
@@ -53,11 +55,11 @@
 
 void EndpointDiscovery::noteFault(StoreFault fault, Common::Time now)
 {
-    if (!this->storeFailed) {
+    if (!this->contact.hasFailed) {
         this->state.logState(
             LogLine("store-lost").text("read", "endpoints").text("fault", Common::nameOf(fault)));
     }
-    this->storeFailed = true;
+    noteReadingFailed(this->contact);
     this->applyExpirations(now);
 }
 
@@ -88,12 +90,39 @@
     }
 }
 
-void EndpointDiscovery::noteConfirmed(Common::Time readAt)
+void EndpointDiscovery::noteConfirmed(Common::Time readAt, Common::Time now)
 {
+    const Common::Duration heartbeat = this->state.settings.bounds.endpointHeartbeat;
+    if (noteReading(this->contact, readAt, heartbeat, now))
+        this->watchOutage(kOutageQuestionDelay);
     this->knownUntil = this->confirmedAt.value_or(this->state.startedAt);
     this->confirmedAt = std::max(this->confirmedAt.value_or(readAt), readAt);
-    noteReading(this->evidence, readAt, this->state.settings.bounds.endpointHeartbeat);
-    noteListedVersions(this->evidence, this->list, clockNow());
+    noteReading(this->evidence, readAt, heartbeat);
+    noteListedVersions(this->evidence, this->list, now);
+}
+
+void EndpointDiscovery::watchOutage(Common::Duration nextQuestion)
+{
+    const Common::Time now = clockNow();
+    const auto end = graceEnd(this->contact, now);
+    if (!end) {
+        this->applyExpirations(now);
+        return;
+    }
+    if (!this->contact.outage->isRestored)
+        this->contactQuestion.ask(now);
+    this->outageWatch.start(std::min<Common::Duration>(nextQuestion, *end - now),
+                            [this, nextQuestion] { this->watchOutage(2 * nextQuestion); });
+}
+
+void EndpointDiscovery::noteOtherReadings(const ReadingRun &run)
+{
+    if (!noteOtherRun(this->contact, run, this->state.settings.bounds.endpointHeartbeat))
+        return;
+    const Common::Time now = clockNow();
+    this->state.logState(LogLine("store-was-there").text("read", "endpoints"));
+    endDelays(this->list, now);
+    this->applyExpirations(now);
 }
 
 std::optional<Common::Time> EndpointDiscovery::lastReadingBegan() const
@@ -243,7 +272,8 @@
     }
     const ReadingUse use = useOfReading(this->position, reading->position, reading->isComplete);
     if (this->position.epoch != 0 && reading->position.epoch > this->position.epoch) {
-        this->storeRecoveredAt = now;
+        noteRestored(this->contact, now);
+        this->watchOutage(kOutageQuestionDelay);
         noteStoreRestored(this->evidence, now);
         this->state.logState(
             LogLine("store-restored")
@@ -256,13 +286,10 @@
     if (use == ReadingUse::Discard)
         co_return this->delayAfterFault();
     Common::noteSuccess(this->backoff);
-    if (this->storeFailed) {
-        this->storeFailed = false;
-        this->storeRecoveredAt = now;
+    if (this->contact.hasFailed)
         this->state.logState(LogLine("store-regained").text("read", "endpoints"));
-    }
     this->needsReading = false;
-    this->noteConfirmed(startedAt);
+    this->noteConfirmed(startedAt, now);
     if (use == ReadingUse::Apply)
         this->applyReading(*reading, now);
     this->relay.setPosition(this->position);
@@ -300,10 +327,7 @@
         return;
     }
     const Common::Time now = clockNow();
-    // A failed reading of this instance's own says nothing about the store while readers reach it.
-    // Otherwise, a later reading would keep endpoints that are gone as after an outage.
-    this->storeFailed = false;
-    this->noteConfirmed(report.endpointsReadAt);
+    this->noteConfirmed(report.endpointsReadAt, now);
     if (use == ChangesUse::Known)
         return;
     this->list.epoch = report.changes->to.epoch;
@@ -404,13 +428,10 @@
 
 void EndpointDiscovery::drop(const Common::EndpointId &id, Common::Time now)
 {
-    std::optional<Common::Time> removeAt;
-    if (this->storeRecoveredAt && now - *this->storeRecoveredAt < kOutageGracePeriod)
-        removeAt = *this->storeRecoveredAt + kOutageGracePeriod;
     const auto found = this->list.known.find(id);
     if (found != this->list.known.end() && !found->second.removeAt)
         found->second.lastListedAt = this->knownUntil;
-    if (dropEndpoint(this->list, id, removeAt, now))
+    if (dropEndpoint(this->list, id, graceEnd(this->contact, now), now))
         this->noteDropped(id, this->knownUntil, now);
 }
 
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "Common/Backoff.h"
+#include "Common/DelayedAction.h"
 #include "Entry/EndpointList.h"
 #include "Entry/ProcessEvidence.h"
 #include "Entry/StageOwner.h"
+#include "Entry/StoreContactQuestion.h"
 #include "Entry/StoreReading.h"
 #include "Entry/StoreRelay.h"
 #include "Serving/StreamOrigins.h"
@@ -16,7 +18,8 @@
 class EndpointDiscovery
 {
 public:
-    EndpointDiscovery(State &state, StageOwner &stages, Store &store, StoreRelay &relay);
+    EndpointDiscovery(State &state, StageOwner &stages, Store &store, StoreRelay &relay,
+                      StoreContactQuestion &contactQuestion);
 
     void start();
     // Sets the handler that is called when an endpoint's answer announced that it leaves, and no
@@ -95,7 +98,11 @@
     // Whether readers keep this instance up to date, so that it need not read itself yet.
     bool isKeptUpToDate(Common::Time now) const;
     // Records that the list was read at that time.
-    void noteConfirmed(Common::Time readAt);
+    void noteConfirmed(Common::Time readAt, Common::Time now);
+    // Puts removals off until the store's grace period ends, or another instance shows that the
+    // store was there all the time. `nextQuestion` is the delay until others are asked again.
+    void watchOutage(Common::Duration nextQuestion);
+    void noteOtherReadings(const ReadingRun &run);
     Common::Duration delayAfterFault();
     void noteFault(StoreFault fault, Common::Time now);
     void applyReading(const EndpointsUpdate &reading, Common::Time now);
@@ -116,6 +123,7 @@
     StageOwner &stages;
     Store &store;
     StoreRelay &relay;
+    StoreContactQuestion &contactQuestion;
     EndpointList list;
     ProcessEvidence evidence;
     ReportedEndpoints reported;
@@ -136,9 +144,8 @@
     boost::asio::steady_timer waitTimer;
     std::function<void(const LeavingEndpoint &)> leavingHandler;
     StorePosition position;
-    bool storeFailed = false;
-    // When the store was last back, from an outage or from an older copy.
-    std::optional<Common::Time> storeRecoveredAt;
+    StoreContact contact;
+    Common::DelayedAction outageWatch;
     bool changed = false;
     // Whether the list is based on a report of another instance since this one last read it.
     bool hasFollowed = false;
--- a/Source/Core/Entry/EndpointList.cpp
+++ b/Source/Core/Entry/EndpointList.cpp
@@ -192,6 +192,14 @@
     return due;
 }
 
+void endDelays(EndpointList &list, Common::Time now)
+{
+    for (auto &[id, known] : list.known) {
+        if (known.removeAt)
+            known.removeAt = std::min(*known.removeAt, now);
+    }
+}
+
 bool applyExpirations(EndpointList &list, Common::Time now)
 {
     std::erase_if(list.dropped, [now](const auto &entry) {
--- a/Source/Core/Entry/EndpointList.h
+++ b/Source/Core/Entry/EndpointList.h
@@ -101,6 +101,9 @@
 // Returns the endpoints that are to be removed by now.
 std::vector<Common::EndpointId> dueRemovals(const EndpointList &list, Common::Time now);
 
+// Makes all scheduled removals due.
+void endDelays(EndpointList &list, Common::Time now);
+
 // Ends exclusions and removes endpoints whose time has come. Returns whether anything changed.
 bool applyExpirations(EndpointList &list, Common::Time now);
 
--- a/Source/Core/Entry/EntryInstance.h
+++ b/Source/Core/Entry/EntryInstance.h
@@ -65,6 +65,7 @@
     Gossip gossip;
     PeerMesh mesh;
     StoreRelay relay;
+    StoreContactQuestion storeContact;
     EvacuationWatch evacuations;
     CrashWatch crashWatch;
     LimitWatch limits;
