Discovery: read the store again soon enough for the grace period to end in time

Callers saw: where all instances had been cut off from the store, requests at removed workers later than the time within which instances are back in contact (DRAIN). Cause: the grace period of 2 s begins with the first reading that succeeds, and that came up to 2.25 s after the end of the cut (a back-off of 1.5 s, plus half of it). Change: the back-off of these readings ends at 0.5 s, so that the first reading comes within 0.75 s and the removal within 2.75 s; the bound is 3 s.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -17,7 +17,9 @@
 // leaving endpoint out of routing in time, with a reserve for one failed read. Entries change about
 // once a second, so a long-polling read would return at once.
 constexpr double kReadIntervalPerLeavingDelay = 0.6;
-constexpr Common::BackoffLimits kRetryDelays{Common::Milliseconds(200), Common::Milliseconds(1500)};
+// The grace period after an outage begins with the first reading that succeeds. It has to be over
+// by the time in which an instance is back in contact.
+constexpr Common::BackoffLimits kRetryDelays{Common::Milliseconds(200), Common::Milliseconds(500)};
 // What readers report may be so old, as a fraction of the leaving delay, before an instance reads
 // for itself. A reader reports after each of its readings.
 constexpr double kMaxReportAgePerLeavingDelay = 0.75;
