Discovery: notice a store's first return from an older copy

Callers saw: requests refused, as workers that the copy lacks were dropped at once instead of being kept until they write again (LOST). Cause: a return was noticed by the rise of a known epoch. A store that has never returned from a copy states none, so that its first return counted as the first reading. Change: what counts is whether this instance has read the list before. Evidence: StoreRestores/firstOlderCopyOfAStore_* fails before (no store-restored within 10 s) and passes now, as do the 12 other cases of StoreRestores and RemovedWorkers.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -273,7 +273,7 @@
         co_return this->delayAfterFault();
     }
     const ReadingUse use = useOfReading(this->position, reading->position, reading->isComplete);
-    if (this->position.epoch != 0 && reading->position.epoch > this->position.epoch) {
+    if (this->hasReadAll && reading->position.epoch > this->position.epoch) {
         noteRestored(this->contact, now);
         this->watchOutage(kOutageQuestionDelay);
         noteStoreRestored(this->evidence, now);
