Endpoint list: drop a process that has not written since the store's return

Cause: a follower ignores the report that an endpoint has gone if it knows a later process of it from an earlier epoch, as that may not have written again yet. Its position moves on, so that a process that has left without writing again stays listed for good. Change: the removal is put off until the end of the grace period, and takes effect at once after it. Test: the case that had it kept asked for no end; it now has it kept until the last millisecond of the grace period. A new one has it dropped then. Evidence: the new case fails with the report ignored (both checks), and passes now.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -334,7 +334,9 @@
         return;
     this->list.epoch = report.changes->to.epoch;
     for (const DroppedEntry &entry : report.changes->dropped) {
-        if (dropReported(this->list, entry.id, entry.incarnation, entry.sequence, now))
+        this->noteMissing(entry.id);
+        const auto removeAt = graceEnd(this->contact, now);
+        if (dropReported(this->list, entry.id, entry.incarnation, entry.sequence, removeAt, now))
             this->noteDropped(entry.id, this->knownUntil, now);
     }
     for (const ListedEndpoint &listed : report.changes->listed)
@@ -349,6 +351,13 @@
     this->reportedPosition = this->position;
 }
 
+void EndpointDiscovery::noteMissing(const Common::EndpointId &id)
+{
+    const auto found = this->list.known.find(id);
+    if (found != this->list.known.end() && !found->second.removeAt)
+        found->second.lastListedAt = this->knownUntil;
+}
+
 void EndpointDiscovery::noteDropped(const Common::EndpointId &id, Common::Time lastListedAt,
                                     Common::Time now)
 {
@@ -430,9 +439,7 @@
 
 void EndpointDiscovery::drop(const Common::EndpointId &id, Common::Time now)
 {
-    const auto found = this->list.known.find(id);
-    if (found != this->list.known.end() && !found->second.removeAt)
-        found->second.lastListedAt = this->knownUntil;
+    this->noteMissing(id);
     if (dropEndpoint(this->list, id, graceEnd(this->contact, now), now))
         this->noteDropped(id, this->knownUntil, now);
 }
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -112,6 +112,8 @@
     // Whether a process that had been listed before `time` is known to have run since.
     bool hasRunSince(const Common::EndpointId &id, std::uint64_t incarnation,
                      Common::Time time) const;
+    // Records that the reading that is being applied lists the endpoint no more.
+    void noteMissing(const Common::EndpointId &id);
     // `lastListedAt` is when the last reading began that listed the endpoint.
     void noteDropped(const Common::EndpointId &id, Common::Time lastListedAt, Common::Time now);
     void drop(const Common::EndpointId &id, Common::Time now);
--- a/Source/Core/Entry/EndpointList.cpp
+++ b/Source/Core/Entry/EndpointList.cpp
@@ -132,7 +132,7 @@
 }
 
 bool dropReported(EndpointList &list, const Common::EndpointId &id, std::uint64_t incarnation,
-                  std::uint64_t sequence, Common::Time now)
+                  std::uint64_t sequence, std::optional<Common::Time> removeAt, Common::Time now)
 {
     const auto found = list.known.find(id);
     if (found == list.known.end()) {
@@ -143,7 +143,7 @@
     const ListedEndpoint &listed = found->second.listed;
     const std::uint64_t known = listed.entry.incarnation;
     if (found->second.epoch != list.epoch && incarnation != 0 && known > incarnation)
-        return false;
+        return dropEndpoint(list, id, removeAt, now);
     // The report's entry is the later one. A report without one names the last that is known.
     DroppedEndpoint last{incarnation, sequence, now, list.epoch};
     if (incarnation == 0 || incarnation == known)
--- a/Source/Core/Entry/EndpointList.h
+++ b/Source/Core/Entry/EndpointList.h
@@ -83,11 +83,12 @@
 bool dropEndpoint(EndpointList &list, const Common::EndpointId &id,
                   std::optional<Common::Time> removeAt, Common::Time now);
 
-// Drops an endpoint that a reader of the store reported as no longer listed in the list's epoch,
-// unless a later process is known from an earlier epoch. `incarnation` and `sequence` are those of
-// its last entry. Returns whether it was known.
+// Drops an endpoint that a reader of the store reported as no longer listed in the list's epoch. If
+// a later process is known from an earlier epoch, that is scheduled for `removeAt`, as the process
+// may not have written since. `incarnation` and `sequence` are those of the last entry. Returns
+// whether it was dropped at once.
 bool dropReported(EndpointList &list, const Common::EndpointId &id, std::uint64_t incarnation,
-                  std::uint64_t sequence, Common::Time now);
+                  std::uint64_t sequence, std::optional<Common::Time> removeAt, Common::Time now);
 
 // Drops an endpoint whose entry names no usable endpoint. Returns whether it was known.
 bool dropInvalid(EndpointList &list, const Common::EndpointId &id);
--- a/Source/UnitTests/Entry/EndpointChangesTest.cpp
+++ b/Source/UnitTests/Entry/EndpointChangesTest.cpp
@@ -130,20 +130,43 @@
 BOOST_AUTO_TEST_CASE(dropReported_olderCopyListsTheEndpointAgain_isIgnored)
 {
     applyEntry(this->list, entry("e1", 1));
-    BOOST_TEST(dropReported(this->list, Common::EndpointId("e1"), 7, 40, this->now));
+    BOOST_TEST(dropReported(this->list, Common::EndpointId("e1"), 7, 40, std::nullopt, this->now));
     BOOST_TEST((applyEntry(this->list, entry("e1", 30)) == EntryChange::Outdated));
     BOOST_TEST((applyEntry(this->list, entry("e1", 41)) == EntryChange::Changed));
 }
 
 // The later process may not have written yet since the store returned from an older copy.
-BOOST_AUTO_TEST_CASE(dropReported_laterProcessIsKnownOfAnEarlierEpoch_isKept)
+BOOST_AUTO_TEST_CASE(dropReported_laterProcessIsKnownOfAnEarlierEpoch_isKeptForTheGracePeriod)
 {
     ListedEndpoint later = entry("e1", 1);
     later.entry.incarnation = 8;
     applyEntry(this->list, later);
     ++this->list.epoch;
-    BOOST_TEST(!dropReported(this->list, Common::EndpointId("e1"), 7, 40, this->now));
+    const Common::Time graceEnd = this->now + std::chrono::seconds(2);
+    const Common::EndpointId id("e1");
+    BOOST_TEST(!dropReported(this->list, id, 7, 40, graceEnd, this->now));
     BOOST_TEST(this->list.known.size() == 1u);
+    applyExpirations(this->list, graceEnd - Common::Milliseconds(1));
+    BOOST_TEST(this->list.known.size() == 1u);
+}
+
+// Guards against a follower that keeps an endpoint for good: it left without having written again
+// since the store returned from an older copy (DRAIN).
+BOOST_AUTO_TEST_CASE(dropReported_laterProcessHasNotWrittenAgain_isDroppedAfterTheGracePeriod)
+{
+    const Common::Time graceEnd = this->now + std::chrono::seconds(2);
+    const Common::EndpointId id("e1");
+    for (const bool isOver : {false, true}) {
+        ListedEndpoint later = entry("e1", 1);
+        later.entry.incarnation = 8;
+        applyEntry(this->list, later);
+        ++this->list.epoch;
+        dropReported(this->list, id, 7, 40, isOver ? std::nullopt : std::optional(graceEnd),
+                     isOver ? graceEnd : this->now);
+        applyExpirations(this->list, graceEnd);
+        BOOST_TEST(this->list.known.empty());
+        this->list.dropped.clear();
+    }
 }
 
 // Guards against a follower that keeps an endpoint that has gone: of its processes, the last one
@@ -153,7 +176,7 @@
     ListedEndpoint known = entry("e1", 1);
     known.entry.incarnation = 8;
     applyEntry(this->list, known);
-    BOOST_TEST(dropReported(this->list, Common::EndpointId("e1"), 7, 3, this->now));
+    BOOST_TEST(dropReported(this->list, Common::EndpointId("e1"), 7, 3, std::nullopt, this->now));
     BOOST_TEST(this->list.known.empty());
 }
 
@@ -161,7 +184,7 @@
 // after a report that the process before has gone.
 BOOST_AUTO_TEST_CASE(dropReported_nextProcessStatesEarlierStartTime_isUsed)
 {
-    BOOST_TEST(!dropReported(this->list, Common::EndpointId("e1"), 8, 40, this->now));
+    BOOST_TEST(!dropReported(this->list, Common::EndpointId("e1"), 8, 40, std::nullopt, this->now));
     BOOST_TEST((applyEntry(this->list, entry("e1", 1)) == EntryChange::Changed));
     BOOST_TEST(this->list.known.size() == 1u);
 }
@@ -210,8 +233,8 @@
     EndpointList follower;
     applyEntry(follower, entry("e2", 4));
     const DroppedEntry &dropped = changes.dropped.front();
-    BOOST_TEST(
-        dropReported(follower, dropped.id, dropped.incarnation, dropped.sequence, this->now));
+    BOOST_TEST(dropReported(follower, dropped.id, dropped.incarnation, dropped.sequence,
+                            std::nullopt, this->now));
     BOOST_TEST((applyEntry(follower, entry("e2", 4)) == EntryChange::Outdated));
 }
 
