--- a/Source/Core/Entry/StoreContactQuestion.cpp
+++ b/Source/Core/Entry/StoreContactQuestion.cpp
@@ -2,6 +2,7 @@
 
 #include "Entry/PeerMesh.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Tanagerbay::Entry {
@@ -14,10 +15,34 @@
 constexpr std::string_view kAnswer = "readings";
 // Some of those asked may have been cut off, too.
 constexpr std::size_t kTargets = 6;
-constexpr std::uint64_t kMaxAgeMs = 24ULL * 3600 * 1000;
+// Of a longer run, the last part is told.
+constexpr Common::Milliseconds kMaxAge{3600 * 1000};
 
 } // namespace
 
+json::object answerTo(const json::object &question, const ReadingRun &run, Common::Time now)
+{
+    const auto ageOf = [now](Common::Time time) {
+        return Common::toMilliseconds(std::min<Common::Duration>(now - time, kMaxAge));
+    };
+    return {{kAnswer, numberOf(question, kQuestion)},
+            {"sinceMs", ageOf(run.since)},
+            {"lastMs", ageOf(run.last)}};
+}
+
+std::optional<ReadingRun> readAnswer(const json::object &answer, std::uint64_t number,
+                                     Common::Time askedAt, Common::Time now)
+{
+    const std::uint64_t sinceMs = numberOf(answer, "sinceMs");
+    const std::uint64_t lastMs = numberOf(answer, "lastMs");
+    const bool isComplete = answer.contains("sinceMs") && answer.contains("lastMs");
+    const auto maxAgeMs = static_cast<std::uint64_t>(kMaxAge.count());
+    if (numberOf(answer, kAnswer) != number || !isComplete || sinceMs > maxAgeMs
+        || lastMs > sinceMs)
+        return std::nullopt;
+    return ReadingRun{now - Common::Milliseconds(sinceMs), askedAt - Common::Milliseconds(lastMs)};
+}
+
 StoreContactQuestion::StoreContactQuestion(State &state, PeerDatagrams &datagrams)
     : state(state), datagrams(datagrams)
 {
@@ -34,7 +59,7 @@
                        });
     this->datagrams.on(std::string(kAnswer),
                        [this](const json::object &message, const Common::Address &) {
-                           this->readAnswer(message);
+                           this->noteAnswer(message);
                        });
 }
 
@@ -53,24 +78,14 @@
     const auto run = this->ownRun();
     if (!run)
         return;
-    const Common::Time now = clockNow();
-    this->datagrams.send(sender,
-                         {{kAnswer, numberOf(message, kQuestion)},
-                          {"sinceMs", Common::toMilliseconds(now - run->since)},
-                          {"lastMs", Common::toMilliseconds(now - run->last)}});
+    this->datagrams.send(sender, answerTo(message, *run, clockNow()));
 }
 
-void StoreContactQuestion::readAnswer(const json::object &message)
+void StoreContactQuestion::noteAnswer(const json::object &message)
 {
-    const std::uint64_t sinceMs = numberOf(message, "sinceMs");
-    const std::uint64_t lastMs = numberOf(message, "lastMs");
-    const bool isComplete = message.contains("sinceMs") && message.contains("lastMs");
-    if (numberOf(message, kAnswer) != this->lastNumber || !isComplete || sinceMs > kMaxAgeMs
-        || lastMs > sinceMs)
-        return;
-    // The answer was written between the question and now: the run is at least this long.
-    this->answerHandler(
-        {clockNow() - Common::Milliseconds(sinceMs), this->askedAt - Common::Milliseconds(lastMs)});
+    const auto run = readAnswer(message, this->lastNumber, this->askedAt, clockNow());
+    if (run)
+        this->answerHandler(*run);
 }
 
 } // namespace Tanagerbay::Entry
--- a/Source/Core/Entry/StoreContactQuestion.h
+++ b/Source/Core/Entry/StoreContactQuestion.h
@@ -6,6 +6,16 @@
 
 namespace Tanagerbay::Entry {
 
+// Returns the answer of an instance that has read the store in this run.
+boost::json::object answerTo(const boost::json::object &question, const ReadingRun &run,
+                             Common::Time now);
+
+// Returns the run that an answer tells of, which may have been longer: the answer was written at
+// some time between the question and now. Returns nothing if it belongs to another question, or
+// cannot be read.
+std::optional<ReadingRun> readAnswer(const boost::json::object &answer, std::uint64_t number,
+                                     Common::Time askedAt, Common::Time now);
+
 class StoreContactQuestion
 {
 public:
@@ -20,7 +30,7 @@
 
 private:
     void answer(const boost::json::object &message, const Common::Address &sender);
-    void readAnswer(const boost::json::object &message);
+    void noteAnswer(const boost::json::object &message);
 
     State &state;
     PeerDatagrams &datagrams;
--- a/Source/UnitTests/Entry/StoreContactTest.cpp
+++ b/Source/UnitTests/Entry/StoreContactTest.cpp
@@ -1,5 +1,5 @@
 // Whether the store was away while an instance could not read it.
-#include "Entry/StoreContact.h"
+#include "Entry/StoreContactQuestion.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -116,4 +116,39 @@
     BOOST_TEST(this->isGraceAt(kLongAbsence + kGracePeriod - Milliseconds(1)));
 }
 
+BOOST_AUTO_TEST_CASE(answer_isWrittenAfterTheQuestion_tellsAtMostOfTheRun)
+{
+    const ReadingRun run{this->start - kLongAbsence, this->start - kHeartbeat};
+    const boost::json::object answer = answerTo({{"readings?", 7}}, run, this->start);
+    const Milliseconds delay(300);
+    const auto read = readAnswer(answer, 7, this->start - delay, this->start + delay);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((read->since == run.since + delay));
+    BOOST_TEST((read->last == run.last - delay));
+}
+
+// Guards against instances that have read for so long that their answers are refused.
+BOOST_AUTO_TEST_CASE(answer_runOfManyDays_isBelieved)
+{
+    const ReadingRun run{this->start - std::chrono::hours(1000), this->start};
+    const auto read
+        = readAnswer(answerTo({{"readings?", 7}}, run, this->start), 7, this->start, this->start);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((read->since < this->start - kLongAbsence));
+}
+
+BOOST_AUTO_TEST_CASE(answer_toAnEarlierQuestionOrUnreadable_isIgnored)
+{
+    const boost::json::object answer
+        = answerTo({{"readings?", 7}}, {this->start, this->start}, this->start);
+    BOOST_TEST(!readAnswer(answer, 8, this->start, this->start));
+    for (const char *text :
+         {R"({"readings":7})", R"({"readings":7,"sinceMs":5})", R"({"readings":7,"lastMs":5})",
+          R"({"readings":7,"sinceMs":5,"lastMs":6})", R"({"readings":"7","sinceMs":6,"lastMs":5})",
+          R"({"readings":7,"sinceMs":99999999999,"lastMs":5})"}) {
+        const boost::json::value unreadable = boost::json::parse(text);
+        BOOST_TEST(!readAnswer(unreadable.get_object(), 7, this->start, this->start), text);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
