--- a/Source/UnitTests/Node/InstanceTest.cpp
+++ b/Source/UnitTests/Node/InstanceTest.cpp
@@ -174,7 +174,7 @@
         reply = this->call(this->callerAddress, request);
     }
     const Stream rest = readStream(reply.body);
-    BOOST_TEST(rest.lastType == "done");
+    BOOST_TEST(rest.lastType == "done", rest.lastType << ": " << rest.lastData);
     BOOST_REQUIRE(rest.tokens.size() == 400u - 31u);
     BOOST_TEST(std::equal(rest.tokens.begin(), rest.tokens.end(), expected.begin() + 31));
     BOOST_TEST(rest.lastData.find(Pipeline::streamDigest(expected)) != std::string::npos);
