Discovery: read again in time after one late answer of the store

Callers saw: a worker whose entry was removed while an instance waited for a late answer of the store got requests up to 0.3 s longer than the 2 s allowed (DRAIN). One late answer is enough; no process ends and nothing is cut off. Cause: readings begin 1.2 s apart, a call times out after 0.8 s, and the back-off after the fault takes up to 0.25 s. Each part fits within 2 s, their sum does not. Change: the first reading is given up after 0.2 of the bound on leaving endpoints, and the next one begins at once, with the time-out of all calls. After an answer that took longer than the short time-out the next reading has the long one, so that a slow store is read all the same. Full readings keep the long one. Ruled out: a shorter interval, which would let every instance that reads call the store more often for good.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -17,6 +17,8 @@
 // leaving endpoint out of routing in time, with a reserve for one failed read. Entries change about
 // once a second, so a long-polling read would return at once.
 constexpr double kReadIntervalPerLeavingDelay = 0.6;
+// Time-out of a read, as a fraction of the leaving delay, that leaves time for a second one.
+constexpr double kReadTimeoutPerLeavingDelay = 0.2;
 // The grace period after an outage begins with the first reading that succeeds. It has to be over
 // by the time in which an instance is back in contact.
 constexpr Common::BackoffLimits kRetryDelays{Common::Milliseconds(200), Common::Milliseconds(500)};
@@ -260,8 +262,11 @@
 Http::Awaitable<Common::Duration> EndpointDiscovery::readStore()
 {
     const Common::Time startedAt = clockNow();
-    const auto reading
-        = co_await this->store.readEndpoints(this->position, Common::Milliseconds(0));
+    const auto shortTimeout = std::chrono::duration_cast<Common::Milliseconds>(
+        this->state.settings.bounds.leavingDelay * kReadTimeoutPerLeavingDelay);
+    const bool isRetry = this->contact.hasFailed;
+    const auto timeout = isRetry || this->isStoreSlow ? std::nullopt : std::optional(shortTimeout);
+    const auto reading = co_await this->store.readEndpoints(this->position, timeout);
     const Common::Time now = clockNow();
     if (!reading && reading.error() == StoreFault::HistoryGone) {
         const bool wasFullRead = std::exchange(this->position.version, 0) == 0;
@@ -270,7 +275,7 @@
     }
     if (!reading) {
         this->noteFault(reading.error(), now);
-        co_return this->delayAfterFault();
+        co_return isRetry ? this->delayAfterFault() : Common::Duration{0};
     }
     const ReadingUse use = useOfReading(this->position, reading->position, reading->isComplete);
     if (this->hasReadAll && reading->position.epoch > this->position.epoch) {
@@ -288,6 +293,7 @@
     if (use == ReadingUse::Discard)
         co_return this->delayAfterFault();
     Common::noteSuccess(this->backoff);
+    this->isStoreSlow = now - startedAt >= shortTimeout;
     if (this->contact.hasFailed)
         this->state.logState(LogLine("store-regained").text("read", "endpoints"));
     this->needsReading = false;
--- a/Source/Core/Entry/EndpointDiscovery.h
+++ b/Source/Core/Entry/EndpointDiscovery.h
@@ -148,6 +148,8 @@
     StorePosition position;
     StoreContact contact;
     Common::DelayedAction outageWatch;
+    // The last reading took longer than the short time-out, so that the next one is not cut short.
+    bool isStoreSlow = false;
     bool changed = false;
     // Whether the list is based on a report of another instance since this one last read it.
     bool hasFollowed = false;
--- a/Source/Core/Entry/Ports.h
+++ b/Source/Core/Entry/Ports.h
@@ -352,9 +352,10 @@
     virtual Http::Awaitable<StoreResult<CatalogUpdate>> readCatalog(StorePosition position,
                                                                     Common::Milliseconds wait)
         = 0;
-    virtual Http::Awaitable<StoreResult<EndpointsUpdate>> readEndpoints(StorePosition position,
-                                                                        Common::Milliseconds wait)
-        = 0;
+    // Gives up after `timeout`, or after the time-out of all calls if that is unset or the list is
+    // read in full.
+    virtual Http::Awaitable<StoreResult<EndpointsUpdate>>
+    readEndpoints(StorePosition position, std::optional<Common::Milliseconds> timeout) = 0;
     virtual Http::Awaitable<StoreResult<std::vector<ListedInstance>>> readInstances() = 0;
     // Returns the epoch in which the store confirmed the write. On a fault, the write may have been
     // applied or not.
