Store contact, tests: say what a reading's two outcomes are

Cause: noteReading and noteReadingFailed looked like one general and one special function, though they are the two outcomes of a reading. Result: no change of behaviour or of a check.

--- a/Source/Core/Entry/EndpointDiscovery.cpp
+++ b/Source/Core/Entry/EndpointDiscovery.cpp
@@ -63,7 +63,7 @@
         this->state.logState(
             LogLine("store-lost").text("read", "endpoints").text("fault", Common::nameOf(fault)));
     }
-    noteReadingFailed(this->contact);
+    noteReadFailed(this->contact);
     this->applyExpirations(now);
 }
 
@@ -97,7 +97,7 @@
 void EndpointDiscovery::noteConfirmed(Common::Time readAt, Common::Time now)
 {
     const Common::Duration heartbeat = this->state.settings.bounds.endpointHeartbeat;
-    if (noteReading(this->contact, readAt, heartbeat, now))
+    if (noteReadSucceeded(this->contact, readAt, heartbeat, now))
         this->watchOutage(kOutageQuestionDelay);
     this->knownUntil = this->confirmedAt.value_or(this->state.startedAt);
     this->confirmedAt = std::max(this->confirmedAt.value_or(readAt), readAt);
--- a/Source/Core/Entry/StoreContact.cpp
+++ b/Source/Core/Entry/StoreContact.cpp
@@ -21,13 +21,13 @@
 
 } // namespace
 
-void noteReadingFailed(StoreContact &contact)
+void noteReadFailed(StoreContact &contact)
 {
     contact.hasFailed = true;
 }
 
-bool noteReading(StoreContact &contact, Common::Time readAt, Common::Duration heartbeat,
-                 Common::Time now)
+bool noteReadSucceeded(StoreContact &contact, Common::Time readAt, Common::Duration heartbeat,
+                       Common::Time now)
 {
     const bool hadFailed = std::exchange(contact.hasFailed, false);
     if (contact.run && isGapless(contact.run->last, readAt, heartbeat)) {
--- a/Source/Core/Entry/StoreContact.h
+++ b/Source/Core/Entry/StoreContact.h
@@ -41,12 +41,12 @@
     std::optional<StoreOutage> outage;
 };
 
-void noteReadingFailed(StoreContact &contact);
+void noteReadFailed(StoreContact &contact);
 
 // Records a successful reading that began at `readAt`. Returns whether the store may have been away
 // before it.
-bool noteReading(StoreContact &contact, Common::Time readAt, Common::Duration heartbeat,
-                 Common::Time now);
+bool noteReadSucceeded(StoreContact &contact, Common::Time readAt, Common::Duration heartbeat,
+                       Common::Time now);
 
 // Records that the store has returned from an older copy.
 void noteRestored(StoreContact &contact, Common::Time now);
--- a/Source/UnitTests/Entry/StoreContactTest.cpp
+++ b/Source/UnitTests/Entry/StoreContactTest.cpp
@@ -22,14 +22,14 @@
 
     bool readAt(Milliseconds time)
     {
-        return noteReading(this->contact, this->start + time, kHeartbeat, this->start + time);
+        return noteReadSucceeded(this->contact, this->start + time, kHeartbeat, this->start + time);
     }
 
     // Reads, loses the store, and reads again after an absence.
     bool readAgainAfter(Milliseconds absence)
     {
         this->readAt(Milliseconds(0));
-        noteReadingFailed(this->contact);
+        noteReadFailed(this->contact);
         return this->readAt(absence);
     }
 
@@ -61,7 +61,7 @@
 {
     BOOST_TEST(!this->readAgainAfter(kShortestLapse - Milliseconds(1)));
     BOOST_TEST(!this->isGraceAt(kShortestLapse));
-    noteReadingFailed(this->contact);
+    noteReadFailed(this->contact);
     BOOST_TEST(this->readAt(2 * kShortestLapse));
 }
 
@@ -74,7 +74,7 @@
 
 BOOST_AUTO_TEST_CASE(firstReading_afterFailedOnes_removalsTakeEffect)
 {
-    noteReadingFailed(this->contact);
+    noteReadFailed(this->contact);
     BOOST_TEST(!this->readAt(kLongAbsence));
     BOOST_TEST(!this->isGraceAt(kLongAbsence));
 }
@@ -109,7 +109,7 @@
 BOOST_AUTO_TEST_CASE(storeReturnsFromACopy_otherReadOn_removalsArePutOff)
 {
     this->readAt(Milliseconds(0));
-    noteReadingFailed(this->contact);
+    noteReadFailed(this->contact);
     noteRestored(this->contact, this->start + kLongAbsence);
     BOOST_TEST(this->readAt(kLongAbsence));
     BOOST_TEST(!this->hearsOfReadings(-kLongAbsence, kLongAbsence));
--- a/Source/UnitTests/Experiment/TooLittleRoomTest.cpp
+++ b/Source/UnitTests/Experiment/TooLittleRoomTest.cpp
@@ -145,7 +145,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(TooLittleRoom, TooLittleRoomFixture)
 
-// With room for everything the order is today's, to the request.
+// With room for everything, both policies serve the same requests.
 BOOST_AUTO_TEST_CASE(calm_everythingOnTime_orderIsTodays)
 {
     const Outcome today = this->run(Policy::Shared, 0.6);
