Membership: keep listed instances that were forgotten as failed out of the directory

Cause: a failed instance is forgotten after a minute. If its row is still listed, the next reading of the list adds it as one of which nothing is known, and such a one is believed to be alive for 1.8 s. It fails, is forgotten and comes back each 65 s. Change: the detector remembers whom it has forgotten, as long as the list names them, and adds them as failed. They are probed as failed ones, so that an instance that returns after a long cut, or is started anew under the name, is back as soon as it is heard. Ruled out: keeping failed instances for as long as they are listed, since the list is read every 15 to 60 s and a restart of the store may empty it; removing the rows of others, since an instance that is cut off from the others but lives would lose its row.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -562,8 +562,7 @@
         // Stage work does not start until the other instances are known.
         const auto listed = co_await this->store->readInstances();
         if (listed) {
-            for (const ListedInstance &instance : *listed)
-                this->gossip.addListed(instance);
+            this->gossip.noteListed(*listed);
             this->state.instancesWereListed = true;
         }
         // A store that returned from an older copy may have lost the row.
--- a/Source/Core/Entry/Gossip.cpp
+++ b/Source/Core/Entry/Gossip.cpp
@@ -180,17 +180,18 @@
     this->attachAllHandlers.push_back(std::move(attach));
 }
 
-void Gossip::addListed(const ListedInstance &instance)
-{
-    const auto [entry, added] = this->state.members.byId.try_emplace(instance.id);
-    if (!added)
-        return;
-    entry->second.report.id = instance.id;
-    entry->second.report.peerAddress = instance.peerAddress;
-    entry->second.report.callerAddress = instance.callerAddress;
-    entry->second.report.failureDomain = instance.failureDomain;
-    entry->second.report.strength = instance.strength;
-    entry->second.firstSeenAt = clockNow();
+void Gossip::noteListed(const std::vector<ListedInstance> &instances)
+{
+    std::vector<Membership::MemberReport> reports;
+    for (const ListedInstance &instance : instances) {
+        Membership::MemberReport &report = reports.emplace_back();
+        report.id = instance.id;
+        report.peerAddress = instance.peerAddress;
+        report.callerAddress = instance.callerAddress;
+        report.failureDomain = instance.failureDomain;
+        report.strength = instance.strength;
+    }
+    Membership::noteListed(this->detector, this->state.members, reports, clockNow());
 }
 
 Membership::MemberReport Gossip::ownReport() const
--- a/Source/Core/Entry/Gossip.h
+++ b/Source/Core/Entry/Gossip.h
@@ -40,8 +40,8 @@
                     std::function<void(const boost::json::object &)> read);
     // Adds a handler that attaches to an answer with all that this instance knows.
     void onAllReports(std::function<void(boost::json::object &)> attach);
-    // Adds an instance listed in the store, unless it is known already.
-    void addListed(const ListedInstance &instance);
+    // Applies the store's list of instances: adds those that are not known.
+    void noteListed(const std::vector<ListedInstance> &instances);
 
 private:
     Http::Awaitable<void> sendLoop();
--- a/Source/Core/Membership/Detector.cpp
+++ b/Source/Core/Membership/Detector.cpp
@@ -151,8 +151,12 @@
     }
     std::erase_if(members.byId, [&](const auto &entry) {
         const Member &member = entry.second;
-        return entry.first != members.self && member.condition == Condition::Failed
+        const bool isForgotten = entry.first != members.self
+            && member.condition == Condition::Failed
             && now - member.conditionSince >= detector.settings.failedMemory;
+        if (isForgotten)
+            detector.forgotten.insert(entry.first);
+        return isForgotten;
     });
 }
 
@@ -339,6 +343,27 @@
     publish(detector.news, report.id, MemberNews{report, Condition::Alive});
 }
 
+void noteListed(Detector &detector, Members &members, const std::vector<MemberReport> &listed,
+                Time now)
+{
+    std::set<InstanceId> listedIds;
+    for (const MemberReport &report : listed) {
+        listedIds.insert(report.id);
+        const auto [entry, added] = members.byId.try_emplace(report.id);
+        if (!added)
+            continue;
+        Member &member = entry->second;
+        member.report = report;
+        member.firstSeenAt = now;
+        if (!detector.forgotten.contains(report.id))
+            continue;
+        member.condition = Condition::Failed;
+        member.conditionSince = now;
+    }
+    std::erase_if(detector.forgotten,
+                  [&](const InstanceId &id) { return !listedIds.contains(id); });
+}
+
 void noteStatedStart(Members &members, const MemberReport &own)
 {
     const auto found = members.byId.find(own.id);
--- a/Source/Core/Membership/Detector.h
+++ b/Source/Core/Membership/Detector.h
@@ -10,6 +10,8 @@
 #include "Membership/Members.h"
 #include "Membership/News.h"
 
+#include <set>
+
 namespace Tanagerbay::Membership {
 
 struct DetectorSettings
@@ -96,6 +98,8 @@
     std::optional<Common::Time> lastTickAt;
     // Many instances have failed at once: this one may be cut off from them.
     bool seesManyFailed = false;
+    // Instances that were forgotten as failed. The platform's list may still name them.
+    std::set<Common::InstanceId> forgotten;
     News<Common::InstanceId, MemberNews> news;
 };
 
@@ -151,6 +155,11 @@
 // Passes on this instance's own report, after a change of its state.
 void publishSelf(Detector &detector, const MemberReport &report);
 
+// Adds the instances of a newly read list that are not known. One that was forgotten as failed is
+// not believed to be alive until it is heard: whoever ends while the store is away stays listed.
+void noteListed(Detector &detector, Members &members, const std::vector<MemberReport> &listed,
+                Common::Time now);
+
 // Records which start an instance states in a message of its own.
 void noteStatedStart(Members &members, const MemberReport &own);
 
--- a/Source/UnitTests/Membership/DetectorSimulation.cpp
+++ b/Source/UnitTests/Membership/DetectorSimulation.cpp
@@ -69,6 +69,21 @@
     }
 }
 
+void DetectorSimulation::list(const std::vector<std::size_t> &listed)
+{
+    std::vector<MemberReport> reports;
+    for (const std::size_t index : listed) {
+        MemberReport &report = reports.emplace_back();
+        report.id = this->ids[index];
+        report.peerAddress = this->addressOf(index);
+        report.callerAddress = report.peerAddress;
+    }
+    for (Instance &instance : this->instances) {
+        if (instance.isRunning)
+            noteListed(instance.detector, instance.members, reports, this->now);
+    }
+}
+
 void DetectorSimulation::schedule(Duration delay, std::function<void()> action)
 {
     this->events.push({this->now + delay, ++this->lastEvent, std::move(action)});
--- a/Source/UnitTests/Membership/DetectorSimulation.h
+++ b/Source/UnitTests/Membership/DetectorSimulation.h
@@ -29,6 +29,8 @@
     void introduceAll();
     // Instance `index` learns of one other only.
     void introduce(std::size_t index, std::size_t other);
+    // All live instances read a list that names these.
+    void list(const std::vector<std::size_t> &listed);
     void kill(std::size_t index);
     // The clock has stepped by `clockStep` beside the time that has passed since the last start.
     void restart(std::size_t index, std::int64_t clockStep = 0);
--- a/Source/UnitTests/Membership/DetectorTest.cpp
+++ b/Source/UnitTests/Membership/DetectorTest.cpp
@@ -154,6 +154,64 @@
     BOOST_TEST((took < seconds(20)));
 }
 
+// Guards against directories that name an instance which has ended (DRAIN): its row stays listed if
+// it ends while the store is away.
+BOOST_AUTO_TEST_CASE(instanceEnds_itsRowStaysListed_isInNoDirectoryAgain)
+{
+    constexpr std::size_t kSize = 7;
+    DetectorSimulation simulation(kSize, 1);
+    simulation.introduceAll();
+    simulation.runFor(seconds(2));
+    simulation.kill(0);
+    simulation.runFor(seconds(10));
+    std::size_t believers = 0;
+    for (int i = 0; i < 200; ++i) {
+        simulation.list({0, 1, 2, 3, 4, 5, 6});
+        simulation.runFor(seconds(1));
+        believers += simulation.believers(0);
+    }
+    BOOST_TEST(believers == 0u);
+}
+
+// Guards against instances that stay out of all directories after a cut that outlasted the memory
+// of failures (LOST).
+BOOST_AUTO_TEST_CASE(cutOutlastsTheMemory_rowStaysListed_isBackInAllDirectoriesInTime)
+{
+    constexpr std::size_t kSize = 7;
+    DetectorSimulation simulation(kSize, 1);
+    simulation.introduceAll();
+    simulation.runFor(seconds(2));
+    simulation.network.mayPass
+        = [](std::size_t from, std::size_t to) { return (from == 0) == (to == 0); };
+    for (int i = 0; i < 200; ++i) {
+        simulation.list({0, 1, 2, 3, 4, 5, 6});
+        simulation.runFor(seconds(1));
+    }
+    BOOST_TEST(simulation.believers(0) == 0u);
+    simulation.network.mayPass = nullptr;
+    const auto isBack = [&] { return simulation.falseSuspicions() == 0; };
+    BOOST_TEST((timeUntil(simulation, seconds(20), isBack) <= kReturnBound));
+}
+
+// Guards against an instance that stays out of all directories since it was started anew under the
+// name of one that had ended (LOST).
+BOOST_AUTO_TEST_CASE(instanceEnded_startsAgainLater_isBackInAllDirectoriesInTime)
+{
+    constexpr std::size_t kSize = 7;
+    DetectorSimulation simulation(kSize, 1);
+    simulation.introduceAll();
+    simulation.runFor(seconds(2));
+    simulation.kill(0);
+    for (int i = 0; i < 100; ++i) {
+        simulation.list({0, 1, 2, 3, 4, 5, 6});
+        simulation.runFor(seconds(1));
+    }
+    simulation.restart(0);
+    simulation.list({0, 1, 2, 3, 4, 5, 6});
+    const auto isBack = [&] { return simulation.believers(0) == kSize - 1; };
+    BOOST_TEST((timeUntil(simulation, seconds(20), isBack) <= kReturnBound));
+}
+
 BOOST_AUTO_TEST_CASE(oneWayCut_instanceHearsNothing_isSuspectedByTheOthers)
 {
     DetectorSimulation simulation(30, 1);
