Shutdown: remove the own row once the store is back

Cause: an instance that is terminated removes its row from the store once, and takes no notice of a failure. Change: it tries again every 200 ms until the row is removed or the process exits. The exit does not wait for it.

--- a/Source/Core/Entry/EntryInstance.cpp
+++ b/Source/Core/Entry/EntryInstance.cpp
@@ -35,6 +35,7 @@
 // The same for instances that follow readers, which only miss instances that nobody has found.
 constexpr Common::Milliseconds kFollowerListInterval{60'000};
 constexpr Common::Milliseconds kInstanceListRetryInterval{500};
+constexpr Common::Milliseconds kRowRemovalRetryInterval{200};
 // How often it is checked whether the store has lost this instance's row.
 constexpr Common::Milliseconds kEpochCheckInterval{1000};
 // Body size limit until the catalog sets one.
@@ -483,7 +484,9 @@
     asio::co_spawn(
         this->state.context,
         [this]() -> Http::Awaitable<void> {
-            co_await this->store->removeInstance(this->state.settings.instance);
+            // The row outlives the process if the store cannot be reached until the exit.
+            while (!co_await this->store->removeInstance(this->state.settings.instance))
+                co_await this->state.sleepFor(kRowRemovalRetryInterval);
         },
         asio::detached);
     bool isClosed = false;
